--- /dev/null
+++ b/cmd/cactuswalld/main.go
@@ -0,0 +1,12 @@
+// Command cactuswalld is the node of the cactuswall scheduler.
+package main
+
+import (
+	"os"
+
+	"cactuswall.example/cactuswall/internal/daemoncmd"
+)
+
+func main() {
+	os.Exit(daemoncmd.Execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/daemoncmd/root.go
@@ -0,0 +1,55 @@
+// Package daemoncmd holds the commands of cactuswalld, one file a command.
+package daemoncmd
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"context"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/exitcode"
+)
+
+// Execute runs the command line and returns the exit code of the process.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, exitcode.Message("cactuswalld", err))
+	}
+	return exitcode.Of(err)
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cactuswalld",
+		Short:         "The node of the cactuswall scheduler",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitcode.Usage(err) })
+	root.AddCommand(newRunCommand(), newCheckSettingsCommand(), newDevCommand(), newVersionCommand())
+	return root
+}
+
+func newLogger(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	config.OutputPaths = []string{"stderr"}
+	parsed, err := zap.ParseAtomicLevel(level)
+	if err != nil {
+		return nil, exitcode.Usage(err)
+	}
+	config.Level = parsed
+	return config.Build()
+}
--- /dev/null
+++ b/internal/daemoncmd/version.go
@@ -0,0 +1,16 @@
+package daemoncmd
+
+import (
+	"github.com/spf13/cobra"
+
+	"cactuswall.example/cactuswall/internal/buildinfo"
+)
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(c *cobra.Command, _ []string) { c.Println("cactuswalld", buildinfo.Version()) },
+	}
+}
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,246 @@
+// Package dev runs a whole small deployment in one process on loopback: stand-ins for the platform,
+// workers and endpoints, and two nodes for each failure domain.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"cactuswall.example/cactuswall/examples"
+	"cactuswall.example/cactuswall/internal/node"
+	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/platform/httpjson"
+	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/standin"
+	"cactuswall.example/cactuswall/internal/units"
+)
+
+const (
+	// nodesPerDomain is the number of nodes in each failure domain.
+	nodesPerDomain = 2
+	// workersPerDomain is the number of workers in each failure domain.
+	workersPerDomain = 4
+	// portsPerNode is the number of ports that each node takes.
+	portsPerNode = 3
+	// workerPortOffset is where the ports of the workers begin above the base port.
+	workerPortOffset = 100
+	// listLag is how far the stand-in for the VM list lags behind.
+	listLag = 500 * time.Millisecond
+	// batchRunTime is how long every batch task really runs.
+	batchRunTime = 8 * time.Second
+	// serviceTime is how long an endpoint works on a request.
+	serviceTime = 5 * time.Millisecond
+	// peerKey is the shared key of the development nodes.
+	peerKey = "development-peer-key"
+	host    = "127.0.0.1"
+)
+
+// Deployment is one of the deployments that dev knows.
+type Deployment struct {
+	Domains  []string
+	Capacity units.Resources
+	// Manifest is the document that is published at the start.
+	Manifest []byte
+}
+
+// Deployments are the known deployments by name.
+var Deployments = map[string]Deployment{
+	"arwyddion": {
+		Domains:  []string{"gogledd", "canolbarth", "de"},
+		Capacity: units.Resources{MilliProcessors: 64000, MemoryMiB: 250000},
+		Manifest: examples.ArwyddionManifest,
+	},
+	"vinnufata": {
+		Domains:  []string{"hafnarfj", "kopav", "keflav", "selfoss"},
+		Capacity: units.Resources{MilliProcessors: 16000, MemoryMiB: 60000, Accelerators: 1},
+		Manifest: examples.VinnufataManifest,
+	},
+}
+
+// Options say what to run.
+type Options struct {
+	Deployment string
+	BasePort   int
+	// Output gets the addresses of the nodes.
+	Output io.Writer
+	Logger *zap.Logger
+}
+
+// world is the running deployment.
+type world struct {
+	deployment Deployment
+	options    Options
+	log        *standin.Log
+	list       *standin.List
+	mu         sync.Mutex
+	servers    []*http.Server
+	nodes      []*node.Node
+	settings   []settings.Settings
+}
+
+// Run runs a deployment until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	deployment, known := Deployments[o.Deployment]
+	if !known {
+		return trace.BadParameter("unknown deployment %q; use arwyddion or vinnufata", o.Deployment)
+	}
+	w := &world{deployment: deployment, options: o, log: standin.NewLog(), list: standin.NewList(listLag)}
+	defer w.close()
+	if err := w.startPlatform(); err != nil {
+		return err
+	}
+	if err := w.startWorkers(); err != nil {
+		return err
+	}
+	if err := w.makeNodes(); err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, n := range w.nodes {
+		group.Go(func() error { return n.Run(ctx) })
+	}
+	group.Go(func() error { return w.publish(ctx) })
+	w.announce()
+	return group.Wait()
+}
+
+func (w *world) address(offset int) string {
+	return fmt.Sprintf("%s:%d", host, w.options.BasePort+offset)
+}
+
+// serve answers on an address of this process until the world closes.
+func (w *world) serve(address string, handler http.Handler) (string, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", nil, trace.ConnectionProblem(err, "cannot listen on %s; if the port is taken, choose another with --base-port", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	w.mu.Lock()
+	w.servers = append(w.servers, server)
+	w.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), func() { _ = server.Close() }, nil
+}
+
+func (w *world) startPlatform() error {
+	_, _, err := w.serve(w.address(0), httpjson.PlatformHandler(w.log, w.list))
+	return err
+}
+
+func (w *world) startWorkers() error {
+	for d, domain := range w.deployment.Domains {
+		for i := range workersPerDomain {
+			if err := w.startWorker(domain, i, w.address(workerPortOffset+d*workersPerDomain+i)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) startWorker(domain string, index int, address string) error {
+	agent := standin.NewWorker(standin.WorkerOptions{
+		ID:       fmt.Sprintf("%s-w%d", domain, index),
+		Capacity: w.deployment.Capacity,
+		TruthOf: func(req platform.StartRequest) standin.Truth {
+			return standin.Truth{RunTime: batchRunTime, Usage: req.Size}
+		},
+		Serve: func(req platform.StartRequest) (standin.Instance, error) { return w.startEndpoint(domain, req) },
+	})
+	if _, _, err := w.serve(address, httpjson.WorkerHandler(agent)); err != nil {
+		return err
+	}
+	w.list.Put(platform.VM{
+		ID:            agent.ID(),
+		Kind:          platform.WorkerVM,
+		State:         platform.Live,
+		FailureDomain: domain,
+		Rack:          fmt.Sprintf("%s-rack%d", domain, index/2),
+		Address:       address,
+	})
+	return nil
+}
+
+func (w *world) startEndpoint(domain string, req platform.StartRequest) (standin.Instance, error) {
+	id := fmt.Sprintf("%s@%d", req.Run.Task, req.Run.Attempt)
+	e := standin.NewEndpoint(id, req.Slots, serviceTime)
+	address, stop, err := w.serve(host+":0", e)
+	if err != nil {
+		return standin.Instance{}, err
+	}
+	w.list.Put(e.VM(req.Service, domain, address))
+	return standin.Instance{Address: address, Close: func() {
+		w.list.Remove(id)
+		stop()
+	}}, nil
+}
+
+func (w *world) makeNodes() error {
+	for d, domain := range w.deployment.Domains {
+		for i := range nodesPerDomain {
+			index := d*nodesPerDomain + i
+			if err := w.makeNode(fmt.Sprintf("%s-%d", domain, i+1), domain, index); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) makeNode(name, domain string, index int) error {
+	s := settings.Default()
+	s.Node = name
+	s.FailureDomain = domain
+	s.CallerAddress = w.address(1 + portsPerNode*index)
+	s.OperatorAddress = w.address(2 + portsPerNode*index)
+	s.PeerAddress = w.address(3 + portsPerNode*index)
+	s.PeerKey = peerKey
+	s.PlatformAddress = w.address(0)
+	s.Stop.BalancerDelay = units.Duration(100 * time.Millisecond)
+	s.Membership.ListPeriod = units.Duration(500 * time.Millisecond)
+	listeners, err := node.Listen(s)
+	if err != nil {
+		return trace.Wrap(err, "choose another port with --base-port")
+	}
+	w.settings = append(w.settings, s)
+	w.list.Put(platform.VM{ID: name, Kind: platform.EntryVM, State: platform.Live, FailureDomain: domain, Address: s.PeerAddress})
+	w.nodes = append(w.nodes, node.NewDaemon(s, listeners, w.options.Logger))
+	return nil
+}
+
+// publish puts the example manifest in force.
+func (w *world) publish(ctx context.Context) error {
+	decision, err := w.nodes[0].Publish(ctx, operator.Publication{Document: string(w.deployment.Manifest)})
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err == nil && !decision.Accepted {
+		err = trace.CompareFailed("the example manifest was not accepted: %s", decision.Because)
+	}
+	return trace.Wrap(err)
+}
+
+func (w *world) announce() {
+	for _, s := range w.settings {
+		_, _ = fmt.Fprintf(w.options.Output, "%-14s failure domain %-12s callers %s  operators %s\n",
+			s.Node, s.FailureDomain, s.CallerAddress, s.OperatorAddress)
+	}
+}
+
+func (w *world) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,50 @@
+// Package journal reads and writes streams of the platform's log under one discipline: batches with
+// identities, lost replies settled by reading on, back-off during outages, and bounded queues.
+package journal
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// ManifestStream is the stream that all nodes read and operators publish to.
+const ManifestStream = "manifest"
+
+// DomainStream returns the stream of a failure domain.
+func DomainStream(domain string) string { return "domain-" + domain }
+
+// Metrics counts the use of one stream.
+type Metrics struct {
+	Appends          *metrics.Counter
+	BytesAppended    *metrics.Counter
+	AppendFailures   *metrics.Counter
+	SettledByReading *metrics.Counter
+	QueueFull        *metrics.Counter
+	Unencodable      *metrics.Counter
+	EntriesRead      *metrics.Counter
+	BytesRead        *metrics.Counter
+	ReadFailures     *metrics.Counter
+	Gaps             *metrics.Counter
+	Unreadable       *metrics.Counter
+}
+
+// NewMetrics registers the counters of a stream.
+func NewMetrics(set *metrics.Set, stream string) *Metrics {
+	counter := func(name string) *metrics.Counter {
+		return set.GetOrCreateCounter(fmt.Sprintf("cactuswall_log_%s_total{stream=%q}", name, stream))
+	}
+	return &Metrics{
+		Appends:          counter("appends"),
+		BytesAppended:    counter("appended_bytes"),
+		AppendFailures:   counter("append_failures"),
+		SettledByReading: counter("appends_settled_by_reading"),
+		QueueFull:        counter("records_refused_queue_full"),
+		Unencodable:      counter("records_unencodable"),
+		EntriesRead:      counter("entries_read"),
+		BytesRead:        counter("read_bytes"),
+		ReadFailures:     counter("read_failures"),
+		Gaps:             counter("gaps"),
+		Unreadable:       counter("entries_unreadable"),
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,301 @@
+// Package ledger replays the records of a failure domain's stream into claims and placements.
+//
+// Every node of the domain applies the same records in the same order and reaches the same state. A
+// record is accepted or rejected by its position in the log alone, never by a clock. A placement counts
+// only once it has been read back as accepted; that is why a task never has two open attempts.
+package ledger
+
+import (
+	"time"
+
+	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+)
+
+// Writer names the process that wrote a batch.
+type Writer struct {
+	Node        string
+	Incarnation uint64
+}
+
+// Claim is the current claim of a shard.
+type Claim struct {
+	Shard uint32
+	Owner Writer
+	// Token is the offset of the claim, 0 when the shard was never claimed.
+	Token platform.Offset
+	Lease time.Duration
+	// SeenAt is when this node read the claim or its newest renewal.
+	SeenAt time.Time
+	// Released is set when the owner has given the shard up.
+	Released bool
+	// Heir is the node that the owner asked to claim next, or empty.
+	Heir string
+}
+
+// Attempt is the newest attempt of a task.
+type Attempt struct {
+	Task    string
+	Number  uint32
+	Worker  string
+	Shard   uint32
+	Open    bool
+	Outcome record.Outcome
+	Reason  string
+	// Checkpoint and Progress (0 to 1) are where the next attempt resumes.
+	Checkpoint string
+	Progress   float64
+	Failures   int
+	Evictions  int
+	// EndedAt is when this node read the end.
+	EndedAt time.Time
+}
+
+// Rejection says why a record was not accepted. It is a metric label.
+type Rejection string
+
+// The reasons for which a record is rejected.
+const (
+	Accepted       Rejection = ""
+	DuplicateBatch Rejection = "duplicate_batch"
+	StaleClaim     Rejection = "stale_claim"
+	StaleToken     Rejection = "stale_token"
+	WrongShard     Rejection = "wrong_shard"
+	WrongAttempt   Rejection = "wrong_attempt"
+	AlreadyOpen    Rejection = "already_open"
+	NotOpen        Rejection = "not_open"
+	AlreadyDone    Rejection = "already_done"
+	UnknownRecord  Rejection = "unknown_record"
+)
+
+// Result is the fate of one record.
+type Result struct {
+	Record    *record.Record
+	Writer    Writer
+	Offset    platform.Offset
+	Rejection Rejection
+}
+
+// Ledger is the replayed state of one domain stream.
+type Ledger struct {
+	claims   [failuredomain.Shards]Claim
+	attempts map[string]*Attempt
+	// shards holds the shard of each task that has left its first one.
+	shards map[string]uint32
+	// sequences holds the highest sequence number seen of each writer.
+	sequences map[Writer]uint64
+}
+
+// New returns the state of an empty stream.
+func New() *Ledger {
+	l := &Ledger{
+		attempts:  make(map[string]*Attempt),
+		shards:    make(map[string]uint32),
+		sequences: make(map[Writer]uint64),
+	}
+	for i := range l.claims {
+		l.claims[i].Shard = uint32(i)
+	}
+	return l
+}
+
+// Claim returns the current claim of a shard.
+func (l *Ledger) Claim(shard uint32) Claim { return l.claims[shard%failuredomain.Shards] }
+
+// Attempt returns the newest attempt of a task, or nil.
+func (l *Ledger) Attempt(task string) *Attempt { return l.attempts[task] }
+
+// Attempts calls yield for the newest attempt of each task, in no order.
+func (l *Ledger) Attempts(yield func(*Attempt)) {
+	for _, a := range l.attempts {
+		yield(a)
+	}
+}
+
+// ShardOf returns the shard that a task belongs to now.
+func (l *Ledger) ShardOf(task string) uint32 {
+	if shard, moved := l.shards[task]; moved {
+		return shard
+	}
+	return failuredomain.ShardOf(task)
+}
+
+// Forget drops the attempts of a task that no manifest names any more. Open attempts are kept.
+func (l *Ledger) Forget(task string) {
+	if a := l.attempts[task]; a != nil && !a.Open {
+		delete(l.attempts, task)
+		delete(l.shards, task)
+	}
+}
+
+// Apply replays one batch. now is the reader's clock; it is kept in claims and decides nothing here.
+func (l *Ledger) Apply(offset platform.Offset, batch *record.Batch, now time.Time) []Result {
+	w := Writer{Node: batch.GetNode(), Incarnation: batch.GetIncarnation()}
+	duplicate := batch.GetSequence() <= l.sequences[w]
+	if !duplicate {
+		l.sequences[w] = batch.GetSequence()
+	}
+	results := make([]Result, 0, len(batch.GetRecords()))
+	for _, r := range batch.GetRecords() {
+		rejection := DuplicateBatch
+		if !duplicate {
+			rejection = l.apply(offset, w, r, now)
+		}
+		results = append(results, Result{Record: r, Writer: w, Offset: offset, Rejection: rejection})
+	}
+	return results
+}
+
+func (l *Ledger) apply(offset platform.Offset, w Writer, r *record.Record, now time.Time) Rejection {
+	switch body := r.GetBody().(type) {
+	case *record.Record_Claim:
+		return l.applyClaim(offset, w, body.Claim, now)
+	case *record.Record_Renewal:
+		return l.applyRenewal(w, body.Renewal, now)
+	case *record.Record_Release:
+		return l.applyRelease(w, body.Release, now)
+	case *record.Record_Placement:
+		return l.applyPlacement(w, body.Placement)
+	case *record.Record_End:
+		return l.applyEnd(w, body.End, now)
+	case *record.Record_Transfer:
+		return l.applyTransfer(w, body.Transfer)
+	default:
+		return UnknownRecord
+	}
+}
+
+func (l *Ledger) applyClaim(offset platform.Offset, w Writer, c *record.Claim, now time.Time) Rejection {
+	if c.GetShard() >= failuredomain.Shards {
+		return WrongShard
+	}
+	current := &l.claims[c.GetShard()]
+	if platform.Offset(c.GetReplaces()) != current.Token {
+		return StaleClaim
+	}
+	*current = Claim{
+		Shard:  c.GetShard(),
+		Owner:  w,
+		Token:  offset,
+		Lease:  time.Duration(c.GetLeaseMs()) * time.Millisecond,
+		SeenAt: now,
+	}
+	return Accepted
+}
+
+// holds reports whether w owns the shard of t under t's token.
+func (l *Ledger) holds(w Writer, t *record.ShardToken) bool {
+	if t.GetShard() >= failuredomain.Shards {
+		return false
+	}
+	c := l.claims[t.GetShard()]
+	return c.Token != 0 && !c.Released && c.Owner == w && c.Token == platform.Offset(t.GetToken())
+}
+
+func (l *Ledger) applyRenewal(w Writer, r *record.Renewal, now time.Time) Rejection {
+	rejection := Accepted
+	for _, t := range r.GetClaims() {
+		if !l.holds(w, t) {
+			rejection = StaleToken
+			continue
+		}
+		l.claims[t.GetShard()].SeenAt = now
+	}
+	return rejection
+}
+
+func (l *Ledger) applyRelease(w Writer, r *record.Release, now time.Time) Rejection {
+	rejection := Accepted
+	for _, t := range r.GetClaims() {
+		if !l.holds(w, t) {
+			rejection = StaleToken
+			continue
+		}
+		c := &l.claims[t.GetShard()]
+		c.Released = true
+		c.Heir = r.GetHeir()
+		c.SeenAt = now
+	}
+	return rejection
+}
+
+func (l *Ledger) applyPlacement(w Writer, p *record.Placement) Rejection {
+	if !l.holds(w, p.GetFrom()) || !l.holds(w, p.GetTo()) {
+		return StaleToken
+	}
+	if l.ShardOf(p.GetTask()) != p.GetFrom().GetShard() {
+		return WrongShard
+	}
+	a := l.attempts[p.GetTask()]
+	if a == nil {
+		a = &Attempt{Task: p.GetTask()}
+	}
+	switch {
+	case a.Open:
+		return AlreadyOpen
+	case a.Outcome == record.Outcome_OUTCOME_FINISHED:
+		return AlreadyDone
+	case p.GetAttempt() != a.Number+1:
+		return WrongAttempt
+	}
+	a.Number = p.GetAttempt()
+	a.Worker = p.GetWorker()
+	a.Shard = p.GetTo().GetShard()
+	a.Open = true
+	a.Outcome = record.Outcome_OUTCOME_UNSPECIFIED
+	a.Reason = ""
+	l.attempts[a.Task] = a
+	l.shards[a.Task] = a.Shard
+	return Accepted
+}
+
+func (l *Ledger) applyEnd(w Writer, e *record.End, now time.Time) Rejection {
+	a := l.attempts[e.GetTask()]
+	switch {
+	case a == nil || !a.Open:
+		return NotOpen
+	case e.GetAttempt() != a.Number:
+		return WrongAttempt
+	case e.GetBy().GetShard() != a.Shard:
+		return WrongShard
+	case !l.holds(w, e.GetBy()):
+		return StaleToken
+	}
+	a.Open = false
+	a.Outcome = e.GetOutcome()
+	a.Reason = e.GetReason()
+	a.EndedAt = now
+	if e.GetCheckpoint() != "" {
+		a.Checkpoint = e.GetCheckpoint()
+		a.Progress = float64(e.GetProgressPermille()) / 1000
+	}
+	switch a.Outcome {
+	case record.Outcome_OUTCOME_FAILED:
+		a.Failures++
+	case record.Outcome_OUTCOME_EVICTED:
+		a.Evictions++
+	}
+	return Accepted
+}
+
+func (l *Ledger) applyTransfer(w Writer, t *record.Transfer) Rejection {
+	if !l.holds(w, t.GetFrom()) {
+		return StaleToken
+	}
+	if l.ShardOf(t.GetTask()) != t.GetFrom().GetShard() || t.GetToShard() >= failuredomain.Shards {
+		return WrongShard
+	}
+	var number uint32
+	if a := l.attempts[t.GetTask()]; a != nil {
+		if a.Open {
+			return AlreadyOpen
+		}
+		number = a.Number
+	}
+	if t.GetAttempt() != number {
+		return WrongAttempt
+	}
+	l.shards[t.GetTask()] = t.GetToShard()
+	return Accepted
+}
--- /dev/null
+++ b/internal/node/daemon.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/platform/httpjson"
+	"cactuswall.example/cactuswall/internal/settings"
+)
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
+	// idleConnections bounds the idle connections to one address.
+	idleConnections = 16
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 90 * time.Second
+)
+
+// NewTransport returns a transport for plain HTTP to IP numbers.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(s settings.Settings) (Listeners, error) {
+	var l Listeners
+	var err error
+	if l.Callers, err = listen(s.CallerAddress); err != nil {
+		return Listeners{}, err
+	}
+	if l.Operators, err = listen(s.OperatorAddress); err != nil {
+		_ = l.Callers.Close()
+		return Listeners{}, err
+	}
+	if l.Peers, err = listen(s.PeerAddress); err != nil {
+		_ = l.Callers.Close()
+		_ = l.Operators.Close()
+		return Listeners{}, err
+	}
+	return l, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "cannot listen on %s; is the port taken?", address)
+	}
+	return l, nil
+}
+
+// NewDaemon returns a node that reaches the platform, workers, endpoints and peers over HTTP.
+func NewDaemon(s settings.Settings, listeners Listeners, logger *zap.Logger) *Node {
+	client := httpjson.NewClient(s.PlatformAddress, &http.Client{Transport: NewTransport()})
+	return New(Options{
+		Settings:    s,
+		Log:         client,
+		List:        client,
+		Workers:     httpjson.NewWorkers(&http.Client{Transport: NewTransport()}, s.Scheduling.WorkerCallTimeout.Std()),
+		Listeners:   listeners,
+		Endpoints:   NewTransport(),
+		Peers:       NewTransport(),
+		Logger:      logger.With(zap.String("node", s.Node)),
+		Incarnation: uint64(time.Now().UnixNano()),
+	})
+}
--- /dev/null
+++ b/internal/node/engine.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/ledger"
+	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/ownership"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+// engine owns the tables of a node. Everything in it is used by the one goroutine of run; other
+// goroutines post functions to it.
+type engine struct {
+	settings settings.Settings
+	self     ledger.Writer
+	workers  platform.Workers
+	logger   *zap.Logger
+	metrics  *engineMetrics
+
+	events chan func(now time.Time)
+	ctx    context.Context
+
+	domainWriter   *journal.Writer
+	manifestWriter *journal.Writer
+
+	config    config.State
+	members   *membership.Table
+	ledger    *ledger.Ledger
+	owner     *ownership.Owner
+	workerRow *worker.Table
+	taskRow   *task.Table
+	directory *endpoint.Directory
+
+	vms        []platform.VM
+	listReadAt time.Time
+	// caughtUp is set once the domain stream has been read to its end.
+	caughtUp bool
+	// logReadAt is when the domain stream last answered.
+	logReadAt time.Time
+	stopping  bool
+	// dirty is set when a schedule may find something new to do.
+	dirty   bool
+	waiters map[string]chan decision
+	views   views
+}
+
+// maxPlacementsPerTick bounds the placements of one tick.
+const maxPlacementsPerTick = 64
+
+// eventQueue bounds the functions that wait for the engine.
+const eventQueue = 1024
+
+// run is the loop of the engine.
+func (e *engine) run(ctx context.Context) error {
+	ticker := time.NewTicker(e.settings.Scheduling.Tick.Std())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case event := <-e.events:
+			event(time.Now())
+		case <-ticker.C:
+			e.tick(time.Now())
+		}
+	}
+}
+
+// post hands a function to the engine's goroutine. It gives up when the engine has ended.
+func (e *engine) post(event func(now time.Time)) bool {
+	select {
+	case e.events <- event:
+		return true
+	case <-e.ctx.Done():
+		return false
+	}
+}
+
+// ask runs a function in the engine's goroutine and waits until it has run.
+func (e *engine) ask(ctx context.Context, event func(now time.Time)) bool {
+	done := make(chan struct{})
+	posted := e.post(func(now time.Time) {
+		event(now)
+		close(done)
+	})
+	if !posted {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+	case <-e.ctx.Done():
+	}
+	return false
+}
+
+// tick runs the systems over the tables.
+func (e *engine) tick(now time.Time) {
+	e.own(now)
+	e.adoptWorkers(now)
+	e.renewLeases(now)
+	e.startPlaced(now)
+	e.stopWithdrawn(now)
+	e.pursueStops(now)
+	e.schedule(now)
+	e.publishViews(now)
+}
+
+// own claims, renews and gives up shards.
+func (e *engine) own(now time.Time) {
+	if !e.caughtUp || e.stopping {
+		return
+	}
+	live := e.members.LiveIn(e.settings.FailureDomain, now)
+	e.domainWriter.Enqueue(e.owner.Decide(e.ledger, live, now)...)
+}
+
+// takeDomainEntries applies entries of the domain stream.
+func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
+	e.logReadAt = now
+	for _, d := range deliveries {
+		if d.Batch == nil {
+			continue
+		}
+		sent, own := e.domainWriter.Settle(d.Batch)
+		results := e.ledger.Apply(d.Offset, d.Batch, now)
+		e.owner.Observe(e.ledger, results, sent, own)
+		for _, r := range results {
+			e.takeResult(r, now)
+		}
+	}
+	if len(deliveries) == 0 {
+		e.caughtUp = true
+	}
+}
+
+// takeManifestEntries applies entries of the manifest stream.
+func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
+	before := e.config.Version()
+	for _, d := range deliveries {
+		if d.Batch == nil {
+			continue
+		}
+		e.manifestWriter.Settle(d.Batch)
+		for _, r := range d.Batch.GetRecords() {
+			if p := r.GetPublication(); p != nil {
+				rejection := e.config.Publish(d.Offset, p)
+				e.metrics.countPublication(rejection)
+				e.decide(p.GetPublicationId(), decision{rejection: rejection, version: e.config.Version()})
+			}
+			if s := r.GetManifestSnapshot(); s != nil {
+				e.config.Restore(s)
+			}
+		}
+	}
+	e.manifestChanged(before, now)
+}
+
+// manifestChanged brings the tables in line after a new manifest has come in force.
+func (e *engine) manifestChanged(before config.Version, now time.Time) {
+	if e.config.Version() == before {
+		return
+	}
+	inForce := e.config.InForce()
+	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
+	e.members.Self().ManifestVersion = uint64(inForce.Version)
+	e.syncTasks(now)
+	e.publishViews(now)
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/ledger"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+// engineMetrics counts what the engine refuses and retries.
+type engineMetrics struct {
+	set       *metrics.Set
+	strayRuns *metrics.Counter
+}
+
+func newEngineMetrics(set *metrics.Set) *engineMetrics {
+	return &engineMetrics{set: set, strayRuns: set.NewCounter("cactuswall_stray_runs_total")}
+}
+
+func (m *engineMetrics) count(name, label, value string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("%s{%s=%q}", name, label, value)).Inc()
+}
+
+func (m *engineMetrics) countRejection(r ledger.Rejection) {
+	m.count("cactuswall_records_rejected_total", "reason", string(r))
+}
+
+func (m *engineMetrics) countWorkerFailure(r verdict.Reason) {
+	m.count("cactuswall_worker_call_failures_total", "reason", string(r))
+}
+
+func (m *engineMetrics) countPublication(r config.Rejection) {
+	result := string(r)
+	if r == config.Accepted {
+		result = "accepted"
+	}
+	m.count("cactuswall_publications_total", "result", result)
+}
+
+func (m *engineMetrics) countPeer(result string) {
+	m.count("cactuswall_peer_exchanges_total", "result", result)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,193 @@
+// Package node joins the tables, the systems and the edges into one node of cactuswall.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/caller"
+	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/ledger"
+	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/ownership"
+	"cactuswall.example/cactuswall/internal/peer"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/route"
+	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+// Listeners are the sockets that a node answers on.
+type Listeners struct {
+	Callers   net.Listener
+	Operators net.Listener
+	Peers     net.Listener
+}
+
+// Options are what a node is made of.
+type Options struct {
+	Settings  settings.Settings
+	Log       platform.Log
+	List      platform.VMList
+	Workers   platform.Workers
+	Listeners Listeners
+	// Endpoints and Peers carry requests to endpoints and to other nodes.
+	Endpoints http.RoundTripper
+	Peers     http.RoundTripper
+	Logger    *zap.Logger
+	// Incarnation is higher than that of every earlier process of the same node.
+	Incarnation uint64
+}
+
+// Node is one node of cactuswall.
+type Node struct {
+	settings settings.Settings
+	options  Options
+	metrics  *metrics.Set
+	engine   *engine
+	caller   *caller.Handler
+	cancel   context.CancelFunc
+	ctx      context.Context
+}
+
+// New returns a node that is not yet running.
+func New(o Options) *Node {
+	set := metrics.NewSet()
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
+	n.engine = newEngine(ctx, o, set)
+	n.caller = caller.NewHandler(caller.Options{
+		Limits:    o.Settings.Callers,
+		Directory: n.engine.directory,
+		Chooser:   route.Local{FailureDomain: o.Settings.FailureDomain},
+		Transport: o.Endpoints,
+		Metrics:   set,
+		Manifest:  n.manifestInForce,
+	})
+	return n
+}
+
+func newEngine(ctx context.Context, o Options, set *metrics.Set) *engine {
+	s := o.Settings
+	self := ledger.Writer{Node: s.Node, Incarnation: o.Incarnation}
+	domainStream := journal.DomainStream(s.FailureDomain)
+	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
+	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std()}
+	writer := func(stream string) *journal.Writer {
+		return journal.NewWriter(o.Log, stream, s.Node, o.Incarnation, journal.NewMetrics(set, stream), o.Logger)
+	}
+	return &engine{
+		settings:       s,
+		self:           self,
+		workers:        o.Workers,
+		logger:         o.Logger,
+		metrics:        newEngineMetrics(set),
+		events:         make(chan func(time.Time), eventQueue),
+		ctx:            ctx,
+		domainWriter:   writer(domainStream),
+		manifestWriter: writer(journal.ManifestStream),
+		members:        membership.NewTable(member, periods),
+		ledger:         ledger.New(),
+		owner:          ownership.NewOwner(self, s.FailureDomain, s.Scheduling.ClaimLease.Std()),
+		workerRow:      worker.NewTable(),
+		taskRow:        task.NewTable(),
+		directory:      endpoint.NewDirectory(),
+		waiters:        make(map[string]chan decision),
+	}
+}
+
+func (n *Node) manifestInForce() *manifest.Manifest {
+	inForce := n.engine.views.inForce.Load()
+	if inForce == nil {
+		return nil
+	}
+	return inForce.Manifest
+}
+
+// Run serves until ctx ends and then stops as planned: readiness fails first, requests in flight end,
+// shards are given up, and then the connections close.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.cancel()
+	var group run.Group
+	n.add(&group, n.engine.run)
+	n.add(&group, n.engine.domainWriter.Run)
+	n.add(&group, n.engine.manifestWriter.Run)
+	n.addFollower(&group, journal.DomainStream(n.settings.FailureDomain), n.engine.takeDomainEntries)
+	n.addFollower(&group, journal.ManifestStream, n.engine.takeManifestEntries)
+	n.add(&group, n.readList)
+	n.add(&group, (&gossip{engine: n.engine, transport: n.options.Peers}).run)
+	n.addServer(&group, n.options.Listeners.Callers, n.caller)
+	n.addServer(&group, n.options.Listeners.Operators, operator.NewHandler(n, n.metrics))
+	n.addServer(&group, n.options.Listeners.Peers, peer.NewHandler(peerServer{engine: n.engine}, n.settings.PeerKey, n.metrics))
+	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { n.cancel() })
+	n.options.Logger.Info("node started", zap.String("failure_domain", n.settings.FailureDomain))
+	err := group.Run()
+	n.options.Logger.Info("node stopped")
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// add runs an actor until the group ends.
+func (n *Node) add(group *run.Group, actor func(context.Context) error) {
+	group.Add(func() error { return actor(n.ctx) }, func(error) { n.cancel() })
+}
+
+func (n *Node) addFollower(group *run.Group, stream string, take func([]journal.Delivery, time.Time)) {
+	deliver := func(ds []journal.Delivery) {
+		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
+	}
+	follower := journal.NewFollower(n.options.Log, stream, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
+	n.add(group, follower.Run)
+}
+
+// closeTimeout bounds the closing of idle connections at the end of a stop.
+const closeTimeout = 2 * time.Second
+
+func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
+	limits := n.settings.Callers
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.ReadTimeout.Std(),
+		ReadTimeout:       limits.ReadTimeout.Std(),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(n.options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	group.Add(func() error { return server.Serve(listener) }, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+}
+
+// readList reads the platform's VM list in each period.
+func (n *Node) readList(ctx context.Context) error {
+	ticker := time.NewTicker(n.settings.Membership.ListPeriod.Std())
+	defer ticker.Stop()
+	failures := n.metrics.GetOrCreateCounter("cactuswall_list_failures_total")
+	for {
+		vms, err := n.options.List.List(ctx)
+		if err != nil {
+			failures.Inc()
+		} else {
+			n.engine.post(func(now time.Time) { n.engine.takeList(vms, now) })
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,110 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/gravitational/trace"
+
+	"cactuswall.example/cactuswall/internal/endpoint"
+)
+
+// Client asks one node's operator address.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for a node's operator address, an IP number with a port.
+func NewClient(address string, client *http.Client) *Client {
+	return &Client{base: "http://" + address, http: client}
+}
+
+// Status returns the node's status.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return ask[Status](ctx, c, "/v1/status")
+}
+
+// Tasks returns the tasks of the node's failure domain.
+func (c *Client) Tasks(ctx context.Context) ([]Task, error) { return ask[[]Task](ctx, c, "/v1/tasks") }
+
+// Workers returns the workers of the node's failure domain.
+func (c *Client) Workers(ctx context.Context) ([]Worker, error) {
+	return ask[[]Worker](ctx, c, "/v1/workers")
+}
+
+// Endpoints returns the endpoints that the node knows.
+func (c *Client) Endpoints(ctx context.Context) ([]endpoint.Info, error) {
+	return ask[[]endpoint.Info](ctx, c, "/v1/endpoints")
+}
+
+// Nodes returns the nodes that the node knows.
+func (c *Client) Nodes(ctx context.Context) ([]Node, error) { return ask[[]Node](ctx, c, "/v1/nodes") }
+
+// Manifest returns the manifest in force. It fails with trace.NotFound when there is none.
+func (c *Client) Manifest(ctx context.Context) (Manifest, error) {
+	return ask[Manifest](ctx, c, "/v1/manifest")
+}
+
+// Explain returns why a task waits. It fails with trace.NotFound when the node does not know the task.
+func (c *Client) Explain(ctx context.Context, task string) (Explanation, error) {
+	return ask[Explanation](ctx, c, "/v1/explain?task="+url.QueryEscape(task))
+}
+
+// Publish offers a manifest and waits for the decision.
+func (c *Client) Publish(ctx context.Context, p Publication) (Decision, error) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return Decision{}, trace.Wrap(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+"/v1/manifest", bytes.NewReader(data))
+	if err != nil {
+		return Decision{}, trace.Wrap(err)
+	}
+	return send[Decision](c, req)
+}
+
+func ask[T any](ctx context.Context, c *Client, path string) (T, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		var none T
+		return none, trace.Wrap(err)
+	}
+	return send[T](c, req)
+}
+
+func send[T any](c *Client, req *http.Request) (T, error) {
+	var result T
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return result, trace.ConnectionProblem(err, "the node at %s does not answer", req.URL.Host)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return result, trace.ConnectionProblem(err, "the node's answer was cut off")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return result, faultError(resp.StatusCode, data)
+	}
+	return result, trace.Wrap(json.Unmarshal(data, &result))
+}
+
+func faultError(status int, data []byte) error {
+	var fault Fault
+	if err := json.Unmarshal(data, &fault); err != nil {
+		return trace.BadParameter("the node answered with status %d", status)
+	}
+	switch {
+	case len(fault.Problems) > 0:
+		return fault.Problems
+	case status == http.StatusNotFound:
+		return trace.NotFound("%s", fault.Message)
+	default:
+		return trace.ConnectionProblem(nil, "%s", fault.Message)
+	}
+}
--- /dev/null
+++ b/internal/platform/httpjson/client.go
@@ -0,0 +1,115 @@
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/units"
+)
+
+// Client implements platform.Log and platform.VMList against the platform's address.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client for the platform at address, an IP number with a port.
+func NewClient(address string, client *http.Client) *Client {
+	return &Client{base: "http://" + address, http: client}
+}
+
+// Append implements platform.Log.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	var reply appendReply
+	target := c.base + "/log/" + url.PathEscape(stream)
+	err := call(ctx, c.http, http.MethodPost, target, bytes.NewReader(data), &reply)
+	return reply.Offset, err
+}
+
+// Read implements platform.Log.
+func (c *Client) Read(ctx context.Context, stream string, from platform.Offset, wait time.Duration) (platform.Page, error) {
+	var reply pageReply
+	target := fmt.Sprintf("%s/log/%s?from=%d&wait_ms=%d", c.base, url.PathEscape(stream), from, wait.Milliseconds())
+	err := call(ctx, c.http, http.MethodGet, target, nil, &reply)
+	return platform.Page(reply), err
+}
+
+// List implements platform.VMList.
+func (c *Client) List(ctx context.Context) ([]platform.VM, error) {
+	var vms []platform.VM
+	err := call(ctx, c.http, http.MethodGet, c.base+"/vms", nil, &vms)
+	return vms, err
+}
+
+// Workers implements platform.Workers.
+type Workers struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// NewWorkers returns a client for the agents of workers. timeout bounds each call.
+func NewWorkers(client *http.Client, timeout time.Duration) *Workers {
+	return &Workers{http: client, timeout: timeout}
+}
+
+func (w *Workers) call(ctx context.Context, method, address, path string, body, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, w.timeout)
+	defer cancel()
+	return call(ctx, w.http, method, "http://"+address+path, jsonBody(body), reply)
+}
+
+// Fence implements platform.Workers.
+func (w *Workers) Fence(ctx context.Context, address string, token platform.Offset) (platform.Report, error) {
+	var report platform.Report
+	err := w.call(ctx, http.MethodPost, address, "/fence", runCall{Token: token}, &report)
+	return report, err
+}
+
+// Report implements platform.Workers.
+func (w *Workers) Report(ctx context.Context, address string) (platform.Report, error) {
+	var report platform.Report
+	err := w.call(ctx, http.MethodGet, address, "/report", nil, &report)
+	return report, err
+}
+
+// Start implements platform.Workers.
+func (w *Workers) Start(ctx context.Context, address string, req platform.StartRequest) error {
+	return w.call(ctx, http.MethodPost, address, "/start", req, nil)
+}
+
+// Renew implements platform.Workers.
+func (w *Workers) Renew(ctx context.Context, address string, req platform.RenewRequest) (platform.Report, error) {
+	var report platform.Report
+	err := w.call(ctx, http.MethodPost, address, "/renew", req, &report)
+	return report, err
+}
+
+// Checkpoint implements platform.Workers.
+func (w *Workers) Checkpoint(ctx context.Context, address string, token platform.Offset, run platform.RunID) error {
+	return w.call(ctx, http.MethodPost, address, "/checkpoint", runCall{Token: token, Run: run}, nil)
+}
+
+// Throttle implements platform.Workers.
+func (w *Workers) Throttle(ctx context.Context, address string, token platform.Offset, run platform.RunID, share float64) error {
+	return w.call(ctx, http.MethodPost, address, "/throttle", runCall{Token: token, Run: run, Share: share}, nil)
+}
+
+// Resize implements platform.Workers.
+func (w *Workers) Resize(ctx context.Context, address string, token platform.Offset, run platform.RunID, size units.Resources) error {
+	return w.call(ctx, http.MethodPost, address, "/resize", runCall{Token: token, Run: run, Size: size}, nil)
+}
+
+// Stop implements platform.Workers.
+func (w *Workers) Stop(ctx context.Context, address string, token platform.Offset, run platform.RunID) error {
+	return w.call(ctx, http.MethodPost, address, "/stop", runCall{Token: token, Run: run}, nil)
+}
+
+// Forget implements platform.Workers.
+func (w *Workers) Forget(ctx context.Context, address string, token platform.Offset, runs []platform.RunID) error {
+	return w.call(ctx, http.MethodPost, address, "/forget", runCall{Token: token, Runs: runs}, nil)
+}
