--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,8 +20,10 @@
 	Offset platform.Offset
 	// Batch is nil when the entry could not be read.
 	Batch *record.Batch
-	// Gap is set when entries before Offset were lost to retention.
+	// Gap is set on a delivery without a batch: the entries up to Offset were lost to retention.
 	Gap bool
+	// Newer is set when the entry was written by a newer program and may mean something unknown here.
+	Newer bool
 }
 
 // Follower reads one stream from an offset on and hands every entry on in order.
@@ -30,32 +34,33 @@
 	metrics *Metrics
 	logger  *zap.Logger
 	next    platform.Offset
+	down    atomic.Bool
 }
 
-// NewFollower returns a follower of stream from its oldest entry on. deliver is called from one
+// NewFollower returns a follower of stream from the entry at from on. deliver is called from one
 // goroutine; an empty call says that the follower has reached the end of the stream.
-func NewFollower(log platform.Log, stream string, deliver func([]Delivery), metrics *Metrics, logger *zap.Logger) *Follower {
-	return &Follower{log: log, stream: stream, deliver: deliver, metrics: metrics, logger: logger, next: 1}
+func NewFollower(log platform.Log, stream string, from platform.Offset, deliver func([]Delivery), metrics *Metrics, logger *zap.Logger) *Follower {
+	return &Follower{log: log, stream: stream, deliver: deliver, metrics: metrics, logger: logger, next: max(from, 1)}
 }
 
+// Down reports whether the newest read of the log has failed.
+func (f *Follower) Down() bool { return f.down.Load() }
+
 // Run follows the stream until ctx ends. It does not wait for new entries before it has reached the end once.
 func (f *Follower) Run(ctx context.Context) error {
 	retry := newBackOff()
-	down := false
 	var wait time.Duration
 	for ctx.Err() == nil {
 		page, err := f.log.Read(ctx, f.stream, f.next, wait)
 		if err != nil {
 			f.metrics.ReadFailures.Inc()
-			if !down && ctx.Err() == nil {
-				down = true
+			if ctx.Err() == nil && f.down.CompareAndSwap(false, true) {
 				f.logger.Warn("log cannot be read", zap.String("stream", f.stream), zap.Error(err))
 			}
 			sleep(ctx, retry.NextBackOff())
 			continue
 		}
-		if down {
-			down = false
+		if f.down.CompareAndSwap(true, false) {
 			f.logger.Info("log can be read again", zap.String("stream", f.stream))
 		}
 		retry.Reset()
@@ -68,28 +73,32 @@
 }
 
 func (f *Follower) decode(page platform.Page) []Delivery {
-	gap := page.Oldest > f.next
-	if gap {
+	deliveries := make([]Delivery, 0, len(page.Entries)+1)
+	if page.Oldest > f.next {
 		f.metrics.Gaps.Inc()
+		f.logger.Warn("log entries were lost to retention", zap.String("stream", f.stream),
+			zap.Uint64("from", uint64(f.next)), zap.Uint64("to", uint64(page.Oldest-1)))
+		deliveries = append(deliveries, Delivery{Offset: page.Oldest - 1, Gap: true})
+		f.next = page.Oldest
 	}
-	deliveries := make([]Delivery, 0, len(page.Entries))
 	for _, e := range page.Entries {
 		if e.Offset < f.next {
 			continue
 		}
 		f.metrics.EntriesRead.Inc()
 		f.metrics.BytesRead.Add(len(e.Data))
-		batch, err := record.Decode(e.Data)
-		if err != nil {
-			f.metrics.Unreadable.Inc()
-			f.logger.Warn("log entry cannot be read", zap.String("stream", f.stream), zap.Uint64("offset", uint64(e.Offset)), zap.Error(err))
-		}
-		deliveries = append(deliveries, Delivery{Offset: e.Offset, Batch: batch, Gap: gap})
-		gap = false
+		deliveries = append(deliveries, f.decodeEntry(e))
 		f.next = e.Offset + 1
 	}
-	if page.Next > f.next {
-		f.next = page.Next
-	}
+	f.next = max(f.next, page.Next)
 	return deliveries
 }
+
+func (f *Follower) decodeEntry(e platform.Entry) Delivery {
+	batch, err := record.Decode(e.Data)
+	if err != nil {
+		f.metrics.Unreadable.Inc()
+		f.logger.Warn("log entry cannot be read", zap.String("stream", f.stream), zap.Uint64("offset", uint64(e.Offset)), zap.Error(err))
+	}
+	return Delivery{Offset: e.Offset, Batch: batch, Newer: errors.Is(err, record.ErrNewerSchema)}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,7 +20,9 @@
 	BytesAppended    *metrics.Counter
 	AppendFailures   *metrics.Counter
 	SettledByReading *metrics.Counter
-	QueueFull        *metrics.Counter
+	Repeated         *metrics.Counter
+	QueueFull        map[Class]*metrics.Counter
+	HeldDropped      *metrics.Counter
 	Unencodable      *metrics.Counter
 	EntriesRead      *metrics.Counter
 	BytesRead        *metrics.Counter
@@ -34,12 +36,19 @@
 	counter := func(name string) *metrics.Counter {
 		return set.GetOrCreateCounter(fmt.Sprintf("cactuswall_log_%s_total{stream=%q}", name, stream))
 	}
+	full := make(map[Class]*metrics.Counter)
+	for class := range classLimits {
+		name := fmt.Sprintf("cactuswall_log_records_refused_total{stream=%q,reason=\"queue_full\",class=%q}", stream, class)
+		full[class] = set.GetOrCreateCounter(name)
+	}
 	return &Metrics{
 		Appends:          counter("appends"),
 		BytesAppended:    counter("appended_bytes"),
 		AppendFailures:   counter("append_failures"),
 		SettledByReading: counter("appends_settled_by_reading"),
-		QueueFull:        counter("records_refused_queue_full"),
+		Repeated:         counter("appends_repeated"),
+		QueueFull:        full,
+		HeldDropped:      counter("held_entries_dropped"),
 		Unencodable:      counter("records_unencodable"),
 		EntriesRead:      counter("entries_read"),
 		BytesRead:        counter("read_bytes"),
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -10,6 +10,7 @@
 
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/verdict"
 )
 
 const (
@@ -17,10 +18,14 @@
 	batchDelay = 20 * time.Millisecond
 	// maxBatchRecords bounds the records of one append.
 	maxBatchRecords = 512
-	// maxQueuedRecords bounds the records that wait to be appended.
-	maxQueuedRecords = 16384
 	// appendTimeout bounds one append.
 	appendTimeout = 5 * time.Second
+	// settleWait is how long a batch whose reply was lost is looked for in the stream before it is
+	// appended again.
+	settleWait = time.Second
+	// firstRetryDelay and maxRetryDelay bound the wait between two tries, jitter apart.
+	firstRetryDelay = 100 * time.Millisecond
+	maxRetryDelay   = 2 * time.Second
 )
 
 // Writer appends records to one stream in batches, in order and each batch at most once in effect.
@@ -28,21 +33,37 @@
 // A batch keeps its sequence number over all tries, so that a copy that landed although its reply was
 // lost is recognised by every reader.
 type Writer struct {
-	log         platform.Log
-	stream      string
-	node        string
-	incarnation uint64
-	metrics     *Metrics
-	logger      *zap.Logger
-	wake        chan struct{}
+	log     platform.Log
+	stream  string
+	node    string
+	metrics *Metrics
+	logger  *zap.Logger
+	wake    chan struct{}
 
-	mu       sync.Mutex
-	queue    []*record.Record
+	mu          sync.Mutex
+	incarnation uint64
+	queue       []*record.Record
+	// renewal is the newest renewal that is still to be sent, or nil.
+	renewal  *record.Record
 	sequence uint64
-	// settled is the highest own sequence number that was read back.
-	settled uint64
-	// started gives the time before the first try of each batch that is not yet read back.
-	started map[uint64]time.Time
+	// open holds the batches that are not yet read back.
+	open map[batchID]*openBatch
+	// landing counts the batches taken from the queue whose append is not yet confirmed.
+	landing int
+}
+
+// batchID names a batch of this writer.
+type batchID struct {
+	incarnation uint64
+	sequence    uint64
+}
+
+// openBatch is a batch that is not yet read back.
+type openBatch struct {
+	// started is the time before the first try.
+	started time.Time
+	// settled is closed when the batch is read back.
+	settled chan struct{}
 }
 
 // NewWriter returns a writer that stamps its batches with the node's name and incarnation.
@@ -55,19 +76,37 @@
 		metrics:     metrics,
 		logger:      logger,
 		wake:        make(chan struct{}, 1),
-		started:     make(map[uint64]time.Time),
+		open:        make(map[batchID]*openBatch),
 	}
 }
 
-// Enqueue adds records to be appended. It returns false, and takes none, when the queue is full.
+// SetIncarnation changes the incarnation of later batches.
+func (w *Writer) SetIncarnation(incarnation uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.incarnation = incarnation
+	w.sequence = 0
+}
+
+// Enqueue adds records to be appended. It returns false, and takes none, when the queue is too long for
+// the class of one of them. A renewal replaces an earlier one that is still to be sent.
 func (w *Writer) Enqueue(records ...*record.Record) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.queue)+len(records) > maxQueuedRecords {
-		w.metrics.QueueFull.Add(len(records))
-		return false
+	for _, r := range records {
+		class := ClassOf(r)
+		if len(w.queue)+len(records) > classLimits[class] && r.GetRenewal() == nil {
+			w.metrics.QueueFull[class].Add(len(records))
+			return false
+		}
+	}
+	for _, r := range records {
+		if r.GetRenewal() != nil {
+			w.renewal = r
+			continue
+		}
+		w.queue = append(w.queue, r)
 	}
-	w.queue = append(w.queue, records...)
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -75,25 +114,37 @@
 	return true
 }
 
-// Queued returns the number of records that wait to be appended.
+// Queued returns the number of records and batches that are not yet confirmed by the log.
 func (w *Writer) Queued() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.queue)
+	return len(w.queue) + w.landing
+}
+
+// Unsettled returns the number of records that wait and of batches that are not yet read back. Such a
+// batch may still land.
+func (w *Writer) Unsettled() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue) + len(w.open)
 }
 
 // Settle tells the writer that a batch was read back from the log. It returns the time before the
 // batch's first try, or false when the batch is not one of this writer's.
 func (w *Writer) Settle(b *record.Batch) (time.Time, bool) {
-	if b.GetNode() != w.node || b.GetIncarnation() != w.incarnation {
+	if b.GetNode() != w.node {
 		return time.Time{}, false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	sent, known := w.started[b.GetSequence()]
-	delete(w.started, b.GetSequence())
-	w.settled = max(w.settled, b.GetSequence())
-	return sent, known
+	id := batchID{incarnation: b.GetIncarnation(), sequence: b.GetSequence()}
+	open := w.open[id]
+	if open == nil {
+		return time.Time{}, false
+	}
+	close(open.settled)
+	delete(w.open, id)
+	return open.started, true
 }
 
 // Run appends queued records until ctx ends.
@@ -105,8 +156,8 @@
 		case <-w.wake:
 		}
 		sleep(ctx, batchDelay)
-		for batch := w.next(); batch != nil; batch = w.next() {
-			if err := w.append(ctx, batch); err != nil {
+		for batch, open := w.next(); batch != nil; batch, open = w.next() {
+			if err := w.append(ctx, batch, open); err != nil {
 				return err
 			}
 		}
@@ -115,46 +166,77 @@
 }
 
 // next takes the next batch from the queue, or nil.
-func (w *Writer) next() *record.Batch {
+func (w *Writer) next() (*record.Batch, *openBatch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := min(len(w.queue), maxBatchRecords)
-	if n == 0 {
-		return nil
-	}
-	records := w.queue[:n:n]
+	records := append([]*record.Record(nil), w.queue[:n]...)
 	w.queue = w.queue[n:]
+	if w.renewal != nil {
+		records = append(records, w.renewal)
+		w.renewal = nil
+	}
+	if len(records) == 0 {
+		return nil, nil
+	}
 	w.sequence++
-	w.started[w.sequence] = time.Now()
-	return &record.Batch{Node: w.node, Incarnation: w.incarnation, Sequence: w.sequence, Records: records}
+	w.landing++
+	open := &openBatch{started: time.Now(), settled: make(chan struct{})}
+	w.open[batchID{incarnation: w.incarnation, sequence: w.sequence}] = open
+	return &record.Batch{Node: w.node, Incarnation: w.incarnation, Sequence: w.sequence, Records: records}, open
 }
 
 // append tries until the batch is in the log.
-func (w *Writer) append(ctx context.Context, batch *record.Batch) error {
+func (w *Writer) append(ctx context.Context, batch *record.Batch, open *openBatch) error {
+	defer w.landed()
 	data, err := record.Encode(batch)
 	if err != nil {
 		w.metrics.Unencodable.Add(len(batch.GetRecords()))
 		w.logger.Error("records cannot be encoded", zap.String("stream", w.stream), zap.Error(err))
+		w.Settle(batch)
 		return nil
 	}
 	retry := newBackOff()
-	for first := true; ; first = false {
-		if !first && w.isSettled(batch.GetSequence()) {
-			w.metrics.SettledByReading.Inc()
-			return nil
-		}
+	for {
 		err := w.appendOnce(ctx, data)
 		if err == nil {
 			return nil
 		}
 		w.metrics.AppendFailures.Inc()
+		wait := retry.NextBackOff()
+		if verdict.Of(err) != verdict.NotRun {
+			wait = max(wait, settleWait)
+		}
+		if open.await(ctx, wait) {
+			w.metrics.SettledByReading.Inc()
+			return nil
+		}
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		sleep(ctx, retry.NextBackOff())
+		w.metrics.Repeated.Inc()
 	}
 }
 
+func (w *Writer) landed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.landing--
+}
+
+// await waits until the batch is read back, at most for d, and reports whether it was.
+func (b *openBatch) await(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-b.settled:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
 func (w *Writer) appendOnce(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
@@ -166,16 +248,10 @@
 	return err
 }
 
-func (w *Writer) isSettled(sequence uint64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.settled >= sequence
-}
-
 func newBackOff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = 100 * time.Millisecond
-	b.MaxInterval = 2 * time.Second
+	b.InitialInterval = firstRetryDelay
+	b.MaxInterval = maxRetryDelay
 	return b
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -25,7 +25,9 @@
 	Owner Writer
 	// Token is the offset of the claim, 0 when the shard was never claimed.
 	Token platform.Offset
-	Lease time.Duration
+	// Revision is the offset of the claim or of its newest renewal. A later claim has to name it.
+	Revision platform.Offset
+	Lease    time.Duration
 	// SeenAt is when this node read the claim or its newest renewal.
 	SeenAt time.Time
 	// Released is set when the owner has given the shard up.
@@ -121,12 +123,15 @@
 	return failuredomain.ShardOf(task)
 }
 
-// Forget drops the attempts of a task that no manifest names any more. Open attempts are kept.
-func (l *Ledger) Forget(task string) {
-	if a := l.attempts[task]; a != nil && !a.Open {
-		delete(l.attempts, task)
-		delete(l.shards, task)
+// HighestIncarnation returns the highest incarnation of a node that the stream has shown, or 0.
+func (l *Ledger) HighestIncarnation(node string) uint64 {
+	var highest uint64
+	for w := range l.sequences {
+		if w.Node == node {
+			highest = max(highest, w.Incarnation)
+		}
 	}
+	return highest
 }
 
 // Apply replays one batch. now is the reader's clock; it is kept in claims and decides nothing here.
@@ -152,7 +157,7 @@
 	case *record.Record_Claim:
 		return l.applyClaim(offset, w, body.Claim, now)
 	case *record.Record_Renewal:
-		return l.applyRenewal(w, body.Renewal, now)
+		return l.applyRenewal(offset, w, body.Renewal, now)
 	case *record.Record_Release:
 		return l.applyRelease(w, body.Release, now)
 	case *record.Record_Placement:
@@ -161,6 +166,10 @@
 		return l.applyEnd(w, body.End, now)
 	case *record.Record_Transfer:
 		return l.applyTransfer(w, body.Transfer)
+	case *record.Record_Forget:
+		return l.applyForget(w, body.Forget)
+	case *record.Record_DomainSnapshot:
+		return Accepted
 	default:
 		return UnknownRecord
 	}
@@ -171,15 +180,16 @@
 		return WrongShard
 	}
 	current := &l.claims[c.GetShard()]
-	if platform.Offset(c.GetReplaces()) != current.Token {
+	if platform.Offset(c.GetReplaces()) != current.Revision {
 		return StaleClaim
 	}
 	*current = Claim{
-		Shard:  c.GetShard(),
-		Owner:  w,
-		Token:  offset,
-		Lease:  time.Duration(c.GetLeaseMs()) * time.Millisecond,
-		SeenAt: now,
+		Shard:    c.GetShard(),
+		Owner:    w,
+		Token:    offset,
+		Revision: offset,
+		Lease:    time.Duration(c.GetLeaseMs()) * time.Millisecond,
+		SeenAt:   now,
 	}
 	return Accepted
 }
@@ -193,13 +203,14 @@
 	return c.Token != 0 && !c.Released && c.Owner == w && c.Token == platform.Offset(t.GetToken())
 }
 
-func (l *Ledger) applyRenewal(w Writer, r *record.Renewal, now time.Time) Rejection {
+func (l *Ledger) applyRenewal(offset platform.Offset, w Writer, r *record.Renewal, now time.Time) Rejection {
 	rejection := Accepted
 	for _, t := range r.GetClaims() {
 		if !l.holds(w, t) {
 			rejection = StaleToken
 			continue
 		}
+		l.claims[t.GetShard()].Revision = offset
 		l.claims[t.GetShard()].SeenAt = now
 	}
 	return rejection
@@ -268,7 +279,7 @@
 	a.EndedAt = now
 	if e.GetCheckpoint() != "" {
 		a.Checkpoint = e.GetCheckpoint()
-		a.Progress = float64(e.GetProgressPermille()) / 1000
+		a.Progress = float64(e.GetProgressPermille()) / permille
 	}
 	switch a.Outcome {
 	case record.Outcome_OUTCOME_FAILED:
@@ -299,3 +310,19 @@
 	l.shards[t.GetTask()] = t.GetToShard()
 	return Accepted
 }
+
+// applyForget drops closed attempts of tasks that belong to the writer's shard.
+func (l *Ledger) applyForget(w Writer, f *record.Forget) Rejection {
+	if !l.holds(w, f.GetBy()) {
+		return StaleToken
+	}
+	for _, id := range f.GetTasks() {
+		a := l.attempts[id]
+		if a == nil || a.Open || l.ShardOf(id) != f.GetBy().GetShard() {
+			continue
+		}
+		delete(l.attempts, id)
+		delete(l.shards, id)
+	}
+	return Accepted
+}
--- /dev/null
+++ b/internal/ledger/snapshot.go
@@ -0,0 +1,168 @@
+package ledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
+
+	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+)
+
+// maxStateBytes bounds the decompressed form of a snapshot.
+const maxStateBytes = 64 << 20
+
+// permille converts shares from 0 to 1 into thousandths.
+const permille = 1000
+
+// Snapshot returns the encoded state. Equal states have equal encodings on every node.
+//
+// Of the writers only those that hold a claim and the newest incarnation of each node are kept. A batch of
+// another writer can hold no record that is still accepted: its tokens are superseded, and its claims name
+// revisions that are gone.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	state := &record.LedgerState{Schema: record.Schema}
+	for _, c := range l.claims {
+		if c.Token != 0 {
+			state.Claims = append(state.Claims, claimState(c))
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.attempts)) {
+		state.Attempts = append(state.Attempts, attemptState(l.attempts[id]))
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.shards)) {
+		state.Moved = append(state.Moved, &record.TaskShard{Task: id, Shard: l.shards[id]})
+	}
+	state.Writers = l.writerStates()
+	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return encoder.EncodeAll(plain, nil), nil
+}
+
+func claimState(c Claim) *record.ClaimState {
+	return &record.ClaimState{
+		Shard:       c.Shard,
+		Node:        c.Owner.Node,
+		Incarnation: c.Owner.Incarnation,
+		Token:       uint64(c.Token),
+		Revision:    uint64(c.Revision),
+		LeaseMs:     uint64(c.Lease.Milliseconds()),
+		Released:    c.Released,
+		Heir:        c.Heir,
+	}
+}
+
+func attemptState(a *Attempt) *record.AttemptState {
+	return &record.AttemptState{
+		Task:             a.Task,
+		Number:           a.Number,
+		Worker:           a.Worker,
+		Shard:            a.Shard,
+		Open:             a.Open,
+		Outcome:          a.Outcome,
+		Reason:           a.Reason,
+		Checkpoint:       a.Checkpoint,
+		ProgressPermille: uint32(a.Progress*permille + 0.5),
+		Failures:         uint32(a.Failures),
+		Evictions:        uint32(a.Evictions),
+	}
+}
+
+// writerStates returns the writers whose batches may still be accepted.
+func (l *Ledger) writerStates() []*record.WriterState {
+	kept := make(map[Writer]bool)
+	newest := make(map[string]uint64)
+	for w := range l.sequences {
+		newest[w.Node] = max(newest[w.Node], w.Incarnation)
+	}
+	for _, c := range l.claims {
+		kept[c.Owner] = true
+	}
+	var states []*record.WriterState
+	for w, sequence := range l.sequences {
+		if kept[w] || newest[w.Node] == w.Incarnation {
+			states = append(states, &record.WriterState{Node: w.Node, Incarnation: w.Incarnation, Sequence: sequence})
+		}
+	}
+	slices.SortFunc(states, func(a, b *record.WriterState) int {
+		return cmp.Or(cmp.Compare(a.GetNode(), b.GetNode()), cmp.Compare(a.GetIncarnation(), b.GetIncarnation()))
+	})
+	return states
+}
+
+// Restore returns the ledger that a snapshot describes. now stands for the time at which every claim was
+// read, so that no lease ends too early. It fails with record.ErrNewerSchema where the snapshot may mean
+// something that this program does not know.
+func Restore(snapshot []byte, now time.Time) (*Ledger, error) {
+	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxStateBytes))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer decoder.Close()
+	plain, err := decoder.DecodeAll(snapshot, nil)
+	if err != nil {
+		return nil, trace.BadParameter("the snapshot cannot be decompressed: %v", err)
+	}
+	state := &record.LedgerState{}
+	if err := proto.Unmarshal(plain, state); err != nil {
+		return nil, trace.BadParameter("not a ledger state: %v", err)
+	}
+	if state.GetSchema() > record.Schema {
+		return nil, trace.Wrap(record.ErrNewerSchema)
+	}
+	return fromState(state, now)
+}
+
+func fromState(state *record.LedgerState, now time.Time) (*Ledger, error) {
+	l := New()
+	for _, c := range state.GetClaims() {
+		if c.GetShard() >= failuredomain.Shards {
+			return nil, trace.BadParameter("the snapshot names shard %d of %d", c.GetShard(), failuredomain.Shards)
+		}
+		l.claims[c.GetShard()] = Claim{
+			Shard:    c.GetShard(),
+			Owner:    Writer{Node: c.GetNode(), Incarnation: c.GetIncarnation()},
+			Token:    platform.Offset(c.GetToken()),
+			Revision: platform.Offset(c.GetRevision()),
+			Lease:    time.Duration(c.GetLeaseMs()) * time.Millisecond,
+			SeenAt:   now,
+			Released: c.GetReleased(),
+			Heir:     c.GetHeir(),
+		}
+	}
+	for _, a := range state.GetAttempts() {
+		l.attempts[a.GetTask()] = &Attempt{
+			Task:       a.GetTask(),
+			Number:     a.GetNumber(),
+			Worker:     a.GetWorker(),
+			Shard:      a.GetShard(),
+			Open:       a.GetOpen(),
+			Outcome:    a.GetOutcome(),
+			Reason:     a.GetReason(),
+			Checkpoint: a.GetCheckpoint(),
+			Progress:   float64(a.GetProgressPermille()) / permille,
+			Failures:   int(a.GetFailures()),
+			Evictions:  int(a.GetEvictions()),
+			EndedAt:    now,
+		}
+	}
+	for _, m := range state.GetMoved() {
+		l.shards[m.GetTask()] = m.GetShard()
+	}
+	for _, w := range state.GetWriters() {
+		l.sequences[Writer{Node: w.GetNode(), Incarnation: w.GetIncarnation()}] = w.GetSequence()
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/ledger/snapshot_test.go
@@ -0,0 +1,126 @@
+package ledger
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/record"
+)
+
+func renewal(t *record.ShardToken) *record.Record {
+	return &record.Record{Body: &record.Record_Renewal{Renewal: &record.Renewal{Claims: []*record.ShardToken{t}}}}
+}
+
+func TestClaimNamesNewestRenewal(t *testing.T) {
+	Convey("Given a claim that its owner has renewed", t, func() {
+		s := newStream()
+		So(s.apply("a", claim(0, 0)), ShouldEqual, Accepted)
+		So(s.apply("a", renewal(token(0, 1))), ShouldEqual, Accepted)
+
+		Convey("a claim by a node that has not read the renewal is rejected", func() {
+			So(s.apply("b", claim(0, 1)), ShouldEqual, StaleClaim)
+			So(s.ledger.Claim(0).Owner.Node, ShouldEqual, "a")
+		})
+		Convey("a claim by a node that has read it is accepted, and the owner can renew no more", func() {
+			So(s.apply("b", claim(0, 2)), ShouldEqual, Accepted)
+			So(s.apply("a", renewal(token(0, 1))), ShouldEqual, StaleToken)
+		})
+	})
+}
+
+func TestSnapshotOfNewerSchema(t *testing.T) {
+	Convey("A snapshot of a newer schema is refused", t, func() {
+		plain, err := proto.Marshal(&record.LedgerState{Schema: record.Schema + 1})
+		So(err, ShouldBeNil)
+		encoder, err := zstd.NewWriter(nil)
+		So(err, ShouldBeNil)
+		_, err = Restore(encoder.EncodeAll(plain, nil), time.Time{})
+		So(errors.Is(err, record.ErrNewerSchema), ShouldBeTrue)
+	})
+}
+
+// TestSnapshotReplay applies random records to a ledger and to one restored from a snapshot on the way,
+// and checks that both accept the same records and end in the same state.
+func TestSnapshotReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStream()
+		count := rapid.IntRange(1, 40).Draw(t, "records")
+		at := rapid.IntRange(0, count-1).Draw(t, "snapshot")
+		var restored *Ledger
+		var sent []*record.Batch
+		for i := range count {
+			if i == at {
+				restored = roundTrip(t, s.ledger)
+			}
+			batch := drawBatch(t, s, sent)
+			sent = append(sent, batch)
+			s.offset++
+			got := s.ledger.Apply(s.offset, batch, time.Time{})
+			if restored == nil {
+				continue
+			}
+			again := restored.Apply(s.offset, batch, time.Time{})
+			if (got[0].Rejection == Accepted) != (again[0].Rejection == Accepted) {
+				t.Fatalf("record %d: %q without the snapshot, %q with it", i, got[0].Rejection, again[0].Rejection)
+			}
+		}
+		if !bytes.Equal(encode(t, s.ledger), encode(t, restored)) {
+			t.Fatal("the states differ at the end")
+		}
+	})
+}
+
+func drawBatch(t *rapid.T, s *stream, sent []*record.Batch) *record.Batch {
+	if len(sent) > 0 && rapid.IntRange(0, 9).Draw(t, "repeat") == 0 {
+		return rapid.SampledFrom(sent).Draw(t, "copy")
+	}
+	node := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "node")
+	incarnation := uint64(rapid.IntRange(1, 2).Draw(t, "incarnation"))
+	task := fmt.Sprintf("job/%d", rapid.IntRange(0, 2).Draw(t, "task"))
+	shard := s.ledger.ShardOf(task)
+	current := s.ledger.Claim(shard)
+	to := uint32(rapid.IntRange(0, failuredomain.Shards-1).Draw(t, "to"))
+	attempt := uint32(rapid.IntRange(1, 3).Draw(t, "attempt"))
+	held := token(shard, current.Token)
+	var r *record.Record
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0, 1:
+		r = claim(shard, current.Revision)
+	case 2:
+		r = renewal(held)
+	case 3:
+		r = place(task, attempt, held, token(to, s.ledger.Claim(to).Token))
+	case 4:
+		r = end(task, attempt, token(shard, current.Token), record.Outcome_OUTCOME_EVICTED)
+	case 5:
+		r = &record.Record{Body: &record.Record_Forget{Forget: &record.Forget{By: held, Tasks: []string{task}}}}
+	}
+	key := fmt.Sprintf("%s.%d", node, incarnation)
+	s.sequence[key]++
+	return &record.Batch{Node: node, Incarnation: incarnation, Sequence: s.sequence[key], Records: []*record.Record{r}}
+}
+
+func encode(t *rapid.T, l *Ledger) []byte {
+	data, err := l.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func roundTrip(t *rapid.T, l *Ledger) *Ledger {
+	restored, err := Restore(encode(t, l), time.Time{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return restored
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	deliver := func(ds []journal.Delivery) {
 		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
 	}
-	follower := journal.NewFollower(n.options.Log, stream, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
+	follower := journal.NewFollower(n.options.Log, stream, 1, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
 	n.add(group, follower.Run)
 }
 
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -78,7 +78,6 @@
 	}
 	row := e.taskRow.Get(id.Task)
 	if row == nil {
-		e.ledger.Forget(id.Task)
 		return
 	}
 	e.endTask(row, a, now)
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -65,7 +65,6 @@
 		return
 	}
 	e.taskRow.Remove(row.ID)
-	e.ledger.Forget(row.ID)
 }
 
 // takeList brings the worker table and the endpoints in line with the platform's list.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -155,7 +155,7 @@
 func (o *Owner) claim(c ledger.Claim) *record.Record {
 	body := &record.Claim{
 		Shard:    c.Shard,
-		Replaces: uint64(c.Token),
+		Replaces: uint64(c.Revision),
 		LeaseMs:  uint64(o.lease.Milliseconds()),
 	}
 	return &record.Record{Body: &record.Record_Claim{Claim: body}}
