End the attempts of a vanished worker only when its leases have lapsed

Cause: a list that lags may show an older state for a while; a worker that it leaves out was taken for gone at once, and its tasks were placed again while they still ran. An end that was rejected was never sent again, and open attempts on a worker that a fresh node never saw listed stayed open for ever. Change: an absent worker gets no renewal and no start, is probed by a call without effect, and counts as gone after the lease plus margin without an answer. Ends are bound to the token they were sent under. Workers that only the ledger knows get an absent row. Conclusion: absence alone proves nothing any more.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -29,7 +29,7 @@
 			w.Token = 0
 			continue
 		}
-		if w.Token == token || w.Adopting || now.Before(w.CallAfter) {
+		if w.Token == token || w.Adopting || w.Address == "" || now.Before(w.CallAfter) {
 			continue
 		}
 		w.Adopting = true
@@ -69,6 +69,10 @@
 		if w.Token == 0 || w.Calling || now.Before(w.CallAfter) || now.Sub(w.ReportedAt) < period {
 			continue
 		}
+		if !w.AbsentSince.IsZero() {
+			e.probeAbsent(w)
+			continue
+		}
 		w.Calling = true
 		e.renew(w, now)
 	}
@@ -251,7 +255,7 @@
 			continue
 		}
 		w := e.workerRow.Get(row.Worker)
-		if w == nil || w.Token == 0 || now.Before(w.CallAfter) {
+		if w == nil || w.Token == 0 || !w.AbsentSince.IsZero() || now.Before(w.CallAfter) {
 			continue
 		}
 		if token, held := e.owner.Holds(w.Shard, now); !held || token != w.Token {
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -108,6 +108,7 @@
 // tick runs the systems over the tables.
 func (e *engine) tick(now time.Time) {
 	e.own(now)
+	e.removeAbsent(now)
 	e.adoptWorkers(now)
 	e.renewLeases(now)
 	e.startPlaced(now)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -68,6 +68,7 @@
 
 func (e *engine) takeEnd(r ledger.Result, end *record.End, now time.Time) {
 	if r.Rejection != ledger.Accepted {
+		e.undoEnd(r, end)
 		return
 	}
 	id := platform.RunID{Task: end.GetTask(), Attempt: end.GetAttempt()}
@@ -85,6 +86,14 @@
 	e.dropWithdrawn(row)
 }
 
+// undoEnd lets the end of an attempt be sent again after an end of this node was rejected.
+func (e *engine) undoEnd(r ledger.Result, end *record.End) {
+	row := e.taskRow.Get(end.GetTask())
+	if row != nil && r.Writer == e.self && r.Rejection != ledger.DuplicateBatch && row.Ending == end.GetAttempt() {
+		row.Ending = 0
+	}
+}
+
 // endTask sets a row from an attempt that has ended.
 func (e *engine) endTask(row *task.Task, a *ledger.Attempt, now time.Time) {
 	row.Worker = ""
@@ -131,7 +140,7 @@
 func (e *engine) sendEnd(a *ledger.Attempt, outcome record.Outcome, run *platform.Run, reason string) {
 	token, held := e.owner.Holds(a.Shard, time.Now())
 	row := e.taskRow.Get(a.Task)
-	if !held || (row != nil && row.Ending == a.Number) {
+	if !held || (row != nil && row.Ending == a.Number && row.EndingToken == token) {
 		return
 	}
 	end := &record.End{
@@ -147,5 +156,6 @@
 	}
 	if e.domainWriter.Enqueue(&record.Record{Body: &record.Record_End{End: end}}) && row != nil {
 		row.Ending = a.Number
+		row.EndingToken = token
 	}
 }
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -35,7 +35,7 @@
 	s := scheduler.Snapshot{Now: now, MaxPlacements: maxPlacementsPerTick, TeamRoom: e.teamRoom()}
 	for _, w := range e.workerRow.All() {
 		token, held := e.owner.Holds(w.Shard, now)
-		if !held || w.Token != token || w.Leaving || now.Before(w.CallAfter) {
+		if !held || w.Token != token || w.Leaving || !w.AbsentSince.IsZero() || now.Before(w.CallAfter) {
 			continue
 		}
 		s.Workers = append(s.Workers, scheduler.Worker{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Room: w.Room()})
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -5,6 +5,7 @@
 
 	"cactuswall.example/cactuswall/internal/endpoint"
 	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/lease"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
@@ -86,27 +87,83 @@
 		row.Rack = vm.Rack
 		row.Address = vm.Address
 		row.Leaving = vm.State == platform.Leaving
+		row.AbsentSince = time.Time{}
 	}
 	for _, row := range e.workerRow.All() {
-		if !listed[row.ID] {
-			e.removeWorker(row)
+		if !listed[row.ID] && row.AbsentSince.IsZero() {
+			row.AbsentSince = now
 		}
 	}
+	e.addUnlisted(now)
 	e.dirty = true
 	e.updateDirectory()
 }
 
-// removeWorker drops a worker that the list no longer shows. Its VM is gone for good, so its open
-// attempts have provably ended.
-func (e *engine) removeWorker(row *worker.Worker) {
-	e.workerRow.Remove(row.ID)
+// addUnlisted adds an absent row for every worker that the ledger names in an open attempt but that this
+// node has never seen in the list, so that the attempt ends once the worker counts as gone.
+func (e *engine) addUnlisted(now time.Time) {
 	e.ledger.Attempts(func(a *ledger.Attempt) {
-		if a.Open && a.Worker == row.ID {
+		if !a.Open || e.workerRow.Get(a.Worker) != nil {
+			return
+		}
+		e.workerRow.Put(&worker.Worker{ID: a.Worker, Shard: a.Shard, AbsentSince: now})
+	})
+}
+
+// removeAbsent drops the workers that are gone. The list may lag or go back for a while, so absence alone
+// proves nothing: a worker is gone when it is absent, does not answer, and the leases on it have lapsed.
+// Nothing is renewed on an absent worker, so its open attempts have then provably ended.
+func (e *engine) removeAbsent(now time.Time) {
+	for _, w := range e.workerRow.All() {
+		if w.AbsentSince.IsZero() || now.Before(e.goneAt(w)) {
+			continue
+		}
+		e.removeWorker(w)
+	}
+}
+
+// goneAt returns when an absent worker counts as gone unless it answers before.
+func (e *engine) goneAt(w *worker.Worker) time.Time {
+	silentSince := w.AbsentSince
+	if w.ReportedAt.After(silentSince) {
+		silentSince = w.ReportedAt
+	}
+	lastCallEnds := silentSince.Add(e.settings.Scheduling.WorkerCallTimeout.Std())
+	return lease.ObserverEnd(lastCallEnds, e.settings.Scheduling.TaskLease.Std())
+}
+
+// removeWorker drops a worker that is gone and ends its open attempts.
+func (e *engine) removeWorker(w *worker.Worker) {
+	e.workerRow.Remove(w.ID)
+	e.dirty = true
+	e.ledger.Attempts(func(a *ledger.Attempt) {
+		if a.Open && a.Worker == w.ID {
 			e.sendEnd(a, record.Outcome_OUTCOME_LOST, nil, "worker_gone")
 		}
 	})
 }
 
+// probeAbsent asks an absent worker for its report, which renews nothing.
+func (e *engine) probeAbsent(w *worker.Worker) {
+	w.Calling = true
+	token, address := w.Token, w.Address
+	sent := time.Now()
+	go func() {
+		report, err := e.workers.Report(e.ctx, address)
+		e.post(func(now time.Time) {
+			w.Calling = false
+			if err != nil {
+				e.workerFailed(w, err, now)
+				return
+			}
+			w.AbsentSince = time.Time{}
+			if w.Token == token {
+				e.takeReport(w, report, sent, false)
+			}
+		})
+	}()
+}
+
 // updateDirectory rebuilds the endpoints from the list and from what own workers report.
 func (e *engine) updateDirectory() {
 	var infos []endpoint.Info
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -168,8 +168,9 @@
 	Calling bool
 	// StopAfter is when the stop is next sent to the worker.
 	StopAfter time.Time
-	// Ending is the attempt whose end has been sent to the log, or 0.
-	Ending uint32
+	// Ending is the attempt whose end has been sent to the log under EndingToken, or 0.
+	Ending      uint32
+	EndingToken platform.Offset
 }
 
 // RunID returns the name of the task's newest attempt.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -16,8 +16,10 @@
 	Address string
 	Shard   uint32
 	// Leaving workers get no new task.
-	Leaving  bool
-	Capacity units.Resources
+	Leaving bool
+	// AbsentSince is when the platform's list first failed to show the worker, zero while it is listed.
+	AbsentSince time.Time
+	Capacity    units.Resources
 	// Token is the fencing token under which this node has adopted the worker, or 0.
 	Token platform.Offset
 	// Adopting is set while the adoption is under way.
