Let a failure domain give waiting tasks to another one, and name job tasks by generation

Cause: a job name that is used again later met the finished attempts of the earlier job, and nodes that forget a withdrawn job at different times came to different ledgers. Nothing could leave its home domain. Change: a job's tasks are named JOB@VERSION/INDEX by the first manifest that named the job. A transfer may name another failure domain; an arrival record repeats it there, once in effect. A service instance that exits by itself counts as failed, not as finished. Conclusion: the ledger's half of moving work between domains stands; nothing sends it yet.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,14 +76,14 @@
 		Manifest:      m,
 		Published:     published,
 		PublicationID: p.GetPublicationId(),
-		Origins:       s.origins(m, published),
+		Origins:       s.origins(m, published, offset),
 		document:      p.GetDocument(),
 	}
 	return Accepted
 }
 
 // origins keeps the origin of each job that is already known, so that a job never changes its home.
-func (s *State) origins(m *manifest.Manifest, published time.Time) map[string]task.Origin {
+func (s *State) origins(m *manifest.Manifest, published time.Time, version Version) map[string]task.Origin {
 	origins := make(map[string]task.Origin, len(m.Jobs))
 	domains := m.DomainNames()
 	for i := range m.Jobs {
@@ -98,7 +98,7 @@
 		if home == "" {
 			home = failuredomain.Home(j.Name, domains)
 		}
-		origins[j.Name] = task.Origin{Published: published, Home: home}
+		origins[j.Name] = task.Origin{Published: published, Home: home, Version: uint64(version)}
 	}
 	return origins
 }
@@ -114,7 +114,11 @@
 	}
 	origins := make(map[string]task.Origin, len(snapshot.GetJobOrigins()))
 	for name, o := range snapshot.GetJobOrigins() {
-		origins[name] = task.Origin{Published: time.UnixMilli(o.GetPublishedUnixMs()), Home: o.GetHomeDomain()}
+		origins[name] = task.Origin{
+			Published: time.UnixMilli(o.GetPublishedUnixMs()),
+			Home:      o.GetHomeDomain(),
+			Version:   o.GetVersion(),
+		}
 	}
 	s.inForce = &InForce{
 		Version:       Version(snapshot.GetVersion()),
@@ -131,7 +135,11 @@
 func (f *InForce) Snapshot() *record.ManifestSnapshot {
 	origins := make(map[string]*record.JobOrigin, len(f.Origins))
 	for name, o := range f.Origins {
-		origins[name] = &record.JobOrigin{PublishedUnixMs: o.Published.UnixMilli(), HomeDomain: o.Home}
+		origins[name] = &record.JobOrigin{
+			PublishedUnixMs: o.Published.UnixMilli(),
+			HomeDomain:      o.Home,
+			Version:         o.Version,
+		}
 	}
 	return &record.ManifestSnapshot{
 		Version:         uint64(f.Version),
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -66,6 +66,10 @@
 	AlreadyOpen    Rejection = "already_open"
 	NotOpen        Rejection = "not_open"
 	AlreadyDone    Rejection = "already_done"
+	// AlreadyDeparted: the task was given to another failure domain.
+	AlreadyDeparted Rejection = "already_departed"
+	// AlreadyArrived: the task was taken over before.
+	AlreadyArrived Rejection = "already_arrived"
 	UnknownRecord  Rejection = "unknown_record"
 )
 
@@ -83,6 +87,10 @@
 	attempts map[string]*Attempt
 	// shards holds the shard of each task that has left its first one.
 	shards map[string]uint32
+	// departed gives the failure domain that each task was given to.
+	departed map[string]string
+	// guests gives the failure domain that each task was taken over from.
+	guests map[string]string
 	// sequences holds the highest sequence number seen of each writer.
 	sequences map[Writer]uint64
 }
@@ -92,6 +100,8 @@
 	l := &Ledger{
 		attempts:  make(map[string]*Attempt),
 		shards:    make(map[string]uint32),
+		departed:  make(map[string]string),
+		guests:    make(map[string]string),
 		sequences: make(map[Writer]uint64),
 	}
 	for i := range l.claims {
@@ -127,6 +137,8 @@
 		delete(l.attempts, task)
 		delete(l.shards, task)
 	}
+	delete(l.departed, task)
+	delete(l.guests, task)
 }
 
 // Apply replays one batch. now is the reader's clock; it is kept in claims and decides nothing here.
@@ -161,6 +173,8 @@
 		return l.applyEnd(w, body.End, now)
 	case *record.Record_Transfer:
 		return l.applyTransfer(w, body.Transfer)
+	case *record.Record_Arrival:
+		return l.applyArrival(body.Arrival)
 	default:
 		return UnknownRecord
 	}
@@ -224,6 +238,9 @@
 	if !l.holds(w, p.GetFrom()) || !l.holds(w, p.GetTo()) {
 		return StaleToken
 	}
+	if l.departed[p.GetTask()] != "" {
+		return AlreadyDeparted
+	}
 	if l.ShardOf(p.GetTask()) != p.GetFrom().GetShard() {
 		return WrongShard
 	}
@@ -278,24 +295,3 @@
 	}
 	return Accepted
 }
-
-func (l *Ledger) applyTransfer(w Writer, t *record.Transfer) Rejection {
-	if !l.holds(w, t.GetFrom()) {
-		return StaleToken
-	}
-	if l.ShardOf(t.GetTask()) != t.GetFrom().GetShard() || t.GetToShard() >= failuredomain.Shards {
-		return WrongShard
-	}
-	var number uint32
-	if a := l.attempts[t.GetTask()]; a != nil {
-		if a.Open {
-			return AlreadyOpen
-		}
-		number = a.Number
-	}
-	if t.GetAttempt() != number {
-		return WrongAttempt
-	}
-	l.shards[t.GetTask()] = t.GetToShard()
-	return Accepted
-}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -240,8 +240,8 @@
 
 // checkName refuses the characters that separate the parts of a task's name.
 func checkName(path, name string, problems *strictjson.Problems) {
-	if strings.ContainsAny(name, "/ \t\n") {
-		problems.Add(path+".name", "%q must not hold a slash or white space", name)
+	if strings.ContainsAny(name, "/@ \t\n") {
+		problems.Add(path+".name", "%q must not hold a slash, an at sign or white space", name)
 	}
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -168,7 +168,8 @@
 	row := e.taskRow.Get(run.ID.Task)
 	if run.State.Final() {
 		withdrawn := row == nil || row.Withdrawn
-		e.sendEnd(a, outcomeOf(run, withdrawn), run, string(run.State))
+		service := row != nil && row.IsService()
+		e.sendEnd(a, outcomeOf(run, withdrawn, service), run, string(run.State))
 		return
 	}
 	if row == nil {
@@ -203,9 +204,14 @@
 	e.stopRun(w, run.ID)
 }
 
-func outcomeOf(run *platform.Run, withdrawn bool) record.Outcome {
+// outcomeOf returns the outcome of a final run. A service instance never finishes: one that exits by itself
+// has failed.
+func outcomeOf(run *platform.Run, withdrawn, service bool) record.Outcome {
 	switch run.State {
 	case platform.RunFinished:
+		if service {
+			return record.Outcome_OUTCOME_FAILED
+		}
 		return record.Outcome_OUTCOME_FINISHED
 	case platform.RunFailed:
 		return record.Outcome_OUTCOME_FAILED
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -16,7 +16,8 @@
 
 // Spec is what the manifest says of a task.
 type Spec struct {
-	// ID is SERVICE/DOMAIN/INDEX for a service instance and JOB/INDEX for a batch task.
+	// ID is SERVICE/DOMAIN/INDEX for a service instance and JOB@VERSION/INDEX for a batch task, where VERSION
+	// is that of the first manifest that named the job. So a job whose name is used again later is a new one.
 	ID string
 	// Service is the service's name, or empty for a batch task.
 	Service string
@@ -47,6 +48,8 @@
 type Origin struct {
 	Published time.Time
 	Home      string
+	// Version is that of the manifest.
+	Version uint64
 }
 
 // Declared returns the specs of all tasks that belong to domain under m, in the order of their IDs.
@@ -95,7 +98,7 @@
 	specs := make([]Spec, j.Tasks)
 	for i := range specs {
 		specs[i] = Spec{
-			ID:           fmt.Sprintf("%s/%d", j.Name, i),
+			ID:           fmt.Sprintf("%s@%d/%d", j.Name, origin.Version, i),
 			Job:          j.Name,
 			Index:        i,
 			Team:         j.Team,
