--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -68,6 +68,10 @@
 	AlreadyOpen    Rejection = "already_open"
 	NotOpen        Rejection = "not_open"
 	AlreadyDone    Rejection = "already_done"
+	// AlreadyDeparted: the task was given to another failure domain.
+	AlreadyDeparted Rejection = "already_departed"
+	// AlreadyArrived: the task was taken over before.
+	AlreadyArrived Rejection = "already_arrived"
 	UnknownRecord  Rejection = "unknown_record"
 )
 
@@ -85,6 +89,10 @@
 	attempts map[string]*Attempt
 	// shards holds the shard of each task that has left its first one.
 	shards map[string]uint32
+	// departed gives the failure domain that each task was given to.
+	departed map[string]string
+	// guests gives the failure domain that each task was taken over from.
+	guests map[string]string
 	// sequences holds the highest sequence number seen of each writer.
 	sequences map[Writer]uint64
 }
@@ -94,6 +102,8 @@
 	l := &Ledger{
 		attempts:  make(map[string]*Attempt),
 		shards:    make(map[string]uint32),
+		departed:  make(map[string]string),
+		guests:    make(map[string]string),
 		sequences: make(map[Writer]uint64),
 	}
 	for i := range l.claims {
@@ -166,6 +176,8 @@
 		return l.applyEnd(w, body.End, now)
 	case *record.Record_Transfer:
 		return l.applyTransfer(w, body.Transfer)
+	case *record.Record_Arrival:
+		return l.applyArrival(body.Arrival)
 	case *record.Record_Forget:
 		return l.applyForget(w, body.Forget)
 	case *record.Record_DomainSnapshot:
@@ -235,6 +247,9 @@
 	if !l.holds(w, p.GetFrom()) || !l.holds(w, p.GetTo()) {
 		return StaleToken
 	}
+	if l.departed[p.GetTask()] != "" {
+		return AlreadyDeparted
+	}
 	if l.ShardOf(p.GetTask()) != p.GetFrom().GetShard() {
 		return WrongShard
 	}
@@ -290,39 +305,36 @@
 	return Accepted
 }
 
-func (l *Ledger) applyTransfer(w Writer, t *record.Transfer) Rejection {
-	if !l.holds(w, t.GetFrom()) {
-		return StaleToken
-	}
-	if l.ShardOf(t.GetTask()) != t.GetFrom().GetShard() || t.GetToShard() >= failuredomain.Shards {
-		return WrongShard
-	}
-	var number uint32
-	if a := l.attempts[t.GetTask()]; a != nil {
-		if a.Open {
-			return AlreadyOpen
-		}
-		number = a.Number
-	}
-	if t.GetAttempt() != number {
-		return WrongAttempt
-	}
-	l.shards[t.GetTask()] = t.GetToShard()
-	return Accepted
-}
-
-// applyForget drops closed attempts of tasks that belong to the writer's shard.
+// applyForget drops what is known of tasks that belong to the writer's shard and have no open attempt.
 func (l *Ledger) applyForget(w Writer, f *record.Forget) Rejection {
 	if !l.holds(w, f.GetBy()) {
 		return StaleToken
 	}
 	for _, id := range f.GetTasks() {
 		a := l.attempts[id]
-		if a == nil || a.Open || l.ShardOf(id) != f.GetBy().GetShard() {
+		if (a != nil && a.Open) || l.ShardOf(id) != f.GetBy().GetShard() {
 			continue
 		}
 		delete(l.attempts, id)
 		delete(l.shards, id)
+		delete(l.departed, id)
+		delete(l.guests, id)
 	}
 	return Accepted
 }
+
+// Closed calls yield for each task of which something is known and that has no open attempt, in no order.
+func (l *Ledger) Closed(yield func(task string)) {
+	for id, a := range l.attempts {
+		if !a.Open {
+			yield(id)
+		}
+	}
+	for _, tasks := range []map[string]string{l.departed, l.guests} {
+		for id := range tasks {
+			if l.attempts[id] == nil {
+				yield(id)
+			}
+		}
+	}
+}
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -39,6 +39,8 @@
 	for _, id := range slices.Sorted(maps.Keys(l.shards)) {
 		state.Moved = append(state.Moved, &record.TaskShard{Task: id, Shard: l.shards[id]})
 	}
+	state.Departed = taskDomains(l.departed)
+	state.Guests = taskDomains(l.guests)
 	state.Writers = l.writerStates()
 	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
@@ -80,6 +82,14 @@
 	}
 }
 
+func taskDomains(m map[string]string) []*record.TaskDomain {
+	list := make([]*record.TaskDomain, 0, len(m))
+	for _, id := range sortedKeys(m) {
+		list = append(list, &record.TaskDomain{Task: id, Domain: m[id]})
+	}
+	return list
+}
+
 // writerStates returns the writers whose batches may still be accepted.
 func (l *Ledger) writerStates() []*record.WriterState {
 	kept := make(map[Writer]bool)
@@ -161,6 +171,12 @@
 	for _, m := range state.GetMoved() {
 		l.shards[m.GetTask()] = m.GetShard()
 	}
+	for _, d := range state.GetDeparted() {
+		l.departed[d.GetTask()] = d.GetDomain()
+	}
+	for _, g := range state.GetGuests() {
+		l.guests[g.GetTask()] = g.GetDomain()
+	}
 	for _, w := range state.GetWriters() {
 		l.sequences[Writer{Node: w.GetNode(), Incarnation: w.GetIncarnation()}] = w.GetSequence()
 	}
