--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,10 +6,10 @@
 package config
 
 import (
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/klauspost/compress/zstd"
 	"google.golang.org/protobuf/proto"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
@@ -30,8 +30,9 @@
 	PublicationID string
 	// Origins gives the origin of each job that the manifest names.
 	Origins map[string]task.Origin
-	// document is the compressed document as it stands in the log.
-	document []byte
+	// document is the compressed document, or nil as long as nobody has asked for it.
+	document     []byte
+	documentOnce sync.Once
 }
 
 // Rejection says why a publication was not accepted. It is a metric label.
@@ -43,6 +44,9 @@
 	Raced     Rejection = "replaces_another_version"
 	Malformed Rejection = "malformed"
 	OlderSnap Rejection = "snapshot_not_newer"
+	// Superseded: a newer version was already known from a snapshot or a peer when the log showed the
+	// publication. Whether it was accepted before is not known here.
+	Superseded Rejection = "superseded"
 )
 
 // State follows the manifest stream. Its methods are not safe for concurrent use.
@@ -61,12 +65,18 @@
 	return s.inForce.Version
 }
 
-// Publish applies a publication at an offset of the log.
+// Publish applies a publication at an offset of the log. Offsets up to the version in force, which a peer
+// or a snapshot may have told before the log, change nothing.
 func (s *State) Publish(offset platform.Offset, p *record.Publication) Rejection {
-	if offset <= s.Version() || Version(p.GetReplaces()) != s.Version() {
+	switch {
+	case offset == s.Version():
+		return Accepted
+	case offset < s.Version():
+		return Superseded
+	case Version(p.GetReplaces()) != s.Version():
 		return Raced
 	}
-	m, err := decompress(p.GetDocument())
+	m, err := s.read(p)
 	if err != nil {
 		return Malformed
 	}
@@ -82,6 +92,21 @@
 	return Accepted
 }
 
+// read returns the manifest that a publication offers on top of the one in force.
+func (s *State) read(p *record.Publication) (*manifest.Manifest, error) {
+	if len(p.GetChanges()) == 0 {
+		return parse(p.GetDocument())
+	}
+	if s.inForce == nil {
+		return nil, trace.BadParameter("there is no manifest that the changes apply to")
+	}
+	c, err := decodeChanges(p.GetChanges())
+	if err != nil {
+		return nil, err
+	}
+	return c.apply(s.inForce.Manifest)
+}
+
 // origins keeps the origin of each job that is already known, so that a job never changes its home.
 func (s *State) origins(m *manifest.Manifest, published time.Time, version Version) map[string]task.Origin {
 	origins := make(map[string]task.Origin, len(m.Jobs))
@@ -108,7 +133,7 @@
 	if Version(snapshot.GetVersion()) <= s.Version() {
 		return OlderSnap
 	}
-	m, err := decompress(snapshot.GetDocument())
+	m, err := parse(snapshot.GetDocument())
 	if err != nil {
 		return Malformed
 	}
@@ -131,8 +156,9 @@
 	return Accepted
 }
 
-// Snapshot returns f in the form that Restore takes.
-func (f *InForce) Snapshot() *record.ManifestSnapshot {
+// Snapshot returns f in the form that Restore takes. readTo is the offset up to which the manifest stream
+// holds no newer accepted version.
+func (f *InForce) Snapshot(readTo platform.Offset) *record.ManifestSnapshot {
 	origins := make(map[string]*record.JobOrigin, len(f.Origins))
 	for name, o := range f.Origins {
 		origins[name] = &record.JobOrigin{
@@ -143,16 +169,32 @@
 	}
 	return &record.ManifestSnapshot{
 		Version:         uint64(f.Version),
-		Document:        f.document,
+		Document:        f.compressed(),
+		ReadTo:          uint64(readTo),
 		PublishedUnixMs: f.Published.UnixMilli(),
 		JobOrigins:      origins,
 		PublicationId:   f.PublicationID,
 	}
 }
 
+// compressed returns the whole document, compressed.
+func (f *InForce) compressed() []byte {
+	f.documentOnce.Do(func() {
+		if f.document != nil {
+			return
+		}
+		plain, err := f.Manifest.Encode()
+		if err != nil {
+			return
+		}
+		f.document, _ = record.Compress(plain)
+	})
+	return f.document
+}
+
 // EncodeSnapshot returns the wire form of f's snapshot.
-func (f *InForce) EncodeSnapshot() ([]byte, error) {
-	data, err := proto.Marshal(f.Snapshot())
+func (f *InForce) EncodeSnapshot(readTo platform.Offset) ([]byte, error) {
+	data, err := proto.Marshal(f.Snapshot(readTo))
 	return data, trace.Wrap(err)
 }
 
@@ -165,33 +207,34 @@
 	return snapshot, nil
 }
 
-// NewPublication compresses a checked manifest into a publication that replaces a version.
-func NewPublication(m *manifest.Manifest, replaces Version, id string, now time.Time) (*record.Publication, error) {
+// NewPublication makes a publication of a checked manifest that replaces a version. inForce is the manifest
+// in force here, or nil. Where it is the one that is replaced, only the changes are published.
+func NewPublication(m *manifest.Manifest, inForce *InForce, replaces Version, id string, now time.Time) (*record.Publication, error) {
+	p := &record.Publication{Replaces: uint64(replaces), PublishedUnixMs: now.UnixMilli(), PublicationId: id}
 	plain, err := m.Encode()
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
+	if p.Document, err = record.Compress(plain); err != nil {
+		return nil, err
+	}
+	if inForce == nil || inForce.Version != replaces {
+		return p, nil
+	}
+	short, err := diff(inForce.Manifest, m).encode()
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
-	return &record.Publication{
-		Replaces:        uint64(replaces),
-		Document:        encoder.EncodeAll(plain, nil),
-		PublishedUnixMs: now.UnixMilli(),
-		PublicationId:   id,
-	}, nil
+	if len(short) < len(p.Document) {
+		p.Changes, p.Document = short, nil
+	}
+	return p, nil
 }
 
-func decompress(document []byte) (*manifest.Manifest, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(2*manifest.MaxDocumentBytes))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	defer decoder.Close()
-	plain, err := decoder.DecodeAll(document, nil)
+func parse(document []byte) (*manifest.Manifest, error) {
+	plain, err := record.Decompress(document)
 	if err != nil {
-		return nil, trace.BadParameter("the document cannot be decompressed: %v", err)
+		return nil, err
 	}
 	return manifest.Parse(plain)
 }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,184 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/testseed"
+	"cactuswall.example/cactuswall/internal/units"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
+
+// sample returns a manifest with the numbered jobs.
+func sample(release string, jobs ...int) *manifest.Manifest {
+	size := units.Resources{MilliProcessors: 1000, MemoryMiB: 512}
+	m := &manifest.Manifest{
+		Release:        release,
+		FailureDomains: []manifest.FailureDomain{{Name: "north", Region: "r"}, {Name: "south", Region: "r"}},
+		Teams:          []manifest.Team{{Name: "team", Quota: size}},
+	}
+	for _, n := range jobs {
+		m.Jobs = append(m.Jobs, manifest.Job{
+			Name:         fmt.Sprintf("job-%d", n),
+			Team:         "team",
+			Tasks:        1,
+			Size:         size,
+			RunTime:      units.Duration(time.Minute),
+			Deadline:     units.Duration(time.Hour),
+			Priority:     manifest.Batch,
+			OnDomainLoss: manifest.WaitHome,
+		})
+	}
+	return m
+}
+
+func publication(t testing.TB, m *manifest.Manifest, inForce *InForce, replaces Version) *record.Publication {
+	p, err := NewPublication(m, inForce, replaces, m.Release, time.UnixMilli(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestLogBehindPeer(t *testing.T) {
+	Convey("Given a node that learned version 7 from a peer before the log showed it", t, func() {
+		var ahead, s State
+		first, second := publication(t, sample("a", 1), nil, 0), publication(t, sample("b", 2), nil, 3)
+		So(ahead.Publish(3, first), ShouldEqual, Accepted)
+		So(ahead.Publish(7, second), ShouldEqual, Accepted)
+		So(s.Restore(ahead.InForce().Snapshot(7)), ShouldEqual, Accepted)
+
+		Convey("older entries of the log change nothing", func() {
+			So(s.Publish(3, first), ShouldEqual, Superseded)
+			So(s.Publish(5, publication(t, sample("x"), nil, 3)), ShouldEqual, Superseded)
+			So(s.Publish(7, second), ShouldEqual, Accepted)
+			So(s.InForce().Manifest.Release, ShouldEqual, "b")
+		})
+		Convey("an older snapshot, from the log or from a peer, changes nothing", func() {
+			var old State
+			So(old.Publish(3, first), ShouldEqual, Accepted)
+			So(s.Restore(old.InForce().Snapshot(9)), ShouldEqual, OlderSnap)
+			So(s.Version(), ShouldEqual, 7)
+		})
+		Convey("the next version is accepted by its base", func() {
+			So(s.Publish(8, publication(t, sample("c"), nil, 3)), ShouldEqual, Raced)
+			So(s.Publish(9, publication(t, sample("c"), s.InForce(), 7)), ShouldEqual, Accepted)
+		})
+	})
+}
+
+// TestRacingPublications replays random racing publications on nodes that start at random points from
+// another node's snapshot, and checks that all agree and that no version ever goes back.
+func TestRacingPublications(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []*State{{}, {}, {}}
+		readTo := make([]int, len(nodes))
+		var stream []*record.Publication
+		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			n := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
+			s, before := nodes[n], nodes[n].Version()
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				jobs := rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 4, rapid.ID[int]).Draw(t, "jobs")
+				m := sample(fmt.Sprintf("r%d", step), jobs...)
+				p, err := NewPublication(m, s.InForce(), s.Version(), m.Release, time.UnixMilli(int64(step)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				stream = append(stream, p)
+			case 1, 2:
+				for readTo[n] < len(stream) {
+					s.Publish(platform.Offset(readTo[n]+1), stream[readTo[n]])
+					readTo[n]++
+				}
+			case 3:
+				other := rapid.IntRange(0, len(nodes)-1).Draw(t, "other")
+				if f := nodes[other].InForce(); f != nil {
+					s.Restore(f.Snapshot(platform.Offset(readTo[other])))
+				}
+			}
+			if s.Version() < before {
+				t.Fatalf("version %d went back to %d", before, s.Version())
+			}
+		}
+		checkAgreement(t, nodes, readTo, stream)
+	})
+}
+
+func checkAgreement(t *rapid.T, nodes []*State, readTo []int, stream []*record.Publication) {
+	var want *record.ManifestSnapshot
+	for n, s := range nodes {
+		for ; readTo[n] < len(stream); readTo[n]++ {
+			s.Publish(platform.Offset(readTo[n]+1), stream[readTo[n]])
+		}
+		if s.InForce() == nil {
+			continue
+		}
+		got := s.InForce().Snapshot(platform.Offset(len(stream)))
+		plain := *s.InForce().Manifest
+		if len(plain.Jobs) == 0 {
+			plain.Jobs = nil
+		}
+		if len(plain.Services) == 0 {
+			plain.Services = nil
+		}
+		got.Document, _ = plain.Encode()
+		if want != nil && !proto.Equal(want, got) {
+			t.Fatalf("nodes disagree: version %d and %d", want.GetVersion(), got.GetVersion())
+		}
+		want = got
+	}
+}
+
+// BenchmarkPublication measures a publication that adds six jobs and removes six at the planned size.
+func BenchmarkPublication(b *testing.B) {
+	jobs := make([]int, 7900)
+	for i := range jobs {
+		jobs[i] = i
+	}
+	base := sample("base", jobs...)
+	vary(base)
+	var s State
+	if r := s.Publish(1, publication(b, base, nil, 0)); r != Accepted {
+		b.Fatal(r)
+	}
+	next := sample("next", append(jobs[6:], 7900, 7901, 7902, 7903, 7904, 7905)...)
+	vary(next)
+	copy(next.Jobs, base.Jobs[6:])
+	whole, short := publication(b, next, nil, 1), publication(b, next, s.InForce(), 1)
+	b.Run("whole", func(b *testing.B) { applyPublication(b, s, whole) })
+	b.Run("changes", func(b *testing.B) { applyPublication(b, s, short) })
+}
+
+// vary gives each job a size, times and a longer name of its own.
+func vary(m *manifest.Manifest) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range m.Jobs {
+		j := &m.Jobs[i]
+		j.Name = fmt.Sprintf("%s-%08x", j.Name, random.Uint32())
+		j.Size.MilliProcessors = 100 * random.Int64N(200)
+		j.Size.MemoryMiB = 64 * (1 + random.Int64N(500))
+		j.RunTime = units.Duration(time.Duration(1+random.IntN(7200)) * time.Second)
+		j.Deadline = j.RunTime + units.Duration(time.Duration(random.IntN(86400))*time.Second)
+	}
+}
+
+func applyPublication(b *testing.B, base State, p *record.Publication) {
+	for b.Loop() {
+		s := base
+		if r := s.Publish(2, p); r != Accepted {
+			b.Fatal(r)
+		}
+	}
+	b.ReportMetric(float64(proto.Size(p)), "bytes")
+}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -147,6 +147,18 @@
 	return open.started, true
 }
 
+// SettleUpTo tells the writer that its batches up to a sequence number are in the log, as a snapshot says.
+func (w *Writer) SettleUpTo(sequence uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, open := range w.open {
+		if id.incarnation == w.incarnation && id.sequence <= sequence {
+			close(open.settled)
+			delete(w.open, id)
+		}
+	}
+}
+
 // Run appends queued records until ctx ends.
 func (w *Writer) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -133,6 +133,9 @@
 	return failuredomain.ShardOf(task)
 }
 
+// SequenceOf returns the highest sequence number that the stream has shown of a writer, or 0.
+func (l *Ledger) SequenceOf(w Writer) uint64 { return l.sequences[w] }
+
 // HighestIncarnation returns the highest incarnation of a node that the stream has shown, or 0.
 func (l *Ledger) HighestIncarnation(node string) uint64 {
 	var highest uint64
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/klauspost/compress/zstd"
 	"google.golang.org/protobuf/proto"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
@@ -15,9 +14,6 @@
 	"cactuswall.example/cactuswall/internal/record"
 )
 
-// maxStateBytes bounds the decompressed form of a snapshot.
-const maxStateBytes = 64 << 20
-
 // permille converts shares from 0 to 1 into thousandths.
 const permille = 1000
 
@@ -46,11 +42,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return encoder.EncodeAll(plain, nil), nil
+	return record.Compress(plain)
 }
 
 func claimState(c Claim) *record.ClaimState {
@@ -116,15 +108,10 @@
 // read, so that no lease ends too early. It fails with record.ErrNewerSchema where the snapshot may mean
 // something that this program does not know.
 func Restore(snapshot []byte, now time.Time) (*Ledger, error) {
-	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxStateBytes))
+	plain, err := record.Decompress(snapshot)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	defer decoder.Close()
-	plain, err := decoder.DecodeAll(snapshot, nil)
-	if err != nil {
-		return nil, trace.BadParameter("the snapshot cannot be decompressed: %v", err)
-	}
 	state := &record.LedgerState{}
 	if err := proto.Unmarshal(plain, state); err != nil {
 		return nil, trace.BadParameter("not a ledger state: %v", err)
--- a/internal/ledger/snapshot_test.go
+++ b/internal/ledger/snapshot_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -41,9 +40,9 @@
 	Convey("A snapshot of a newer schema is refused", t, func() {
 		plain, err := proto.Marshal(&record.LedgerState{Schema: record.Schema + 1})
 		So(err, ShouldBeNil)
-		encoder, err := zstd.NewWriter(nil)
+		data, err := record.Compress(plain)
 		So(err, ShouldBeNil)
-		_, err = Restore(encoder.EncodeAll(plain, nil), time.Time{})
+		_, err = Restore(data, time.Time{})
 		So(errors.Is(err, record.ErrNewerSchema), ShouldBeTrue)
 	})
 }
@@ -92,7 +91,7 @@
 	attempt := uint32(rapid.IntRange(1, 3).Draw(t, "attempt"))
 	held := token(shard, current.Token)
 	var r *record.Record
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
 	case 0, 1:
 		r = claim(shard, current.Revision)
 	case 2:
@@ -103,6 +102,11 @@
 		r = end(task, attempt, token(shard, current.Token), record.Outcome_OUTCOME_EVICTED)
 	case 5:
 		r = &record.Record{Body: &record.Record_Forget{Forget: &record.Forget{By: held, Tasks: []string{task}}}}
+	case 6:
+		body := &record.Transfer{Task: task, From: held, ToShard: to, ToDomain: rapid.SampledFrom([]string{"", "d"}).Draw(t, "domain")}
+		r = &record.Record{Body: &record.Record_Transfer{Transfer: body}}
+	case 7:
+		r = &record.Record{Body: &record.Record_Arrival{Arrival: &record.Arrival{Task: task, FromDomain: "d", Attempt: attempt}}}
 	}
 	key := fmt.Sprintf("%s.%d", node, incarnation)
 	s.sequence[key]++
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -171,6 +171,15 @@
 // Encode returns m as plain JSON.
 func (m *Manifest) Encode() ([]byte, error) { return json.Marshal(m) }
 
+// CheckReferences checks what the entries of a manifest say of each other, but not the entries themselves.
+// The error is of type strictjson.Problems.
+func (m *Manifest) CheckReferences() error {
+	if problems := m.crossCheck(); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
 // crossCheck reports references that do not resolve and prefixes that overlap.
 func (m *Manifest) crossCheck() strictjson.Problems {
 	var problems strictjson.Problems
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -33,6 +33,13 @@
 	domainWriter   *journal.Writer
 	manifestWriter *journal.Writer
 
+	domainReplay   *journal.Replay
+	manifestReplay *journal.Replay
+	// domainSnapshotAt and manifestSnapshotAt are when this node last saw or wrote a snapshot.
+	domainSnapshotAt   time.Time
+	manifestSnapshotAt time.Time
+	forgetAt           time.Time
+
 	config    config.State
 	members   *membership.Table
 	ledger    *ledger.Ledger
@@ -115,65 +122,26 @@
 	e.stopWithdrawn(now)
 	e.pursueStops(now)
 	e.schedule(now)
+	e.writeSnapshots(now)
 	e.publishViews(now)
 }
 
 // own claims, renews and gives up shards.
 func (e *engine) own(now time.Time) {
-	if !e.caughtUp || e.stopping {
+	if !e.current() || e.stopping {
 		return
 	}
 	live := e.members.LiveIn(e.settings.FailureDomain, now)
 	e.domainWriter.Enqueue(e.owner.Decide(e.ledger, live, now)...)
 }
 
-// takeDomainEntries applies entries of the domain stream.
-func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
-	e.logReadAt = now
-	for _, d := range deliveries {
-		if d.Batch == nil {
-			continue
-		}
-		sent, own := e.domainWriter.Settle(d.Batch)
-		results := e.ledger.Apply(d.Offset, d.Batch, now)
-		e.owner.Observe(e.ledger, results, sent, own)
-		for _, r := range results {
-			e.takeResult(r, now)
-		}
-	}
-	if len(deliveries) == 0 {
-		e.caughtUp = true
-	}
-}
-
-// takeManifestEntries applies entries of the manifest stream.
-func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
-	before := e.config.Version()
-	for _, d := range deliveries {
-		if d.Batch == nil {
-			continue
-		}
-		e.manifestWriter.Settle(d.Batch)
-		for _, r := range d.Batch.GetRecords() {
-			if p := r.GetPublication(); p != nil {
-				rejection := e.config.Publish(d.Offset, p)
-				e.metrics.countPublication(rejection)
-				e.decide(p.GetPublicationId(), decision{rejection: rejection, version: e.config.Version()})
-			}
-			if s := r.GetManifestSnapshot(); s != nil {
-				e.config.Restore(s)
-			}
-		}
-	}
-	e.manifestChanged(before, now)
-}
-
 // manifestChanged brings the tables in line after a new manifest has come in force.
 func (e *engine) manifestChanged(before config.Version, now time.Time) {
 	if e.config.Version() == before {
 		return
 	}
 	inForce := e.config.InForce()
+	e.decide(inForce.PublicationID, decision{rejection: config.Accepted, version: inForce.Version})
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
 	e.syncTasks(now)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -18,8 +18,13 @@
 type gossip struct {
 	engine    *engine
 	transport http.RoundTripper
+	// behindSince is when a peer first named a newer manifest than the one in force here, or zero.
+	behindSince time.Time
 }
 
+// fetchGrace is how long the log has to show a manifest that a peer already has.
+const fetchGrace = time.Second
+
 // exchangeTimeout bounds one exchange with a peer.
 const exchangeTimeout = 2 * time.Second
 
@@ -60,9 +65,25 @@
 		g.engine.metrics.countPeer("done")
 		g.engine.takeView(answer, now)
 	})
-	if err == nil && newestVersion(answer) > g.manifestVersion() {
-		g.fetchManifest(ctx, client)
+	if err != nil {
+		return
+	}
+	if g.isBehind(newestVersion(answer)) {
+		g.engine.fetchManifest(ctx, client)
 	}
+	g.engine.repair(ctx, client)
+}
+
+// isBehind reports whether a peer has had a newer manifest for longer than the log takes to show it.
+func (g *gossip) isBehind(version uint64) bool {
+	if version <= g.manifestVersion() {
+		g.behindSince = time.Time{}
+		return false
+	}
+	if g.behindSince.IsZero() {
+		g.behindSince = time.Now()
+	}
+	return time.Since(g.behindSince) >= fetchGrace
 }
 
 func (g *gossip) manifestVersion() uint64 {
@@ -82,23 +103,6 @@
 	return 0
 }
 
-// fetchManifest takes the manifest in force from a peer that has a newer one.
-func (g *gossip) fetchManifest(ctx context.Context, client peer.Peer) {
-	answer, err := client.FetchManifest(ctx, &peer.FetchManifestRequest{})
-	if err != nil || len(answer.GetSnapshot()) == 0 {
-		return
-	}
-	snapshot, err := config.DecodeSnapshot(answer.GetSnapshot())
-	if err != nil {
-		return
-	}
-	g.engine.post(func(now time.Time) {
-		before := g.engine.config.Version()
-		g.engine.config.Restore(snapshot)
-		g.engine.manifestChanged(before, now)
-	})
-}
-
 // pickPeer returns the address of a random other node, or "".
 func (e *engine) pickPeer(now time.Time) string {
 	addresses := make(map[string]bool)
@@ -178,18 +182,41 @@
 }
 
 // FetchManifest implements peer.Peer.
-func (s peerServer) FetchManifest(context.Context, *peer.FetchManifestRequest) (*peer.InForce, error) {
-	inForce := s.engine.views.inForce.Load()
+func (s peerServer) FetchManifest(ctx context.Context, _ *peer.FetchManifestRequest) (*peer.InForce, error) {
+	var inForce *config.InForce
+	var readTo platform.Offset
+	s.engine.ask(ctx, func(time.Time) {
+		inForce = s.engine.config.InForce()
+		readTo = s.engine.manifestReplay.Applied()
+	})
 	if inForce == nil {
 		return &peer.InForce{}, nil
 	}
-	snapshot, err := inForce.EncodeSnapshot()
+	snapshot, err := inForce.EncodeSnapshot(readTo)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
 	return &peer.InForce{Snapshot: snapshot}, nil
 }
 
+// FetchDomain implements peer.Peer. A node whose own state is incomplete has none to give.
+func (s peerServer) FetchDomain(ctx context.Context, req *peer.FetchDomainRequest) (*peer.DomainState, error) {
+	state := &peer.DomainState{}
+	var err error
+	s.engine.ask(ctx, func(time.Time) {
+		e := s.engine
+		if req.GetFailureDomain() != e.settings.FailureDomain || !e.domainReplay.Complete() || e.domainReplay.Applied() == 0 {
+			return
+		}
+		state.At = uint64(e.domainReplay.Applied())
+		state.State, err = e.ledger.Snapshot()
+	})
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return state, nil
+}
+
 // Promise implements peer.Peer. A node makes no promises yet: it grants nothing, so that nobody relies on it.
 func (s peerServer) Promise(context.Context, *peer.PromiseRequest) (*peer.PromiseReply, error) {
 	return &peer.PromiseReply{}, nil
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -43,3 +43,7 @@
 func (m *engineMetrics) countPeer(result string) {
 	m.count("cactuswall_peer_exchanges_total", "result", result)
 }
+
+func (m *engineMetrics) countRestore(stream, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("cactuswall_snapshots_total{stream=%q,result=%q}", stream, result)).Inc()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,8 @@
 		manifestWriter: writer(journal.ManifestStream),
 		members:        membership.NewTable(member, periods),
 		ledger:         ledger.New(),
+		domainReplay:   journal.NewReplay(journal.NewMetrics(set, domainStream)),
+		manifestReplay: journal.NewReplay(journal.NewMetrics(set, journal.ManifestStream)),
 		owner:          ownership.NewOwner(self, s.FailureDomain, s.Scheduling.ClaimLease.Std()),
 		workerRow:      worker.NewTable(),
 		taskRow:        task.NewTable(),
@@ -123,8 +125,8 @@
 	n.add(&group, n.engine.run)
 	n.add(&group, n.engine.domainWriter.Run)
 	n.add(&group, n.engine.manifestWriter.Run)
-	n.addFollower(&group, journal.DomainStream(n.settings.FailureDomain), n.engine.takeDomainEntries)
-	n.addFollower(&group, journal.ManifestStream, n.engine.takeManifestEntries)
+	n.add(&group, n.followDomain)
+	n.add(&group, n.followManifest)
 	n.add(&group, n.readList)
 	n.add(&group, (&gossip{engine: n.engine, transport: n.options.Peers}).run)
 	n.addServer(&group, n.options.Listeners.Callers, n.caller)
@@ -145,14 +147,6 @@
 	group.Add(func() error { return actor(n.ctx) }, func(error) { n.cancel() })
 }
 
-func (n *Node) addFollower(group *run.Group, stream string, take func([]journal.Delivery, time.Time)) {
-	deliver := func(ds []journal.Delivery) {
-		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
-	}
-	follower := journal.NewFollower(n.options.Log, stream, 1, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
-	n.add(group, follower.Run)
-}
-
 // closeTimeout bounds the closing of idle connections at the end of a stop.
 const closeTimeout = 2 * time.Second
 
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -29,7 +29,7 @@
 		return operator.Decision{}, trace.Wrap(err)
 	}
 	id := uuid.NewString()
-	publication, err := config.NewPublication(m, config.Version(p.Replaces), id, time.Now())
+	publication, err := config.NewPublication(m, n.engine.views.inForce.Load(), config.Version(p.Replaces), id, time.Now())
 	if err != nil {
 		return operator.Decision{}, trace.Wrap(err)
 	}
@@ -50,6 +50,9 @@
 func await(ctx context.Context, decided <-chan decision) (operator.Decision, error) {
 	select {
 	case d := <-decided:
+		if d.rejection == config.Superseded {
+			return operator.Decision{Version: uint64(d.version), Because: string(d.rejection)}, nil
+		}
 		return operator.Decision{
 			Accepted: d.rejection == config.Accepted,
 			Version:  uint64(d.version),
--- /dev/null
+++ b/internal/node/replay.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/ledger"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/task"
+)
+
+// current reports whether the node knows all of its domain stream, so that it may commit to it.
+func (e *engine) current() bool { return e.caughtUp && e.domainReplay.Complete() }
+
+// takeDomainEntries applies entries of the domain stream.
+func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
+	e.logReadAt = now
+	for _, d := range deliveries {
+		wasComplete := e.domainReplay.Complete()
+		if d, applicable := e.domainReplay.Take(d); applicable {
+			e.applyDomainEntry(d, now)
+			continue
+		}
+		if wasComplete && !e.domainReplay.Complete() {
+			e.loseDomainState(d)
+		}
+		for _, r := range d.Batch.GetRecords() {
+			if s := r.GetDomainSnapshot(); s != nil {
+				e.restoreDomain(platform.Offset(s.GetAt()), s.GetState(), now)
+			}
+		}
+	}
+	if len(deliveries) == 0 {
+		e.caughtUp = true
+	}
+}
+
+func (e *engine) applyDomainEntry(d journal.Delivery, now time.Time) {
+	if d.Batch == nil {
+		return
+	}
+	sent, own := e.domainWriter.Settle(d.Batch)
+	results := e.ledger.Apply(d.Offset, d.Batch, now)
+	e.owner.Observe(e.ledger, results, sent, own)
+	for _, r := range results {
+		if r.Record.GetDomainSnapshot() != nil {
+			e.domainSnapshotAt = now
+		}
+		e.takeResult(r, now)
+	}
+}
+
+// loseDomainState ends every authority: entries are missing, or mean something unknown here.
+func (e *engine) loseDomainState(d journal.Delivery) {
+	e.owner.Drop()
+	e.logger.Warn("domain state is incomplete; nothing is committed until a snapshot or a peer completes it",
+		zap.Uint64("offset", uint64(d.Offset)), zap.Bool("newer_schema", d.Newer))
+}
+
+// restoreDomain replaces the state of the domain stream by a snapshot, when that completes it.
+func (e *engine) restoreDomain(at platform.Offset, state []byte, now time.Time) {
+	if !e.domainReplay.Fits(at) {
+		return
+	}
+	restored, err := ledger.Restore(state, now)
+	if err != nil {
+		e.metrics.countRestore("domain", "unreadable")
+		return
+	}
+	e.metrics.countRestore("domain", "done")
+	e.logger.Info("domain state restored", zap.Uint64("offset", uint64(at)))
+	e.setLedger(restored, now)
+	for _, d := range e.domainReplay.Restored(at) {
+		e.applyDomainEntry(d, now)
+	}
+}
+
+// setLedger replaces the ledger and makes the tables that follow from it again.
+func (e *engine) setLedger(l *ledger.Ledger, now time.Time) {
+	e.ledger = l
+	e.owner.Drop()
+	e.domainWriter.SettleUpTo(l.SequenceOf(e.self))
+	for _, w := range e.workerRow.All() {
+		w.Token = 0
+	}
+	e.taskRow = task.NewTable()
+	if e.config.InForce() != nil {
+		e.syncTasks(now)
+	}
+}
+
+// takeManifestEntries applies entries of the manifest stream.
+func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
+	before := e.config.Version()
+	for _, d := range deliveries {
+		wasComplete := e.manifestReplay.Complete()
+		if d, applicable := e.manifestReplay.Take(d); applicable {
+			e.applyManifestEntry(d, now)
+			continue
+		}
+		if wasComplete && !e.manifestReplay.Complete() {
+			e.logger.Warn("manifest stream is incomplete; no publication is accepted until a snapshot or a peer completes it",
+				zap.Uint64("offset", uint64(d.Offset)), zap.Bool("newer_schema", d.Newer))
+		}
+		for _, r := range d.Batch.GetRecords() {
+			if s := r.GetManifestSnapshot(); s != nil {
+				e.restoreManifest(s, now)
+			}
+		}
+	}
+	e.manifestChanged(before, now)
+}
+
+func (e *engine) applyManifestEntry(d journal.Delivery, now time.Time) {
+	if d.Batch == nil {
+		return
+	}
+	e.manifestWriter.Settle(d.Batch)
+	for _, r := range d.Batch.GetRecords() {
+		if p := r.GetPublication(); p != nil {
+			rejection := e.config.Publish(d.Offset, p)
+			e.metrics.countPublication(rejection)
+			e.decide(p.GetPublicationId(), decision{rejection: rejection, version: e.config.Version()})
+		}
+		if s := r.GetManifestSnapshot(); s != nil {
+			e.manifestSnapshotAt = now
+			e.config.Restore(s)
+		}
+	}
+}
+
+// restoreManifest takes a snapshot from the log or from a peer: the manifest when it is newer, and the
+// position in the stream when that completes the state.
+func (e *engine) restoreManifest(s *record.ManifestSnapshot, now time.Time) {
+	before := e.config.Version()
+	if e.config.Restore(s) == config.Malformed {
+		e.metrics.countRestore("manifest", "unreadable")
+		return
+	}
+	readTo := platform.Offset(s.GetReadTo())
+	if config.Version(s.GetVersion()) == e.config.Version() && e.manifestReplay.Fits(readTo) {
+		e.metrics.countRestore("manifest", "done")
+		for _, d := range e.manifestReplay.Restored(readTo) {
+			e.applyManifestEntry(d, now)
+		}
+	}
+	e.manifestChanged(before, now)
+}
--- /dev/null
+++ b/internal/node/replay_test.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/standin"
+	"cactuswall.example/cactuswall/internal/units"
+)
+
+// newTestEngine returns an engine of a node that is not running. Its methods are called directly.
+func newTestEngine(t *testing.T, name string) *engine {
+	s := settings.Default()
+	s.Node = name
+	s.FailureDomain = "north"
+	s.PeerAddress = name
+	return newEngine(t.Context(), Options{
+		Settings:    s,
+		Log:         standin.NewLog(),
+		List:        standin.NewList(0),
+		Logger:      zap.NewNop(),
+		Incarnation: 1,
+	}, metrics.NewSet())
+}
+
+// entry returns the delivery of a batch with one record.
+func entry(offset platform.Offset, node string, sequence uint64, r *record.Record) journal.Delivery {
+	batch := &record.Batch{Node: node, Incarnation: 1, Sequence: sequence, Records: []*record.Record{r}}
+	return journal.Delivery{Offset: offset, Batch: batch}
+}
+
+func claimRecord(shard uint32, replaces platform.Offset) *record.Record {
+	body := &record.Claim{Shard: shard, Replaces: uint64(replaces), LeaseMs: 6000}
+	return &record.Record{Body: &record.Record_Claim{Claim: body}}
+}
+
+func snapshotRecord(t *testing.T, e *engine) *record.Record {
+	state, err := e.ledger.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := &record.DomainSnapshot{At: uint64(e.domainReplay.Applied()), State: state}
+	return &record.Record{Body: &record.Record_DomainSnapshot{DomainSnapshot: body}}
+}
+
+func TestTrimmedDomainStream(t *testing.T) {
+	Convey("Given a domain stream whose beginning is trimmed", t, func() {
+		now := time.Now()
+		old, fresh := newTestEngine(t, "a"), newTestEngine(t, "b")
+		old.takeDomainEntries([]journal.Delivery{entry(1, "a", 1, claimRecord(3, 0)), entry(2, "a", 2, claimRecord(4, 0))}, now)
+		snapshot := snapshotRecord(t, old)
+		gap := journal.Delivery{Offset: 2, Gap: true}
+		third := entry(3, "a", 3, claimRecord(5, 0))
+
+		Convey("a fresh node commits nothing before it has a snapshot", func() {
+			fresh.takeDomainEntries([]journal.Delivery{gap, third}, now)
+			fresh.takeDomainEntries(nil, now)
+			So(fresh.caughtUp, ShouldBeTrue)
+			So(fresh.current(), ShouldBeFalse)
+			fresh.own(now.Add(time.Hour))
+			So(fresh.domainWriter.Queued(), ShouldEqual, 0)
+
+			Convey("and knows everything once a snapshot covers what was trimmed", func() {
+				fresh.takeDomainEntries([]journal.Delivery{entry(4, "a", 4, snapshot)}, now)
+				So(fresh.current(), ShouldBeTrue)
+				So(fresh.ledger.Claim(3).Token, ShouldEqual, 1)
+				So(fresh.ledger.Claim(5).Token, ShouldEqual, 3)
+			})
+		})
+		Convey("a snapshot that leaves a hole is not taken", func() {
+			fresh.takeDomainEntries([]journal.Delivery{{Offset: 3, Gap: true}, entry(4, "a", 4, snapshot)}, now)
+			So(fresh.current(), ShouldBeFalse)
+		})
+	})
+}
+
+func TestNewerSchemaEndsAuthority(t *testing.T) {
+	Convey("Given a node that holds a shard", t, func() {
+		now := time.Now()
+		e := newTestEngine(t, "a")
+		e.takeDomainEntries(nil, now)
+		l := e.ledger
+		results := l.Apply(1, entry(1, "a", 1, claimRecord(3, 0)).Batch, now)
+		e.owner.Observe(l, results, now, true)
+		_, held := e.owner.Holds(3, now)
+		So(held, ShouldBeTrue)
+
+		Convey("it gives up all authority when it meets a batch of a newer schema", func() {
+			e.takeDomainEntries([]journal.Delivery{{Offset: 2, Newer: true}}, now)
+			_, held := e.owner.Holds(3, now)
+			So(held, ShouldBeFalse)
+			So(e.current(), ShouldBeFalse)
+		})
+	})
+}
+
+func testManifest(release string) *manifest.Manifest {
+	return &manifest.Manifest{
+		Release:        release,
+		FailureDomains: []manifest.FailureDomain{{Name: "north", Region: "r"}},
+		Teams:          []manifest.Team{{Name: "team", Quota: units.Resources{MilliProcessors: 1}}},
+	}
+}
+
+func publicationRecord(t *testing.T, release string, replaces config.Version) *record.Record {
+	p, err := config.NewPublication(testManifest(release), nil, replaces, release, time.UnixMilli(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &record.Record{Body: &record.Record_Publication{Publication: p}}
+}
+
+func TestTrimmedManifestStream(t *testing.T) {
+	Convey("Given a node that has read version 1 and then misses entries", t, func() {
+		now := time.Now()
+		e, other := newTestEngine(t, "a"), newTestEngine(t, "b")
+		first := entry(1, "a", 1, publicationRecord(t, "one", 0))
+		e.takeManifestEntries([]journal.Delivery{first}, now)
+		other.takeManifestEntries([]journal.Delivery{first, entry(2, "a", 2, publicationRecord(t, "two", 1))}, now)
+		late := entry(4, "a", 4, publicationRecord(t, "late", 1))
+		e.takeManifestEntries([]journal.Delivery{{Offset: 3, Gap: true}, late}, now)
+
+		Convey("it does not accept a publication that may have lost a race in the gap", func() {
+			So(e.config.Version(), ShouldEqual, 1)
+		})
+		Convey("a snapshot of the newest version completes it", func() {
+			e.restoreManifest(other.config.InForce().Snapshot(3), now)
+			So(e.manifestReplay.Complete(), ShouldBeTrue)
+			So(e.config.Version(), ShouldEqual, 2)
+		})
+	})
+}
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -13,7 +13,7 @@
 
 // schedule places waiting tasks of own shards on own workers.
 func (e *engine) schedule(now time.Time) {
-	if !e.dirty || !e.caughtUp || e.stopping || e.config.InForce() == nil {
+	if !e.dirty || !e.current() || e.stopping || e.config.InForce() == nil {
 		return
 	}
 	e.dirty = false
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// Drop ends the authority over every shard, because the state of the log is not fully known.
+func (o *Owner) Drop() {
+	o.until = [failuredomain.Shards]time.Time{}
+	o.tokens = [failuredomain.Shards]platform.Offset{}
+}
+
 func (o *Owner) observeClaim(l *ledger.Ledger, shard uint32, sent time.Time, own bool) {
 	c := l.Claim(shard)
 	if own && c.Owner == o.self && !c.Released {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Scheduling Scheduling `json:"scheduling"`
 	// Membership holds periods of the exchange between nodes.
 	Membership Membership `json:"membership"`
+	// Log holds periods of the use of the platform's log.
+	Log Log `json:"log"`
 	// Callers bounds what the node takes from callers.
 	Callers Callers `json:"callers"`
 	// Stop bounds the planned stop.
@@ -66,6 +68,13 @@
 	DeadAfter units.Duration `json:"dead_after" validate:"gt=0"`
 }
 
+// Log holds periods of the use of the platform's log.
+type Log struct {
+	// SnapshotPeriod is the time between two snapshots in a stream. It is to be a third of the log's
+	// retention at the most, so that a snapshot always outlives what it stands for.
+	SnapshotPeriod units.Duration `json:"snapshot_period" validate:"gt=0"`
+}
+
 // Callers bounds what the node takes from callers.
 type Callers struct {
 	// MaxRequests bounds requests in flight and queued, listeners apart.
@@ -105,6 +114,9 @@
 			SuspectAfter:   units.Duration(3 * time.Second),
 			DeadAfter:      units.Duration(6 * time.Second),
 		},
+		Log: Log{
+			SnapshotPeriod: units.Duration(30 * time.Minute),
+		},
 		Callers: Callers{
 			MaxRequests:      4096,
 			MaxListeners:     4096,
