Move waiting tasks out of a failure domain that is lost

Cause: a batch task whose home domain was gone for hours waited there although its job permits it to run elsewhere; the manifest's on_domain_loss had no effect. Change: package rescue and its part of the node: watch, claim in the lost domain's stream, transfer, arrival, repetition of arrivals.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -113,6 +113,15 @@
 // Claim returns the current claim of a shard.
 func (l *Ledger) Claim(shard uint32) Claim { return l.claims[shard%failuredomain.Shards] }
 
+// Claims calls yield for the current claim of each shard, in order, until yield returns false.
+func (l *Ledger) Claims(yield func(Claim) bool) {
+	for _, c := range l.claims {
+		if !yield(c) {
+			return
+		}
+	}
+}
+
 // Attempt returns the newest attempt of a task, or nil.
 func (l *Ledger) Attempt(task string) *Attempt { return l.attempts[task] }
 
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -97,6 +97,9 @@
 	return &record.Record{Body: &record.Record_Arrival{Arrival: arrival}}
 }
 
+// IsGuest reports whether a task was taken over from another failure domain.
+func (l *Ledger) IsGuest(task string) bool { return l.guests[task] != "" }
+
 func sortedKeys(m map[string]string) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -51,6 +51,7 @@
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
 	waiters map[string]chan decision
+	rescuer *rescuer
 	views   views
 }
 
@@ -115,6 +116,7 @@
 	e.stopWithdrawn(now)
 	e.pursueStops(now)
 	e.schedule(now)
+	e.rescuer.tick(now)
 	e.publishViews(now)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
 	n.engine = newEngine(ctx, o, set)
+	n.engine.rescuer = newRescuer(n.engine, o.Log, set)
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:    o.Settings.Callers,
 		Directory: n.engine.directory,
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -27,6 +27,10 @@
 		e.takePlacement(r, body.Placement, now)
 	case *record.Record_End:
 		e.takeEnd(r, body.End, now)
+	case *record.Record_Transfer:
+		e.takeTransfer(r, body.Transfer, now)
+	case *record.Record_Arrival:
+		e.takeArrival(r)
 	case *record.Record_Claim:
 		if r.Rejection == ledger.Accepted {
 			e.logger.Info("shard claimed", zap.Uint32("shard", body.Claim.GetShard()), zap.String("owner", r.Writer.Node), zap.Uint64("token", uint64(r.Offset)))
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/endpoint"
 	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/lease"
@@ -17,7 +18,7 @@
 func (e *engine) syncTasks(now time.Time) {
 	inForce := e.config.InForce()
 	declared := make(map[string]bool)
-	for _, spec := range task.Declared(inForce.Manifest, inForce.Origins, e.settings.FailureDomain) {
+	for _, spec := range e.declared(inForce) {
 		declared[spec.ID] = true
 		row := e.taskRow.Get(spec.ID)
 		if row == nil {
@@ -39,8 +40,23 @@
 	e.dirty = true
 }
 
+// declared returns the specs of the domain's own tasks and of those taken over from other domains.
+func (e *engine) declared(inForce *config.InForce) []task.Spec {
+	specs := task.Declared(inForce.Manifest, inForce.Origins, e.settings.FailureDomain)
+	for _, id := range e.ledger.Guests() {
+		if spec, known := task.Find(inForce.Manifest, inForce.Origins, id); known {
+			specs = append(specs, spec)
+		}
+	}
+	return specs
+}
+
 // restoreTask sets a new row from what the ledger knows.
 func (e *engine) restoreTask(row *task.Task, now time.Time) {
+	if to := e.ledger.DepartedTo(row.ID); to != "" {
+		row.Set(task.Departed, "moved to failure domain "+to, now)
+		return
+	}
 	a := e.ledger.Attempt(row.ID)
 	if a == nil {
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,9 @@
 	ClaimLease units.Duration `json:"claim_lease" validate:"gt=0"`
 	// TaskLease is how long a task runs on a worker without a renewal.
 	TaskLease units.Duration `json:"task_lease" validate:"gt=0"`
+	// DomainLossAfter is the silence of all nodes of a failure domain after which tasks that may run
+	// elsewhere are moved out of it.
+	DomainLossAfter units.Duration `json:"domain_loss_after" validate:"gt=0"`
 	// WorkerCallTimeout bounds one call to a worker.
 	WorkerCallTimeout units.Duration `json:"worker_call_timeout" validate:"gt=0"`
 }
@@ -97,6 +100,7 @@
 			Tick:              units.Duration(100 * time.Millisecond),
 			ClaimLease:        units.Duration(6 * time.Second),
 			TaskLease:         units.Duration(15 * time.Second),
+			DomainLossAfter:   units.Duration(5 * time.Minute),
 			WorkerCallTimeout: units.Duration(2 * time.Second),
 		},
 		Membership: Membership{
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
@@ -114,6 +116,26 @@
 	return specs
 }
 
+// Find returns the spec of a batch task by its ID, wherever its home is. It returns false when the manifest
+// does not name the task.
+func Find(m *manifest.Manifest, origins map[string]Origin, id string) (Spec, bool) {
+	name, rest, _ := strings.Cut(id, "@")
+	for i := range m.Jobs {
+		j := &m.Jobs[i]
+		if j.Name != name {
+			continue
+		}
+		version, index, _ := strings.Cut(rest, "/")
+		number, err := strconv.Atoi(index)
+		origin := origins[name]
+		if err != nil || number < 0 || number >= j.Tasks || version != strconv.FormatUint(origin.Version, 10) {
+			return Spec{}, false
+		}
+		return jobSpecs(j, origin)[number], true
+	}
+	return Spec{}, false
+}
+
 // State is the state of a task as this node knows it.
 type State string
 
@@ -132,10 +154,12 @@
 	Finished  State = "finished"
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
+	// Departed tasks were given to another failure domain.
+	Departed State = "departed"
 )
 
 // Done reports whether the task will not be started again.
-func (s State) Done() bool { return s == Finished || s == Failed || s == Cancelled }
+func (s State) Done() bool { return s == Finished || s == Failed || s == Cancelled || s == Departed }
 
 // Task is one row of the table.
 type Task struct {
