--- a/internal/node/rescue_test.go
+++ b/internal/node/rescue_test.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/settings"
@@ -256,6 +257,16 @@
 	})
 }
 
+// claimTokens returns the tokens of all claims in the stream of the node's domain.
+func claimTokens(n *Node) (tokens [failuredomain.Shards]platform.Offset) {
+	n.engine.ask(context.Background(), func(time.Time) {
+		for c := range n.engine.ledger.Claims {
+			tokens[c.Shard] = c.Token
+		}
+	})
+	return tokens
+}
+
 func TestDomainCutFromPeersKeepsItsTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newTwoDomains(0)
@@ -265,8 +276,12 @@
 		if _, err := a.Publish(context.Background(), operator.Publication{Document: moveManifest}); err != nil {
 			t.Fatal(err)
 		}
+		before := claimTokens(a)
 		w.links.setCut(true)
 		time.Sleep(20 * time.Minute)
+		if after := claimTokens(a); after != before {
+			t.Errorf("the claims of the home domain changed from %v to %v", before, after)
+		}
 		if got := stateOf(a, "moves@1/0"); got != string(task.Waiting) {
 			t.Errorf("the task is %q although its home domain renews its claims", got)
 		}
