Tell peers where each node serves operators

Cause: an operator who knows one node could not reach the other failure domains. Change: the view that nodes exchange carries the operator address of each node. Conclusion: the client can ask one node and find all others.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -19,10 +19,12 @@
 
 // Member is one row of the table.
 type Member struct {
-	Node            string
-	Incarnation     uint64
-	FailureDomain   string
-	Address         string
+	Node          string
+	Incarnation   uint64
+	FailureDomain string
+	Address       string
+	// OperatorAddress is where the node serves operators, an IP number with a port.
+	OperatorAddress string
 	Heartbeat       uint64
 	Leaving         bool
 	ManifestVersion uint64
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -138,6 +138,7 @@
 			Heartbeat:       m.Heartbeat,
 			Leaving:         m.Leaving,
 			ManifestVersion: m.ManifestVersion,
+			OperatorAddress: m.OperatorAddress,
 		})
 	}
 	return v
@@ -154,6 +155,7 @@
 			Heartbeat:       m.GetHeartbeat(),
 			Leaving:         m.GetLeaving(),
 			ManifestVersion: m.GetManifestVersion(),
+			OperatorAddress: m.GetOperatorAddress(),
 		}, now)
 	}
 	e.directory.MarkLeaving(v.GetLeavingEndpoints())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,7 +82,7 @@
 	s := o.Settings
 	self := ledger.Writer{Node: s.Node, Incarnation: o.Incarnation}
 	domainStream := journal.DomainStream(s.FailureDomain)
-	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
+	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress, OperatorAddress: s.OperatorAddress}
 	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std()}
 	writer := func(stream string) *journal.Writer {
 		return journal.NewWriter(o.Log, stream, s.Node, o.Incarnation, journal.NewMetrics(set, stream), o.Logger)
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -115,6 +115,7 @@
 			Node:            m.Node,
 			FailureDomain:   m.FailureDomain,
 			Address:         m.Address,
+			OperatorAddress: m.OperatorAddress,
 			State:           string(e.members.StateOf(m.Node, now)),
 			ManifestVersion: m.ManifestVersion,
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -65,9 +65,11 @@
 
 // Node is the report on one node of the system.
 type Node struct {
-	Node            string `json:"node"`
-	FailureDomain   string `json:"failure_domain"`
-	Address         string `json:"address"`
+	Node          string `json:"node"`
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`
+	// OperatorAddress is where the node serves operators, an IP number with a port.
+	OperatorAddress string `json:"operator_address"`
 	State           string `json:"state"`
 	ManifestVersion uint64 `json:"manifest_version"`
 }
