--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
+	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/operator"
 )
@@ -20,7 +21,7 @@
 	return &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a manifest and report every problem",
-		Args:  cobra.ExactArgs(1),
+		Args:  exitcode.Arguments(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error {
 			m, _, err := readManifest(args[0])
 			if err != nil {
@@ -46,7 +47,7 @@
 	return &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Publish a manifest in place of the one in force",
-		Args:  cobra.ExactArgs(1),
+		Args:  exitcode.Arguments(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error {
 			_, data, err := readManifest(args[0])
 			if err != nil {
@@ -76,7 +77,7 @@
 	return &cobra.Command{
 		Use:   "show",
 		Short: "Show the manifest in force",
-		Args:  cobra.NoArgs,
+		Args:  exitcode.Arguments(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			m, err := o.client().Manifest(c.Context())
 			if err != nil {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -4,13 +4,15 @@
 	"fmt"
 
 	"github.com/spf13/cobra"
+
+	"cactuswall.example/cactuswall/internal/exitcode"
 )
 
 func newStatusCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "status",
 		Short: "Report on a node and its failure domain",
-		Args:  cobra.NoArgs,
+		Args:  exitcode.Arguments(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			s, err := o.client().Status(c.Context())
 			if err != nil {
--- a/internal/command/tasks.go
+++ b/internal/command/tasks.go
@@ -4,13 +4,15 @@
 	"fmt"
 
 	"github.com/spf13/cobra"
+
+	"cactuswall.example/cactuswall/internal/exitcode"
 )
 
 func newTasksCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "tasks",
 		Short: "List the tasks of the node's failure domain",
-		Args:  cobra.NoArgs,
+		Args:  exitcode.Arguments(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			tasks, err := o.client().Tasks(c.Context())
 			if err != nil {
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -4,13 +4,14 @@
 	"github.com/spf13/cobra"
 
 	"cactuswall.example/cactuswall/internal/buildinfo"
+	"cactuswall.example/cactuswall/internal/exitcode"
 )
 
 func newVersionCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "version",
 		Short: "Print the version",
-		Args:  cobra.NoArgs,
+		Args:  exitcode.Arguments(cobra.NoArgs),
 		Run:   func(c *cobra.Command, _ []string) { c.Println("cactuswall", buildinfo.Version()) },
 	}
 }
--- a/internal/daemoncmd/check_settings.go
+++ b/internal/daemoncmd/check_settings.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/spf13/cobra"
 
+	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/settings"
 )
 
@@ -10,7 +11,7 @@
 	return &cobra.Command{
 		Use:   "check-settings FILE",
 		Short: "Check a settings file and report every problem",
-		Args:  cobra.ExactArgs(1),
+		Args:  exitcode.Arguments(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error {
 			s, err := settings.Load(args[0])
 			if err != nil {
--- a/internal/daemoncmd/dev.go
+++ b/internal/daemoncmd/dev.go
@@ -4,6 +4,7 @@
 	"github.com/spf13/cobra"
 
 	"cactuswall.example/cactuswall/internal/dev"
+	"cactuswall.example/cactuswall/internal/exitcode"
 )
 
 // defaultBasePort is the first port of the development deployment.
@@ -15,7 +16,7 @@
 	command := &cobra.Command{
 		Use:   "dev",
 		Short: "Run a whole small deployment in one process on loopback",
-		Args:  cobra.NoArgs,
+		Args:  exitcode.Arguments(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			logger, err := newLogger(level)
 			if err != nil {
--- a/internal/daemoncmd/run.go
+++ b/internal/daemoncmd/run.go
@@ -4,6 +4,7 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
+	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/node"
 	"cactuswall.example/cactuswall/internal/settings"
 )
@@ -13,7 +14,7 @@
 	command := &cobra.Command{
 		Use:   "run SETTINGS",
 		Short: "Run a node until SIGTERM or SIGINT",
-		Args:  cobra.ExactArgs(1),
+		Args:  exitcode.Arguments(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error {
 			s, err := settings.Load(args[0])
 			if err != nil {
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"unicode"
 
 	"cactuswall.example/cactuswall/internal/strictjson"
 	"cactuswall.example/cactuswall/internal/units"
@@ -16,6 +17,9 @@
 // MaxDocumentBytes bounds a published document.
 const MaxDocumentBytes = 4 << 20
 
+// MaxTasks bounds the service instances and batch tasks that a manifest declares in all.
+const MaxTasks = 200_000
+
 // Manifest declares services, batch jobs and limits of one release.
 type Manifest struct {
 	// Release names the release that the manifest was generated for.
@@ -159,10 +163,13 @@
 		return nil, strictjson.Problems{{Message: fmt.Sprintf("the document has %d bytes, at most %d are accepted", len(data), MaxDocumentBytes)}}
 	}
 	m := &Manifest{}
-	if problems := strictjson.Decode(data, m); len(problems) > 0 {
-		return nil, problems
+	problems := strictjson.Decode(data, m)
+	for _, p := range m.crossCheck() {
+		if !problems.Has(p.Path) {
+			problems = append(problems, p)
+		}
 	}
-	if problems := m.crossCheck(); len(problems) > 0 {
+	if len(problems) > 0 {
 		return nil, problems
 	}
 	return m, nil
@@ -175,19 +182,36 @@
 func (m *Manifest) crossCheck() strictjson.Problems {
 	var problems strictjson.Problems
 	domains := make(map[string]bool, len(m.FailureDomains))
-	for _, d := range m.FailureDomains {
+	for i, d := range m.FailureDomains {
+		checkName(fmt.Sprintf("failure_domains[%d]", i), d.Name, &problems)
 		domains[d.Name] = true
 	}
 	teams := make(map[string]bool, len(m.Teams))
-	for _, t := range m.Teams {
+	for i, t := range m.Teams {
+		checkName(fmt.Sprintf("teams[%d]", i), t.Name, &problems)
 		teams[t.Name] = true
 	}
 	m.checkServices(teams, &problems)
 	m.checkJobs(teams, domains, &problems)
 	m.checkTaskNames(&problems)
+	m.checkTaskCount(&problems)
 	return problems
 }
 
+// checkTaskCount bounds what every node has to hold in its tables.
+func (m *Manifest) checkTaskCount(problems *strictjson.Problems) {
+	count := 0
+	for _, s := range m.Services {
+		count += s.Instances
+	}
+	for _, j := range m.Jobs {
+		count += j.Tasks
+	}
+	if count > MaxTasks {
+		problems.Add("jobs", "the manifest declares %d instances and tasks, at most %d are accepted", count, MaxTasks)
+	}
+}
+
 // checkTaskNames refuses a job with the name of a service, since task names start with either.
 func (m *Manifest) checkTaskNames(problems *strictjson.Problems) {
 	services := make(map[string]bool, len(m.Services))
@@ -238,10 +262,14 @@
 	}
 }
 
-// checkName refuses the characters that separate the parts of a task's name.
+// checkName refuses the characters that separate the parts of a task's name and those that a metric label
+// would have to quote.
 func checkName(path, name string, problems *strictjson.Problems) {
-	if strings.ContainsAny(name, "/ \t\n") {
-		problems.Add(path+".name", "%q must not hold a slash or white space", name)
+	forbidden := func(r rune) bool {
+		return r == '/' || r == '"' || r == '\\' || unicode.IsSpace(r) || unicode.IsControl(r)
+	}
+	if strings.ContainsFunc(name, forbidden) {
+		problems.Add(path+".name", "%q must not hold a slash, a quote, a backslash, white space or a control character", name)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,9 +17,9 @@
 // Settings are the static settings of one node.
 type Settings struct {
 	// Node is the name of this node, unique in the deployment.
-	Node string `json:"node" validate:"required"`
+	Node string `json:"node" validate:"required,max=100,excludesall= /"`
 	// FailureDomain is the failure domain that the node's VM stands in.
-	FailureDomain string `json:"failure_domain" validate:"required"`
+	FailureDomain string `json:"failure_domain" validate:"required,max=100,excludesall= /"`
 	// CallerAddress is where the node answers callers.
 	CallerAddress string `json:"caller_address" validate:"ipport"`
 	// OperatorAddress is where the node serves operators: status, metrics and health.
@@ -90,6 +90,9 @@
 	DrainTimeout units.Duration `json:"drain_timeout" validate:"gt=0"`
 }
 
+// minTicksPerClaimLease is how many ticks a claim's lease must span at least.
+const minTicksPerClaimLease = 10
+
 // Default returns settings with a default for each optional field.
 func Default() Settings {
 	return Settings{
@@ -124,24 +127,35 @@
 func Parse(data []byte) (Settings, error) {
 	s := Default()
 	problems := strictjson.Decode(data, &s)
-	if len(problems) > 0 {
-		return Settings{}, problems
-	}
-	problems = s.crossCheck()
+	problems = append(problems, s.crossCheck(problems)...)
 	if len(problems) > 0 {
 		return Settings{}, problems
 	}
 	return s, nil
 }
 
-// crossCheck reports fields that are valid alone but not together.
-func (s Settings) crossCheck() strictjson.Problems {
+// crossCheck reports fields that are valid alone but not together. Fields in found are passed over.
+func (s Settings) crossCheck(found strictjson.Problems) strictjson.Problems {
 	var problems strictjson.Problems
+	add := func(path, other, message string) {
+		if !found.Has(path) && !found.Has(other) {
+			problems.Add(path, "%s", message)
+		}
+	}
 	if s.Membership.DeadAfter <= s.Membership.SuspectAfter {
-		problems.Add("membership.dead_after", "must be longer than membership.suspect_after")
+		add("membership.dead_after", "membership.suspect_after", "must be longer than membership.suspect_after")
+	}
+	if s.Scheduling.ClaimLease.Std() < minTicksPerClaimLease*s.Scheduling.Tick.Std() {
+		add("scheduling.claim_lease", "scheduling.tick", "must be at least ten times scheduling.tick")
+	}
+	if s.OperatorAddress == s.CallerAddress {
+		add("operator_address", "caller_address", "is the same as caller_address")
+	}
+	if s.PeerAddress == s.CallerAddress {
+		add("peer_address", "caller_address", "is the same as caller_address")
 	}
-	if s.Scheduling.ClaimLease.Std() < 10*s.Scheduling.Tick.Std() {
-		problems.Add("scheduling.claim_lease", "must be at least ten times scheduling.tick")
+	if s.PeerAddress == s.OperatorAddress {
+		add("peer_address", "operator_address", "is the same as operator_address")
 	}
 	return problems
 }
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -13,11 +13,10 @@
 	"sort"
 	"strings"
 	"sync"
+	"unicode/utf8"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/tailscale/hujson"
-
-	"cactuswall.example/cactuswall/internal/units"
 )
 
 // Problem is one fault of a document.
@@ -61,19 +60,48 @@
 	*ps = append(*ps, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
 }
 
+// Has reports whether one of the problems is with the field at path or with a part of it or with the whole.
+func (ps Problems) Has(path string) bool {
+	for _, p := range ps {
+		if p.Path == "" || within(p.Path, path) || within(path, p.Path) {
+			return true
+		}
+	}
+	return false
+}
+
 // Decode reads data, JSON with comments and trailing commas, into the struct that into points to.
 // It decodes as much as it can and returns every problem found.
 func Decode(data []byte, into any) Problems {
+	if len(bytes.TrimSpace(data)) == 0 {
+		return Problems{{Message: "the document is empty"}}
+	}
 	standard, err := hujson.Standardize(bytes.Clone(data))
 	if err != nil {
 		return Problems{{Message: err.Error()}}
 	}
 	d := decoder{}
 	d.value(standard, reflect.ValueOf(into).Elem(), "")
-	if len(d.problems) > 0 {
-		return d.problems
+	problems := append(d.problems, d.without(check(into))...)
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
+	return problems
+}
+
+// without returns the problems whose field, or a part of it, did not already fail to decode.
+func (d *decoder) without(problems Problems) Problems {
+	var rest Problems
+	for _, p := range problems {
+		if !d.problems.Has(p.Path) {
+			rest = append(rest, p)
+		}
 	}
-	return check(into)
+	return rest
+}
+
+// within reports whether path is outer or a part of it.
+func within(path, outer string) bool {
+	rest, inside := strings.CutPrefix(path, outer)
+	return inside && (rest == "" || rest[0] == '.' || rest[0] == '[')
 }
 
 type decoder struct {
@@ -83,6 +111,10 @@
 var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
 
 func (d *decoder) value(raw json.RawMessage, target reflect.Value, path string) {
+	if string(bytes.TrimSpace(raw)) == "null" {
+		d.problems.Add(path, "must not be null; leave the field out to get its default")
+		return
+	}
 	if reflect.PointerTo(target.Type()).Implements(unmarshaler) {
 		d.leaf(raw, target, path)
 		return
@@ -103,12 +135,26 @@
 		return
 	}
 	if typeErr, ok := err.(*json.UnmarshalTypeError); ok {
-		d.problems.Add(path, "found a JSON %s, want %s", typeErr.Value, typeErr.Type)
+		d.problems.Add(path, "found a JSON %s, want %s", typeErr.Value, kindName(typeErr.Type))
 		return
 	}
 	d.problems.Add(path, "%v", err)
 }
 
+// kindName returns the JSON word for a type.
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number within range"
+	}
+}
+
 func (d *decoder) object(raw json.RawMessage, target reflect.Value, path string) {
 	members, err := objectMembers(raw)
 	if err != nil {
@@ -198,9 +244,6 @@
 var newValidator = sync.OnceValue(func() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(jsonName)
-	v.RegisterCustomTypeFunc(func(field reflect.Value) any {
-		return int64(field.Interface().(units.Duration))
-	}, units.Duration(0))
 	mustRegister(v, "ipport", isIPPort)
 	return v
 })
@@ -212,8 +255,8 @@
 }
 
 func isIPPort(f validator.FieldLevel) bool {
-	_, err := netip.ParseAddrPort(f.Field().String())
-	return err == nil
+	address, err := netip.ParseAddrPort(f.Field().String())
+	return err == nil && address.Port() != 0
 }
 
 func check(document any) Problems {
@@ -239,18 +282,39 @@
 	case "required":
 		return "must be given"
 	case "ipport":
+		if fault.Value() == "" {
+			return "must be given"
+		}
 		return fmt.Sprintf("%q is not an IP number with a port, such as 127.0.0.1:7000", fault.Value())
 	case "gt":
 		return fmt.Sprintf("must be greater than %s, is %v", fault.Param(), fault.Value())
-	case "min", "gte":
-		return fmt.Sprintf("must be at least %s, is %v", fault.Param(), fault.Value())
-	case "max", "lte":
-		return fmt.Sprintf("must be at most %s, is %v", fault.Param(), fault.Value())
+	case "min", "gte", "max", "lte":
+		return describeBound(fault)
 	case "oneof":
 		return fmt.Sprintf("must be one of [%s], is %q", fault.Param(), fault.Value())
+	case "excludesall":
+		return fmt.Sprintf("must not hold a space or a slash, is %q", fault.Value())
 	case "unique":
 		return "must not hold the same name twice"
+	case "startswith":
+		return fmt.Sprintf("must start with %q, is %q", fault.Param(), fault.Value())
+	case "endswith":
+		return fmt.Sprintf("must end with %q, is %q", fault.Param(), fault.Value())
 	default:
 		return fmt.Sprintf("fails the check %q, is %v", fault.Tag(), fault.Value())
 	}
 }
+
+// describeBound says which bound was passed. It gives the length of a string and not the string, which
+// may be a secret.
+func describeBound(fault validator.FieldError) string {
+	limit := "at least"
+	if fault.Tag() == "max" || fault.Tag() == "lte" {
+		limit = "at most"
+	}
+	if fault.Kind() == reflect.String {
+		length := utf8.RuneCountInString(fault.Value().(string))
+		return fmt.Sprintf("must have %s %s characters, has %d", limit, fault.Param(), length)
+	}
+	return fmt.Sprintf("must be %s %s, is %v", limit, fault.Param(), fault.Value())
+}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -38,11 +38,11 @@
 // Resources is an amount of what a worker offers and a task takes.
 type Resources struct {
 	// MilliProcessors counts thousandths of a processor.
-	MilliProcessors int64 `json:"milli_processors" validate:"min=0"`
+	MilliProcessors int64 `json:"milli_processors" validate:"min=0,max=1000000000000"`
 	// MemoryMiB counts mebibytes of memory.
-	MemoryMiB int64 `json:"memory_mib" validate:"min=0"`
+	MemoryMiB int64 `json:"memory_mib" validate:"min=0,max=1000000000000"`
 	// Accelerators counts whole accelerators.
-	Accelerators int64 `json:"accelerators" validate:"min=0"`
+	Accelerators int64 `json:"accelerators" validate:"min=0,max=1000000000000"`
 }
 
 // Add returns the sum of r and o.
