--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -266,10 +266,10 @@
 // would have to quote.
 func checkName(path, name string, problems *strictjson.Problems) {
 	forbidden := func(r rune) bool {
-		return r == '/' || r == '"' || r == '\\' || unicode.IsSpace(r) || unicode.IsControl(r)
+		return r == '/' || r == '@' || r == '"' || r == '\\' || unicode.IsSpace(r) || unicode.IsControl(r)
 	}
 	if strings.ContainsFunc(name, forbidden) {
-		problems.Add(path+".name", "%q must not hold a slash, a quote, a backslash, white space or a control character", name)
+		problems.Add(path+".name", "%q must not hold a slash, an at sign, a quote, a backslash, white space or a control character", name)
 	}
 }
 
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -29,7 +29,7 @@
 			w.Token = 0
 			continue
 		}
-		if w.Token == token || w.Adopting || now.Before(w.CallAfter) {
+		if w.Token == token || w.Adopting || w.Address == "" || now.Before(w.CallAfter) {
 			continue
 		}
 		w.Adopting = true
@@ -69,6 +69,10 @@
 		if w.Token == 0 || w.Calling || now.Before(w.CallAfter) || now.Sub(w.ReportedAt) < period {
 			continue
 		}
+		if !w.AbsentSince.IsZero() {
+			e.probeAbsent(w)
+			continue
+		}
 		w.Calling = true
 		e.renew(w, now)
 	}
@@ -164,7 +168,8 @@
 	row := e.taskRow.Get(run.ID.Task)
 	if run.State.Final() {
 		withdrawn := row == nil || row.Withdrawn
-		e.sendEnd(a, outcomeOf(run, withdrawn), run, string(run.State))
+		service := row != nil && row.IsService()
+		e.sendEnd(a, outcomeOf(run, withdrawn, service), run, string(run.State))
 		return
 	}
 	if row == nil {
@@ -199,9 +204,14 @@
 	e.stopRun(w, run.ID)
 }
 
-func outcomeOf(run *platform.Run, withdrawn bool) record.Outcome {
+// outcomeOf returns the outcome of a final run. A service instance never finishes: one that exits by itself
+// has failed.
+func outcomeOf(run *platform.Run, withdrawn, service bool) record.Outcome {
 	switch run.State {
 	case platform.RunFinished:
+		if service {
+			return record.Outcome_OUTCOME_FAILED
+		}
 		return record.Outcome_OUTCOME_FINISHED
 	case platform.RunFailed:
 		return record.Outcome_OUTCOME_FAILED
@@ -251,7 +261,7 @@
 			continue
 		}
 		w := e.workerRow.Get(row.Worker)
-		if w == nil || w.Token == 0 || now.Before(w.CallAfter) {
+		if w == nil || w.Token == 0 || !w.AbsentSince.IsZero() || now.Before(w.CallAfter) {
 			continue
 		}
 		if token, held := e.owner.Holds(w.Shard, now); !held || token != w.Token {
