--- a/internal/node/rescue.go
+++ b/internal/node/rescue.go
@@ -111,7 +111,7 @@
 	deliver := func(ds []journal.Delivery) {
 		e.ask(ctx, func(now time.Time) { c.Take(ds, now) })
 	}
-	follower := journal.NewFollower(r.log, stream, deliver, journal.NewMetrics(r.set, stream), e.logger)
+	follower := journal.NewFollower(r.log, stream, 1, deliver, journal.NewMetrics(r.set, stream), e.logger)
 	go func() { _ = follower.Run(ctx) }()
 	r.cases[lost] = c
 	e.logger.Warn("failure domain is lost", zap.String("lost", lost))
--- a/internal/rescue/rescue.go
+++ b/internal/rescue/rescue.go
@@ -30,6 +30,8 @@
 	owner    *ownership.Owner
 	settler  Settler
 	caughtUp bool
+	// incomplete is set when an entry of the stream was lost to retention or cannot be understood.
+	incomplete bool
 }
 
 // NewCase returns a case that has read nothing of the lost domain's stream yet. receiver is this node's own
@@ -48,6 +50,7 @@
 // Take applies entries of the lost domain's stream. An empty call says that its end has been reached.
 func (c *Case) Take(deliveries []journal.Delivery, now time.Time) {
 	for _, d := range deliveries {
+		c.incomplete = c.incomplete || d.Gap || d.Newer
 		if d.Batch == nil {
 			continue
 		}
@@ -70,7 +73,7 @@
 // Decide returns the records that are due. declared are the lost domain's tasks under the manifest in force;
 // own is the ledger of this node's own domain.
 func (c *Case) Decide(declared []task.Spec, own *ledger.Ledger, now time.Time) Records {
-	if !c.caughtUp {
+	if !c.caughtUp || c.incomplete {
 		return Records{}
 	}
 	var r Records
--- a/internal/rescue/rescue_test.go
+++ b/internal/rescue/rescue_test.go
@@ -103,6 +103,11 @@
 			fresh := NewCase("home", "other", rescuer, claimLease, w)
 			So(count(fresh.Decide(movable, w.own, start.Add(time.Hour))), ShouldEqual, 0)
 		})
+		Convey("nothing is done when entries of the stream were lost", func() {
+			w.rescue.Take([]journal.Delivery{{Offset: 1, Gap: true}}, w.now)
+			w.now = start.Add(time.Hour)
+			So(count(w.step(movable)), ShouldEqual, 0)
+		})
 		Convey("after its lease the waiting tasks move, once each", func() {
 			w.now = start.Add(2 * claimLease)
 			for range 4 {
@@ -138,7 +143,7 @@
 			w.step(movable)
 			var claims []*record.Record
 			for c := range w.home.Claims {
-				body := &record.Claim{Shard: c.Shard, Replaces: uint64(c.Token), LeaseMs: uint64(claimLease.Milliseconds())}
+				body := &record.Claim{Shard: c.Shard, Replaces: uint64(c.Revision), LeaseMs: uint64(claimLease.Milliseconds())}
 				claims = append(claims, &record.Record{Body: &record.Record_Claim{Claim: body}})
 			}
 			w.append(homeNode, claims...)
