--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -58,6 +58,7 @@
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
 	waiters map[string]chan decision
+	rescuer *rescuer
 	views   views
 }
 
@@ -122,6 +123,7 @@
 	e.stopWithdrawn(now)
 	e.pursueStops(now)
 	e.schedule(now)
+	e.rescuer.tick(now)
 	e.writeSnapshots(now)
 	e.publishViews(now)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
 	n.engine = newEngine(ctx, o, set)
+	n.engine.rescuer = newRescuer(n.engine, o.Log, set)
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:    o.Settings.Callers,
 		Directory: n.engine.directory,
@@ -82,7 +83,7 @@
 	s := o.Settings
 	self := ledger.Writer{Node: s.Node, Incarnation: o.Incarnation}
 	domainStream := journal.DomainStream(s.FailureDomain)
-	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress}
+	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress, OperatorAddress: s.OperatorAddress}
 	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std()}
 	writer := func(stream string) *journal.Writer {
 		return journal.NewWriter(o.Log, stream, s.Node, o.Incarnation, journal.NewMetrics(set, stream), o.Logger)
