Bound the movement of shards, keep owners through log outages by promises, and judge nodes by more than silence

Cause: an owner gave a shard away as soon as rendezvous hashing preferred another node, so a node that started or flapped moved shards back and forth. An outage of the log ended every authority after one lease. A node was live or dead by its heartbeat alone, and a leaving waited for the next exchange. A process whose clock had gone back wrote batches that readers took for copies. Change: shards move only to nodes that have been live for two leases, longer after each flap, two a lease. A free shard is claimed by the first candidate, the next ones 300 ms later each. During an outage an owner goes on while every sibling promises not to claim; a sibling that reaches the log, or whose own claim may still land, refuses. A lapsed owner renews service instances and lets batch tasks end after a checkpoint. Refused connections, late answers and peers' words are told apart. Views hold 16 rows at the most, the freshest first, without addresses that are known. A leaving node or endpoint is pushed to all peers at once. A process takes an incarnation above all earlier ones before it commits, and ends when it is replaced. Broken on purpose: claims that name the token alone, promises despite a claim under way, no wait for the lease, renewals of a released shard (TestOneOwner fails); ignored promises (TestPromises fails); unbounded moves (TestTakeOver fails). Conclusion: no two owners act at once as long as nodes that nobody knows of wait out their first lease.

--- a/internal/failuredomain/failuredomain.go
+++ b/internal/failuredomain/failuredomain.go
@@ -37,6 +37,22 @@
 	return best
 }
 
+// Rank returns how many candidates come before self for key, 0 when self is the rendezvous choice.
+func Rank(key string, candidates []string, self string) int {
+	own := xxhash.Sum64String(key + "\x00" + self)
+	rank := 0
+	for _, c := range candidates {
+		if c == self {
+			continue
+		}
+		score := xxhash.Sum64String(key + "\x00" + c)
+		if score > own || (score == own && c < self) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Share returns the part of total that falls to the domain at index of count domains. Parts differ by
 // one at most and add up to total.
 func Share(total, index, count int) int {
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -39,6 +40,7 @@
 	metrics *Metrics
 	logger  *zap.Logger
 	wake    chan struct{}
+	failing atomic.Bool
 
 	mu          sync.Mutex
 	incarnation uint64
@@ -147,6 +149,9 @@
 	return open.started, true
 }
 
+// Failing reports whether the newest append has failed.
+func (w *Writer) Failing() bool { return w.failing.Load() }
+
 // SettleUpTo tells the writer that its batches up to a sequence number are in the log, as a snapshot says.
 func (w *Writer) SettleUpTo(sequence uint64) {
 	w.mu.Lock()
@@ -253,6 +258,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	_, err := w.log.Append(ctx, w.stream, data)
+	w.failing.Store(err != nil)
 	if err == nil {
 		w.metrics.Appends.Inc()
 		w.metrics.BytesAppended.Add(len(data))
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,7 +1,11 @@
 // Package membership joins the platform's list, direct contact and peers' words into one table of nodes.
+//
+// No clock of another node is ever read or compared: a node is judged by when this node last saw its
+// heartbeat advance, and by how it answered when it was called.
 package membership
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -17,6 +21,22 @@
 	Leaving State = "leaving"
 )
 
+const (
+	// MaxIncarnation bounds the incarnations that are believed, so that a damaged clock cannot use up the
+	// numbers above it.
+	MaxIncarnation = 1 << 62
+	// maxHeartbeat bounds the heartbeats that are believed.
+	maxHeartbeat = 1 << 62
+	// maxMembers bounds the table.
+	maxMembers = 4096
+	// maxDoublings bounds how often the time to stability is doubled for a node that flaps.
+	maxDoublings = 5
+	// flapMemory is how long a node has to be live until its flaps are forgotten.
+	flapMemory = 10 * time.Minute
+	// forgetAfter is how long a dead node is kept in the table once the list no longer shows it.
+	forgetAfter = 10 * time.Minute
+)
+
 // Member is one row of the table.
 type Member struct {
 	Node          string
@@ -30,12 +50,24 @@
 	ManifestVersion uint64
 	// AdvancedAt is when this node last saw the heartbeat advance, on its own clock.
 	AdvancedAt time.Time
+	// LearnedAt is when this node learned of the incarnation.
+	LearnedAt time.Time
+
+	// liveSince is when the node last became live.
+	liveSince time.Time
+	// flaps counts how often the node came back after a silence or a restart.
+	flaps   int
+	contact contact
 }
 
-// Periods are the silences after which a node is suspected and taken for dead.
+// Periods are the times after which a node is judged differently.
 type Periods struct {
+	// SuspectAfter is the silence after which a node is suspected.
 	SuspectAfter time.Duration
-	DeadAfter    time.Duration
+	// DeadAfter is the silence after which a node is taken for dead.
+	DeadAfter time.Duration
+	// StableAfter is how long a node has to be live before it counts as stable. It doubles with each flap.
+	StableAfter time.Duration
 }
 
 // Table holds the nodes by name. Its methods are not safe for concurrent use.
@@ -43,11 +75,15 @@
 	self    string
 	periods Periods
 	rows    map[string]*Member
+	// wanted are nodes that peers name under an incarnation whose address is not known here.
+	wanted map[string]bool
+	// replacedBy is the highest incarnation of this node's own name that a peer has named.
+	replacedBy uint64
 }
 
 // NewTable returns a table that holds only the node itself.
 func NewTable(self Member, periods Periods) *Table {
-	t := &Table{self: self.Node, periods: periods, rows: make(map[string]*Member)}
+	t := &Table{self: self.Node, periods: periods, rows: make(map[string]*Member), wanted: make(map[string]bool)}
 	t.rows[self.Node] = &self
 	return t
 }
@@ -55,27 +91,69 @@
 // Self returns the row of the node itself.
 func (t *Table) Self() *Member { return t.rows[t.self] }
 
-// Merge takes a peer's word on a node. Only a newer incarnation or a higher heartbeat is news.
-func (t *Table) Merge(m Member, now time.Time) {
-	if m.Node == t.self || m.Node == "" {
-		return
+// ReplacedBy returns the highest incarnation of this node's own name that a peer has named, or 0.
+func (t *Table) ReplacedBy() uint64 { return t.replacedBy }
+
+// Merge takes a word on a node. direct says that the word comes from the node itself. It reports whether
+// the word could be believed. Only a newer incarnation, a higher heartbeat or a leaving is news; a leaving
+// holds for the rest of the incarnation.
+func (t *Table) Merge(m Member, direct bool, now time.Time) bool {
+	if m.Node == "" || m.Incarnation >= MaxIncarnation || m.Heartbeat >= maxHeartbeat {
+		return false
+	}
+	if m.Node == t.self {
+		t.replacedBy = max(t.replacedBy, m.Incarnation)
+		return true
 	}
 	known := t.rows[m.Node]
-	if known != nil && !newer(m, *known) {
-		return
+	if known == nil || m.Incarnation > known.Incarnation {
+		return t.add(m, known, now)
+	}
+	if m.Incarnation < known.Incarnation {
+		return true
+	}
+	known.Leaving = known.Leaving || m.Leaving
+	known.ManifestVersion = max(known.ManifestVersion, m.ManifestVersion)
+	if direct || m.Heartbeat > known.Heartbeat {
+		t.advance(known, now)
+	}
+	known.Heartbeat = max(known.Heartbeat, m.Heartbeat)
+	return true
+}
+
+// add takes a node or an incarnation that is new here.
+func (t *Table) add(m Member, known *Member, now time.Time) bool {
+	if m.Address == "" || m.FailureDomain == "" {
+		t.wanted[m.Node] = true
+		return true
+	}
+	if known == nil && len(t.rows) >= maxMembers {
+		return false
+	}
+	delete(t.wanted, m.Node)
+	m.AdvancedAt, m.LearnedAt, m.liveSince = now, now, now
+	m.flaps, m.contact = 0, contact{}
+	if known != nil && !known.Leaving {
+		m.flaps = known.flaps + 1
 	}
-	m.AdvancedAt = now
 	t.rows[m.Node] = &m
+	return true
 }
 
-func newer(m, known Member) bool {
-	if m.Incarnation != known.Incarnation {
-		return m.Incarnation > known.Incarnation
+// advance notes that a node was heard of.
+func (t *Table) advance(m *Member, now time.Time) {
+	switch {
+	case t.StateOf(m.Node, now) == Suspect || t.StateOf(m.Node, now) == Dead:
+		m.flaps++
+		m.liveSince = now
+	case now.Sub(m.liveSince) >= flapMemory:
+		m.flaps = 0
 	}
-	return m.Heartbeat > known.Heartbeat
+	m.AdvancedAt = now
 }
 
-// StateOf returns the state of a node at a time. An unknown node is dead.
+// StateOf returns the state of a node at a time. An unknown node is dead. A node whose address refuses
+// connections is taken for dead once it is suspected, since its process is gone.
 func (t *Table) StateOf(node string, now time.Time) State {
 	m := t.rows[node]
 	if m == nil {
@@ -87,8 +165,9 @@
 	if node == t.self {
 		return Live
 	}
+	refused := m.contact.outcome == Refused && m.contact.at.After(m.AdvancedAt)
 	switch silence := now.Sub(m.AdvancedAt); {
-	case silence >= t.periods.DeadAfter:
+	case silence >= t.periods.DeadAfter || (silence >= t.periods.SuspectAfter && refused):
 		return Dead
 	case silence >= t.periods.SuspectAfter:
 		return Suspect
@@ -109,12 +188,40 @@
 
 // LiveIn returns the names of the live and suspected nodes of a failure domain, in order.
 func (t *Table) LiveIn(domain string, now time.Time) []string {
-	var names []string
-	for _, m := range t.All() {
+	return t.names(domain, func(m *Member) bool {
 		state := t.StateOf(m.Node, now)
-		if m.FailureDomain == domain && (state == Live || state == Suspect) {
+		return state == Live || state == Suspect
+	})
+}
+
+// StableIn returns the names of the nodes of a failure domain that have been live for long enough, longer
+// the more often they flapped, and the node itself.
+func (t *Table) StableIn(domain string, now time.Time) []string {
+	return t.names(domain, func(m *Member) bool {
+		if m.Node == t.self {
+			return !m.Leaving
+		}
+		needed := t.periods.StableAfter << min(m.flaps, maxDoublings)
+		return t.StateOf(m.Node, now) == Live && now.Sub(m.liveSince) >= needed
+	})
+}
+
+func (t *Table) names(domain string, include func(*Member) bool) []string {
+	var names []string
+	for _, m := range t.rows {
+		if m.FailureDomain == domain && include(m) {
 			names = append(names, m.Node)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
+
+// Forget drops the nodes that have been silent for long and that the platform's list no longer shows.
+func (t *Table) Forget(listed map[string]bool, now time.Time) {
+	for name, m := range t.rows {
+		if name != t.self && !listed[m.Address] && now.Sub(m.AdvancedAt) >= forgetAfter {
+			delete(t.rows, name)
+		}
+	}
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -24,9 +24,9 @@
 // adoptWorkers raises the fencing token of every worker of an own shard and lists what runs there.
 func (e *engine) adoptWorkers(now time.Time) {
 	for _, w := range e.workerRow.All() {
-		token, held := e.owner.Holds(w.Shard, now)
+		token, held := e.tokenOf(w, now)
 		if !held {
-			w.Token = 0
+			w.Token = token
 			continue
 		}
 		if w.Token == token || w.Adopting || w.Address == "" || now.Before(w.CallAfter) {
@@ -81,7 +81,7 @@
 func (e *engine) renew(w *worker.Worker, sent time.Time) {
 	req := platform.RenewRequest{Token: w.Token, Lease: e.settings.Scheduling.TaskLease.Std()}
 	for id := range w.Reserved {
-		if row := e.taskRow.Get(id.Task); row != nil && row.Attempt == id.Attempt && row.State == task.Running {
+		if row := e.taskRow.Get(id.Task); row != nil && row.Attempt == id.Attempt && row.State == task.Running && e.mayRenew(w, row, sent) {
 			req.Runs = append(req.Runs, id)
 		}
 	}
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,7 +13,9 @@
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/ownership"
+	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/settings"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/worker"
@@ -39,6 +42,20 @@
 	domainSnapshotAt   time.Time
 	manifestSnapshotAt time.Time
 	forgetAt           time.Time
+	promisesAskedAt    time.Time
+	// committing is set once this process may write to its domain stream.
+	committing bool
+	// replaced says that another process has taken this node's place.
+	replaced error
+	// retreats holds the batch tasks that were given up while the authority had lapsed.
+	retreats map[platform.RunID]time.Time
+	// push asks the gossip to tell all peers at once.
+	push chan struct{}
+	// leavingSince is when this node first knew that each endpoint is leaving.
+	leavingSince   map[string]time.Time
+	domainFollower atomic.Pointer[journal.Follower]
+	// peers returns a client for the node at a peer address.
+	peers func(address string) peer.Peer
 
 	config    config.State
 	members   *membership.Table
@@ -81,6 +98,9 @@
 		case <-ticker.C:
 			e.tick(time.Now())
 		}
+		if e.replaced != nil {
+			return e.replaced
+		}
 	}
 }
 
@@ -116,6 +136,8 @@
 // tick runs the systems over the tables.
 func (e *engine) tick(now time.Time) {
 	e.own(now)
+	e.askPromises(now)
+	e.noticeLeaving(now)
 	e.removeAbsent(now)
 	e.adoptWorkers(now)
 	e.renewLeases(now)
@@ -130,11 +152,27 @@
 
 // own claims, renews and gives up shards.
 func (e *engine) own(now time.Time) {
-	if !e.current() || e.stopping {
+	if !e.current() {
 		return
 	}
+	e.checkIncarnation()
+	if e.domainWriter.Unsettled() == 0 {
+		e.owner.SettleClaims()
+	}
 	live := e.members.LiveIn(e.settings.FailureDomain, now)
-	e.domainWriter.Enqueue(e.owner.Decide(e.ledger, live, now)...)
+	if e.stopping {
+		// A claim that was under way when the stop began may still be accepted.
+		e.enqueueEach(e.owner.Release(live, now))
+		return
+	}
+	stable := e.members.StableIn(e.settings.FailureDomain, now)
+	e.enqueueEach(e.owner.Decide(e.ledger, ownership.Candidates{Live: live, Stable: stable}, now))
+}
+
+func (e *engine) enqueueEach(records []*record.Record) {
+	for _, r := range records {
+		e.domainWriter.Enqueue(r)
+	}
 }
 
 // manifestChanged brings the tables in line after a new manifest has come in force.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"math/rand/v2"
-	"net/http"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
 
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/membership"
@@ -16,62 +20,136 @@
 
 // gossip exchanges views with other nodes.
 type gossip struct {
-	engine    *engine
-	transport http.RoundTripper
+	engine *engine
 	// behindSince is when a peer first named a newer manifest than the one in force here, or zero.
 	behindSince time.Time
 }
 
-// fetchGrace is how long the log has to show a manifest that a peer already has.
-const fetchGrace = time.Second
-
-// exchangeTimeout bounds one exchange with a peer.
-const exchangeTimeout = 2 * time.Second
+const (
+	// fetchGrace is how long the log has to show a manifest that a peer already has.
+	fetchGrace = time.Second
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = 2 * time.Second
+	// pushTimeout bounds one exchange of a push.
+	pushTimeout = 500 * time.Millisecond
+	// pushAttempts bounds the tries of a push to one peer.
+	pushAttempts = 3
+	// maxPushes bounds the exchanges of a push that are under way at once.
+	maxPushes = 16
+	// leavingNews is how long a leaving endpoint is told to peers.
+	leavingNews = 30 * time.Second
+)
 
-// run exchanges with one peer in each period until ctx ends.
+// run exchanges with one peer in each period until ctx ends, and with all at once when there is news that
+// cannot wait.
 func (g *gossip) run(ctx context.Context) error {
 	ticker := time.NewTicker(g.engine.settings.Membership.ExchangePeriod.Std())
 	defer ticker.Stop()
 	for {
-		g.exchange(ctx)
+		g.exchangeOne(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case <-g.engine.push:
+			g.pushAll(ctx)
 		}
 	}
 }
 
-func (g *gossip) exchange(ctx context.Context) {
-	var view *peer.View
+// exchangeOne exchanges with one random peer.
+func (g *gossip) exchangeOne(ctx context.Context) {
 	var target string
 	g.engine.ask(ctx, func(now time.Time) {
 		g.engine.members.Self().Heartbeat++
-		view = g.engine.view()
-		target = g.engine.pickPeer(now)
+		if addresses := g.engine.peerAddresses(now); len(addresses) > 0 {
+			target = addresses[rand.IntN(len(addresses))]
+		}
 	})
 	if target == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	client := peer.NewClient(target, g.engine.settings.PeerKey, g.transport)
-	answer, err := client.Exchange(ctx, view)
+	answer, err := g.exchange(ctx, target)
+	if err != nil {
+		return
+	}
+	client := g.engine.peers(target)
+	if g.isBehind(newestVersion(answer)) {
+		g.engine.fetchManifest(ctx, client)
+	}
+	g.engine.repair(ctx, client)
+}
+
+// exchange exchanges views with the node at a peer address.
+func (g *gossip) exchange(ctx context.Context, target string) (*peer.View, error) {
+	var view *peer.View
+	g.engine.ask(ctx, func(now time.Time) { view = g.engine.view(nil, now) })
+	sent := time.Now()
+	answer, err := g.engine.peers(target).Exchange(ctx, view)
 	g.engine.post(func(now time.Time) {
+		outcome := outcomeOfCall(err)
+		g.engine.members.Contact(target, outcome, now.Sub(sent), now)
 		if err != nil {
-			g.engine.metrics.countPeer("failed")
+			g.engine.metrics.countPeer(outcomeNames[outcome])
 			return
 		}
 		g.engine.metrics.countPeer("done")
 		g.engine.takeView(answer, now)
 	})
-	if err != nil {
-		return
+	return answer, err
+}
+
+// outcomeNames are the metric labels of exchanges that failed.
+var outcomeNames = map[membership.Outcome]string{membership.Silent: "silent", membership.Refused: "refused"}
+
+func outcomeOfCall(err error) membership.Outcome {
+	switch {
+	case err == nil:
+		return membership.Answered
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return membership.Refused
+	default:
+		return membership.Silent
 	}
-	if g.isBehind(newestVersion(answer)) {
-		g.engine.fetchManifest(ctx, client)
+}
+
+// pushAll exchanges with every peer at once. A peer that does not answer is tried again.
+func (g *gossip) pushAll(ctx context.Context) {
+	var addresses []string
+	g.engine.ask(ctx, func(now time.Time) {
+		g.engine.members.Self().Heartbeat++
+		addresses = g.engine.peerAddresses(now)
+	})
+	var group errgroup.Group
+	group.SetLimit(maxPushes)
+	for _, address := range addresses {
+		group.Go(func() error {
+			g.push(ctx, address)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (g *gossip) push(ctx context.Context, address string) {
+	for range pushAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, pushTimeout)
+		_, err := g.exchange(callCtx, address)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// requestPush has the node tell all its peers at once.
+func (e *engine) requestPush() {
+	select {
+	case e.push <- struct{}{}:
+	default:
 	}
-	g.engine.repair(ctx, client)
 }
 
 // isBehind reports whether a peer has had a newer manifest for longer than the log takes to show it.
@@ -103,8 +181,8 @@
 	return 0
 }
 
-// pickPeer returns the address of a random other node, or "".
-func (e *engine) pickPeer(now time.Time) string {
+// peerAddresses returns the peer addresses of the other nodes that are not known to be dead, in order.
+func (e *engine) peerAddresses(now time.Time) []string {
 	addresses := make(map[string]bool)
 	for _, seed := range e.settings.Seeds {
 		addresses[seed] = true
@@ -120,20 +198,19 @@
 		}
 	}
 	delete(addresses, e.settings.PeerAddress)
-	candidates := make([]string, 0, len(addresses))
-	for address := range addresses {
-		candidates = append(candidates, address)
-	}
-	if len(candidates) == 0 {
-		return ""
-	}
-	return candidates[rand.IntN(len(candidates))]
+	return slices.Sorted(maps.Keys(addresses))
 }
 
-// view returns what the node knows, for a peer.
-func (e *engine) view() *peer.View {
-	v := &peer.View{From: e.self.Node, LeavingEndpoints: e.directory.LeavingIDs()}
-	for _, m := range e.members.All() {
+// view returns what the node knows, for a peer that asks about the wanted nodes.
+func (e *engine) view(wanted []string, now time.Time) *peer.View {
+	v := &peer.View{From: e.self.Node, Wanted: e.members.Wanted()}
+	for id, since := range e.leavingSince {
+		if now.Sub(since) < leavingNews {
+			v.LeavingEndpoints = append(v.LeavingEndpoints, id)
+		}
+	}
+	slices.Sort(v.LeavingEndpoints)
+	for _, m := range e.members.View(wanted, now) {
 		v.Members = append(v.Members, &peer.Member{
 			Node:            m.Node,
 			Incarnation:     m.Incarnation,
@@ -151,7 +228,7 @@
 // takeView merges what a peer knows.
 func (e *engine) takeView(v *peer.View, now time.Time) {
 	for _, m := range v.GetMembers() {
-		e.members.Merge(membership.Member{
+		believed := e.members.Merge(membership.Member{
 			Node:            m.GetNode(),
 			Incarnation:     m.GetIncarnation(),
 			FailureDomain:   m.GetFailureDomain(),
@@ -160,11 +237,35 @@
 			Leaving:         m.GetLeaving(),
 			ManifestVersion: m.GetManifestVersion(),
 			OperatorAddress: m.GetOperatorAddress(),
-		}, now)
+		}, m.GetNode() == v.GetFrom(), now)
+		if !believed {
+			e.metrics.countPeer("absurd_word")
+		}
+	}
+	for _, id := range v.GetLeavingEndpoints() {
+		if _, known := e.leavingSince[id]; !known {
+			e.leavingSince[id] = now
+		}
 	}
 	e.directory.MarkLeaving(v.GetLeavingEndpoints())
 }
 
+// noticeLeaving tells all peers at once when this node is the first to learn that endpoints are leaving.
+func (e *engine) noticeLeaving(now time.Time) {
+	leaving := e.directory.LeavingIDs()
+	for _, id := range leaving {
+		if _, known := e.leavingSince[id]; !known {
+			e.leavingSince[id] = now
+			e.requestPush()
+		}
+	}
+	for id, since := range e.leavingSince {
+		if _, still := slices.BinarySearch(leaving, id); !still && now.Sub(since) >= leavingNews {
+			delete(e.leavingSince, id)
+		}
+	}
+}
+
 // peerServer answers the other nodes.
 type peerServer struct {
 	engine *engine
@@ -175,7 +276,7 @@
 	var answer *peer.View
 	answered := s.engine.ask(ctx, func(now time.Time) {
 		s.engine.takeView(v, now)
-		answer = s.engine.view()
+		answer = s.engine.view(v.GetWanted(), now)
 	})
 	if !answered {
 		return nil, twirp.NewError(twirp.Unavailable, "the node is stopping")
@@ -218,8 +319,3 @@
 	}
 	return state, nil
 }
-
-// Promise implements peer.Peer. A node makes no promises yet: it grants nothing, so that nobody relies on it.
-func (s peerServer) Promise(context.Context, *peer.PromiseRequest) (*peer.PromiseReply, error) {
-	return &peer.PromiseReply{}, nil
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,12 +79,15 @@
 	return n
 }
 
+// stableLeases is how many claim leases a node has to be live before it is given shards that another holds.
+const stableLeases = 2
+
 func newEngine(ctx context.Context, o Options, set *metrics.Set) *engine {
 	s := o.Settings
 	self := ledger.Writer{Node: s.Node, Incarnation: o.Incarnation}
 	domainStream := journal.DomainStream(s.FailureDomain)
 	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress, OperatorAddress: s.OperatorAddress}
-	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std()}
+	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std(), StableAfter: stableLeases * s.Scheduling.ClaimLease.Std()}
 	writer := func(stream string) *journal.Writer {
 		return journal.NewWriter(o.Log, stream, s.Node, o.Incarnation, journal.NewMetrics(set, stream), o.Logger)
 	}
@@ -107,6 +110,12 @@
 		taskRow:        task.NewTable(),
 		directory:      endpoint.NewDirectory(),
 		waiters:        make(map[string]chan decision),
+		push:           make(chan struct{}, 1),
+		retreats:       make(map[platform.RunID]time.Time),
+		leavingSince:   make(map[string]time.Time),
+		peers: func(address string) peer.Peer {
+			return peer.NewClient(address, s.PeerKey, o.Peers)
+		},
 	}
 }
 
@@ -129,7 +138,7 @@
 	n.add(&group, n.followDomain)
 	n.add(&group, n.followManifest)
 	n.add(&group, n.readList)
-	n.add(&group, (&gossip{engine: n.engine, transport: n.options.Peers}).run)
+	n.add(&group, (&gossip{engine: n.engine}).run)
 	n.addServer(&group, n.options.Listeners.Callers, n.caller)
 	n.addServer(&group, n.options.Listeners.Operators, operator.NewHandler(n, n.metrics))
 	n.addServer(&group, n.options.Listeners.Peers, peer.NewHandler(peerServer{engine: n.engine}, n.settings.PeerKey, n.metrics))
@@ -177,7 +186,10 @@
 		if err != nil {
 			failures.Inc()
 		} else {
-			n.engine.post(func(now time.Time) { n.engine.takeList(vms, now) })
+			n.engine.post(func(now time.Time) {
+				n.engine.takeList(vms, now)
+				n.engine.forgetMembers(now)
+			})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/recover.go
+++ b/internal/node/recover.go
@@ -62,6 +62,9 @@
 		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
 	}
 	follower := journal.NewFollower(n.options.Log, stream, from, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
+	if stream != journal.ManifestStream {
+		n.engine.domainFollower.Store(follower)
+	}
 	return follower.Run(ctx)
 }
 
@@ -72,7 +75,7 @@
 	defer cancel()
 	for _, address := range n.startAddresses(ctx, siblings) {
 		callCtx, cancelCall := context.WithTimeout(ctx, fetchTimeout)
-		done := ask(callCtx, peer.NewClient(address, n.settings.PeerKey, n.options.Peers))
+		done := ask(callCtx, n.engine.peers(address))
 		cancelCall()
 		if done || ctx.Err() != nil {
 			return
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -29,10 +29,11 @@
 	return nil
 }
 
-// beginStop fails readiness, tells the peers with the next exchange, and gives the shards up.
+// beginStop fails readiness, tells all peers at once, and gives the shards up.
 func (e *engine) beginStop(now time.Time) {
 	e.stopping = true
 	e.members.Self().Leaving = true
+	e.requestPush()
 	heirs := e.members.LiveIn(e.settings.FailureDomain, now)
 	e.domainWriter.Enqueue(e.owner.Release(heirs, now)...)
 	e.publishViews(now)
--- a/internal/rescue/rescue.go
+++ b/internal/rescue/rescue.go
@@ -83,7 +83,7 @@
 		r.Lost = c.owner.Release(nil, now)
 		return r
 	}
-	r.Lost = c.owner.Decide(c.stream, []string{c.self.Node}, now)
+	r.Lost = c.owner.Decide(c.stream, ownership.Candidates{Live: []string{c.self.Node}}, now)
 	r.Lost = append(r.Lost, c.transfers(eligible, len(r.Receiver)+c.waitingGuests(own), now)...)
 	return r
 }
