--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/platform/httpjson"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/traffic"
 )
 
 const (
@@ -60,16 +62,26 @@
 
 // NewDaemon returns a node that reaches the platform, workers, endpoints and peers over HTTP.
 func NewDaemon(s settings.Settings, listeners Listeners, logger *zap.Logger) *Node {
-	client := httpjson.NewClient(s.PlatformAddress, &http.Client{Transport: NewTransport()})
+	set := metrics.NewSet()
+	counted := func(purpose traffic.Purpose) *http.Transport {
+		transport := NewTransport()
+		transport.DialContext = traffic.NewCounter(set, purpose).Dial(transport.DialContext)
+		return transport
+	}
+	platform := func(purpose traffic.Purpose) *httpjson.Client {
+		return httpjson.NewClient(s.PlatformAddress, &http.Client{Transport: counted(purpose)})
+	}
+	listeners.Peers = traffic.NewCounter(set, traffic.Peers).Listener(listeners.Peers)
 	return New(Options{
 		Settings:    s,
-		Log:         client,
-		List:        client,
-		Workers:     httpjson.NewWorkers(&http.Client{Transport: NewTransport()}, s.Scheduling.WorkerCallTimeout.Std()),
+		Log:         platform(traffic.Log),
+		List:        platform(traffic.List),
+		Workers:     httpjson.NewWorkers(&http.Client{Transport: counted(traffic.Workers)}, s.Scheduling.WorkerCallTimeout.Std()),
 		Listeners:   listeners,
 		Endpoints:   NewTransport(),
-		Peers:       NewTransport(),
+		Peers:       counted(traffic.Peers),
 		Logger:      logger.With(zap.String("node", s.Node)),
 		Incarnation: uint64(time.Now().UnixNano()),
+		Metrics:     set,
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	Logger    *zap.Logger
 	// Incarnation is higher than that of every earlier process of the same node.
 	Incarnation uint64
+	// Metrics is the set to register metrics in, or nil for a new one.
+	Metrics *metrics.Set
 }
 
 // Node is one node of cactuswall.
@@ -63,7 +65,10 @@
 
 // New returns a node that is not yet running.
 func New(o Options) *Node {
-	set := metrics.NewSet()
+	set := o.Metrics
+	if set == nil {
+		set = metrics.NewSet()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
 	n.engine = newEngine(ctx, o, set)
@@ -113,9 +118,7 @@
 		push:           make(chan struct{}, 1),
 		retreats:       make(map[platform.RunID]time.Time),
 		leavingSince:   make(map[string]time.Time),
-		peers: func(address string) peer.Peer {
-			return peer.NewClient(address, s.PeerKey, o.Peers)
-		},
+		peers:          peer.NewClients(s.PeerKey, o.Peers).At,
 	}
 }
 
