Read an unchanged list without a body, compress replies, and never read what the engine may still write

Cause: the VM list came whole every two seconds and was by far the largest part of control traffic. A call that stopped waiting for the engine read a result that the engine wrote later (found by the race detector in TestLostDomain, 1 run of 15). Each caller of ask gives up when it was not answered.

--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -65,6 +65,7 @@
 	set := metrics.NewSet()
 	counted := func(purpose traffic.Purpose) *http.Transport {
 		transport := NewTransport()
+		transport.DisableCompression = purpose == traffic.Peers
 		transport.DialContext = traffic.NewCounter(set, purpose).Dial(transport.DialContext)
 		return transport
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -18,6 +18,9 @@
 	"cactuswall.example/cactuswall/internal/platform"
 )
 
+// errStopping is the answer of a node whose engine no longer runs, or is too busy to answer in time.
+var errStopping = twirp.NewError(twirp.Unavailable, "the node is stopping or busy")
+
 // gossip exchanges views with other nodes.
 type gossip struct {
 	engine *engine
@@ -60,13 +63,13 @@
 // exchangeOne exchanges with one random peer.
 func (g *gossip) exchangeOne(ctx context.Context) {
 	var target string
-	g.engine.ask(ctx, func(now time.Time) {
+	answered := g.engine.ask(ctx, func(now time.Time) {
 		g.engine.members.Self().Heartbeat++
 		if addresses := g.engine.peerAddresses(now); len(addresses) > 0 {
 			target = addresses[rand.IntN(len(addresses))]
 		}
 	})
-	if target == "" {
+	if !answered || target == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
@@ -85,7 +88,9 @@
 // exchange exchanges views with the node at a peer address.
 func (g *gossip) exchange(ctx context.Context, target string) (*peer.View, error) {
 	var view *peer.View
-	g.engine.ask(ctx, func(now time.Time) { view = g.engine.view(nil, now) })
+	if !g.engine.ask(ctx, func(now time.Time) { view = g.engine.view(nil, now) }) {
+		return nil, errStopping
+	}
 	sent := time.Now()
 	answer, err := g.engine.peers(target).Exchange(ctx, view)
 	g.engine.post(func(now time.Time) {
@@ -118,10 +123,13 @@
 // pushAll exchanges with every peer at once. A peer that does not answer is tried again.
 func (g *gossip) pushAll(ctx context.Context) {
 	var addresses []string
-	g.engine.ask(ctx, func(now time.Time) {
+	answered := g.engine.ask(ctx, func(now time.Time) {
 		g.engine.members.Self().Heartbeat++
 		addresses = g.engine.peerAddresses(now)
 	})
+	if !answered {
+		return
+	}
 	var group errgroup.Group
 	group.SetLimit(maxPushes)
 	for _, address := range addresses {
@@ -279,7 +287,7 @@
 		answer = s.engine.view(v.GetWanted(), now)
 	})
 	if !answered {
-		return nil, twirp.NewError(twirp.Unavailable, "the node is stopping")
+		return nil, errStopping
 	}
 	return answer, nil
 }
@@ -288,10 +296,13 @@
 func (s peerServer) FetchManifest(ctx context.Context, _ *peer.FetchManifestRequest) (*peer.InForce, error) {
 	var inForce *config.InForce
 	var readTo platform.Offset
-	s.engine.ask(ctx, func(time.Time) {
+	answered := s.engine.ask(ctx, func(time.Time) {
 		inForce = s.engine.config.InForce()
 		readTo = s.engine.manifestReplay.Applied()
 	})
+	if !answered {
+		return nil, errStopping
+	}
 	if inForce == nil {
 		return &peer.InForce{}, nil
 	}
@@ -306,7 +317,7 @@
 func (s peerServer) FetchDomain(ctx context.Context, req *peer.FetchDomainRequest) (*peer.DomainState, error) {
 	state := &peer.DomainState{}
 	var err error
-	s.engine.ask(ctx, func(time.Time) {
+	answered := s.engine.ask(ctx, func(time.Time) {
 		e := s.engine
 		if req.GetFailureDomain() != e.settings.FailureDomain || !e.domainReplay.Complete() || e.domainReplay.Applied() == 0 {
 			return
@@ -314,6 +325,9 @@
 		state.At = uint64(e.domainReplay.Applied())
 		state.State, err = e.ledger.Snapshot()
 	})
+	if !answered {
+		return nil, errStopping
+	}
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
--- a/internal/node/promise.go
+++ b/internal/node/promise.go
@@ -137,7 +137,7 @@
 func (s peerServer) Promise(ctx context.Context, req *peer.PromiseRequest) (*peer.PromiseReply, error) {
 	reply := &peer.PromiseReply{}
 	e := s.engine
-	e.ask(ctx, func(now time.Time) {
+	answered := e.ask(ctx, func(now time.Time) {
 		if req.GetFailureDomain() != e.settings.FailureDomain || len(req.GetShards()) != len(req.GetTokens()) || !e.logDown() {
 			return
 		}
@@ -148,5 +148,8 @@
 		asker := ledger.Writer{Node: req.GetNode(), Incarnation: req.GetIncarnation()}
 		reply.Granted = e.owner.Promise(e.ledger, asker, tokens, time.Duration(req.GetForMs())*time.Millisecond, now)
 	})
+	if !answered {
+		return nil, errStopping
+	}
 	return reply, nil
 }
--- a/internal/node/recover.go
+++ b/internal/node/recover.go
@@ -34,9 +34,9 @@
 		if err != nil {
 			return false
 		}
+		// Once posted, the state is taken even when this call is no longer waited for.
 		at = platform.Offset(state.GetAt())
-		n.engine.ask(ctx, func(now time.Time) { n.engine.startDomainAt(at, restored, now) })
-		return true
+		return n.engine.post(func(now time.Time) { n.engine.startDomainAt(platform.Offset(state.GetAt()), restored, now) })
 	})
 	return n.follow(ctx, journal.DomainStream(n.settings.FailureDomain), at+1, n.engine.takeDomainEntries)
 }
@@ -131,22 +131,28 @@
 		return 0
 	}
 	var readTo platform.Offset
-	e.ask(ctx, func(now time.Time) {
+	answered := e.ask(ctx, func(now time.Time) {
 		e.restoreManifest(snapshot, now)
 		if e.config.Version() == config.Version(snapshot.GetVersion()) {
 			readTo = max(platform.Offset(snapshot.GetReadTo()), e.config.Version())
 		}
 	})
+	if !answered {
+		return 0
+	}
 	return readTo
 }
 
 // repair completes a state that has a gap from a peer.
 func (e *engine) repair(ctx context.Context, client peer.Peer) {
 	var domain, manifest bool
-	e.ask(ctx, func(time.Time) {
+	answered := e.ask(ctx, func(time.Time) {
 		domain = !e.domainReplay.Complete()
 		manifest = !e.manifestReplay.Complete()
 	})
+	if !answered {
+		return
+	}
 	if manifest {
 		e.fetchManifest(ctx, client)
 	}
--- a/internal/platform/httpjson/client.go
+++ b/internal/platform/httpjson/client.go
@@ -6,16 +6,23 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/verdict"
 )
 
 // Client implements platform.Log and platform.VMList against the platform's address.
 type Client struct {
 	base string
 	http *http.Client
+
+	// mu guards the newest list and its tag, so that an unchanged list is not sent again.
+	mu   sync.Mutex
+	tag  string
+	list []platform.VM
 }
 
 // NewClient returns a client for the platform at address, an IP number with a port.
@@ -39,11 +46,30 @@
 	return platform.Page(reply), err
 }
 
-// List implements platform.VMList.
+// List implements platform.VMList. The result is not to be changed.
 func (c *Client) List(ctx context.Context) ([]platform.VM, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/vms", nil)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, platform.ReasonBadCall, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tag != "" {
+		req.Header.Set("If-None-Match", c.tag)
+	}
+	status, header, data, err := roundTrip(c.http, req)
+	if err != nil {
+		return nil, err
+	}
+	if status == http.StatusNotModified {
+		return c.list, nil
+	}
 	var vms []platform.VM
-	err := call(ctx, c.http, http.MethodGet, c.base+"/vms", nil, &vms)
-	return vms, err
+	if err := decodeReply(status, data, &vms); err != nil {
+		return nil, err
+	}
+	c.tag, c.list = header.Get("ETag"), vms
+	return vms, nil
 }
 
 // Workers implements platform.Workers.
--- a/internal/platform/httpjson/server.go
+++ b/internal/platform/httpjson/server.go
@@ -56,7 +56,7 @@
 		vms, err := list.List(r.Context())
 		reply(w, vms, err)
 	})
-	return mux
+	return compact(mux)
 }
 
 func readArguments(r *http.Request) (platform.Offset, time.Duration, error) {
@@ -102,7 +102,7 @@
 	handle(mux, "/forget", func(ctx context.Context, c runCall) (any, error) {
 		return nil, agent.Forget(ctx, c.Token, c.Runs)
 	})
-	return mux
+	return compact(mux)
 }
 
 // handle registers a POST handler whose body is a Request in JSON.
--- a/internal/platform/httpjson/wire.go
+++ b/internal/platform/httpjson/wire.go
@@ -61,19 +61,28 @@
 	if err != nil {
 		return verdict.New(verdict.NotRun, platform.ReasonBadCall, err)
 	}
+	status, _, data, err := roundTrip(client, req)
+	if err != nil {
+		return err
+	}
+	return decodeReply(status, data, reply)
+}
+
+// roundTrip sends a request and reads the whole reply. Its errors carry a verdict.
+func roundTrip(client *http.Client, req *http.Request) (status int, header http.Header, data []byte, err error) {
 	resp, err := client.Do(req)
 	if err != nil {
-		return verdict.New(verdictOfTransport(err), reasonOfTransport(err), err)
+		return 0, nil, nil, verdict.New(verdictOfTransport(err), reasonOfTransport(err), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	data, err = io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, reasonBroken, err)
+		return 0, nil, nil, verdict.New(verdict.MayHaveRun, reasonBroken, err)
 	}
 	if len(data) > maxReplyBytes {
-		return verdict.New(verdict.MayHaveRun, platform.ReasonTooLarge, nil)
+		return 0, nil, nil, verdict.New(verdict.MayHaveRun, platform.ReasonTooLarge, nil)
 	}
-	return decodeReply(resp.StatusCode, data, reply)
+	return resp.StatusCode, resp.Header, data, nil
 }
 
 func decodeReply(status int, data []byte, reply any) error {
