--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -8,13 +8,19 @@
 
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
@@ -50,13 +56,27 @@
 	stopping  bool
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
-	waiters map[string]chan decision
-	views   views
+	planned planned
+	// withdrawals is set when the manifest may have dropped running tasks.
+	withdrawals bool
+	policy      scheduler.Policy
+	// quotas are the teams' quotas here under the manifest of quotaVersion.
+	quotas       map[string]units.Resources
+	quotaVersion config.Version
+	sizes        *sizing.Learner
+	slowdowns    *interference.Model
+	baselines    *interference.Baselines
+	pressure     *interference.Controller
+	outcomes     *quarantine.Table
+	promises     *promise.Book
+	// evicting holds the runs that wait for a checkpoint before they are stopped.
+	evicting map[string]platform.RunID
+	forgets  map[*worker.Worker][]platform.RunID
+	steady   map[string]steadiness
+	waiters  map[string]chan decision
+	views    views
 }
 
-// maxPlacementsPerTick bounds the placements of one tick.
-const maxPlacementsPerTick = 64
-
 // eventQueue bounds the functions that wait for the engine.
 const eventQueue = 1024
 
@@ -113,9 +133,10 @@
 	e.renewLeases(now)
 	e.startPlaced(now)
 	e.stopWithdrawn(now)
+	e.pursueEvictions(now)
 	e.pursueStops(now)
 	e.schedule(now)
-	e.publishViews(now)
+	e.flushForgets()
 }
 
 // own claims, renews and gives up shards.
--- /dev/null
+++ b/internal/node/learn.go
@@ -0,0 +1,271 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/interference"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/sizing"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+const (
+	// measurementLag is how long the neighbours of a task must stay the same before its speed is taken as
+	// their effect.
+	measurementLag = 3 * time.Second
+	// speedInterval is the time over which the speed of a batch task is measured.
+	speedInterval = 5 * time.Second
+	// outgrownThrottle is the share to which a run is held that takes more processors than it reserved.
+	outgrownThrottle = 0.99
+)
+
+// estimates are what the node has learnt. It implements scheduler.Estimates.
+type estimates struct {
+	engine *engine
+}
+
+// Size implements scheduler.Estimates.
+func (s estimates) Size(row *task.Task) units.Resources {
+	if row.IsService() {
+		return row.Size
+	}
+	return sizing.Max(s.engine.sizes.Size(row.Kind(), row.Size), row.Needed)
+}
+
+// RunTime implements scheduler.Estimates.
+func (s estimates) RunTime(row *task.Task) time.Duration {
+	whole := s.engine.sizes.RunTime(row.Kind(), row.RunTime)
+	return time.Duration(float64(whole) * (1 - row.Progress))
+}
+
+// Slowdown implements scheduler.Estimates.
+func (s estimates) Slowdown(victim, aggressor string) float64 {
+	return s.engine.slowdowns.Slowdown(victim, aggressor)
+}
+
+// FailureRate implements scheduler.Estimates.
+func (s estimates) FailureRate(id string) float64 { return s.engine.outcomes.FailureRate(id) }
+
+// watchUsage learns from a report on a batch run and acts when the run has outgrown its reservation.
+func (e *engine) watchUsage(w *worker.Worker, row *task.Task, run *platform.Run, now time.Time) {
+	if row.IsService() {
+		return
+	}
+	e.sizes.Observe(run.ID, run.Usage)
+	e.watchSpeed(w, row, now)
+	if row.Evicting() || row.State != task.Running || !row.Resizing.IsZero() {
+		return
+	}
+	remedy := sizing.Outgrown(run.Usage, run.Size, w.Room(), run.Throttle > 0 && run.Throttle < 1)
+	switch remedy.Action {
+	case sizing.Grow:
+		e.resize(w, row, remedy.Size)
+	case sizing.Throttle:
+		e.throttle(row, outgrownThrottle, now)
+	case sizing.Move:
+		row.Needed = remedy.Size
+		if row.Evictions < maxEvictions {
+			e.move(row, reasonOutgrown, now)
+		}
+	}
+}
+
+// resize raises the reservation of a run. It counts from before the call, so that nothing else is placed
+// into the room.
+func (e *engine) resize(w *worker.Worker, row *task.Task, size units.Resources) {
+	id, token, address := row.RunID(), w.Token, w.Address
+	row.Resizing = size
+	row.ResizedAt = time.Time{}
+	e.workerRow.Reserve(w, id, size)
+	e.metrics.resizes.Inc()
+	go func() {
+		err := e.workers.Resize(e.ctx, address, token, id, size)
+		e.post(func(now time.Time) {
+			if err != nil {
+				e.metrics.countWorkerFailure(verdict.ReasonOf(err))
+			}
+			if row.RunID() == id {
+				row.ResizedAt = now
+			}
+		})
+	}()
+}
+
+// throttle holds a run to a share of its reservation.
+func (e *engine) throttle(row *task.Task, share float64, now time.Time) {
+	w := e.reachable(row, now)
+	if w == nil {
+		return
+	}
+	e.metrics.throttles.Inc()
+	id, token, address := row.RunID(), w.Token, w.Address
+	e.fire(func(ctx context.Context) error {
+		return e.workers.Throttle(ctx, address, token, id, share)
+	})
+}
+
+// watchSpeed learns from the progress of a batch run how much its neighbours slow it.
+func (e *engine) watchSpeed(w *worker.Worker, row *task.Task, now time.Time) {
+	if row.RateAt.IsZero() || row.RateAt.Before(e.steadySince(w, now)) {
+		row.RateAt, row.RateProgress = now, row.Progress
+		return
+	}
+	elapsed := now.Sub(row.RateAt)
+	done := row.Progress - row.RateProgress
+	if elapsed < speedInterval || done <= 0 || row.Throttle < 1 {
+		return
+	}
+	row.RateAt, row.RateProgress = now, row.Progress
+	slowdown := e.baselines.Observe(row.Kind(), elapsed.Seconds()/done)
+	e.slowdowns.Observe(row.Kind(), neighbours(w, row.Kind()), slowdown)
+}
+
+// steadySince returns since when the same kinds run on a worker.
+func (e *engine) steadySince(w *worker.Worker, now time.Time) time.Time {
+	s, known := e.steady[w.ID]
+	if !known || s.changes != w.Changes() {
+		s = steadiness{changes: w.Changes(), since: now}
+		e.steady[w.ID] = s
+	}
+	return s.since
+}
+
+// steadiness says since when the reservations of a worker are the same.
+type steadiness struct {
+	changes uint64
+	since   time.Time
+}
+
+// neighbours returns the share of the worker that each kind holds beside one instance of kind.
+func neighbours(w *worker.Worker, kind string) map[string]float64 {
+	shares := make(map[string]float64)
+	if w.Capacity.MilliProcessors == 0 {
+		return shares
+	}
+	for name, use := range w.Kinds() {
+		held := use.MilliProcessors
+		if name == kind {
+			held -= use.MilliProcessors / int64(use.Count)
+		}
+		if held > 0 {
+			shares[name] = float64(held) / float64(w.Capacity.MilliProcessors)
+		}
+	}
+	return shares
+}
+
+// watchLatency learns from the latencies of the services on a worker and acts when one is past its target.
+func (e *engine) watchLatency(w *worker.Worker, report platform.Report, now time.Time) {
+	pressure, measured := 0.0, false
+	steady := now.Sub(e.steadySince(w, now)) >= measurementLag
+	for i := range report.Runs {
+		run := &report.Runs[i]
+		row := e.taskRow.Get(run.ID.Task)
+		if run.Latency <= 0 || row == nil || !row.IsService() || run.State.Final() {
+			continue
+		}
+		slowdown := e.baselines.Observe(row.Kind(), run.Latency.Seconds())
+		if steady {
+			e.slowdowns.Observe(row.Kind(), neighbours(w, row.Kind()), slowdown)
+		}
+		if target := e.latencyTarget(row.Service); target > 0 {
+			measured = true
+			pressure = max(pressure, float64(run.Latency)/float64(target))
+		}
+	}
+	if !measured {
+		return
+	}
+	step := e.pressure.React(w.ID, pressure, e.aggressors(w), now)
+	if pressure > 1 && step != nil {
+		e.promises.Break(promise.Latency, w.ID, now)
+	}
+	e.takeStep(step, now)
+}
+
+func (e *engine) latencyTarget(service string) time.Duration {
+	for i := range e.config.InForce().Manifest.Services {
+		s := &e.config.InForce().Manifest.Services[i]
+		if s.Name == service {
+			return s.LatencyTarget.Std()
+		}
+	}
+	return 0
+}
+
+// aggressors returns the batch runs on a worker with the harm that they are held to do to its services.
+func (e *engine) aggressors(w *worker.Worker) []interference.Aggressor {
+	var found []interference.Aggressor
+	for _, id := range w.RunIDs() {
+		row := e.taskRow.Get(id.Task)
+		if row == nil || row.IsService() || row.State != task.Running || row.Evicting() || row.RunID() != id {
+			continue
+		}
+		harm := 0.0
+		for kind := range w.Kinds() {
+			if e.taskRow.IsService(kind) {
+				harm = max(harm, e.slowdowns.Slowdown(kind, row.Kind()))
+			}
+		}
+		size, _ := w.Reservation(id)
+		found = append(found, interference.Aggressor{
+			Run:      id,
+			Kind:     row.Kind(),
+			Harm:     harm * float64(size.MilliProcessors),
+			Throttle: row.Throttle,
+			Movable:  row.Evictions < maxEvictions,
+		})
+	}
+	return found
+}
+
+func (e *engine) takeStep(step *interference.Step, now time.Time) {
+	if step == nil {
+		return
+	}
+	row := e.taskRow.Get(step.Run.Task)
+	if row == nil {
+		return
+	}
+	if step.Move {
+		e.move(row, reasonInterference, now)
+		return
+	}
+	e.throttle(row, step.Throttle, now)
+}
+
+// learnEnd takes the end of an attempt into what is known of its kind and its worker. Every node of the
+// domain reads every end, so a new owner knows as much as the old one.
+func (e *engine) learnEnd(row *task.Task, end *record.End, workerID string, now time.Time) {
+	id := platform.RunID{Task: end.GetTask(), Attempt: end.GetAttempt()}
+	finished := end.GetOutcome() == record.Outcome_OUTCOME_FINISHED
+	var runTime time.Duration
+	if finished && !row.ConfirmedAt.IsZero() && row.StartProgress < 1 {
+		runTime = time.Duration(float64(now.Sub(row.ConfirmedAt)) / (1 - row.StartProgress))
+	}
+	e.sizes.Ended(id, row.Kind(), finished, runTime)
+	switch end.GetOutcome() {
+	case record.Outcome_OUTCOME_FINISHED:
+		e.outcomes.Succeeded(workerID, row.Kind())
+		e.taskRow.Recheck(row.Kind())
+		e.outcomes.ForgetTask(row.ID)
+	case record.Outcome_OUTCOME_FAILED:
+		if e.outcomes.Failed(workerID, row.ID, row.Kind(), now) {
+			e.metrics.quarantines.Inc()
+			e.logQuarantine(workerID)
+		}
+	}
+}
+
+// forgetWorker drops what is known of a worker that is gone.
+func (e *engine) forgetWorker(id string) {
+	e.outcomes.Forget(id)
+	e.pressure.Forget(id)
+	delete(e.steady, id)
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -12,12 +12,25 @@
 
 // engineMetrics counts what the engine refuses and retries.
 type engineMetrics struct {
-	set       *metrics.Set
-	strayRuns *metrics.Counter
+	set         *metrics.Set
+	strayRuns   *metrics.Counter
+	transfers   *metrics.Counter
+	resizes     *metrics.Counter
+	throttles   *metrics.Counter
+	quarantines *metrics.Counter
+	urgentStart *metrics.Histogram
 }
 
 func newEngineMetrics(set *metrics.Set) *engineMetrics {
-	return &engineMetrics{set: set, strayRuns: set.NewCounter("cactuswall_stray_runs_total")}
+	return &engineMetrics{
+		set:         set,
+		strayRuns:   set.NewCounter("cactuswall_stray_runs_total"),
+		transfers:   set.NewCounter("cactuswall_transfers_total"),
+		resizes:     set.NewCounter("cactuswall_resizes_total"),
+		throttles:   set.NewCounter("cactuswall_throttles_total"),
+		quarantines: set.NewCounter("cactuswall_quarantines_total"),
+		urgentStart: set.NewHistogram("cactuswall_urgent_start_seconds"),
+	}
 }
 
 func (m *engineMetrics) count(name, label, value string) {
@@ -28,6 +41,10 @@
 	m.count("cactuswall_records_rejected_total", "reason", string(r))
 }
 
+func (m *engineMetrics) countEviction(reason string) {
+	m.count("cactuswall_evictions_total", "reason", reason)
+}
+
 func (m *engineMetrics) countWorkerFailure(r verdict.Reason) {
 	m.count("cactuswall_worker_call_failures_total", "reason", string(r))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"cactuswall.example/cactuswall/internal/caller"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
@@ -22,8 +23,11 @@
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/route"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/worker"
 )
@@ -102,6 +106,16 @@
 		owner:          ownership.NewOwner(self, s.FailureDomain, s.Scheduling.ClaimLease.Std()),
 		workerRow:      worker.NewTable(),
 		taskRow:        task.NewTable(),
+		policy:         policyOf(s.Scheduling.Weighing),
+		sizes:          sizing.NewLearner(),
+		slowdowns:      interference.NewModel(),
+		baselines:      interference.NewBaselines(),
+		pressure:       interference.NewController(),
+		outcomes:       quarantine.NewTable(),
+		promises:       promise.NewBook(),
+		evicting:       make(map[string]platform.RunID),
+		forgets:        make(map[*worker.Worker][]platform.RunID),
+		steady:         make(map[string]steadiness),
 		directory:      endpoint.NewDirectory(),
 		waiters:        make(map[string]chan decision),
 	}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -7,6 +7,7 @@
 
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/task"
 )
@@ -27,12 +28,14 @@
 		e.takePlacement(r, body.Placement, now)
 	case *record.Record_End:
 		e.takeEnd(r, body.End, now)
+	case *record.Record_Transfer:
+		e.takeTransfer(r, body.Transfer)
 	case *record.Record_Claim:
+		e.dirty = true
 		if r.Rejection == ledger.Accepted {
 			e.logger.Info("shard claimed", zap.Uint32("shard", body.Claim.GetShard()), zap.String("owner", r.Writer.Node), zap.Uint64("token", uint64(r.Offset)))
 		}
 	}
-	e.dirty = true
 }
 
 func (e *engine) takePlacement(r ledger.Result, p *record.Placement, now time.Time) {
@@ -44,12 +47,31 @@
 	if row == nil {
 		return
 	}
+	reserved := row.Reserved
+	row.EndAttempt()
+	row.Reserved = reserved
 	row.Attempt = p.GetAttempt()
 	row.Worker = p.GetWorker()
-	row.Ending = 0
-	row.ConfirmedAt = time.Time{}
-	row.StartUncertain = r.Writer != e.self
+	row.StartProgress = row.Progress
+	e.taskRow.Move(row, e.ledger.ShardOf(row.ID))
+	if a := e.openAttempt(row.ID); a != nil {
+		e.reserveOpen(a)
+	}
+	if r.Writer != e.self {
+		row.StartUncertain = true
+		row.Set(task.Placed, "", now)
+		return
+	}
 	row.Set(task.Starting, "", now)
+	row.OverQuota = e.overQuota(row)
+}
+
+// takeTransfer moves a waiting task to the shard that it was given to.
+func (e *engine) takeTransfer(r ledger.Result, t *record.Transfer) {
+	row := e.taskRow.Get(t.GetTask())
+	if row != nil && r.Rejection == ledger.Accepted {
+		e.taskRow.Move(row, e.ledger.ShardOf(row.ID))
+	}
 }
 
 // undoPlacement takes back a placement of this node that was rejected.
@@ -58,10 +80,11 @@
 		return
 	}
 	if w := e.workerRow.Get(p.GetWorker()); w != nil {
-		delete(w.Reserved, platform.RunID{Task: p.GetTask(), Attempt: p.GetAttempt()})
+		e.workerRow.Release(w, platform.RunID{Task: p.GetTask(), Attempt: p.GetAttempt()})
 	}
 	if row := e.taskRow.Get(p.GetTask()); row != nil && row.State == task.Placing {
-		row.Set(task.Waiting, string(r.Rejection), now)
+		row.Worker = ""
+		row.Wait(string(r.Rejection), time.Time{}, now)
 		e.dropWithdrawn(row)
 	}
 }
@@ -74,7 +97,7 @@
 	id := platform.RunID{Task: end.GetTask(), Attempt: end.GetAttempt()}
 	a := e.ledger.Attempt(id.Task)
 	if w := e.workerRow.Get(a.Worker); w != nil {
-		delete(w.Reserved, id)
+		e.workerRow.Release(w, id)
 		e.forgetRun(w, id)
 	}
 	row := e.taskRow.Get(id.Task)
@@ -82,6 +105,8 @@
 		e.ledger.Forget(id.Task)
 		return
 	}
+	e.learnEnd(row, end, a.Worker, now)
+	e.checkDeadline(row, end, now)
 	e.endTask(row, a, now)
 	e.dropWithdrawn(row)
 }
@@ -96,8 +121,7 @@
 
 // endTask sets a row from an attempt that has ended.
 func (e *engine) endTask(row *task.Task, a *ledger.Attempt, now time.Time) {
-	row.Worker = ""
-	row.Address = ""
+	row.EndAttempt()
 	row.Progress = a.Progress
 	row.Checkpoint = a.Checkpoint
 	row.Failures = a.Failures
@@ -111,20 +135,32 @@
 	case record.Outcome_OUTCOME_FAILED:
 		e.failTask(row, a, now)
 	case record.Outcome_OUTCOME_NOT_STARTED:
-		row.NotBefore = now.Add(failureBackOff)
-		row.Set(task.Waiting, a.Reason, now)
+		row.Wait(a.Reason, now.Add(failureBackOff), now)
 	default:
-		row.Set(task.Waiting, a.Reason, now)
+		row.Wait(a.Reason, time.Time{}, now)
 	}
 }
 
+// failTask decides whether a task that has failed is tried again. Failures on workers that were
+// quarantined at the time do not count, up to a bound.
 func (e *engine) failTask(row *task.Task, a *ledger.Attempt, now time.Time) {
-	if !row.IsService() && a.Failures >= row.MaxFailures {
+	failures := a.Failures - min(e.outcomes.Excused(row.ID), row.MaxFailures)
+	if !row.IsService() && failures >= row.MaxFailures {
 		row.Set(task.Failed, a.Reason, now)
+		e.outcomes.ForgetTask(row.ID)
 		return
 	}
-	row.NotBefore = now.Add(backOff(a.Failures))
-	row.Set(task.Waiting, a.Reason, now)
+	row.Wait(a.Reason, now.Add(backOff(a.Failures)), now)
+}
+
+// checkDeadline sees whether a task of an own shard ended in time. Ends that are replayed do not count.
+func (e *engine) checkDeadline(row *task.Task, end *record.End, now time.Time) {
+	if _, held := e.owner.Holds(end.GetBy().GetShard(), now); !held || row.IsService() {
+		return
+	}
+	if end.GetOutcome() == record.Outcome_OUTCOME_FINISHED && now.After(row.Deadline) {
+		e.promises.Break(promise.Deadline, row.ID, now)
+	}
 }
 
 // backOff returns the wait after a number of failures.
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -3,86 +3,82 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/quota"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/task"
-	"cactuswall.example/cactuswall/internal/units"
 )
 
-// schedule places waiting tasks of own shards on own workers.
+// transferPause is the time between two moves of a waiting task to other shards.
+const transferPause = 2 * time.Second
+
+// planned is the state of the tables that the last plan was made from.
+type planned struct {
+	tasks   uint64
+	workers uint64
+	// again is set when the last plan was cut short or waits for a time to pass.
+	again bool
+}
+
+// schedule plans when a table has changed since the last plan, and carries the plan out.
 func (e *engine) schedule(now time.Time) {
-	if !e.dirty || !e.caughtUp || e.stopping || e.config.InForce() == nil {
+	if !e.caughtUp || e.stopping || e.config.InForce() == nil {
 		return
 	}
-	e.dirty = false
-	snapshot := e.snapshot(now)
-	if len(snapshot.Waiting) == 0 {
+	e.taskRow.Wake(now)
+	state := planned{tasks: e.taskRow.Changes(), workers: e.workerRow.Generation()}
+	if !e.dirty && !e.planned.again && state == e.planned {
 		return
 	}
-	plan := scheduler.Make(snapshot)
+	e.dirty = false
+	plan := scheduler.Make(e.planInput(now))
+	state.again = plan.Bounded
+	for _, b := range plan.Blocked {
+		b.Group.Reason, b.Group.Never, b.Group.Checked = b.Reason, b.Never, 0
+		if b.Settled {
+			b.Group.Checked = plan.Generation
+		} else if b.Reason == scheduler.ReasonNoRoom {
+			state.again = true
+		}
+	}
+	e.planned = state
 	for _, p := range plan.Placements {
 		e.place(p, now)
 	}
-	for id, reason := range plan.Waits {
-		e.taskRow.Get(id).Reason = reason
+	for _, t := range plan.Transfers {
+		e.transfer(t, now)
 	}
-}
-
-// snapshot copies what the scheduler needs out of the tables.
-func (e *engine) snapshot(now time.Time) scheduler.Snapshot {
-	s := scheduler.Snapshot{Now: now, MaxPlacements: maxPlacementsPerTick, TeamRoom: e.teamRoom()}
-	for _, w := range e.workerRow.All() {
-		token, held := e.owner.Holds(w.Shard, now)
-		if !held || w.Token != token || w.Leaving || !w.AbsentSince.IsZero() || now.Before(w.CallAfter) {
-			continue
+	for _, v := range plan.Evictions {
+		e.evict(e.taskRow.Get(v.Task), reasonUrgent, now)
+		if row := e.taskRow.Get(v.For); row != nil {
+			row.ClearedUntil = now.Add(clearingTime)
 		}
-		s.Workers = append(s.Workers, scheduler.Worker{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Room: w.Room()})
 	}
-	for _, row := range e.taskRow.All() {
-		if row.State != task.Waiting || row.Withdrawn {
-			continue
-		}
-		if _, held := e.owner.Holds(e.ledger.ShardOf(row.ID), now); !held {
-			continue
-		}
-		if now.Before(row.NotBefore) {
-			e.dirty = true
-			continue
-		}
-		s.Waiting = append(s.Waiting, scheduler.Task{
-			ID:       row.ID,
-			Team:     row.Team,
-			Service:  row.Service,
-			Size:     row.Size,
-			Priority: row.Priority,
-			RunTime:  row.RunTime,
-			Deadline: row.Deadline,
-		})
-	}
-	return s
 }
 
-// teamRoom returns what is left of each team's quota in this failure domain.
-func (e *engine) teamRoom() map[string]units.Resources {
-	m := e.config.InForce().Manifest
-	count := int64(len(m.FailureDomains))
-	room := make(map[string]units.Resources, len(m.Teams))
-	for _, t := range m.Teams {
-		room[t.Name] = units.Resources{
-			MilliProcessors: t.Quota.MilliProcessors / count,
-			MemoryMiB:       t.Quota.MemoryMiB / count,
-			Accelerators:    t.Quota.Accelerators / count,
-		}
+func (e *engine) planInput(now time.Time) scheduler.Input {
+	inForce := e.config.InForce()
+	if e.quotaVersion != inForce.Version || e.quotas == nil {
+		e.quotaVersion = inForce.Version
+		e.quotas = quota.Split(inForce.Manifest, e.settings.FailureDomain)
 	}
-	for _, row := range e.taskRow.All() {
-		open := row.State == task.Placing || row.State == task.Starting || row.State == task.Running || row.State == task.Stopping
-		if open && !row.IsService() {
-			room[row.Team] = room[row.Team].Sub(row.Size)
-		}
+	return scheduler.Input{
+		Now:     now,
+		Tasks:   e.taskRow,
+		Workers: e.workerRow,
+		Owned: func(shard uint32) bool {
+			_, held := e.owner.Holds(shard, now)
+			return held
+		},
+		Quota:     e.quotas,
+		Estimates: estimates{e},
+		Policy:    e.policy,
+		Limits:    scheduler.DefaultLimits(),
 	}
-	return room
 }
 
 // place sends a placement to the log and reserves its size.
@@ -101,8 +97,56 @@
 		To:      e.owner.Token(failuredomain.ShardOf(p.Worker)),
 	}
 	if !e.domainWriter.Enqueue(&record.Record{Body: &record.Record_Placement{Placement: body}}) {
+		e.dirty = true
 		return
 	}
-	w.Reserved[platform.RunID{Task: p.Task, Attempt: number}] = row.Size
+	row.Reserved = p.Size
+	row.Worker = p.Worker
+	row.AskedAt = row.Since
+	if row.NotBefore.After(row.AskedAt) {
+		row.AskedAt = row.NotBefore
+	}
+	e.workerRow.Reserve(w, platform.RunID{Task: p.Task, Attempt: number}, p.Size)
 	row.Set(task.Placing, "", now)
 }
+
+// transfer gives a waiting task to another shard of the failure domain.
+func (e *engine) transfer(t scheduler.Transfer, now time.Time) {
+	row := e.taskRow.Get(t.Task)
+	var number uint32
+	if a := e.ledger.Attempt(t.Task); a != nil {
+		number = a.Number
+	}
+	body := &record.Transfer{
+		Task:    t.Task,
+		Attempt: number,
+		From:    e.owner.Token(e.ledger.ShardOf(t.Task)),
+		ToShard: t.Shard,
+	}
+	if e.domainWriter.Enqueue(&record.Record{Body: &record.Record_Transfer{Transfer: body}}) {
+		row.TransferAfter = now.Add(transferPause)
+		e.metrics.transfers.Inc()
+	}
+}
+
+// overQuota reports whether a placement that was just read back passes the team's quota. All nodes of the
+// domain read placements in the same order, so of two that race the first one is started.
+func (e *engine) overQuota(row *task.Task) bool {
+	if row.IsService() || e.quotas == nil {
+		return false
+	}
+	return !e.taskRow.AcceptedUsage(row.Team).Fits(e.quotas[row.Team])
+}
+
+func (e *engine) logQuarantine(worker string) {
+	e.logger.Warn("worker quarantined: it failed several tasks in a row", zap.String("worker", worker),
+		zap.Int("quarantined", e.outcomes.Quarantined()))
+}
+
+// policyOf returns the policy for a weighing in the settings.
+func policyOf(weighing string) scheduler.Policy {
+	if weighing == "throughput" {
+		return scheduler.ThroughputFirst()
+	}
+	return scheduler.LatencyFirst()
+}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -23,17 +23,18 @@
 		if row == nil {
 			row = &task.Task{State: task.Waiting, Since: now}
 			row.Spec = spec
+			row.Shard = e.ledger.ShardOf(spec.ID)
 			e.taskRow.Put(row)
 			e.restoreTask(row, now)
 		}
-		row.Spec = spec
-		row.Withdrawn = false
+		e.taskRow.Respecify(row, spec, false)
 	}
 	for _, row := range e.taskRow.All() {
 		if declared[row.ID] {
 			continue
 		}
-		row.Withdrawn = true
+		e.taskRow.Respecify(row, row.Spec, true)
+		e.withdrawals = true
 		e.dropWithdrawn(row)
 	}
 	e.dirty = true
@@ -51,8 +52,9 @@
 	row.Checkpoint = a.Checkpoint
 	if a.Open {
 		row.Worker = a.Worker
-		row.Set(task.Starting, "", now)
+		row.Set(task.Placed, "", now)
 		row.StartUncertain = true
+		e.reserveOpen(a)
 		return
 	}
 	e.endTask(row, a, now)
@@ -74,6 +76,7 @@
 	e.vms = vms
 	e.listReadAt = now
 	listed := make(map[string]bool)
+	added := false
 	for _, vm := range vms {
 		if vm.Kind != platform.WorkerVM || vm.FailureDomain != e.settings.FailureDomain {
 			continue
@@ -83,8 +86,9 @@
 		if row == nil {
 			row = &worker.Worker{ID: vm.ID, Shard: failuredomain.ShardOf(vm.ID)}
 			e.workerRow.Put(row)
+			added = true
 		}
-		row.Rack = vm.Rack
+		e.workerRow.SetRack(row, vm.Rack)
 		row.Address = vm.Address
 		row.Leaving = vm.State == platform.Leaving
 		row.AbsentSince = time.Time{}
@@ -95,7 +99,10 @@
 		}
 	}
 	e.addUnlisted(now)
-	e.dirty = true
+	if added {
+		e.ledger.Attempts(e.reserveOpen)
+	}
+	e.outcomes.SetFleet(e.workerRow.Len())
 	e.updateDirectory()
 }
 
@@ -107,9 +114,23 @@
 			return
 		}
 		e.workerRow.Put(&worker.Worker{ID: a.Worker, Shard: a.Shard, AbsentSince: now})
+		e.reserveOpen(a)
 	})
 }
 
+// reserveOpen reserves the declared size of an open attempt on its worker, unless more is known of it.
+func (e *engine) reserveOpen(a *ledger.Attempt) {
+	w := e.workerRow.Get(a.Worker)
+	row := e.taskRow.Get(a.Task)
+	if !a.Open || w == nil || row == nil {
+		return
+	}
+	id := platform.RunID{Task: a.Task, Attempt: a.Number}
+	if _, known := w.Reservation(id); !known {
+		e.workerRow.Reserve(w, id, row.Size)
+	}
+}
+
 // removeAbsent drops the workers that are gone. The list may lag or go back for a while, so absence alone
 // proves nothing: a worker is gone when it is absent, does not answer, and the leases on it have lapsed.
 // Nothing is renewed on an absent worker, so its open attempts have then provably ended.
@@ -135,6 +156,7 @@
 // removeWorker drops a worker that is gone and ends its open attempts.
 func (e *engine) removeWorker(w *worker.Worker) {
 	e.workerRow.Remove(w.ID)
+	e.forgetWorker(w.ID)
 	e.dirty = true
 	e.ledger.Attempts(func(a *ledger.Attempt) {
 		if a.Open && a.Worker == w.ID {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -11,28 +12,19 @@
 	"cactuswall.example/cactuswall/internal/task"
 )
 
-// views are copies of the tables for readers in other goroutines. The engine replaces them each tick.
+// views are copies of the tables for readers in other goroutines.
 type views struct {
 	inForce atomic.Pointer[config.InForce]
-	report  atomic.Pointer[report]
-}
-
-// report is everything that operators may ask for.
-type report struct {
-	status  operator.Status
-	tasks   []operator.Task
-	workers []operator.Worker
-	nodes   []operator.Node
 }
 
 // logSilence is how long the log may be silent before it counts as out of reach. It exceeds one read wait.
 const logSilence = 8 * time.Second
 
-func (e *engine) publishViews(now time.Time) {
+// reportTimeout bounds the wait of an operator's question for the engine.
+const reportTimeout = 2 * time.Second
+
+func (e *engine) publishViews(time.Time) {
 	e.views.inForce.Store(e.config.InForce())
-	r := &report{tasks: e.taskReports(), workers: e.workerReports(), nodes: e.nodeReports(now)}
-	r.status = e.status(now)
-	e.views.report.Store(r)
 }
 
 func (e *engine) status(now time.Time) operator.Status {
@@ -55,23 +47,47 @@
 			s.Shards = append(s.Shards, shard)
 		}
 	}
-	for _, row := range e.taskRow.All() {
-		s.TasksByState[string(row.State)]++
+	for _, state := range task.States {
+		if count := e.taskRow.Count(state); count > 0 {
+			s.TasksByState[string(state)] = count
+		}
+	}
+	for _, r := range e.promises.Report() {
+		s.Promises = append(s.Promises, operator.Promise{Name: string(r.Name), Broken: r.Broken, LastBroken: r.LastBroken, LastCase: r.LastCase})
 	}
+	s.PredictedMisses = e.predictedMisses(now)
 	return s
 }
 
-func (e *engine) taskReports() []operator.Task {
+// predictedMisses counts the batch tasks that will not end before their deadline as far as is known.
+func (e *engine) predictedMisses(now time.Time) int {
+	count := 0
+	for _, row := range e.taskRow.All() {
+		if e.missesDeadline(row, now) {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *engine) missesDeadline(row *task.Task, now time.Time) bool {
+	if row.IsService() || row.State.Done() || row.Withdrawn {
+		return false
+	}
+	return now.Add(estimates{e}.RunTime(row)).After(row.Deadline)
+}
+
+func (e *engine) taskReports(now time.Time) []operator.Task {
 	rows := e.taskRow.All()
 	reports := make([]operator.Task, len(rows))
 	for i, row := range rows {
-		reports[i] = taskReport(row)
+		reports[i] = e.taskReport(row, now)
 	}
 	return reports
 }
 
-func taskReport(row *task.Task) operator.Task {
-	return operator.Task{
+func (e *engine) taskReport(row *task.Task, now time.Time) operator.Task {
+	r := operator.Task{
 		ID:       row.ID,
 		Team:     row.Team,
 		State:    string(row.State),
@@ -82,6 +98,63 @@
 		Since:    row.Since,
 		Reason:   row.Reason,
 	}
+	switch row.State {
+	case task.Waiting:
+		r.Reason = e.waitReason(row, now)
+	case task.Placed:
+		r.Reason = "runs under node " + e.ownerOf(row.Shard)
+	}
+	return r
+}
+
+// waitReason says why a task waits now; the end of its last attempt is named as well.
+func (e *engine) waitReason(row *task.Task, now time.Time) string {
+	reason := row.Reason
+	add := func(text string) {
+		if reason != "" {
+			reason += "; "
+		}
+		reason += text
+	}
+	if now.Before(row.NotBefore) {
+		add("held back until " + row.NotBefore.UTC().Format(time.RFC3339))
+		return reason
+	}
+	if _, held := e.owner.Holds(row.Shard, now); !held {
+		add("waits under node " + e.ownerOf(row.Shard))
+		return reason
+	}
+	if g := e.taskRow.Group(row); g != nil && g.Reason != "" {
+		add(g.Reason)
+	}
+	return reason
+}
+
+// ownerOf returns the node that owns a shard, for reports.
+func (e *engine) ownerOf(shard uint32) string {
+	c := e.ledger.Claim(shard)
+	if c.Released || c.Owner.Node == "" {
+		return "(none yet)"
+	}
+	return c.Owner.Node
+}
+
+// explain says what a task waits for.
+func (e *engine) explain(row *task.Task, now time.Time) operator.Explanation {
+	report := e.taskReport(row, now)
+	summary := "The task is " + report.State + "."
+	if report.Reason != "" {
+		summary += " Reason: " + report.Reason + "."
+	}
+	if e.missesDeadline(row, now) {
+		summary += " It is predicted to miss its deadline."
+	}
+	g := e.taskRow.Group(row)
+	never := row.State == task.Waiting && g != nil && g.Never
+	if never {
+		summary += " It can never run as declared."
+	}
+	return operator.Explanation{Task: report, Summary: summary, Never: never}
 }
 
 func (e *engine) workerReports() []operator.Worker {
@@ -101,7 +174,7 @@
 		if w.Token != 0 {
 			reports[i].Capacity = w.Capacity.String()
 			reports[i].Committed = w.Committed().String()
-			reports[i].Tasks = len(w.Reserved)
+			reports[i].Tasks = w.Runs()
 		}
 	}
 	return reports
@@ -122,24 +195,51 @@
 	return reports
 }
 
-func (n *Node) report() *report {
-	if r := n.engine.views.report.Load(); r != nil {
-		return r
-	}
-	return &report{status: operator.Status{Node: n.settings.Node, FailureDomain: n.settings.FailureDomain}}
+// ask runs a question in the engine's goroutine. The answer stays empty when the node has stopped.
+func (n *Node) ask(question func(now time.Time)) {
+	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
+	defer cancel()
+	n.engine.ask(ctx, question)
 }
 
 // Status implements operator.Source.
-func (n *Node) Status() operator.Status { return n.report().status }
+func (n *Node) Status() operator.Status {
+	answer := make(chan operator.Status, 1)
+	n.ask(func(now time.Time) { answer <- n.engine.status(now) })
+	select {
+	case status := <-answer:
+		return status
+	default:
+		return operator.Status{Node: n.settings.Node, FailureDomain: n.settings.FailureDomain}
+	}
+}
 
 // Tasks implements operator.Source.
-func (n *Node) Tasks() []operator.Task { return n.report().tasks }
+func (n *Node) Tasks() []operator.Task {
+	return answerOf(n, n.engine.taskReports)
+}
 
 // Workers implements operator.Source.
-func (n *Node) Workers() []operator.Worker { return n.report().workers }
+func (n *Node) Workers() []operator.Worker {
+	return answerOf(n, func(time.Time) []operator.Worker { return n.engine.workerReports() })
+}
 
 // Nodes implements operator.Source.
-func (n *Node) Nodes() []operator.Node { return n.report().nodes }
+func (n *Node) Nodes() []operator.Node {
+	return answerOf(n, n.engine.nodeReports)
+}
+
+// answerOf returns the answer to a question, or nil when the node has stopped.
+func answerOf[T any](n *Node, question func(now time.Time) []T) []T {
+	answer := make(chan []T, 1)
+	n.ask(func(now time.Time) { answer <- question(now) })
+	select {
+	case rows := <-answer:
+		return rows
+	default:
+		return nil
+	}
+}
 
 // Endpoints implements operator.Source.
 func (n *Node) Endpoints() []endpoint.Info {
@@ -171,18 +271,16 @@
 
 // Explain implements operator.Source.
 func (n *Node) Explain(id string) (operator.Explanation, bool) {
-	for _, t := range n.report().tasks {
-		if t.ID == id {
-			return explain(t), true
+	answer := make(chan operator.Explanation, 1)
+	n.ask(func(now time.Time) {
+		if row := n.engine.taskRow.Get(id); row != nil {
+			answer <- n.engine.explain(row, now)
 		}
+	})
+	select {
+	case explanation := <-answer:
+		return explanation, true
+	default:
+		return operator.Explanation{}, false
 	}
-	return operator.Explanation{}, false
-}
-
-func explain(t operator.Task) operator.Explanation {
-	summary := "The task is " + t.State + "."
-	if t.Reason != "" {
-		summary += " Reason: " + t.Reason + "."
-	}
-	return operator.Explanation{Task: t, Summary: summary}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -25,6 +25,8 @@
 	// TasksByState counts the tasks of the failure domain.
 	TasksByState map[string]int `json:"tasks_by_state"`
 	Promises     []Promise      `json:"promises"`
+	// PredictedMisses counts the batch tasks that are not expected to end before their deadline.
+	PredictedMisses int `json:"predicted_misses"`
 }
 
 // Promise says whether one promise was kept, as far as this node can see.
@@ -33,6 +35,8 @@
 	// Broken counts the times that the node has seen the promise broken since its start.
 	Broken     uint64    `json:"broken"`
 	LastBroken time.Time `json:"last_broken,omitzero"`
+	// LastCase names the task or worker that broke the promise last.
+	LastCase string `json:"last_case,omitempty"`
 }
 
 // Task is the report on one task.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -120,6 +120,9 @@
 	Throttle float64
 	// Address is where a service instance answers requests, or empty.
 	Address string
+	// Latency is the recent 99th percentile of the answer time of a service instance, zero when it is not
+	// known. It lags behind the truth.
+	Latency time.Duration
 	// Message is the worker's word on a failure.
 	Message string
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,167 +1,189 @@
-// Package scheduler turns a snapshot of workers and waiting tasks into a plan.
+// Package scheduler plans over the tables of tasks and workers.
 //
-// It is pure: it reads no clock and touches no socket. The plan is checked again when it is applied, by
-// the ledger and by the worker itself.
+// It is pure: it reads no clock, touches no socket and changes no table. Its cost follows the groups of
+// waiting tasks that may have found room since the last plan. The plan is checked again when it is
+// applied, by the ledger and by the worker itself.
 package scheduler
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 
-	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/worker"
 )
 
-// Worker is a worker that may get tasks.
-type Worker struct {
-	ID       string
-	Rack     string
-	Capacity units.Resources
-	Room     units.Resources
+// Estimates are what has been learnt about kinds of tasks.
+type Estimates interface {
+	// Size returns what a task is to reserve.
+	Size(t *task.Task) units.Resources
+	// RunTime returns how long a task still runs.
+	RunTime(t *task.Task) time.Duration
+	// Slowdown returns the part by which a task of kind victim takes longer, or a service answers later,
+	// beside tasks of kind aggressor that hold a whole worker.
+	Slowdown(victim, aggressor string) float64
+	// FailureRate returns the recent share of failed attempts on a worker, from 0 to 1.
+	FailureRate(worker string) float64
 }
 
-// Task is a waiting task.
-type Task struct {
-	ID       string
-	Team     string
-	Service  string
-	Size     units.Resources
-	Priority manifest.Priority
-	RunTime  time.Duration
-	// Deadline is zero for a service instance.
-	Deadline time.Time
+// Input is what a plan is made from.
+type Input struct {
+	Now     time.Time
+	Tasks   *task.Table
+	Workers *worker.Table
+	// Owned says of each shard whether this node may act for it.
+	Owned func(shard uint32) bool
+	// Quota is each team's quota in this failure domain.
+	Quota     map[string]units.Resources
+	Estimates Estimates
+	Policy    Policy
+	Limits    Limits
 }
 
-// Snapshot is the input of a plan.
-type Snapshot struct {
-	Now     time.Time
-	Workers []Worker
-	Waiting []Task
-	// TeamRoom is what is left of each team's quota here.
-	TeamRoom map[string]units.Resources
-	// MaxPlacements bounds the placements of one plan.
-	MaxPlacements int
+// Limits bound the work of one plan.
+type Limits struct {
+	Placements int
+	Evictions  int
+	Transfers  int
+	// MaxEvictions bounds the evictions of one task over its life.
+	MaxEvictions int
+	// Candidates bounds the workers with room that are compared for one task.
+	Candidates int
+}
+
+// DefaultLimits returns the limits that a node uses.
+func DefaultLimits() Limits {
+	return Limits{Placements: 64, Evictions: 16, Transfers: 64, MaxEvictions: 3, Candidates: 100}
 }
 
 // Placement assigns a task to a worker.
 type Placement struct {
 	Task   string
 	Worker string
+	Size   units.Resources
 }
 
-// Reasons for which a task waits.
-const (
-	ReasonTooBig  = "too big for any worker of this share"
-	ReasonNoRoom  = "no worker has room now"
-	ReasonQuota   = "the team's quota is used up"
-	ReasonNoQuota = "the team's quota can never hold the task"
-	ReasonBound   = "more tasks wait than are placed in one tick"
-)
+// Eviction asks for the end of a running task so that another one finds room.
+type Eviction struct {
+	Task string
+	For  string
+}
+
+// Transfer gives a waiting task to a shard whose owner has room.
+type Transfer struct {
+	Task  string
+	Shard uint32
+}
+
+// Blocked is a group that found no worker.
+type Blocked struct {
+	Group  *task.Group
+	Reason string
+	Never  bool
+	// Settled groups need not be looked at again before a worker gets more room.
+	Settled bool
+}
 
 // Plan is the result.
 type Plan struct {
 	Placements []Placement
-	// Waits gives the reason of each task that was not placed.
-	Waits map[string]string
+	Evictions  []Eviction
+	Transfers  []Transfer
+	Blocked    []Blocked
+	// Generation is the generation of the worker table that the plan was made from.
+	Generation uint64
+	// Bounded is set when a limit cut the plan short.
+	Bounded bool
 }
 
-// Make returns the plan for a snapshot. It changes the rooms in the snapshot as it goes.
-func Make(s Snapshot) Plan {
-	plan := Plan{Waits: make(map[string]string)}
-	order(s)
-	for i := range s.Waiting {
-		t := &s.Waiting[i]
-		if len(plan.Placements) >= s.MaxPlacements {
-			plan.Waits[t.ID] = ReasonBound
-			continue
-		}
-		w, reason := choose(s, t)
-		if w == nil {
-			plan.Waits[t.ID] = reason
-			continue
-		}
-		commit(s, t, w)
-		plan.Placements = append(plan.Placements, Placement{Task: t.ID, Worker: w.ID})
-	}
-	return plan
+// planner is the state of one plan.
+type planner struct {
+	Input
+	overlay
+	queue queue
+	plan  Plan
 }
 
-// order sorts the waiting tasks: services first, then urgent jobs, then by least slack.
-func order(s Snapshot) {
-	sort.SliceStable(s.Waiting, func(a, b int) bool {
-		x, y := &s.Waiting[a], &s.Waiting[b]
-		if rank(x) != rank(y) {
-			return rank(x) < rank(y)
-		}
-		if slackX, slackY := slack(s.Now, x), slack(s.Now, y); slackX != slackY {
-			return slackX < slackY
+// Make returns the plan for the input.
+func Make(in Input) Plan {
+	p := &planner{Input: in, overlay: newOverlay(), plan: Plan{Generation: in.Workers.Generation()}}
+	in.Tasks.Groups(p.add)
+	heap.Init(&p.queue)
+	for p.queue.Len() > 0 {
+		if len(p.plan.Placements) >= in.Limits.Placements {
+			p.plan.Bounded = true
+			break
 		}
-		return x.ID < y.ID
-	})
-}
-
-func rank(t *Task) int {
-	switch {
-	case t.Service != "":
-		return 0
-	case t.Priority == manifest.Urgent:
-		return 1
-	case t.Priority == manifest.Batch:
-		return 2
-	default:
-		return 3
+		p.step(p.queue.items[0])
 	}
+	return p.plan
 }
 
-// slack is the time that is left after the run time has been taken off.
-func slack(now time.Time, t *Task) time.Duration {
-	return t.Deadline.Sub(now) - t.RunTime
+// add queues a group that this node may place.
+func (p *planner) add(g *task.Group) {
+	if !p.Owned(g.Key.Shard) || g.Checked == p.plan.Generation {
+		return
+	}
+	item := &item{group: g, rows: []*task.Task{g.First()}}
+	p.rank(item)
+	p.queue.items = append(p.queue.items, item)
 }
 
-// choose returns the feasible worker with the best score, or the reason why there is none.
-func choose(s Snapshot, t *Task) (*Worker, string) {
-	if t.Service == "" && !t.Size.Fits(s.TeamRoom[t.Team]) {
-		return nil, ReasonQuota
+// step places the first task of an item, or takes the item out of the queue.
+func (p *planner) step(it *item) {
+	t := it.rows[0]
+	size := p.Estimates.Size(t)
+	w, blocked := p.choose(it, t, size)
+	if w == nil && t.Special(p.Now) && it.next(p.Limits.Placements) {
+		it.passedOver = true
+		p.rank(it)
+		heap.Fix(&p.queue, 0)
+		return
 	}
-	var best *Worker
-	var bestScore float64
-	everFits := false
-	for i := range s.Workers {
-		w := &s.Workers[i]
-		everFits = everFits || t.Size.Fits(w.Capacity)
-		if !t.Size.Fits(w.Room) {
-			continue
-		}
-		if score := fit(t.Size, w); best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
+	if w == nil {
+		heap.Pop(&p.queue)
+		p.block(it, t, size, blocked)
+		return
 	}
-	switch {
-	case best != nil:
-		return best, ""
-	case everFits:
-		return nil, ReasonNoRoom
-	default:
-		return nil, ReasonTooBig
+	p.take(w, t, size)
+	p.plan.Placements = append(p.plan.Placements, Placement{Task: t.ID, Worker: w.ID, Size: size})
+	if !it.next(p.Limits.Placements) {
+		heap.Pop(&p.queue)
+		return
 	}
+	p.rank(it)
+	heap.Fix(&p.queue, 0)
 }
 
-// fit is higher the more of a worker stays free, so that load spreads.
-func fit(size units.Resources, w *Worker) float64 {
-	left := w.Room.Sub(size)
-	return share(left.MilliProcessors, w.Capacity.MilliProcessors) + share(left.MemoryMiB, w.Capacity.MemoryMiB)
-}
-
-func share(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
+// block decides what becomes of a task that found no worker. The rest of its group shares the fate.
+func (p *planner) block(it *item, t *task.Task, size units.Resources, b Blocked) {
+	if b.Reason == ReasonNoRoom {
+		b.Settled = p.makeRoom(it, t, size) && !it.passedOver && !t.Special(p.Now)
 	}
-	return float64(part) / float64(whole)
+	p.plan.Blocked = append(p.plan.Blocked, b)
 }
 
-func commit(s Snapshot, t *Task, w *Worker) {
-	w.Room = w.Room.Sub(t.Size)
-	if t.Service == "" {
-		s.TeamRoom[t.Team] = s.TeamRoom[t.Team].Sub(t.Size)
+// makeRoom gives tasks away or evicts for them. It reports whether nothing is left to try.
+func (p *planner) makeRoom(it *item, t *task.Task, size units.Resources) bool {
+	settled := true
+	for {
+		switch p.transfer(it, t, size) {
+		case transferred:
+		case transferLater:
+			settled = false
+		case noTransfer:
+			if it.key.rank > rankUrgent {
+				return settled
+			}
+			if !p.evict(t, size) {
+				return false
+			}
+			settled = false
+		}
+		if !it.next(p.Limits.Transfers) {
+			return settled
+		}
+		t = it.rows[0]
 	}
 }
--- /dev/null
+++ b/internal/scheduler/transfer.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+// transferResult says what became of an attempt to give a task away.
+type transferResult int
+
+const (
+	noTransfer transferResult = iota
+	transferred
+	// transferLater: there is room elsewhere, but the task has moved a moment ago.
+	transferLater
+)
+
+// transfer gives a task to the shard of the worker with most room among those of other owners. What is
+// known of their rooms follows the log and may be out of date; the new owner decides.
+func (p *planner) transfer(it *item, t *task.Task, size units.Resources) transferResult {
+	if len(p.plan.Transfers) >= p.Limits.Transfers {
+		return transferLater
+	}
+	if reason, _ := p.refuseQuota(t); reason != "" {
+		return transferLater
+	}
+	w := p.roomiest(it, size)
+	if w == nil {
+		return noTransfer
+	}
+	if p.Now.Before(t.TransferAfter) {
+		return transferLater
+	}
+	p.take(w, t, size)
+	p.plan.Transfers = append(p.plan.Transfers, Transfer{Task: t.ID, Shard: w.Shard})
+	return transferred
+}
+
+// roomiest returns the worker of another owner with most room for a size, or nil.
+func (p *planner) roomiest(it *item, size units.Resources) *worker.Worker {
+	var best *worker.Worker
+	var bestLeft float64
+	for _, w := range p.Workers.All() {
+		if p.Owned(w.Shard) || w.Leaving || w.Suspect || !w.AbsentSince.IsZero() {
+			continue
+		}
+		room := p.room(w)
+		if w.GrownAt() <= it.group.Checked || !size.Fits(room) {
+			continue
+		}
+		left := share(room.MilliProcessors, w.Capacity.MilliProcessors)
+		if best == nil || left > bestLeft {
+			best, bestLeft = w, left
+		}
+	}
+	return best
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,8 @@
 	ClaimLease units.Duration `json:"claim_lease" validate:"gt=0"`
 	// TaskLease is how long a task runs on a worker without a renewal.
 	TaskLease units.Duration `json:"task_lease" validate:"gt=0"`
+	// Weighing says what weighs most: "latency" of services or "throughput" of batch tasks.
+	Weighing string `json:"weighing" validate:"oneof=latency throughput"`
 	// WorkerCallTimeout bounds one call to a worker.
 	WorkerCallTimeout units.Duration `json:"worker_call_timeout" validate:"gt=0"`
 }
@@ -97,6 +99,7 @@
 			Tick:              units.Duration(100 * time.Millisecond),
 			ClaimLease:        units.Duration(6 * time.Second),
 			TaskLease:         units.Duration(15 * time.Second),
+			Weighing:          "latency",
 			WorkerCallTimeout: units.Duration(2 * time.Second),
 		},
 		Membership: Membership{
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -188,7 +188,7 @@
 
 // progress is the share of the work that is done at now.
 func (r *run) progress(now time.Time) float64 {
-	if r.truth.RunTime <= 0 || r.State.Final() {
+	if r.endTimer == nil || r.truth.RunTime <= 0 || r.State.Final() {
 		return r.Progress
 	}
 	return min(1, r.base+float64(now.Sub(r.startedAt))/float64(r.truth.RunTime))
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
@@ -123,6 +124,9 @@
 	Waiting State = "waiting"
 	// Placing tasks have a placement that is not yet accepted in the log.
 	Placing State = "placing"
+	// Placed tasks have an accepted placement on a worker of another node, or of a worker that this node
+	// has not adopted yet.
+	Placed State = "placed"
 	// Starting tasks have an accepted placement whose start is not yet confirmed. Their reservation holds.
 	Starting State = "starting"
 	Running  State = "running"
@@ -134,12 +138,16 @@
 	Cancelled State = "cancelled"
 )
 
+// States lists every state.
+var States = []State{Waiting, Placing, Placed, Starting, Running, Stopping, Finished, Failed, Cancelled}
+
 // Done reports whether the task will not be started again.
 func (s State) Done() bool { return s == Finished || s == Failed || s == Cancelled }
 
 // Task is one row of the table.
 type Task struct {
 	Spec
+	table   *Table
 	State   State
 	Attempt uint32
 	// Worker is the worker of the open attempt, or empty.
@@ -161,6 +169,41 @@
 	NotBefore time.Time
 	// Address is where a service instance answers requests, or empty.
 	Address string
+	// Shard is the shard that the task belongs to.
+	Shard uint32
+	// Reserved is what the open attempt takes from its worker, or zero for the declared size.
+	Reserved units.Resources
+	// Needed is what the task has been seen to need beyond what its kind is known to need.
+	Needed units.Resources
+	// Resizing is the reservation that the worker was asked for and has not confirmed, or zero.
+	Resizing units.Resources
+	// ResizedAt is when the last resize was answered.
+	ResizedAt time.Time
+	// AskedAt is when the task last began to wait for a worker, before its newest placement.
+	AskedAt time.Time
+	// Avoid is a worker that the task was moved away from, until AvoidUntil.
+	Avoid      string
+	AvoidUntil time.Time
+	// OverQuota is set when the placement was accepted after others had used the team's quota up.
+	OverQuota bool
+	// StartedAt is when this node first saw the open attempt run, and StartProgress what was done then.
+	StartedAt     time.Time
+	StartProgress float64
+	// RateAt and RateProgress are the beginning of the interval over which the speed is measured.
+	RateAt       time.Time
+	RateProgress float64
+	// EvictedFor is the task that the open attempt makes room for, or another reason to end it. Empty: none.
+	EvictedFor string
+	// EvictAfter is when the attempt is stopped even without the checkpoint that it was asked for.
+	EvictAfter time.Time
+	// CheckpointBefore is the newest checkpoint at the time when another one was asked for.
+	CheckpointBefore string
+	// ClearedUntil is set while tasks are evicted for this one, so that no more are.
+	ClearedUntil time.Time
+	// TransferAfter delays the next move to another shard.
+	TransferAfter time.Time
+	// Throttle is the share of its reservation that the open attempt is held to. Zero means all of it.
+	Throttle float64
 	// Withdrawn is set when the manifest in force no longer names the task.
 	Withdrawn bool
 	// ConfirmedAt is when the worker first confirmed the open attempt.
@@ -176,44 +219,44 @@
 	EndingToken platform.Offset
 }
 
-// RunID returns the name of the task's newest attempt.
-func (t *Task) RunID() platform.RunID { return platform.RunID{Task: t.ID, Attempt: t.Attempt} }
-
-// Table holds the tasks of one failure domain by ID.
-type Table struct {
-	rows map[string]*Task
+// Kind returns the name of the task's service or job. What is learnt of a kind outlives a release.
+func (s *Spec) Kind() string {
+	if s.Service != "" {
+		return s.Service
+	}
+	return s.Job
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: make(map[string]*Task)} }
-
-// Get returns the task with the ID, or nil.
-func (t *Table) Get(id string) *Task { return t.rows[id] }
-
-// Len returns the number of tasks.
-func (t *Table) Len() int { return len(t.rows) }
-
-// All returns the tasks in the order of their IDs.
-func (t *Table) All() []*Task {
-	tasks := make([]*Task, 0, len(t.rows))
-	for _, row := range t.rows {
-		tasks = append(tasks, row)
+// KindOf returns the kind of the task with the ID.
+func KindOf(id string) string {
+	if end := strings.IndexAny(id, "@/"); end >= 0 {
+		return id[:end]
 	}
-	sort.Slice(tasks, func(a, b int) bool { return tasks[a].ID < tasks[b].ID })
-	return tasks
+	return id
 }
 
-// Put adds a task or replaces the row with its ID.
-func (t *Table) Put(row *Task) { t.rows[row.ID] = row }
+// Evicting reports whether the open attempt is on its way to be evicted.
+func (t *Task) Evicting() bool { return t.EvictedFor != "" }
 
-// Remove drops the task with the ID.
-func (t *Table) Remove(id string) { delete(t.rows, id) }
+// Special reports whether the task is not equal to the others of its kind for the scheduler.
+func (t *Task) Special(now time.Time) bool {
+	return !t.Needed.IsZero() || now.Before(t.AvoidUntil)
+}
 
-// Set moves the task to a state at a time with a reason.
-func (t *Task) Set(state State, reason string, now time.Time) {
-	if t.State != state {
-		t.Since = now
-	}
-	t.State = state
-	t.Reason = reason
+// EndAttempt clears what belongs to an open attempt only.
+func (t *Task) EndAttempt() {
+	t.Worker = ""
+	t.Address = ""
+	t.Ending = 0
+	t.ConfirmedAt = time.Time{}
+	t.StartUncertain = false
+	t.Resizing = units.Resources{}
+	t.OverQuota = false
+	t.StartedAt = time.Time{}
+	t.EvictedFor = ""
+	t.Throttle = 0
+	t.StopAfter = time.Time{}
 }
+
+// RunID returns the name of the task's newest attempt.
+func (t *Task) RunID() platform.RunID { return platform.RunID{Task: t.ID, Attempt: t.Attempt} }
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// DividedBy returns r divided by n, rounded down in each dimension.
+func (r Resources) DividedBy(n int64) Resources {
+	return Resources{
+		MilliProcessors: r.MilliProcessors / n,
+		MemoryMiB:       r.MemoryMiB / n,
+		Accelerators:    r.Accelerators / n,
+	}
+}
+
 // Fits reports whether r is no larger than room in any dimension.
 func (r Resources) Fits(room Resources) bool {
 	return r.MilliProcessors <= room.MilliProcessors &&
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -1,4 +1,4 @@
-// Package worker holds the table of workers of one failure domain.
+// Package worker holds the table of workers of one failure domain with what is reserved on them.
 package worker
 
 import (
@@ -6,9 +6,16 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/units"
 )
 
+// Use is what the attempts of one kind hold on a worker.
+type Use struct {
+	Count           int
+	MilliProcessors int64
+}
+
 // Worker is one row of the table.
 type Worker struct {
 	ID      string
@@ -17,64 +24,115 @@
 	Shard   uint32
 	// Leaving workers get no new task.
 	Leaving bool
-	// AbsentSince is when the platform's list first failed to show the worker, zero while it is listed.
+	// AbsentSince is when the list first left the worker out, zero while it is listed.
 	AbsentSince time.Time
-	Capacity    units.Resources
+	// Capacity is zero until the worker has reported.
+	Capacity units.Resources
 	// Token is the fencing token under which this node has adopted the worker, or 0.
 	Token platform.Offset
 	// Adopting is set while the adoption is under way.
 	Adopting bool
-	// Reserved gives the reservation of every attempt that is placing, starting, running or stopping on
-	// the worker.
-	Reserved map[platform.RunID]units.Resources
+	// Eligible workers may get new tasks from this node.
+	Eligible bool
+	// Suspect workers have failed every task of late.
+	Suspect bool
+	// Probation bounds the worker to one task at a time, while it is on trial after failures.
+	Probation bool
 	// ReportedAt is when the worker last answered, zero for never.
 	ReportedAt time.Time
 	// CallAfter delays the next call to a worker that does not answer.
 	CallAfter time.Time
 	// Calling is set while a renewal is under way.
 	Calling bool
-}
+	// Expedite asks for the next report at once, because a decision waits for it.
+	Expedite bool
 
-// Committed returns the sum of the reservations.
-func (w *Worker) Committed() units.Resources {
-	var sum units.Resources
-	for _, r := range w.Reserved {
-		sum = sum.Add(r)
-	}
-	return sum
+	reserved  map[platform.RunID]units.Resources
+	kinds     map[string]Use
+	committed units.Resources
+	grownAt   uint64
+	changes   uint64
 }
 
+// Committed returns the sum of the reservations: every attempt that is placing, starting, running or
+// stopping on the worker, or of which it is not known whether it runs.
+func (w *Worker) Committed() units.Resources { return w.committed }
+
 // Room returns what is left of the capacity.
-func (w *Worker) Room() units.Resources { return w.Capacity.Sub(w.Committed()) }
+func (w *Worker) Room() units.Resources { return w.Capacity.Sub(w.committed) }
+
+// Runs returns the number of reservations.
+func (w *Worker) Runs() int { return len(w.reserved) }
+
+// Reservation returns the reservation of an attempt and whether there is one.
+func (w *Worker) Reservation(id platform.RunID) (units.Resources, bool) {
+	size, known := w.reserved[id]
+	return size, known
+}
 
-// Table holds workers by ID.
-type Table struct {
-	rows map[string]*Worker
+// Reserved calls yield for every reservation, in no order.
+func (w *Worker) Reserved(yield func(platform.RunID, units.Resources)) {
+	for id, size := range w.reserved {
+		yield(id, size)
+	}
+}
+
+// RunIDs returns the attempts that hold a reservation, in order.
+func (w *Worker) RunIDs() []platform.RunID {
+	ids := make([]platform.RunID, 0, len(w.reserved))
+	for id := range w.reserved {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool {
+		return ids[a].Task < ids[b].Task || (ids[a].Task == ids[b].Task && ids[a].Attempt < ids[b].Attempt)
+	})
+	return ids
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: make(map[string]*Worker)} }
+// Changes grows with every reservation that is made or dropped.
+func (w *Worker) Changes() uint64 { return w.changes }
 
-// Get returns the worker with the ID, or nil.
-func (t *Table) Get(id string) *Worker { return t.rows[id] }
+// Kinds returns what the attempts of each kind hold. The map must not be changed.
+func (w *Worker) Kinds() map[string]Use { return w.kinds }
 
-// Put adds a worker or replaces the row with its ID.
-func (t *Table) Put(w *Worker) {
-	if w.Reserved == nil {
-		w.Reserved = make(map[platform.RunID]units.Resources)
+// GrownAt returns the generation of the table at which the worker last got more room.
+func (w *Worker) GrownAt() uint64 { return w.grownAt }
+
+// reserve sets the reservation of an attempt and returns whether the room grew.
+func (w *Worker) reserve(id platform.RunID, size units.Resources) bool {
+	before, known := w.reserved[id]
+	count := 0
+	if !known {
+		count = 1
+	}
+	w.count(task.KindOf(id.Task), count, size.MilliProcessors-before.MilliProcessors)
+	w.reserved[id] = size
+	w.committed = w.committed.Sub(before).Add(size)
+	if !known {
+		w.changes++
 	}
-	t.rows[w.ID] = w
+	return known && !before.Fits(size)
 }
 
-// Remove drops the worker with the ID.
-func (t *Table) Remove(id string) { delete(t.rows, id) }
+func (w *Worker) release(id platform.RunID) bool {
+	before, known := w.reserved[id]
+	if !known {
+		return false
+	}
+	delete(w.reserved, id)
+	w.changes++
+	w.committed = w.committed.Sub(before)
+	w.count(task.KindOf(id.Task), -1, -before.MilliProcessors)
+	return true
+}
 
-// All returns the workers in the order of their IDs.
-func (t *Table) All() []*Worker {
-	workers := make([]*Worker, 0, len(t.rows))
-	for _, w := range t.rows {
-		workers = append(workers, w)
+func (w *Worker) count(kind string, count int, processors int64) {
+	use := w.kinds[kind]
+	use.Count += count
+	use.MilliProcessors += processors
+	if use.Count == 0 {
+		delete(w.kinds, kind)
+		return
 	}
-	sort.Slice(workers, func(a, b int) bool { return workers[a].ID < workers[b].ID })
-	return workers
+	w.kinds[kind] = use
 }
