--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -74,6 +74,7 @@
 	forgets  map[*worker.Worker][]platform.RunID
 	steady   map[string]steadiness
 	waiters  map[string]chan decision
+	rescuer  *rescuer
 	views    views
 }
 
@@ -137,6 +138,7 @@
 	e.pursueStops(now)
 	e.schedule(now)
 	e.flushForgets()
+	e.rescuer.tick(now)
 }
 
 // own claims, renews and gives up shards.
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -29,7 +29,9 @@
 	case *record.Record_End:
 		e.takeEnd(r, body.End, now)
 	case *record.Record_Transfer:
-		e.takeTransfer(r, body.Transfer)
+		e.takeTransfer(r, body.Transfer, now)
+	case *record.Record_Arrival:
+		e.takeArrival(r)
 	case *record.Record_Claim:
 		e.dirty = true
 		if r.Rejection == ledger.Accepted {
@@ -66,14 +68,6 @@
 	row.OverQuota = e.overQuota(row)
 }
 
-// takeTransfer moves a waiting task to the shard that it was given to.
-func (e *engine) takeTransfer(r ledger.Result, t *record.Transfer) {
-	row := e.taskRow.Get(t.GetTask())
-	if row != nil && r.Rejection == ledger.Accepted {
-		e.taskRow.Move(row, e.ledger.ShardOf(row.ID))
-	}
-}
-
 // undoPlacement takes back a placement of this node that was rejected.
 func (e *engine) undoPlacement(r ledger.Result, p *record.Placement, now time.Time) {
 	if r.Writer != e.self || r.Rejection == ledger.DuplicateBatch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,9 @@
 	TaskLease units.Duration `json:"task_lease" validate:"gt=0"`
 	// Weighing says what weighs most: "latency" of services or "throughput" of batch tasks.
 	Weighing string `json:"weighing" validate:"oneof=latency throughput"`
+	// DomainLossAfter is the silence of all nodes of a failure domain after which tasks that may run
+	// elsewhere are moved out of it.
+	DomainLossAfter units.Duration `json:"domain_loss_after" validate:"gt=0"`
 	// WorkerCallTimeout bounds one call to a worker.
 	WorkerCallTimeout units.Duration `json:"worker_call_timeout" validate:"gt=0"`
 }
@@ -100,6 +103,7 @@
 			ClaimLease:        units.Duration(6 * time.Second),
 			TaskLease:         units.Duration(15 * time.Second),
 			Weighing:          "latency",
+			DomainLossAfter:   units.Duration(5 * time.Minute),
 			WorkerCallTimeout: units.Duration(2 * time.Second),
 		},
 		Membership: Membership{
