--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -70,7 +70,7 @@
 
 // undoPlacement takes back a placement of this node that was rejected.
 func (e *engine) undoPlacement(r ledger.Result, p *record.Placement, now time.Time) {
-	if r.Writer != e.self || r.Rejection == ledger.DuplicateBatch {
+	if r.Writer.Node != e.self.Node || r.Rejection == ledger.DuplicateBatch {
 		return
 	}
 	if w := e.workerRow.Get(p.GetWorker()); w != nil {
