Tell a publisher the truth when a peer was faster than the log

Ruled out: a second copy of the append, since the log held one. Change: a publication at the version in force is recognised by its ID; one below it is reported as not known.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,9 @@
 	Accepted  Rejection = ""
 	Raced     Rejection = "replaces_another_version"
 	Malformed Rejection = "malformed"
+	// Overtaken: a newer manifest was learnt from a peer or a snapshot before the publication was read, so
+	// that its fate is not known here.
+	Overtaken Rejection = "overtaken"
 	OlderSnap Rejection = "snapshot_not_newer"
 )
 
@@ -63,7 +66,10 @@
 
 // Publish applies a publication at an offset of the log.
 func (s *State) Publish(offset platform.Offset, p *record.Publication) Rejection {
-	if offset <= s.Version() || Version(p.GetReplaces()) != s.Version() {
+	if offset <= s.Version() {
+		return s.fateOfPast(offset, p)
+	}
+	if Version(p.GetReplaces()) != s.Version() {
 		return Raced
 	}
 	m, err := decompress(p.GetDocument())
@@ -82,6 +88,18 @@
 	return Accepted
 }
 
+// fateOfPast returns what became of a publication that is not newer than the version in force.
+func (s *State) fateOfPast(offset platform.Offset, p *record.Publication) Rejection {
+	switch {
+	case offset < s.Version():
+		return Overtaken
+	case p.GetPublicationId() == s.inForce.PublicationID:
+		return Accepted
+	default:
+		return Raced
+	}
+}
+
 // origins keeps the origin of each job that is already known, so that a job never changes its home.
 func (s *State) origins(m *manifest.Manifest, published time.Time, version Version) map[string]task.Origin {
 	origins := make(map[string]task.Origin, len(m.Jobs))
--- a/internal/node/publish.go
+++ b/internal/node/publish.go
@@ -50,6 +50,9 @@
 func await(ctx context.Context, decided <-chan decision) (operator.Decision, error) {
 	select {
 	case d := <-decided:
+		if d.rejection == config.Overtaken {
+			return operator.Decision{Version: uint64(d.version), Because: "a newer manifest came in force meanwhile; this one may have been accepted before it"}, nil
+		}
 		return operator.Decision{
 			Accepted: d.rejection == config.Accepted,
 			Version:  uint64(d.version),
