Keep every process of a case and report goroutines that outlive it

Ruled out: a leak in the node. Change: the harness keeps all processes; goleak reports what outlives a case. Conclusion: the harness ends each case clean.

--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -40,12 +40,9 @@
 	domain      string
 	settings    settings.Settings
 	incarnation uint64
-	// process, node, cancel, done and sockets belong to the newest process.
+	// process and node belong to the newest process.
 	process *process
 	node    *node.Node
-	cancel  context.CancelFunc
-	done    chan struct{}
-	sockets []*listener
 	up      bool
 	// version is the newest manifest version that the node was ever seen to have in force.
 	version uint64
@@ -59,6 +56,8 @@
 	oracle  *oracle
 	logger  *zap.Logger
 	members []*member
+	// processes are all processes that were ever started.
+	processes []*process
 
 	mu      sync.Mutex
 	workers map[string]*standin.Worker
@@ -107,10 +106,11 @@
 	}
 	m.up = true
 	m.incarnation++
-	m.process = &process{name: m.name, net: c.net, dead: make(chan struct{})}
 	s := m.settings
 	sockets := []*listener{c.net.listen(s.CallerAddress), c.net.listen(s.OperatorAddress), c.net.listen(s.PeerAddress)}
-	m.sockets = sockets
+	ctx, cancel := context.WithCancel(context.Background())
+	m.process = &process{name: m.name, net: c.net, dead: make(chan struct{}), done: make(chan struct{}), cancel: cancel, sockets: sockets}
+	c.processes = append(c.processes, m.process)
 	m.node = node.New(node.Options{
 		Settings:    s,
 		Log:         logLink{process: m.process, log: c.log, oracle: c.oracle},
@@ -122,10 +122,7 @@
 		Logger:      c.logger.Named(fmt.Sprintf("%s.%d", m.name, m.incarnation)),
 		Incarnation: m.incarnation,
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel = cancel
-	m.done = make(chan struct{})
-	n, done := m.node, m.done
+	n, done := m.node, m.process.done
 	go func() {
 		defer close(done)
 		if err := n.Run(ctx); err != nil {
@@ -140,11 +137,7 @@
 		return
 	}
 	m.up = false
-	close(m.process.dead)
-	for _, l := range m.sockets {
-		l.abort()
-	}
-	m.cancel()
+	m.process.kill()
 }
 
 // stop begins the planned stop of a node.
@@ -153,7 +146,7 @@
 		return
 	}
 	m.up = false
-	m.cancel()
+	m.process.cancel()
 }
 
 // nodeAt returns the name of the node at a peer address.
@@ -247,13 +240,10 @@
 func (c *cluster) close() {
 	c.net.heal()
 	c.log.SetDown(false)
-	for _, m := range c.members {
-		if m.process == nil {
-			continue
-		}
-		m.process.resume()
-		c.kill(m)
-		<-m.done
+	for _, p := range c.processes {
+		p.resume()
+		p.kill()
+		<-p.done
 	}
 	c.mu.Lock()
 	workers := c.workers
--- a/internal/proof/fuzz_test.go
+++ b/internal/proof/fuzz_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"cactuswall.example/cactuswall/internal/operator"
@@ -114,6 +115,7 @@
 
 // runCase runs one case and returns its breaches with a trace, or "".
 func runCase(actions []action) string {
+	before := goleak.IgnoreCurrent()
 	f := &fuzzCase{cluster: newCluster(twoAndOne, workersPerDomain), ended: make(chan struct{})}
 	f.wait.Go(f.sample)
 	f.step.Lock()
@@ -135,6 +137,10 @@
 	f.wait.Wait()
 	f.oracle.check(f.told)
 	f.close()
+	if err := goleak.Find(before); err != nil {
+		f.oracle.breachf("goroutines outlive the nodes: %v", err)
+		fmt.Println(f.oracle.report()) // the end of the bubble panics
+	}
 	return f.oracle.report()
 }
 
@@ -295,12 +301,12 @@
 	f.log.SetDown(false)
 	f.log.DropReplies(0)
 	f.mended(endpointWell)
+	for _, p := range f.processes {
+		p.resume()
+	}
 	for _, m := range f.members {
-		if m.process != nil {
-			m.process.resume()
-		}
 		if !m.up {
-			<-m.done
+			<-m.process.done
 		}
 		f.step.Lock()
 		f.start(m)
--- a/internal/proof/link_test.go
+++ b/internal/proof/link_test.go
@@ -20,7 +20,23 @@
 
 	mu     sync.Mutex
 	paused chan struct{}
-	dead   chan struct{}
+	// dead is closed when the process is killed, done when the node has returned.
+	dead    chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	cancel  context.CancelFunc
+	sockets []*listener
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.once.Do(func() {
+		close(p.dead)
+		for _, l := range p.sockets {
+			l.abort()
+		}
+		p.cancel()
+	})
 }
 
 // wait holds a call back while the process is paused. It returns false once the process is dead.
