End attempts that a new owner never saw start, and fuzz one domain against an oracle

Change: open attempts are reserved also when their task is unknown; an adopted worker that does not show an attempt of an earlier owner proves that it never started. TestFaults mixes lost replies, lost workers, outages, restarts, urgent work and cancellations in virtual time.

--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -59,8 +59,10 @@
 		return
 	}
 	confirmed := row != nil && !row.ConfirmedAt.IsZero() && row.ConfirmedAt.Before(sent)
+	// An attempt of an earlier owner that the worker does not show was not started before the fence.
+	earlier := row != nil && row.State == task.Placed
 	switch {
-	case adopted:
+	case adopted || earlier:
 		e.sendEnd(a, record.Outcome_OUTCOME_NOT_STARTED, nil, reasonNotStarted)
 	case confirmed:
 		e.sendEnd(a, record.Outcome_OUTCOME_LOST, nil, reasonRunLost)
--- /dev/null
+++ b/internal/node/scheduling_test.go
@@ -0,0 +1,449 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/standin"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/testseed"
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+func TestMain(m *testing.M) { testseed.MainWithChecks(m, "10") }
+
+// interval is one true run of a task on a worker.
+type interval struct {
+	worker string
+	run    platform.RunID
+	size   units.Resources
+	at     time.Time
+	state  platform.RunState
+}
+
+// oracle records what truly ran, where and when, and what is wrong with it.
+type oracle struct {
+	mu          sync.Mutex
+	runs        []*interval
+	open        map[string]*interval
+	checkpoints map[string]string
+	lost        map[string]bool
+	faults      []string
+}
+
+func newOracle() *oracle {
+	return &oracle{open: make(map[string]*interval), checkpoints: make(map[string]string), lost: make(map[string]bool)}
+}
+
+func (o *oracle) fault(format string, args ...any) {
+	o.faults = append(o.faults, fmt.Sprintf(format, args...))
+}
+
+// took is called when a worker takes a start.
+func (o *oracle) took(worker string, req platform.StartRequest) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if before := o.open[req.Run.Task]; before != nil {
+		o.fault("%v starts on %s while %v runs on %s", req.Run, worker, before.run, before.worker)
+	}
+	for _, r := range o.runs {
+		if r.run.Task == req.Run.Task && r.state == platform.RunFinished && !o.lost[r.worker] {
+			o.fault("%v starts although %v has finished", req.Run, r.run)
+		}
+	}
+	if stopped, any := o.checkpoints[req.Run.Task]; any && stopped != req.Checkpoint {
+		o.fault("%v resumes from %q, its newest checkpoint is %q", req.Run, req.Checkpoint, stopped)
+	}
+	i := &interval{worker: worker, run: req.Run, size: req.Size, at: time.Now()}
+	o.runs = append(o.runs, i)
+	o.open[req.Run.Task] = i
+}
+
+// ended is called when a worker ends a run. A run that was stopped has to resume from its checkpoint.
+func (o *oracle) ended(worker string, run platform.Run) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	i := o.open[run.ID.Task]
+	if i == nil || i.run != run.ID {
+		return
+	}
+	i.state = run.State
+	delete(o.open, run.ID.Task)
+	delete(o.checkpoints, run.ID.Task)
+	if run.State == platform.RunStopped && !o.lost[worker] {
+		o.checkpoints[run.ID.Task] = run.Checkpoint
+	}
+}
+
+// loses is called when a worker is gone with all that only it knew.
+func (o *oracle) loses(worker string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lost[worker] = true
+	for _, r := range o.runs {
+		if r.worker == worker {
+			delete(o.checkpoints, r.run.Task)
+		}
+	}
+}
+
+// refused is called when a worker refuses a start.
+func (o *oracle) refused(worker string, run platform.RunID, err error) {
+	if verdict.ReasonOf(err) != platform.ReasonNoRoom {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fault("%v was placed on %s beyond its capacity", run, worker)
+}
+
+// watchedAgents tells the oracle of refused starts.
+type watchedAgents struct {
+	agents
+	oracle *oracle
+}
+
+func (a watchedAgents) Start(ctx context.Context, address string, req platform.StartRequest) error {
+	err := a.agents.Start(ctx, address, req)
+	if err != nil {
+		a.oracle.refused(address, req.Run, err)
+	}
+	return err
+}
+
+// finished returns how many times each task finished.
+func (o *oracle) finished() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	count := make(map[string]int)
+	for _, r := range o.runs {
+		if r.state == platform.RunFinished {
+			count[r.run.Task]++
+		}
+	}
+	return count
+}
+
+// oneDomain is a deployment of one failure domain with several nodes and workers.
+type oneDomain struct {
+	log    *standin.Log
+	list   *standin.List
+	links  *pipes
+	agent  agents
+	oracle *oracle
+	truth  func(req platform.StartRequest) standin.Truth
+	nodes  map[string]*Node
+	kills  map[string]func()
+	born   uint64
+}
+
+func newOneDomain(workers int, capacity units.Resources, truth func(platform.StartRequest) standin.Truth) *oneDomain {
+	d := &oneDomain{
+		log:    standin.NewLog(),
+		list:   standin.NewList(0),
+		links:  &pipes{listeners: make(map[string]*pipeListener)},
+		agent:  make(agents),
+		oracle: newOracle(),
+		truth:  truth,
+		nodes:  make(map[string]*Node),
+		kills:  make(map[string]func()),
+	}
+	for i := range workers {
+		d.addWorker(fmt.Sprintf("w%d", i), capacity)
+	}
+	return d
+}
+
+func (d *oneDomain) addWorker(id string, capacity units.Resources) {
+	d.agent[id] = standin.NewWorker(standin.WorkerOptions{
+		ID:       id,
+		Capacity: capacity,
+		TruthOf: func(req platform.StartRequest) standin.Truth {
+			d.oracle.took(id, req)
+			return d.truth(req)
+		},
+		OnEnd: d.oracle.ended,
+	})
+	d.list.Put(platform.VM{ID: id, Kind: platform.WorkerVM, State: platform.Live, FailureDomain: "a", Rack: "r", Address: id})
+}
+
+// start runs a node under a new incarnation.
+func (d *oneDomain) start(name string) *Node {
+	d.born++
+	incarnation := d.born
+	s := settings.Default()
+	s.Node = name
+	s.FailureDomain = "a"
+	s.PeerAddress = name + ":1"
+	s.PeerKey = "0123456789abcdef"
+	s.Seeds = []string{"n1:1", "n2:1"}
+	transport := &http.Transport{DialContext: d.links.dial, DisableKeepAlives: true}
+	n := New(Options{
+		Settings: s, Log: d.log, List: d.list, Workers: watchedAgents{d.agent, d.oracle},
+		Listeners: Listeners{
+			Callers:   d.links.listen(fmt.Sprint(name, ":callers", incarnation)),
+			Operators: d.links.listen(fmt.Sprint(name, ":operators", incarnation)),
+			Peers:     d.links.listen(s.PeerAddress),
+		},
+		Endpoints: transport, Peers: transport, Logger: zap.NewNop(), Incarnation: incarnation,
+	})
+	done := make(chan struct{})
+	go func() {
+		_ = n.Run(context.Background())
+		close(done)
+	}()
+	d.nodes[name] = n
+	d.kills[name] = func() {
+		n.cancel()
+		<-done
+		transport.CloseIdleConnections()
+		delete(d.kills, name)
+		delete(d.nodes, name)
+	}
+	return n
+}
+
+func (d *oneDomain) stop() {
+	for _, kill := range d.kills {
+		kill()
+	}
+	for _, w := range d.agent {
+		w.Close()
+	}
+}
+
+// publish puts a manifest in force through any node that answers.
+func (d *oneDomain) publish(t interface{ Fatalf(string, ...any) }, document string) {
+	for range 20 {
+		for _, n := range d.nodes {
+			replaces := n.Status().ManifestVersion
+			decision, err := n.Publish(context.Background(), operator.Publication{Document: document, Replaces: replaces})
+			if err == nil && decision.Accepted {
+				return
+			}
+		}
+		time.Sleep(5 * time.Second)
+	}
+	t.Fatalf("the manifest was not accepted")
+}
+
+// jobText returns the declaration of a job.
+func jobText(name, team, priority string, tasks int, milliProcessors, memory int, checkpoints bool) string {
+	return fmt.Sprintf(`{"name": %q, "team": %q, "tasks": %d,
+     "size": {"milli_processors": %d, "memory_mib": %d, "accelerators": 0},
+     "run_time": "20s", "deadline": "24h", "priority": %q, "home_domain": "a", "on_domain_loss": "wait",
+     "checkpoints": %v, "max_failures": 3}`, name, team, tasks, milliProcessors, memory, priority, checkpoints)
+}
+
+func manifestText(quota int, jobs ...string) string {
+	return fmt.Sprintf(`{"release": "r", "failure_domains": [{"name": "a", "region": "r"}],
+  "teams": [{"name": "t", "quota": {"milli_processors": %d, "memory_mib": 1000000, "accelerators": 0}},
+            {"name": "empty", "quota": {"milli_processors": 0, "memory_mib": 0, "accelerators": 0}}],
+  "services": [], "jobs": [%s]}`, quota, strings.Join(jobs, ","))
+}
+
+func steadyTruth(runTime time.Duration) func(platform.StartRequest) standin.Truth {
+	return func(req platform.StartRequest) standin.Truth {
+		return standin.Truth{RunTime: runTime, Usage: req.Size.Times(9).DividedBy(10)}
+	}
+}
+
+// event is one thing that happens to a deployment under test.
+type event struct {
+	kind  string
+	index int
+	count int
+	wait  time.Duration
+}
+
+var eventKinds = []string{
+	"wait", "drop replies", "slow worker", "worker down", "worker up", "log down", "log up", "drop appends",
+	"kill node", "start node", "lose worker", "urgent job", "cancel job", "add job",
+}
+
+func drawEvents(t *rapid.T) []event {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+		return event{
+			kind:  rapid.SampledFrom(eventKinds).Draw(t, "kind"),
+			index: rapid.IntRange(0, 5).Draw(t, "index"),
+			count: rapid.IntRange(1, 4).Draw(t, "count"),
+			wait:  time.Duration(rapid.IntRange(0, 12000).Draw(t, "wait")) * time.Millisecond,
+		}
+	}), 4, 16).Draw(t, "events")
+}
+
+// faultRun plays events on a deployment.
+type faultRun struct {
+	*oneDomain
+	jobs    map[string]string
+	names   []string
+	workers []string
+	fatal   string
+}
+
+// Fatalf notes the first failure of the bench itself.
+func (f *faultRun) Fatalf(format string, args ...any) {
+	if f.fatal == "" {
+		f.fatal = fmt.Sprintf(format, args...)
+	}
+}
+
+func (f *faultRun) republish() {
+	var jobs []string
+	for _, name := range f.names {
+		if text := f.jobs[name]; text != "" {
+			jobs = append(jobs, text)
+		}
+	}
+	f.publish(f, manifestText(100000, jobs...))
+}
+
+func (f *faultRun) addJob(priority string, tasks int, checkpoints bool) {
+	name := fmt.Sprintf("j%d", len(f.names))
+	f.names = append(f.names, name)
+	f.jobs[name] = jobText(name, "t", priority, tasks, 2000, 100, checkpoints)
+}
+
+func (f *faultRun) play(e event) {
+	worker := f.agent[f.workers[e.index%len(f.workers)]]
+	node := fmt.Sprintf("n%d", 1+e.index%2)
+	switch e.kind {
+	case "drop replies":
+		worker.DropReplies(e.count)
+	case "slow worker":
+		worker.SetDelay(time.Duration(e.count) * 700 * time.Millisecond)
+	case "worker down":
+		worker.SetDown(true)
+	case "worker up":
+		worker.SetDown(false)
+		worker.SetDelay(0)
+	case "log down":
+		f.log.SetDown(true)
+	case "log up":
+		f.log.SetDown(false)
+	case "drop appends":
+		f.log.DropReplies(e.count)
+	case "kill node":
+		if len(f.kills) > 1 && f.kills[node] != nil {
+			f.kills[node]()
+		}
+	case "start node":
+		if f.kills[node] == nil {
+			f.start(node)
+		}
+	case "lose worker":
+		if len(f.workers) > 2 {
+			f.loseWorker(e.index % len(f.workers))
+		}
+	case "urgent job", "add job", "cancel job":
+		f.change(e)
+	}
+	time.Sleep(e.wait)
+}
+
+// change publishes another manifest, unless the log is down.
+func (f *faultRun) change(e event) {
+	f.log.SetDown(false)
+	switch e.kind {
+	case "urgent job":
+		f.addJob("urgent", e.count, false)
+	case "add job":
+		f.addJob("batch", e.count, e.index%2 == 0)
+	case "cancel job":
+		f.jobs[f.names[e.index%len(f.names)]] = ""
+	}
+	f.republish()
+}
+
+func (f *faultRun) loseWorker(index int) {
+	id := f.workers[index]
+	f.workers = append(f.workers[:index:index], f.workers[index+1:]...)
+	f.oracle.loses(id)
+	f.agent[id].SetDown(true)
+	f.agent[id].Close()
+	f.list.Remove(id)
+}
+
+// heal ends every fault.
+func (f *faultRun) heal() {
+	f.log.SetDown(false)
+	for _, id := range f.workers {
+		f.agent[id].SetDown(false)
+		f.agent[id].SetDelay(0)
+	}
+	for _, name := range []string{"n1", "n2"} {
+		if f.kills[name] == nil {
+			f.start(name)
+		}
+	}
+}
+
+// playFaults runs events in virtual time and returns what was wrong.
+func playFaults(t *testing.T, events []event) (faults []string) {
+	synctest.Test(t, func(*testing.T) {
+		f := &faultRun{
+			oneDomain: newOneDomain(4, units.Resources{MilliProcessors: 8000, MemoryMiB: 4000}, steadyTruth(20*time.Second)),
+			jobs:      make(map[string]string),
+			workers:   []string{"w0", "w1", "w2", "w3"},
+		}
+		f.start("n1")
+		f.start("n2")
+		time.Sleep(5 * time.Second)
+		f.addJob("batch", 10, true)
+		f.addJob("spare", 10, true)
+		f.republish()
+		for _, e := range events {
+			f.play(e)
+		}
+		f.heal()
+		time.Sleep(10 * time.Minute)
+		faults = append(f.oracle.faults, f.unfinished()...)
+		if f.fatal != "" {
+			faults = append(faults, f.fatal)
+		}
+		f.stop()
+	})
+	return faults
+}
+
+// unfinished returns the tasks of the manifest in force that no worker has finished, and broken promises.
+func (f *faultRun) unfinished() (faults []string) {
+	finished := f.oracle.finished()
+	for _, row := range f.nodes["n1"].Tasks() {
+		if finished[row.ID] == 0 || row.State != string(task.Finished) {
+			faults = append(faults, fmt.Sprintf("%s finished %d times and is %s: %s", row.ID, finished[row.ID], row.State, row.Reason))
+		}
+	}
+	for name, n := range f.nodes {
+		for _, p := range n.Status().Promises {
+			if p.Broken > 0 && !strings.HasPrefix(p.Name, "urgent") {
+				faults = append(faults, fmt.Sprintf("%s: %s broken %d times, last by %s", name, p.Name, p.Broken, p.LastCase))
+			}
+		}
+	}
+	return faults
+}
+
+// TestFaults mixes lost replies, slow and lost workers, outages of the log, restarts of the owner, urgent
+// work and cancellations, and compares what the workers ran with what must hold.
+func TestFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		events := drawEvents(r)
+		if faults := playFaults(t, events); len(faults) > 0 {
+			r.Fatalf("%s", strings.Join(faults, "\n"))
+		}
+	})
+}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -11,6 +11,7 @@
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
@@ -133,16 +134,20 @@
 	})
 }
 
-// reserveOpen reserves the declared size of an open attempt on its worker, unless more is known of it.
+// reserveOpen reserves the declared size of an open attempt on its worker, unless more is known of it. The
+// attempt of a task that no manifest has named yet is reserved without a size until its worker reports.
 func (e *engine) reserveOpen(a *ledger.Attempt) {
 	w := e.workerRow.Get(a.Worker)
-	row := e.taskRow.Get(a.Task)
-	if !a.Open || w == nil || row == nil {
+	if !a.Open || w == nil {
 		return
 	}
+	var size units.Resources
+	if row := e.taskRow.Get(a.Task); row != nil {
+		size = row.Size
+	}
 	id := platform.RunID{Task: a.Task, Attempt: a.Number}
-	if _, known := w.Reservation(id); !known {
-		e.workerRow.Reserve(w, id, row.Size)
+	if known, any := w.Reservation(id); !any || known.IsZero() {
+		e.workerRow.Reserve(w, id, size)
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -35,6 +35,10 @@
 	Serve func(req platform.StartRequest) (Instance, error)
 	// OnRun is told of every start and end of a run, for oracles. May be nil.
 	OnRun func(worker string, run platform.RunID, state platform.RunState)
+	// OnEnd is told of every run that has ended, with its newest checkpoint. May be nil.
+	OnEnd func(worker string, run platform.Run)
+	// LatencyOf says how a service instance answers beside the other runs. Nil: its latency is not known.
+	LatencyOf func(run platform.Run, others []platform.Run) time.Duration
 }
 
 // Worker stands in for the agent of one worker.
@@ -178,6 +182,9 @@
 		go r.instance.Close()
 	}
 	w.tell(r.ID, state)
+	if w.options.OnEnd != nil {
+		w.options.OnEnd(w.options.ID, r.Run)
+	}
 }
 
 func (w *Worker) tell(id platform.RunID, state platform.RunState) {
@@ -314,6 +321,11 @@
 		r.Usage = r.truth.Usage
 		report.Runs = append(report.Runs, r.Run)
 	}
+	if w.options.LatencyOf != nil {
+		for i := range report.Runs {
+			report.Runs[i].Latency = w.options.LatencyOf(report.Runs[i], report.Runs)
+		}
+	}
 	sort.Slice(report.Runs, func(a, b int) bool {
 		x, y := report.Runs[a].ID, report.Runs[b].ID
 		return x.Task < y.Task || (x.Task == y.Task && x.Attempt < y.Attempt)
