--- a/internal/node/rescue.go
+++ b/internal/node/rescue.go
@@ -173,7 +173,11 @@
 // takeTransfer applies a transfer of the domain's own stream.
 func (e *engine) takeTransfer(r ledger.Result, t *record.Transfer, now time.Time) {
 	row := e.taskRow.Get(t.GetTask())
-	if r.Rejection != ledger.Accepted || row == nil || t.GetToDomain() == "" {
+	if r.Rejection != ledger.Accepted || row == nil {
+		return
+	}
+	if t.GetToDomain() == "" {
+		e.taskRow.Move(row, e.ledger.ShardOf(row.ID))
 		return
 	}
 	row.Set(task.Departed, "moved to failure domain "+t.GetToDomain(), now)
