--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,7 +70,7 @@
 func (s *State) Publish(offset platform.Offset, p *record.Publication) Rejection {
 	switch {
 	case offset == s.Version():
-		return Accepted
+		return s.fateInBatch(p)
 	case offset < s.Version():
 		return Superseded
 	case Version(p.GetReplaces()) != s.Version():
@@ -92,6 +92,14 @@
 	return Accepted
 }
 
+// fateInBatch returns what became of a publication in the batch that brought the version in force.
+func (s *State) fateInBatch(p *record.Publication) Rejection {
+	if s.inForce != nil && p.GetPublicationId() == s.inForce.PublicationID {
+		return Accepted
+	}
+	return Raced
+}
+
 // read returns the manifest that a publication offers on top of the one in force.
 func (s *State) read(p *record.Publication) (*manifest.Manifest, error) {
 	if len(p.GetChanges()) == 0 {
