--- /dev/null
+++ b/internal/caller/refusal.go
@@ -0,0 +1,95 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"cactuswall.example/cactuswall/internal/admission"
+	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+// VerdictHeader carries the verdict of every refusal and failure to the caller.
+const VerdictHeader = "Cactuswall-Verdict"
+
+// Reasons for which the node itself refuses a request or fails to pass an answer on.
+const (
+	ReasonNoManifest      = verdict.Reason("no_manifest")
+	ReasonNoService       = verdict.Reason("no_such_service")
+	ReasonStopping        = verdict.Reason("node_stopping")
+	ReasonTooLarge        = verdict.Reason("body_too_large")
+	ReasonBadBody         = verdict.Reason("body_unreadable")
+	ReasonSlowCaller      = verdict.Reason("body_too_slow")
+	ReasonBadPath         = verdict.Reason("path_ambiguous")
+	ReasonBadMethod       = verdict.Reason("method_refused")
+	ReasonNoMemory        = verdict.Reason("buffers_full")
+	ReasonOverload        = verdict.Reason("too_many_requests_in_node")
+	ReasonListeners       = verdict.Reason("too_many_listeners")
+	ReasonCallerGone      = verdict.Reason("caller_gone")
+	ReasonCut             = verdict.Reason("answer_cut")
+	ReasonNoLength        = verdict.Reason("answer_length_unknown")
+	ReasonKeyUnknown      = verdict.Reason("key_state_unknown")
+	ReasonKeySeen         = verdict.Reason("key_seen_before")
+	ReasonKeyTooLong      = verdict.Reason("key_too_long")
+	ReasonKeysUnkept      = verdict.Reason("keys_not_kept")
+	ReasonNoListenerPlace = verdict.Reason("no_endpoint_for_listener")
+	ReasonSlowListener    = verdict.Reason("listener_reads_too_slowly")
+	ReasonLongEvent       = verdict.Reason("event_too_long")
+	ReasonCannotResume    = verdict.Reason("listener_cannot_resume")
+	ReasonRefusedOnMove   = verdict.Reason("listener_refused_on_move")
+	reasonServerError     = verdict.Reason("endpoint_server_error")
+	reasonListenerMoved   = verdict.Reason("listener_moved")
+)
+
+// statuses are the HTTP statuses of refusals by reason.
+var statuses = map[verdict.Reason]int{
+	ReasonNoService:            http.StatusNotFound,
+	ReasonTooLarge:             http.StatusRequestEntityTooLarge,
+	ReasonBadBody:              http.StatusBadRequest,
+	ReasonSlowCaller:           http.StatusRequestTimeout,
+	ReasonBadPath:              http.StatusBadRequest,
+	ReasonBadMethod:            http.StatusMethodNotAllowed,
+	ReasonKeyTooLong:           http.StatusBadRequest,
+	ReasonKeySeen:              http.StatusConflict,
+	admission.ReasonCallerRate: http.StatusTooManyRequests,
+	endpoint.ReasonDeadline:    http.StatusGatewayTimeout,
+	ReasonCut:                  http.StatusBadGateway,
+	ReasonNoLength:             http.StatusBadGateway,
+	endpoint.ReasonBroken:      http.StatusBadGateway,
+	endpoint.ReasonReused:      http.StatusBadGateway,
+	endpoint.ReasonUpgrade:     http.StatusBadGateway,
+}
+
+// Failure is the body of every refusal and failure that the node itself answers with.
+type Failure struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  verdict.Reason  `json:"reason"`
+	Message string          `json:"message,omitempty"`
+}
+
+// retryAfterSeconds is told to callers whose request may be sent again.
+const retryAfterSeconds = "1"
+
+func (h *Handler) refuse(w http.ResponseWriter, failure *verdict.Error) {
+	h.metrics.GetOrCreateCounter(`cactuswall_refusals_total{reason="` + string(failure.Reason) + `",verdict="` + failure.Verdict.String() + `"}`).Inc()
+	status, known := statuses[failure.Reason]
+	if !known {
+		status = http.StatusServiceUnavailable
+	}
+	body := Failure{Verdict: failure.Verdict, Reason: failure.Reason}
+	if failure.Err != nil {
+		body.Message = failure.Err.Error()
+	}
+	h.limitWrite(w)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(VerdictHeader, failure.Verdict.String())
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", retryAfterSeconds)
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (h *Handler) count(name string, reason verdict.Reason) {
+	h.metrics.GetOrCreateCounter(name + `{reason="` + string(reason) + `"}`).Inc()
+}
--- /dev/null
+++ b/internal/caller/run.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/admission"
+	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/route"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+// run sends a request until it has an answer or may not be sent again.
+func (h *Handler) run(ctx context.Context, r *request) (*answer, *verdict.Error) {
+	r.state.budget.Earn(r.service.Limits.RetryPercent)
+	var last *answer
+	var failure *verdict.Error
+	for {
+		e, refusal := r.state.queue.Acquire(ctx, h.admissionRequest(r))
+		if refusal != nil {
+			return last, worse(failure, refusal)
+		}
+		r.tried[e] = true
+		last.drop()
+		last, failure = h.attempt(ctx, r, e)
+		reason, again := retryable(r, last, failure)
+		if !again || ctx.Err() != nil {
+			return last, failure
+		}
+		if !r.state.budget.Spend() {
+			h.count("cactuswall_retries_refused_total", "budget_spent")
+			return last, failure
+		}
+		h.count("cactuswall_retries_total", reason)
+	}
+}
+
+// worse joins the failure of the last attempt with a refusal of the next one: the request as a whole has
+// not run only if no attempt may have.
+func worse(failure, refusal *verdict.Error) *verdict.Error {
+	if failure != nil && failure.Verdict != verdict.NotRun {
+		return failure
+	}
+	return refusal
+}
+
+// retryable reports whether a request may be sent again, and the reason for which it would be.
+func retryable(r *request, a *answer, failure *verdict.Error) (verdict.Reason, bool) {
+	if failure != nil {
+		return failure.Reason, failure.Verdict == verdict.NotRun || r.rule.Idempotent
+	}
+	return reasonServerError, r.rule.Idempotent && serverError(a.status)
+}
+
+func serverError(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func (h *Handler) admissionRequest(r *request) admission.Request {
+	return admission.Request{
+		Class:    r.rule.Class,
+		Deadline: r.deadline,
+		Choose: func(now time.Time, localWait time.Duration) (*endpoint.Endpoint, route.Result) {
+			return h.chooser.Choose(h.directory.Of(r.service.Name), route.Request{
+				Now:       now,
+				Deadline:  r.deadline,
+				LocalWait: localWait,
+				Tried:     r.tried,
+				Probe:     r.rule.Idempotent,
+			})
+		},
+	}
+}
+
+// attempt is one exchange with an endpoint. It goes on after the caller or the deadline has given it up,
+// since the endpoint's slot stays taken until the endpoint has answered.
+func (h *Handler) attempt(ctx context.Context, r *request, e *endpoint.Endpoint) (*answer, *verdict.Error) {
+	t := newTicket()
+	linger := time.Until(r.deadline) + r.service.Timeout.Std()
+	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), linger)
+	req := outgoing(detached, r, e.Address)
+	go func() {
+		a, failure := h.exchange(req, r, e, cancel)
+		if !t.deliver(result{a, failure}) {
+			a.drop()
+			if failure == nil {
+				h.count("cactuswall_answers_dropped_total", "late")
+			}
+		}
+	}()
+	select {
+	case got := <-t.results:
+		return got.answer, got.failure
+	case <-ctx.Done():
+	}
+	if got, delivered := t.abandon(); delivered {
+		return got.answer, got.failure
+	}
+	return nil, verdict.New(verdict.MayHaveRun, abandonReason(r), ctx.Err())
+}
+
+func abandonReason(r *request) verdict.Reason {
+	if r.Context().Err() != nil {
+		return ReasonCallerGone
+	}
+	return endpoint.ReasonDeadline
+}
+
+// exchange sends the request and reads the answer. The endpoint's slot is given back once the answer is
+// whole or broken, for a long answer when it is closed.
+func (h *Handler) exchange(req *http.Request, r *request, e *endpoint.Endpoint, cancel context.CancelFunc) (*answer, *verdict.Error) {
+	sent := time.Now()
+	finish := func(outcome endpoint.Outcome) {
+		cancel()
+		took := time.Since(sent)
+		e.Release(time.Now(), outcome, took)
+		if outcome != endpoint.Good {
+			took = 0
+		}
+		r.state.queue.Release(took)
+	}
+	resp, err := endpoint.Send(h.transport, req, e)
+	if err != nil {
+		failure := verdict.From(err)
+		if failure.Reason == endpoint.ReasonLeaving {
+			e.MarkLeaving()
+		}
+		finish(outcomeOf(failure))
+		return nil, failure
+	}
+	a, failure := h.readAnswer(req, resp, finish)
+	return a, failure
+}
+
+func outcomeOf(failure *verdict.Error) endpoint.Outcome {
+	switch failure.Reason {
+	case endpoint.ReasonNoSlot, endpoint.ReasonNoConnection:
+		return endpoint.Full
+	case endpoint.ReasonLeaving, endpoint.ReasonRefused, endpoint.ReasonReused, endpoint.ReasonNotWritten:
+		return endpoint.Neutral
+	default:
+		return endpoint.Failed
+	}
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -5,6 +5,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Info describes one endpoint.
@@ -21,18 +22,76 @@
 // Endpoint is one endpoint with this node's own use of it. Its identity is kept over updates.
 type Endpoint struct {
 	Info
-	outstanding atomic.Int64
-	leaving     atomic.Bool
+	leaving atomic.Bool
+	health  health
+
+	connectionLimit atomic.Int64
+	connections     atomic.Int64
+	listeners       atomic.Int64
+}
+
+// New returns an endpoint on which the node has no slot and no connection yet.
+func New(info Info) *Endpoint {
+	e := &Endpoint{Info: info}
+	if info.Leaving {
+		e.MarkLeaving()
+	}
+	return e
+}
+
+// SetShare sets how many requests and connections this node may have at the endpoint. What is in use
+// beyond a lowered share ends by itself; nothing new begins before.
+func (e *Endpoint) SetShare(slots, connections int) {
+	e.health.mu.Lock()
+	e.health.slots = min(slots, connections)
+	e.health.mu.Unlock()
+	e.connectionLimit.Store(int64(connections))
+}
+
+// WithinShare reports whether no more is in use than the share allows.
+func (e *Endpoint) WithinShare() bool {
+	e.health.mu.Lock()
+	defer e.health.mu.Unlock()
+	return e.health.outstanding <= e.health.slots && e.connections.Load() <= e.connectionLimit.Load()
+}
+
+// BeginSlowStart makes the endpoint grow to its full load over a time.
+func (e *Endpoint) BeginSlowStart(now time.Time) {
+	e.health.mu.Lock()
+	defer e.health.mu.Unlock()
+	e.health.startedAt = now
 }
 
-// Acquire counts one more request in flight.
-func (e *Endpoint) Acquire() { e.outstanding.Add(1) }
+func (e *Endpoint) openConnection() bool {
+	if e.connections.Add(1) > e.connectionLimit.Load() {
+		e.connections.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (e *Endpoint) closeConnection() { e.connections.Add(-1) }
+
+// Connections returns the connections of this node to the endpoint.
+func (e *Endpoint) Connections() int64 { return e.connections.Load() }
+
+// ConnectionLimit returns the connections that this node may have to the endpoint.
+func (e *Endpoint) ConnectionLimit() int64 { return e.connectionLimit.Load() }
+
+// TryListen takes one of the connections that are left over for listeners. It fails when none is.
+func (e *Endpoint) TryListen() bool {
+	if e.listeners.Add(1) > e.connectionLimit.Load()-int64(e.Slots()) {
+		e.listeners.Add(-1)
+		return false
+	}
+	return true
+}
 
-// Release counts one request less in flight.
-func (e *Endpoint) Release() { e.outstanding.Add(-1) }
+// EndListen gives a listener's connection back.
+func (e *Endpoint) EndListen() { e.listeners.Add(-1) }
 
-// Outstanding returns the requests of this node in flight at the endpoint.
-func (e *Endpoint) Outstanding() int64 { return e.outstanding.Load() }
+// Listeners returns the open listeners of this node at the endpoint.
+func (e *Endpoint) Listeners() int64 { return e.listeners.Load() }
 
 // MarkLeaving records the first sign, from any source, that the endpoint is leaving. It is never undone.
 func (e *Endpoint) MarkLeaving() { e.leaving.Store(true) }
@@ -43,6 +102,7 @@
 // Directory holds the endpoints. It is safe for concurrent use.
 type Directory struct {
 	mu       sync.Mutex
+	filled   bool
 	rows     map[string]*Endpoint
 	services atomic.Pointer[map[string][]*Endpoint]
 }
@@ -66,7 +126,10 @@
 	for _, info := range infos {
 		e := d.rows[info.ID]
 		if e == nil || e.Address != info.Address {
-			e = &Endpoint{Info: info}
+			e = New(info)
+			if d.filled {
+				e.BeginSlowStart(time.Now())
+			}
 		}
 		if info.Leaving {
 			e.MarkLeaving()
@@ -78,6 +141,7 @@
 		sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
 	}
 	d.rows = rows
+	d.filled = d.filled || len(rows) > 0
 	d.services.Store(&services)
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -26,6 +26,10 @@
 	Heartbeat       uint64
 	Leaving         bool
 	ManifestVersion uint64
+	// Division is a digest of the nodes that the node divides the endpoints' slots by, 0 for none.
+	Division uint64
+	// DomainDivision is that of the nodes of its own failure domain.
+	DomainDivision uint64
 	// AdvancedAt is when this node last saw the heartbeat advance, on its own clock.
 	AdvancedAt time.Time
 }
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/endpoint"
 	"cactuswall.example/cactuswall/internal/platform/httpjson"
 	"cactuswall.example/cactuswall/internal/settings"
 )
@@ -67,7 +68,7 @@
 		List:        client,
 		Workers:     httpjson.NewWorkers(&http.Client{Transport: NewTransport()}, s.Scheduling.WorkerCallTimeout.Std()),
 		Listeners:   listeners,
-		Endpoints:   NewTransport(),
+		Endpoints:   endpoint.NewTransport(nil),
 		Peers:       NewTransport(),
 		Logger:      logger.With(zap.String("node", s.Node)),
 		Incarnation: uint64(time.Now().UnixNano()),
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/settings"
@@ -40,6 +42,12 @@
 	workerRow *worker.Table
 	taskRow   *task.Table
 	directory *endpoint.Directory
+	// keys are the idempotency keys of the failure domain.
+	keys       *once.Table
+	keyWaiters keyWaiters
+	division   division
+	// callers is the number of nodes that answer callers.
+	callers atomic.Int64
 
 	vms        []platform.VM
 	listReadAt time.Time
@@ -107,6 +115,7 @@
 
 // tick runs the systems over the tables.
 func (e *engine) tick(now time.Time) {
+	e.divide(now)
 	e.own(now)
 	e.removeAbsent(now)
 	e.adoptWorkers(now)
@@ -135,6 +144,9 @@
 			continue
 		}
 		sent, own := e.domainWriter.Settle(d.Batch)
+		for _, r := range d.Batch.GetRecords() {
+			e.takeKeyRecord(r, now)
+		}
 		results := e.ledger.Apply(d.Offset, d.Batch, now)
 		e.owner.Observe(e.ledger, results, sent, own)
 		for _, r := range results {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -138,6 +138,8 @@
 			Heartbeat:       m.Heartbeat,
 			Leaving:         m.Leaving,
 			ManifestVersion: m.ManifestVersion,
+			Division:        m.Division,
+			DomainDivision:  m.DomainDivision,
 		})
 	}
 	return v
@@ -154,6 +156,8 @@
 			Heartbeat:       m.GetHeartbeat(),
 			Leaving:         m.GetLeaving(),
 			ManifestVersion: m.GetManifestVersion(),
+			Division:        m.GetDivision(),
+			DomainDivision:  m.GetDomainDivision(),
 		}, now)
 	}
 	e.directory.MarkLeaving(v.GetLeavingEndpoints())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/peer"
@@ -70,10 +71,12 @@
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:    o.Settings.Callers,
 		Directory: n.engine.directory,
-		Chooser:   route.Local{FailureDomain: o.Settings.FailureDomain},
+		Chooser:   route.Adaptive{FailureDomain: o.Settings.FailureDomain},
 		Transport: o.Endpoints,
 		Metrics:   set,
 		Manifest:  n.manifestInForce,
+		Nodes:     n.callerNodes,
+		Once:      &onceKeys{node: n},
 	})
 	return n
 }
@@ -103,6 +106,9 @@
 		workerRow:      worker.NewTable(),
 		taskRow:        task.NewTable(),
 		directory:      endpoint.NewDirectory(),
+		keys:           once.NewTable(s.Callers.KeyLifetime.Std()),
+		keyWaiters:     make(keyWaiters),
+		division:       division{transport: o.Endpoints},
 		waiters:        make(map[string]chan decision),
 	}
 }
--- a/internal/peer/peer.twirp.go
+++ b/internal/peer/peer.twirp.go
@@ -41,6 +41,12 @@
 
 	// Promise asks a node not to claim shards for a time while the log is out of reach.
 	Promise(context.Context, *PromiseRequest) (*PromiseReply, error)
+
+	// BeginKey asks a node of the key's home failure domain for the right to run a request.
+	BeginKey(context.Context, *BeginKeyRequest) (*BeginKeyReply, error)
+
+	// EndKey says what became of the request.
+	EndKey(context.Context, *EndKeyRequest) (*EndKeyReply, error)
 }
 
 // ====================
@@ -49,7 +55,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -77,10 +83,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.peer", "Peer")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchManifest",
 		serviceURL + "Promise",
+		serviceURL + "BeginKey",
+		serviceURL + "EndKey",
 	}
 
 	return &peerProtobufClient{
@@ -229,13 +237,105 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) BeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	caller := c.callBeginKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return c.callBeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callBeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	out := new(BeginKeyReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) EndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	caller := c.callEndKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return c.callEndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callEndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	out := new(EndKeyReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -263,10 +363,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.peer", "Peer")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchManifest",
 		serviceURL + "Promise",
+		serviceURL + "BeginKey",
+		serviceURL + "EndKey",
 	}
 
 	return &peerJSONClient{
@@ -415,6 +517,98 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) BeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	caller := c.callBeginKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return c.callBeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callBeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	out := new(BeginKeyReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) EndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	caller := c.callEndKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return c.callEndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callEndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	out := new(EndKeyReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -521,6 +715,12 @@
 	case "Promise":
 		s.servePromise(ctx, resp, req)
 		return
+	case "BeginKey":
+		s.serveBeginKey(ctx, resp, req)
+		return
+	case "EndKey":
+		s.serveEndKey(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1068,6 +1268,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveBeginKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveBeginKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveBeginKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveBeginKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(BeginKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.BeginKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return s.Peer.BeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginKeyReply and nil error while calling BeginKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveBeginKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(BeginKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.BeginKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return s.Peer.BeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginKeyReply and nil error while calling BeginKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveEndKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveEndKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveEndKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveEndKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(EndKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.EndKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return s.Peer.EndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *EndKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndKeyReply and nil error while calling EndKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveEndKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(EndKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.EndKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return s.Peer.EndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *EndKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndKeyReply and nil error while calling EndKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1649,36 +2209,52 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 485 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x93, 0xcf, 0x6e, 0xd3, 0x40,
-	0x10, 0xc6, 0xe5, 0xda, 0x8d, 0x93, 0x69, 0xd3, 0x96, 0x15, 0x2d, 0xab, 0x08, 0x84, 0x65, 0x29,
-	0x92, 0x51, 0x45, 0x22, 0xca, 0x85, 0x33, 0xa2, 0x95, 0x7a, 0x88, 0x14, 0xed, 0xa1, 0x07, 0x2e,
-	0xd1, 0xc6, 0x1e, 0xc7, 0x2b, 0xec, 0x5d, 0xb3, 0xbb, 0xe9, 0x1f, 0x9e, 0x8b, 0xd7, 0xe1, 0xc2,
-	0x93, 0x20, 0x6f, 0xed, 0xb6, 0x21, 0xe5, 0xc8, 0xc5, 0xf2, 0xf7, 0x9b, 0x99, 0x9d, 0xd1, 0x37,
-	0xbb, 0x40, 0x85, 0xb4, 0xa8, 0x25, 0x2f, 0xa7, 0x35, 0xa2, 0x76, 0x9f, 0x49, 0xad, 0x95, 0x55,
-	0xe4, 0x30, 0xe5, 0xa9, 0x5d, 0x9b, 0x1b, 0x5e, 0x96, 0x93, 0x06, 0xc7, 0x3f, 0x20, 0xb8, 0x12,
-	0x78, 0x43, 0x08, 0x04, 0xb9, 0x56, 0x15, 0xf5, 0x22, 0x2f, 0x19, 0x30, 0xf7, 0x4f, 0x3e, 0x40,
-	0x58, 0x61, 0xb5, 0x44, 0x6d, 0xe8, 0x4e, 0xe4, 0x27, 0x7b, 0x67, 0xaf, 0x26, 0x7f, 0x95, 0x4f,
-	0x66, 0x2e, 0xce, 0xba, 0x3c, 0x72, 0x0a, 0x2f, 0x4a, 0xe4, 0xd7, 0x42, 0xae, 0x16, 0x28, 0xb3,
-	0x5a, 0x09, 0x69, 0x0d, 0xf5, 0x23, 0x3f, 0x19, 0xb0, 0xa3, 0x36, 0x70, 0xde, 0xf1, 0xf8, 0xb7,
-	0x07, 0xbd, 0xfb, 0x03, 0x9a, 0xf6, 0x52, 0x65, 0xd8, 0xb5, 0x6f, 0xfe, 0x49, 0x04, 0x7b, 0x42,
-	0xa6, 0x5c, 0x4b, 0x6e, 0x85, 0x92, 0x74, 0x27, 0xf2, 0x92, 0x80, 0x3d, 0x45, 0x64, 0x0c, 0x07,
-	0x39, 0x17, 0xe5, 0x5a, 0xe3, 0x22, 0x53, 0x15, 0x17, 0x92, 0xfa, 0xae, 0x7e, 0xd8, 0xd2, 0x2f,
-	0x0e, 0x12, 0x0a, 0x21, 0xcf, 0x32, 0x8d, 0xc6, 0xd0, 0xc0, 0xc5, 0x3b, 0x49, 0x5e, 0xc3, 0xa0,
-	0x40, 0xae, 0xed, 0x12, 0xb9, 0xa5, 0xbb, 0xae, 0xc1, 0x23, 0x68, 0xea, 0xda, 0x99, 0x69, 0x2f,
-	0xf2, 0x92, 0x3e, 0xeb, 0x24, 0x79, 0x07, 0x47, 0x15, 0x97, 0x22, 0x47, 0x63, 0x17, 0xd7, 0xa8,
-	0x4d, 0x33, 0x5f, 0xe8, 0xca, 0x0f, 0x3b, 0x7e, 0x75, 0x8f, 0xe3, 0x13, 0x78, 0x79, 0x81, 0x36,
-	0x2d, 0x66, 0x2d, 0x67, 0xf8, 0x7d, 0x8d, 0xc6, 0xc6, 0x63, 0x08, 0x2f, 0xe5, 0x85, 0xd2, 0x29,
-	0x92, 0x11, 0xf4, 0x8d, 0xe4, 0xb5, 0x29, 0x94, 0x75, 0x06, 0xec, 0xb3, 0x07, 0x1d, 0xff, 0xf4,
-	0xe0, 0x60, 0xae, 0x55, 0x25, 0x0c, 0xb6, 0x95, 0xff, 0xd7, 0xab, 0x13, 0xe8, 0x99, 0x82, 0xeb,
-	0xac, 0xb1, 0xca, 0x4f, 0x86, 0xac, 0x55, 0x0d, 0xb7, 0xea, 0x1b, 0x4a, 0x43, 0x77, 0x23, 0x3f,
-	0x09, 0x58, 0xab, 0xc8, 0x31, 0xf4, 0x72, 0xa5, 0x17, 0x95, 0x71, 0x16, 0x05, 0x6c, 0x37, 0x57,
-	0x7a, 0x66, 0xe2, 0x04, 0xf6, 0x1f, 0xa6, 0xae, 0xcb, 0xbb, 0xc6, 0xca, 0x95, 0xe6, 0xd2, 0x62,
-	0x46, 0x3d, 0x77, 0x6e, 0x27, 0xcf, 0x7e, 0x79, 0x10, 0xcc, 0x11, 0x35, 0xf9, 0x04, 0xfd, 0xf3,
-	0xdb, 0xb4, 0xe0, 0x72, 0x85, 0xe4, 0x78, 0xeb, 0xa2, 0x35, 0x97, 0x74, 0xf4, 0x3c, 0x26, 0x73,
-	0x18, 0x6e, 0x58, 0x4c, 0xc6, 0x5b, 0x79, 0xcf, 0xad, 0x60, 0x44, 0xb7, 0xd2, 0xba, 0x8d, 0x5c,
-	0x42, 0xd8, 0x8e, 0x4f, 0xde, 0x6e, 0x25, 0x6d, 0xae, 0x63, 0xf4, 0xe6, 0xdf, 0x09, 0x75, 0x79,
-	0xf7, 0xf9, 0xfd, 0xd7, 0xd3, 0x27, 0x71, 0xbc, 0xe5, 0x55, 0x5d, 0xe2, 0xf4, 0x11, 0x4d, 0x37,
-	0xde, 0xea, 0xb2, 0xe7, 0xde, 0xe9, 0xc7, 0x3f, 0x01, 0x00, 0x00, 0xff, 0xff, 0xaa, 0xec, 0x79,
-	0x8f, 0xc3, 0x03, 0x00, 0x00,
+	// 746 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x55, 0xdd, 0x6e, 0xdb, 0x36,
+	0x14, 0x9e, 0x2c, 0x45, 0x76, 0x4e, 0xea, 0xd8, 0xe1, 0x96, 0x54, 0xf3, 0xba, 0x56, 0x10, 0x10,
+	0x4c, 0x5b, 0xb1, 0x04, 0xcb, 0x30, 0x60, 0x97, 0x4b, 0x10, 0xa7, 0x28, 0x3c, 0x7b, 0x01, 0x9b,
+	0x76, 0x58, 0x6f, 0x34, 0xc6, 0x3a, 0xb6, 0x85, 0x4a, 0x94, 0x4a, 0xd2, 0x49, 0xbd, 0x17, 0xda,
+	0x0b, 0xec, 0xcd, 0xf6, 0x02, 0x03, 0x29, 0xc9, 0xae, 0xeb, 0x74, 0x17, 0x05, 0x72, 0x63, 0xf0,
+	0xfb, 0xf8, 0x9d, 0x5f, 0x9e, 0x63, 0x81, 0x97, 0x70, 0x85, 0x82, 0xb3, 0xf4, 0xb8, 0x40, 0x14,
+	0xe6, 0xe7, 0xa8, 0x10, 0xb9, 0xca, 0x49, 0x67, 0xcc, 0xc6, 0x6a, 0x2e, 0x6f, 0x59, 0x9a, 0x1e,
+	0x69, 0x3a, 0xf8, 0x0b, 0x9c, 0x57, 0x09, 0xde, 0x12, 0x02, 0xce, 0x44, 0xe4, 0x99, 0x67, 0xf9,
+	0x56, 0xb8, 0x4d, 0xcd, 0x99, 0xfc, 0x00, 0xcd, 0x0c, 0xb3, 0x6b, 0x14, 0xd2, 0x6b, 0xf8, 0x76,
+	0xb8, 0x73, 0xf2, 0xf0, 0xe8, 0x03, 0xf3, 0xa3, 0xa1, 0xb9, 0xa7, 0xb5, 0x8e, 0x3c, 0x85, 0xbd,
+	0x14, 0xd9, 0x4d, 0xc2, 0xa7, 0x11, 0xf2, 0xb8, 0xc8, 0x13, 0xae, 0xa4, 0x67, 0xfb, 0x76, 0xb8,
+	0x4d, 0xbb, 0xd5, 0x45, 0xbf, 0xe6, 0x83, 0xbf, 0x1b, 0xe0, 0x96, 0x0e, 0x74, 0x78, 0x9e, 0xc7,
+	0x58, 0x87, 0xd7, 0x67, 0xe2, 0xc3, 0x4e, 0xc2, 0xc7, 0x4c, 0x70, 0xa6, 0x92, 0x9c, 0x7b, 0x0d,
+	0xdf, 0x0a, 0x1d, 0xfa, 0x3e, 0x45, 0x0e, 0x61, 0x77, 0xc2, 0x92, 0x74, 0x2e, 0x30, 0x8a, 0xf3,
+	0x8c, 0x25, 0xdc, 0xb3, 0x8d, 0x7d, 0xbb, 0x62, 0xcf, 0x0d, 0x49, 0x3c, 0x68, 0xb2, 0x38, 0x16,
+	0x28, 0xa5, 0xe7, 0x98, 0xfb, 0x1a, 0x92, 0x47, 0xb0, 0x3d, 0x43, 0x26, 0xd4, 0x35, 0x32, 0xe5,
+	0x6d, 0x99, 0x00, 0x2b, 0x42, 0xdb, 0x55, 0x39, 0x7b, 0xae, 0x6f, 0x85, 0x2d, 0x5a, 0x43, 0xf2,
+	0x2d, 0x74, 0x33, 0xc6, 0x93, 0x09, 0x4a, 0x15, 0xdd, 0xa0, 0x90, 0x3a, 0xbf, 0xa6, 0x31, 0xef,
+	0xd4, 0xfc, 0xab, 0x92, 0x26, 0x3d, 0x68, 0xc5, 0xc9, 0x4d, 0x62, 0x24, 0x8f, 0x7d, 0x2b, 0x74,
+	0xe9, 0x12, 0x93, 0x6f, 0xa0, 0x53, 0xe6, 0x1d, 0x2d, 0x25, 0x4f, 0x8c, 0x64, 0xb7, 0xa4, 0xcf,
+	0x2b, 0x36, 0x38, 0x80, 0x2f, 0x2e, 0x50, 0x8d, 0x67, 0xc3, 0xca, 0x39, 0xc5, 0xb7, 0x73, 0x94,
+	0x2a, 0x38, 0x84, 0xe6, 0x73, 0x7e, 0x91, 0x8b, 0x31, 0xea, 0x38, 0x92, 0xb3, 0x42, 0xce, 0x72,
+	0x65, 0xba, 0xf8, 0x80, 0x2e, 0x71, 0xf0, 0x8f, 0x05, 0xbb, 0x97, 0x22, 0xcf, 0x12, 0x89, 0x95,
+	0xe5, 0xfd, 0x36, 0xfc, 0x00, 0x5c, 0x39, 0x63, 0x22, 0xd6, 0xfd, 0xb6, 0xc3, 0x36, 0xad, 0x90,
+	0xe6, 0x55, 0xfe, 0x06, 0xb9, 0xf4, 0xb6, 0x7c, 0x3b, 0x74, 0x68, 0x85, 0xc8, 0x3e, 0xb8, 0x93,
+	0x5c, 0x44, 0x99, 0x34, 0x7d, 0x76, 0xe8, 0xd6, 0x24, 0x17, 0x43, 0x19, 0x84, 0xf0, 0x60, 0x99,
+	0x75, 0x91, 0x2e, 0xf4, 0x7b, 0x4c, 0x05, 0xe3, 0x0a, 0x63, 0xcf, 0x32, 0x7e, 0x6b, 0x18, 0xbc,
+	0x06, 0x18, 0xe0, 0xe2, 0x54, 0x29, 0xcc, 0x8a, 0x4f, 0xad, 0xed, 0x00, 0x5c, 0x3e, 0xd7, 0xc3,
+	0x68, 0x6a, 0x72, 0x68, 0x85, 0x02, 0x09, 0x9d, 0x33, 0x9c, 0x26, 0x7c, 0x80, 0x8b, 0xba, 0x79,
+	0x5d, 0xb0, 0xdf, 0xe0, 0xa2, 0x6a, 0xb3, 0x3e, 0x92, 0x9f, 0xa0, 0xc9, 0xca, 0xe8, 0xc6, 0xf5,
+	0xce, 0xc9, 0x57, 0x1b, 0xab, 0xb2, 0x4a, 0x90, 0xd6, 0x5a, 0xf2, 0x10, 0x9a, 0xb7, 0x2c, 0x51,
+	0xba, 0xf2, 0x2a, 0xa8, 0x86, 0x43, 0x19, 0xfc, 0x02, 0xed, 0x55, 0x50, 0x5d, 0xfb, 0x31, 0x6c,
+	0x49, 0xc5, 0x54, 0x59, 0xd4, 0xee, 0xc9, 0x97, 0x77, 0xb9, 0x7f, 0xa1, 0x05, 0xb4, 0xd4, 0x05,
+	0x6f, 0xa1, 0xdd, 0xe7, 0xf1, 0x3d, 0x25, 0xcd, 0x73, 0x15, 0x89, 0x79, 0xf9, 0xfa, 0x2d, 0xea,
+	0xf2, 0x5c, 0xd1, 0x39, 0x0f, 0xda, 0xb0, 0x53, 0x87, 0x2c, 0xd2, 0xc5, 0x77, 0x7f, 0x42, 0xab,
+	0x4e, 0x8a, 0xec, 0xc3, 0xde, 0xa0, 0xff, 0x47, 0xf4, 0xe2, 0xea, 0xf4, 0xaa, 0x1f, 0xbd, 0x1c,
+	0x0d, 0x46, 0xbf, 0xfd, 0x3e, 0xea, 0x7e, 0xb6, 0x4e, 0x3f, 0xa3, 0xa7, 0xa3, 0xab, 0xfe, 0x79,
+	0xd7, 0x22, 0x9f, 0x43, 0x67, 0x45, 0x9f, 0xf5, 0x9f, 0xbd, 0x1c, 0x75, 0x1b, 0x64, 0x0f, 0xda,
+	0x2b, 0x92, 0x9e, 0x8e, 0xba, 0xf6, 0xc9, 0xbf, 0x0d, 0x70, 0x2e, 0x11, 0x05, 0xf9, 0x19, 0x5a,
+	0xfd, 0x77, 0xe3, 0x19, 0xe3, 0x53, 0x24, 0xfb, 0x1b, 0x45, 0xe8, 0x3f, 0xb8, 0xde, 0xdd, 0x34,
+	0xb9, 0x84, 0xf6, 0xda, 0x66, 0x91, 0xc3, 0x0d, 0xdd, 0x5d, 0x9b, 0xd7, 0xf3, 0x36, 0x64, 0xf5,
+	0x22, 0x3e, 0x87, 0x66, 0x35, 0xb5, 0xe4, 0xc9, 0x86, 0x68, 0x7d, 0x0b, 0x7b, 0x5f, 0x7f, 0x5c,
+	0xa0, 0x1f, 0xfd, 0x57, 0x68, 0xd5, 0x53, 0x40, 0xfc, 0x0d, 0xe9, 0x07, 0x53, 0xd9, 0x7b, 0xfc,
+	0x3f, 0x0a, 0xed, 0xed, 0x02, 0xdc, 0xf2, 0x79, 0xc8, 0xa6, 0x72, 0x6d, 0x54, 0x7a, 0x8f, 0x3e,
+	0x7a, 0x5f, 0xa4, 0x8b, 0xb3, 0xef, 0x5f, 0x3f, 0x7d, 0xef, 0x1a, 0xdf, 0xb1, 0xac, 0x48, 0xf1,
+	0x78, 0x45, 0x1d, 0xaf, 0x7d, 0x7d, 0xae, 0x5d, 0xf3, 0xe5, 0xf9, 0xf1, 0xbf, 0x00, 0x00, 0x00,
+	0xff, 0xff, 0x21, 0x6a, 0x38, 0x04, 0x95, 0x06, 0x00, 0x00,
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,19 @@
 	MaxBufferedBytes int64 `json:"max_buffered_bytes" validate:"gt=0"`
 	// ReadTimeout bounds the reading of a request from a slow caller.
 	ReadTimeout units.Duration `json:"read_timeout" validate:"gt=0"`
+	// WriteTimeout bounds one write to a caller that reads slowly.
+	WriteTimeout units.Duration `json:"write_timeout" validate:"gt=0"`
+	// CallerHeader is the request header by which the balancer names the caller, for rate limits. Empty:
+	// the IP number that the connection comes from.
+	CallerHeader string `json:"caller_header"`
+	// MaxTrackedCallers bounds the callers whose rate is remembered.
+	MaxTrackedCallers int `json:"max_tracked_callers" validate:"gt=0"`
+	// ListenerHeartbeat is the silence after which a listener is sent a comment.
+	ListenerHeartbeat units.Duration `json:"listener_heartbeat" validate:"gt=0"`
+	// MaxKeys bounds the idempotency keys that a node remembers.
+	MaxKeys int `json:"max_keys" validate:"gt=0"`
+	// KeyLifetime is how long an idempotency key is remembered. It must be shorter than the log keeps records.
+	KeyLifetime units.Duration `json:"key_lifetime" validate:"gt=0"`
 }
 
 // Stop bounds the planned stop.
@@ -106,12 +119,17 @@
 			DeadAfter:      units.Duration(6 * time.Second),
 		},
 		Callers: Callers{
-			MaxRequests:      4096,
-			MaxListeners:     4096,
-			MaxHeaderBytes:   32 << 10,
-			MaxBodyBytes:     4 << 20,
-			MaxBufferedBytes: 64 << 20,
-			ReadTimeout:      units.Duration(10 * time.Second),
+			MaxRequests:       4096,
+			MaxListeners:      4096,
+			MaxHeaderBytes:    32 << 10,
+			MaxBodyBytes:      4 << 20,
+			MaxBufferedBytes:  64 << 20,
+			ReadTimeout:       units.Duration(10 * time.Second),
+			WriteTimeout:      units.Duration(10 * time.Second),
+			MaxTrackedCallers: 16384,
+			ListenerHeartbeat: units.Duration(15 * time.Second),
+			MaxKeys:           100000,
+			KeyLifetime:       units.Duration(10 * time.Minute),
 		},
 		Stop: Stop{
 			BalancerDelay: units.Duration(3 * time.Second),
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -106,3 +106,12 @@
 		return "unclassified"
 	}
 }
+
+// From returns err as an Error. An error that carries none becomes MayHaveRun.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(MayHaveRun, ReasonOf(err), err)
+}
