--- /dev/null
+++ b/internal/endpoint/exchange_test.go
@@ -0,0 +1,217 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/pipenet"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+const address = "10.0.1.1:80"
+
+// rawServer answers connections by serve, which gets each request that was read. seen counts them.
+type rawServer struct {
+	net  *pipenet.Network
+	l    net.Listener
+	seen atomic.Int64
+}
+
+// newRawServer runs a server whose serve returns the raw answer, or "" to close the connection.
+func newRawServer(serve func(nth int) string) *rawServer {
+	s := &rawServer{net: pipenet.New()}
+	s.l = s.net.Listen(address)
+	go func() {
+		for {
+			c, err := s.l.Accept()
+			if err != nil {
+				return
+			}
+			go s.handle(c, serve)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) handle(c net.Conn, serve func(int) string) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		nth := s.seen.Add(1)
+		answer := serve(int(nth))
+		if answer == "" {
+			return
+		}
+		_, _ = io.WriteString(c, answer)
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// roomy returns an endpoint with slots and connections to spare.
+func roomy() *Endpoint {
+	e := New(Info{ID: "e", Address: address})
+	e.SetShare(8, 64)
+	return e
+}
+
+func send(ctx context.Context, transport http.RoundTripper, e *Endpoint, method, body string, header ...string) error {
+	req, _ := http.NewRequestWithContext(ctx, method, "http://"+address+"/", strings.NewReader(body))
+	for _, name := range header {
+		req.Header.Set(name, "1")
+	}
+	resp, err := Send(transport, req, e)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return errors.Join(err, resp.Body.Close())
+}
+
+func TestVerdictByPhase(t *testing.T) {
+	cases := []struct {
+		name    string
+		serve   func(int) string
+		listen  bool
+		verdict verdict.Verdict
+		reason  verdict.Reason
+	}{
+		{"nobody listens", nil, false, verdict.NotRun, ReasonConnect},
+		{"closed after reading", func(int) string { return "" }, true, verdict.MayHaveRun, ReasonBroken},
+		{"malformed answer", func(int) string { return "nonsense\r\n\r\n" }, true, verdict.MayHaveRun, ReasonBroken},
+		{"refused as leaving", func(int) string {
+			return "HTTP/1.1 503 x\r\nCactuswall-Not-Run: leaving\r\nContent-Length: 0\r\n\r\n"
+		}, true, verdict.NotRun, ReasonLeaving},
+		{"refused for a slot", func(int) string {
+			return "HTTP/1.1 503 x\r\nCactuswall-Not-Run: no_slot\r\nContent-Length: 0\r\n\r\n"
+		}, true, verdict.NotRun, ReasonNoSlot},
+		{"switched protocols", func(int) string {
+			return "HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+		}, true, verdict.Ran, ReasonUpgrade},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("An exchange that breaks: "+c.name, t, func() {
+				s := newRawServer(c.serve)
+				if !c.listen {
+					s.net.Cut(address, true)
+				}
+				transport := NewTransport(s.net.Dial)
+				err := send(t.Context(), transport, roomy(), "POST", "x")
+				So(verdict.Of(err), ShouldEqual, c.verdict)
+				So(verdict.ReasonOf(err), ShouldEqual, c.reason)
+				transport.CloseIdleConnections()
+				_ = s.l.Close()
+			})
+		})
+	}
+}
+
+func TestReusedConnectionIsNotReplayed(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "POST", "DELETE"} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("A "+method+" that meets a closing reused connection is written once", t, func() {
+				s := newRawServer(func(nth int) string {
+					if nth == 1 {
+						return okAnswer
+					}
+					return ""
+				})
+				transport := NewTransport(s.net.Dial)
+				e := roomy()
+				So(send(t.Context(), transport, e, "GET", ""), ShouldBeNil)
+				synctest.Wait()
+				err := send(t.Context(), transport, e, method, "", "Idempotency-Key", "X-Idempotency-Key")
+				So(verdict.Of(err), ShouldEqual, verdict.MayHaveRun)
+				So(verdict.ReasonOf(err), ShouldEqual, ReasonReused)
+				synctest.Wait()
+				So(s.seen.Load(), ShouldEqual, 2)
+				So(e.Connections(), ShouldEqual, 0)
+				_ = s.l.Close()
+			})
+		})
+	}
+}
+
+func TestGivenUpWhileDialling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A request that is given up while dialling has not run and never does", t, func() {
+			s := newRawServer(func(int) string { return okAnswer })
+			slow := func(ctx context.Context, network, address string) (net.Conn, error) {
+				time.Sleep(time.Second)
+				return s.net.Dial(context.WithoutCancel(ctx), network, address)
+			}
+			transport := NewTransport(slow)
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			err := send(ctx, transport, roomy(), "POST", "x")
+			So(verdict.Of(err), ShouldEqual, verdict.NotRun)
+			So(verdict.ReasonOf(err), ShouldEqual, ReasonDeadline)
+			time.Sleep(time.Minute)
+			So(s.seen.Load(), ShouldEqual, 0)
+			transport.CloseIdleConnections()
+			_ = s.l.Close()
+		})
+	})
+}
+
+func TestConnectionsNeverPassTheShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("With two connections in its share a third request is refused as not run", t, func() {
+			s := newRawServer(func(int) string {
+				time.Sleep(time.Second)
+				return okAnswer
+			})
+			transport := NewTransport(s.net.Dial)
+			e := roomy()
+			e.SetShare(8, 2)
+			errs := make(chan error, 3)
+			for range 3 {
+				go func() { errs <- send(t.Context(), transport, e, "POST", "x") }()
+			}
+			first := <-errs
+			So(verdict.ReasonOf(first), ShouldEqual, ReasonNoConnection)
+			So(verdict.Of(first), ShouldEqual, verdict.NotRun)
+			So(errors.Join(<-errs, <-errs), ShouldBeNil)
+			transport.CloseIdleConnections()
+			_ = s.l.Close()
+		})
+	})
+}
+
+func TestEjectionAndProbing(t *testing.T) {
+	Convey("An endpoint that fails in a row is left out, probed once, and comes back slowly", t, func() {
+		e, now := roomy(), time.Unix(1000, 0)
+		for range ejectConsecutive {
+			So(e.TryAcquire(now), ShouldBeTrue)
+			e.Release(now, Failed, 0)
+		}
+		So(e.Ejected(now), ShouldBeTrue)
+		now = now.Add(firstEjection)
+		So(e.Ejected(now), ShouldBeFalse)
+		So(e.TryAcquire(now), ShouldBeTrue)
+		So(e.TryAcquire(now), ShouldBeFalse)
+		before, _ := roomy().Score(now)
+		e.Release(now, Good, initialLatency)
+		after, free := e.Score(now)
+		So(free, ShouldBeTrue)
+		So(after, ShouldBeGreaterThan, 5*before)
+		So(e.Probing(), ShouldBeFalse)
+	})
+}
