--- a/internal/caller/run.go
+++ b/internal/caller/run.go
@@ -14,35 +14,69 @@
 // run sends a request until it has an answer or may not be sent again.
 func (h *Handler) run(ctx context.Context, r *request) (*answer, *verdict.Error) {
 	r.state.budget.Earn(r.service.Limits.RetryPercent)
-	var last *answer
-	var failure *verdict.Error
+	var so attempts
 	for {
 		e, refusal := r.state.queue.Acquire(ctx, h.admissionRequest(r))
 		if refusal != nil {
-			return last, worse(failure, refusal)
+			so.failed(refusal)
+			return so.result()
 		}
 		r.tried[e] = true
-		last.drop()
-		last, failure = h.attempt(ctx, r, e)
-		reason, again := retryable(r, last, failure)
+		a, failure := h.attempt(ctx, r, e)
+		so.take(a, failure)
+		reason, again := retryable(r, a, failure)
 		if !again || ctx.Err() != nil {
-			return last, failure
+			return so.result()
 		}
 		if !r.state.budget.Spend() {
 			h.count("cactuswall_retries_refused_total", "budget_spent")
-			return last, failure
+			return so.result()
 		}
 		h.count("cactuswall_retries_total", reason)
 	}
 }
 
-// worse joins the failure of the last attempt with a refusal of the next one: the request as a whole has
-// not run only if no attempt may have.
-func worse(failure, refusal *verdict.Error) *verdict.Error {
-	if failure != nil && failure.Verdict != verdict.NotRun {
-		return failure
+// attempts joins what came of all attempts of a request. The request as a whole has not run only if no
+// attempt may have.
+type attempts struct {
+	answer *answer
+	// past is the failure that says most of whether the request has run.
+	past *verdict.Error
+}
+
+func (s *attempts) take(a *answer, failure *verdict.Error) {
+	if failure != nil {
+		s.failed(failure)
+		return
+	}
+	s.answer.drop()
+	s.answer = a
+}
+
+func (s *attempts) failed(failure *verdict.Error) {
+	if s.past == nil || weight(failure.Verdict) > weight(s.past.Verdict) {
+		s.past = failure
+	}
+}
+
+// weight orders verdicts by how much they say of an effect.
+func weight(v verdict.Verdict) int {
+	switch v {
+	case verdict.NotRun:
+		return 0
+	case verdict.Ran:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// result returns the newest answer, although a later attempt failed, or the failure that says most.
+func (s *attempts) result() (*answer, *verdict.Error) {
+	if s.answer != nil {
+		return s.answer, nil
 	}
-	return refusal
+	return nil, s.past
 }
 
 // retryable reports whether a request may be sent again, and the reason for which it would be.
