Give outsiders no more than the spill part of an endpoint's slots

Cause: the test of the parts found 15 of 8 slots in use: nodes outside a failure domain without nodes shared all slots, and the domain's first node, which only asks its own domain for consent, took its part as well. Change: the spill part no longer grows. The test of whole requests has bursts.

--- a/internal/caller/fuzz_test.go
+++ b/internal/caller/fuzz_test.go
@@ -32,13 +32,16 @@
 	delay    time.Duration
 }
 
+// burst is the number of requests of a burst: more than there are slots.
+const burst = endpointCount*slots + 4
+
 func drawSteps(t *rapid.T) []step {
-	kinds := []string{"request", "request", "request", "request", "request", "endpoint", "leave", "join", "wait"}
+	kinds := []string{"request", "request", "request", "request", "request", "burst", "endpoint", "leave", "join", "wait"}
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
 		s := step{kind: rapid.SampledFrom(kinds).Draw(t, "kind")}
 		s.after = time.Duration(rapid.IntRange(0, 20).Draw(t, "after")) * time.Millisecond
 		switch s.kind {
-		case "request":
+		case "request", "burst":
 			s.node = rapid.IntRange(0, nodeCount-1).Draw(t, "node")
 			s.method = rapid.SampledFrom([]string{"GET", "PUT", "POST", "DELETE", "HEAD"}).Draw(t, "method")
 			s.key = rapid.SampledFrom([]string{"", "", "a", "b", "c"}).Draw(t, "key")
@@ -83,6 +86,10 @@
 	switch s.kind {
 	case "request":
 		w.send(s)
+	case "burst":
+		for range burst {
+			w.send(s)
+		}
 	case "endpoint":
 		w.endpoints[s.endpoint].set(s.mode, s.delay)
 	case "leave":
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -83,15 +83,14 @@
 // Count returns the number of nodes in the set.
 func (s Set) Count() int { return len(s.nodes) }
 
-// Of returns this node's part of total at an endpoint of a failure domain.
+// Of returns this node's part of total at an endpoint of a failure domain. The nodes of that domain share
+// all but a spill part, which the other nodes share. The spill part does not grow when the domain has no
+// node left, since the domain's next node needs nobody's consent from outside the domain.
 func (s Set) Of(total int, endpointID, domain string) int {
 	spill := total / spillDivisor
 	if !s.hasOutside(domain) {
 		spill = 0
 	}
-	if !s.has(domain) {
-		spill = total
-	}
 	own := s.home == domain
 	part := spill
 	if own {
@@ -101,15 +100,6 @@
 	return portion(part, index, count)
 }
 
-func (s Set) has(domain string) bool {
-	for _, n := range s.nodes {
-		if n.FailureDomain == domain {
-			return true
-		}
-	}
-	return false
-}
-
 func (s Set) hasOutside(domain string) bool {
 	for _, n := range s.nodes {
 		if n.FailureDomain != domain {
