--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -140,6 +140,7 @@
 			ManifestVersion: m.ManifestVersion,
 			Division:        m.Division,
 			DomainDivision:  m.DomainDivision,
+			OperatorAddress: m.OperatorAddress,
 		})
 	}
 	return v
@@ -158,6 +159,7 @@
 			ManifestVersion: m.GetManifestVersion(),
 			Division:        m.GetDivision(),
 			DomainDivision:  m.GetDomainDivision(),
+			OperatorAddress: m.GetOperatorAddress(),
 		}, now)
 	}
 	e.directory.MarkLeaving(v.GetLeavingEndpoints())
