Keep an idempotency key taken where nodes may disagree on it

Cause: a random run found a key granted twice: nodes forget keys at different times, so one node granted a second attempt that the other refused, and a late word that the first had not run then freed the key there for a third. Change: a key that a second attempt has asked for is freed by time alone. After a gap in the log keys are unknown for a lifetime.

--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -45,6 +45,8 @@
 	// keys are the idempotency keys of the failure domain.
 	keys       *once.Table
 	keyWaiters keyWaiters
+	// keysUnknownUntil is the end of the time in which keys may be in use that this node has not read.
+	keysUnknownUntil time.Time
 	division   division
 	// callers is the number of nodes that answer callers.
 	callers atomic.Int64
@@ -142,6 +144,9 @@
 func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
 	e.logReadAt = now
 	for _, d := range deliveries {
+		if d.Gap {
+			e.takeKeyGap(now)
+		}
 		if d.Batch == nil {
 			continue
 		}
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// takeKeyGap notes that records were lost to the log's retention. At the start that is no loss, since the
+// log keeps records for longer than the lifetime of a key.
+func (e *engine) takeKeyGap(now time.Time) {
+	if e.caughtUp {
+		e.keysUnknownUntil = now.Add(e.settings.Callers.KeyLifetime.Std())
+	}
+}
+
 // BeginKey implements peer.Peer.
 func (s peerServer) BeginKey(ctx context.Context, req *peer.BeginKeyRequest) (*peer.BeginKeyReply, error) {
 	if len(req.GetKey()) != len(once.Key{}) {
@@ -158,7 +166,7 @@
 // beginKey returns the state of a key, or puts the question to the log and returns the channel on which
 // the log's answer comes. While the log is out of reach a key cannot be known.
 func (e *engine) beginKey(key once.Key, attempt once.Attempt, now time.Time) (peer.KeyState, chan bool) {
-	if !e.caughtUp || now.Sub(e.logReadAt) >= logSilence {
+	if !e.caughtUp || now.Sub(e.logReadAt) >= logSilence || now.Before(e.keysUnknownUntil) {
 		return peer.KeyState_KEY_STATE_UNKNOWN, nil
 	}
 	switch state, holder := e.keys.State(key); {
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -53,6 +53,8 @@
 	attempt Attempt
 	state   State
 	readAt  time.Time
+	// contested is set when another attempt has asked for the key while this one held it.
+	contested bool
 }
 
 // aged is a key with the time after which it may be forgotten.
@@ -107,8 +109,9 @@
 	}
 	if known {
 		// Nodes forget at different times. A node that has forgotten this key grants the attempt, so the
-		// key is kept for a lifetime from now.
+		// key is kept for a lifetime from now, whatever the holder says.
 		held.readAt = now
+		held.contested = true
 		t.rows[k] = held
 		t.order = append(t.order, aged{k, now})
 		return false
@@ -123,11 +126,13 @@
 	if !known || held.attempt != a {
 		return
 	}
-	if notRun {
+	if notRun && !held.contested {
 		delete(t.rows, k)
 		return
 	}
-	held.state = Ran
+	if !notRun {
+		held.state = Ran
+	}
 	t.rows[k] = held
 }
 
