--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -47,7 +47,7 @@
 	keyWaiters keyWaiters
 	// keysUnknownUntil is the end of the time in which keys may be in use that this node has not read.
 	keysUnknownUntil time.Time
-	division   division
+	division         division
 	// callers is the number of nodes that answer callers.
 	callers atomic.Int64
 
