--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,7 @@
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/promise"
@@ -53,6 +55,14 @@
 	workerRow *worker.Table
 	taskRow   *task.Table
 	directory *endpoint.Directory
+	// keys are the idempotency keys of the failure domain.
+	keys       *once.Table
+	keyWaiters keyWaiters
+	// keysUnknownUntil is the end of the time in which keys may be in use that this node has not read.
+	keysUnknownUntil time.Time
+	division         division
+	// callers is the number of nodes that answer callers.
+	callers atomic.Int64
 
 	vms        []platform.VM
 	listReadAt time.Time
@@ -135,6 +145,7 @@
 
 // tick runs the systems over the tables.
 func (e *engine) tick(now time.Time) {
+	e.divide(now)
 	e.own(now)
 	e.removeAbsent(now)
 	e.adoptWorkers(now)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -142,6 +142,8 @@
 			Heartbeat:       m.Heartbeat,
 			Leaving:         m.Leaving,
 			ManifestVersion: m.ManifestVersion,
+			Division:        m.Division,
+			DomainDivision:  m.DomainDivision,
 			OperatorAddress: m.OperatorAddress,
 		})
 	}
@@ -159,6 +161,8 @@
 			Heartbeat:       m.GetHeartbeat(),
 			Leaving:         m.GetLeaving(),
 			ManifestVersion: m.GetManifestVersion(),
+			Division:        m.GetDivision(),
+			DomainDivision:  m.GetDomainDivision(),
 			OperatorAddress: m.GetOperatorAddress(),
 		}, now)
 	}
