--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,6 +50,18 @@
 	return p
 }
 
+func TestPublicationsOfOneBatch(t *testing.T) {
+	Convey("Given two publications that replace the same version and share a batch", t, func() {
+		first, second := publication(t, sample("a", 1), nil, 0), publication(t, sample("b", 2), nil, 0)
+		var s State
+		So(s.Publish(3, first), ShouldEqual, Accepted)
+		Convey("the second is not accepted", func() {
+			So(s.Publish(3, second), ShouldEqual, Raced)
+			So(s.InForce().Manifest.Release, ShouldEqual, "a")
+		})
+	})
+}
+
 func TestLogBehindPeer(t *testing.T) {
 	Convey("Given a node that learned version 7 from a peer before the log showed it", t, func() {
 		var ahead, s State
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -48,6 +48,10 @@
 	Heartbeat       uint64
 	Leaving         bool
 	ManifestVersion uint64
+	// Division is a digest of the nodes that the node divides the endpoints' slots by, 0 for none.
+	Division uint64
+	// DomainDivision is that of the nodes of its own failure domain.
+	DomainDivision uint64
 	// AdvancedAt is when this node last saw the heartbeat advance, on its own clock.
 	AdvancedAt time.Time
 	// LearnedAt is when this node learned of the incarnation.
@@ -116,6 +120,7 @@
 	known.ManifestVersion = max(known.ManifestVersion, m.ManifestVersion)
 	if direct || m.Heartbeat > known.Heartbeat {
 		t.advance(known, now)
+		known.Division, known.DomainDivision = m.Division, m.DomainDivision
 	}
 	known.Heartbeat = max(known.Heartbeat, m.Heartbeat)
 	return true
--- a/internal/node/daemon.go
+++ b/internal/node/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/endpoint"
 	"cactuswall.example/cactuswall/internal/platform/httpjson"
 	"cactuswall.example/cactuswall/internal/settings"
 	"cactuswall.example/cactuswall/internal/traffic"
@@ -79,7 +80,7 @@
 		List:        platform(traffic.List),
 		Workers:     httpjson.NewWorkers(&http.Client{Transport: counted(traffic.Workers)}, s.Scheduling.WorkerCallTimeout.Std()),
 		Listeners:   listeners,
-		Endpoints:   NewTransport(),
+		Endpoints:   endpoint.NewTransport(nil),
 		Peers:       counted(traffic.Peers),
 		Logger:      logger.With(zap.String("node", s.Node)),
 		Incarnation: uint64(time.Now().UnixNano()),
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -9,15 +9,22 @@
 
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
@@ -64,6 +71,14 @@
 	workerRow *worker.Table
 	taskRow   *task.Table
 	directory *endpoint.Directory
+	// keys are the idempotency keys of the failure domain.
+	keys       *once.Table
+	keyWaiters keyWaiters
+	// keysUnknownUntil is the end of the time in which keys may be in use that this node has not read.
+	keysUnknownUntil time.Time
+	division         division
+	// callers is the number of nodes that answer callers.
+	callers atomic.Int64
 
 	vms        []platform.VM
 	listReadAt time.Time
@@ -74,14 +89,28 @@
 	stopping  bool
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
-	waiters map[string]chan decision
-	rescuer *rescuer
-	views   views
+	planned planned
+	// withdrawals is set when the manifest may have dropped running tasks.
+	withdrawals bool
+	policy      scheduler.Policy
+	// quotas are the teams' quotas here under the manifest of quotaVersion.
+	quotas       map[string]units.Resources
+	quotaVersion config.Version
+	sizes        *sizing.Learner
+	slowdowns    *interference.Model
+	baselines    *interference.Baselines
+	pressure     *interference.Controller
+	outcomes     *quarantine.Table
+	promises     *promise.Book
+	// evicting holds the runs that wait for a checkpoint before they are stopped.
+	evicting map[string]platform.RunID
+	forgets  map[*worker.Worker][]platform.RunID
+	steady   map[string]steadiness
+	waiters  map[string]chan decision
+	rescuer  *rescuer
+	views    views
 }
 
-// maxPlacementsPerTick bounds the placements of one tick.
-const maxPlacementsPerTick = 64
-
 // eventQueue bounds the functions that wait for the engine.
 const eventQueue = 1024
 
@@ -135,6 +164,7 @@
 
 // tick runs the systems over the tables.
 func (e *engine) tick(now time.Time) {
+	e.divide(now)
 	e.own(now)
 	e.askPromises(now)
 	e.noticeLeaving(now)
@@ -143,11 +173,12 @@
 	e.renewLeases(now)
 	e.startPlaced(now)
 	e.stopWithdrawn(now)
+	e.pursueEvictions(now)
 	e.pursueStops(now)
 	e.schedule(now)
+	e.flushForgets()
 	e.rescuer.tick(now)
 	e.writeSnapshots(now)
-	e.publishViews(now)
 }
 
 // own claims, renews and gives up shards.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -227,6 +227,8 @@
 			Heartbeat:       m.Heartbeat,
 			Leaving:         m.Leaving,
 			ManifestVersion: m.ManifestVersion,
+			Division:        m.Division,
+			DomainDivision:  m.DomainDivision,
 			OperatorAddress: m.OperatorAddress,
 		})
 	}
@@ -244,6 +246,8 @@
 			Heartbeat:       m.GetHeartbeat(),
 			Leaving:         m.GetLeaving(),
 			ManifestVersion: m.GetManifestVersion(),
+			Division:        m.GetDivision(),
+			DomainDivision:  m.GetDomainDivision(),
 			OperatorAddress: m.GetOperatorAddress(),
 		}, m.GetNode() == v.GetFrom(), now)
 		if !believed {
--- a/internal/node/lapse.go
+++ b/internal/node/lapse.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/worker"
 )
@@ -51,14 +50,8 @@
 	}
 }
 
-// tokenOf returns the token to call a worker under, or 0. A lapsed claim still serves as long as this node
-// knows of no newer one, since the worker refuses it once another owner has come.
-func (e *engine) tokenOf(w *worker.Worker, now time.Time) (token platform.Offset, held bool) {
-	if token, held = e.owner.Holds(w.Shard, now); held {
-		return token, true
-	}
-	if w.Token != 0 && e.owner.Keeps(e.ledger, w.Shard) {
-		return w.Token, false
-	}
-	return 0, false
+// keepsLapsed reports whether a worker is still called under a claim that has lapsed. It serves as long as
+// this node knows of no newer one, since the worker refuses it once another owner has come.
+func (e *engine) keepsLapsed(w *worker.Worker) bool {
+	return w.Token != 0 && e.owner.Keeps(e.ledger, w.Shard)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,16 +14,21 @@
 
 	"cactuswall.example/cactuswall/internal/caller"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/route"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/worker"
 )
@@ -76,10 +81,12 @@
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:    o.Settings.Callers,
 		Directory: n.engine.directory,
-		Chooser:   route.Local{FailureDomain: o.Settings.FailureDomain},
+		Chooser:   route.Adaptive{FailureDomain: o.Settings.FailureDomain},
 		Transport: o.Endpoints,
 		Metrics:   set,
 		Manifest:  n.manifestInForce,
+		Nodes:     n.callerNodes,
+		Once:      &onceKeys{node: n},
 	})
 	return n
 }
@@ -113,7 +120,20 @@
 		owner:          ownership.NewOwner(self, s.FailureDomain, s.Scheduling.ClaimLease.Std()),
 		workerRow:      worker.NewTable(),
 		taskRow:        task.NewTable(),
+		policy:         policyOf(s.Scheduling.Weighing),
+		sizes:          sizing.NewLearner(),
+		slowdowns:      interference.NewModel(),
+		baselines:      interference.NewBaselines(),
+		pressure:       interference.NewController(),
+		outcomes:       quarantine.NewTable(),
+		promises:       promise.NewBook(),
+		evicting:       make(map[string]platform.RunID),
+		forgets:        make(map[*worker.Worker][]platform.RunID),
+		steady:         make(map[string]steadiness),
 		directory:      endpoint.NewDirectory(),
+		keys:           once.NewTable(s.Callers.KeyLifetime.Std()),
+		keyWaiters:     make(keyWaiters),
+		division:       division{transport: o.Endpoints},
 		waiters:        make(map[string]chan decision),
 		push:           make(chan struct{}, 1),
 		retreats:       make(map[platform.RunID]time.Time),
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -11,6 +11,7 @@
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/worker"
 )
 
 // current reports whether the node knows all of its domain stream, so that it may commit to it.
@@ -20,6 +21,7 @@
 func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
 	e.logReadAt = now
 	for _, d := range deliveries {
+		e.takeKeys(d, now)
 		wasComplete := e.domainReplay.Complete()
 		if d, applicable := e.domainReplay.Take(d); applicable {
 			e.applyDomainEntry(d, now)
@@ -84,13 +86,14 @@
 	e.ledger = l
 	e.owner.Drop()
 	e.domainWriter.SettleUpTo(l.SequenceOf(e.self))
-	for _, w := range e.workerRow.All() {
-		w.Token = 0
-	}
+	e.workerRow = worker.NewTable()
 	e.taskRow = task.NewTable()
 	if e.config.InForce() != nil {
 		e.syncTasks(now)
 	}
+	if !e.listReadAt.IsZero() {
+		e.takeList(e.vms, now)
+	}
 }
 
 // takeManifestEntries applies entries of the manifest stream.
--- a/internal/peer/peer.twirp.go
+++ b/internal/peer/peer.twirp.go
@@ -44,6 +44,12 @@
 
 	// Promise asks a node not to claim shards for a time while the log is out of reach.
 	Promise(context.Context, *PromiseRequest) (*PromiseReply, error)
+
+	// BeginKey asks a node of the key's home failure domain for the right to run a request.
+	BeginKey(context.Context, *BeginKeyRequest) (*BeginKeyReply, error)
+
+	// EndKey says what became of the request.
+	EndKey(context.Context, *EndKeyRequest) (*EndKeyReply, error)
 }
 
 // ====================
@@ -52,7 +58,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -80,11 +86,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.peer", "Peer")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchManifest",
 		serviceURL + "FetchDomain",
 		serviceURL + "Promise",
+		serviceURL + "BeginKey",
+		serviceURL + "EndKey",
 	}
 
 	return &peerProtobufClient{
@@ -279,13 +287,105 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) BeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	caller := c.callBeginKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return c.callBeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callBeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	out := new(BeginKeyReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) EndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	caller := c.callEndKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return c.callEndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callEndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	out := new(EndKeyReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -313,11 +413,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.peer", "Peer")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchManifest",
 		serviceURL + "FetchDomain",
 		serviceURL + "Promise",
+		serviceURL + "BeginKey",
+		serviceURL + "EndKey",
 	}
 
 	return &peerJSONClient{
@@ -512,6 +614,98 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) BeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	caller := c.callBeginKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return c.callBeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callBeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	out := new(BeginKeyReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) EndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	caller := c.callEndKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return c.callEndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callEndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	out := new(EndKeyReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -621,6 +815,12 @@
 	case "Promise":
 		s.servePromise(ctx, resp, req)
 		return
+	case "BeginKey":
+		s.serveBeginKey(ctx, resp, req)
+		return
+	case "EndKey":
+		s.serveEndKey(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1348,6 +1548,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveBeginKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveBeginKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveBeginKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveBeginKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(BeginKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.BeginKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return s.Peer.BeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginKeyReply and nil error while calling BeginKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveBeginKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(BeginKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.BeginKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return s.Peer.BeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginKeyReply and nil error while calling BeginKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveEndKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveEndKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveEndKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveEndKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(EndKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.EndKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return s.Peer.EndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *EndKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndKeyReply and nil error while calling EndKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveEndKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(EndKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.EndKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return s.Peer.EndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *EndKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndKeyReply and nil error while calling EndKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1929,42 +2489,58 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 578 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x54, 0x41, 0x6b, 0xdb, 0x4c,
-	0x10, 0x45, 0xb2, 0x2c, 0x27, 0xe3, 0x24, 0xce, 0xb7, 0x24, 0xf9, 0x16, 0x93, 0x52, 0xa1, 0x12,
-	0x50, 0x09, 0x75, 0x68, 0x72, 0x29, 0xf4, 0xd4, 0xd2, 0x04, 0x72, 0x30, 0x98, 0x2d, 0xe4, 0xd0,
-	0x8b, 0x59, 0x4b, 0x63, 0x5b, 0x54, 0xda, 0x55, 0x77, 0xd7, 0x71, 0xf2, 0x23, 0x7a, 0xe9, 0x1f,
-	0xe9, 0xa5, 0x3f, 0xb0, 0x68, 0x25, 0x25, 0x76, 0xed, 0x1e, 0x7b, 0x11, 0xfb, 0xde, 0xbc, 0x99,
-	0x1d, 0xcd, 0x1b, 0x09, 0x68, 0x2a, 0x0c, 0x2a, 0xc1, 0xb3, 0x8b, 0x02, 0x51, 0xd9, 0xc7, 0xa0,
-	0x50, 0xd2, 0x48, 0xd2, 0x8b, 0x79, 0x6c, 0x16, 0x7a, 0xc9, 0xb3, 0x6c, 0x50, 0xd2, 0xe1, 0x0f,
-	0x07, 0xbc, 0xbb, 0x14, 0x97, 0x84, 0x80, 0x37, 0x55, 0x32, 0xa7, 0x4e, 0xe0, 0x44, 0xbb, 0xcc,
-	0x9e, 0xc9, 0x5b, 0xe8, 0xe4, 0x98, 0x4f, 0x50, 0x69, 0xea, 0x06, 0xad, 0xa8, 0x7b, 0xf9, 0xff,
-	0xe0, 0x8f, 0xfc, 0xc1, 0xd0, 0xc6, 0x59, 0xa3, 0x23, 0xe7, 0xf0, 0x5f, 0x86, 0xfc, 0x3e, 0x15,
-	0xb3, 0x31, 0x8a, 0xa4, 0x90, 0xa9, 0x30, 0x9a, 0xb6, 0x82, 0x56, 0xb4, 0xcb, 0x0e, 0xeb, 0xc0,
-	0x75, 0xc3, 0x93, 0x13, 0xf0, 0x97, 0x5c, 0x18, 0x4c, 0xa8, 0x67, 0x15, 0x35, 0x0a, 0xbf, 0xbb,
-	0xe0, 0x57, 0x85, 0xcb, 0xb6, 0x84, 0x4c, 0xb0, 0x69, 0xab, 0x3c, 0x93, 0x00, 0xba, 0xa9, 0x88,
-	0xb9, 0x12, 0xdc, 0xa4, 0x52, 0x50, 0x37, 0x70, 0x22, 0x8f, 0xad, 0x52, 0xe4, 0x0c, 0x0e, 0xa6,
-	0x3c, 0xcd, 0x16, 0x0a, 0xc7, 0x89, 0xcc, 0x79, 0x2a, 0x68, 0xcb, 0xe6, 0xef, 0xd7, 0xec, 0x27,
-	0x4b, 0x12, 0x0a, 0x1d, 0x9e, 0x24, 0x0a, 0xb5, 0xa6, 0x9e, 0x8d, 0x37, 0x90, 0x9c, 0xc2, 0xee,
-	0x1c, 0xb9, 0x32, 0x13, 0xe4, 0x86, 0xb6, 0xed, 0x05, 0xcf, 0x44, 0x99, 0x57, 0xbf, 0x0b, 0xf5,
-	0x03, 0x27, 0xda, 0x61, 0x0d, 0x24, 0xaf, 0xe1, 0x30, 0xe7, 0x22, 0x9d, 0xa2, 0x36, 0xe3, 0x7b,
-	0x54, 0xba, 0xec, 0xaf, 0x63, 0xd3, 0x7b, 0x0d, 0x7f, 0x57, 0xd1, 0xa5, 0x54, 0x16, 0xa8, 0xb8,
-	0x91, 0x6a, 0xdc, 0x74, 0xd1, 0xb3, 0x5d, 0xf4, 0x1a, 0xfe, 0x43, 0x45, 0x87, 0x27, 0x70, 0x74,
-	0x83, 0x26, 0x9e, 0x0f, 0xeb, 0x12, 0x0c, 0xbf, 0x2d, 0x50, 0x9b, 0xf0, 0x0c, 0x3a, 0xb7, 0xe2,
-	0x46, 0xaa, 0x18, 0x49, 0x1f, 0x76, 0xb4, 0xe0, 0x85, 0x9e, 0x4b, 0x63, 0x67, 0xb5, 0xc7, 0x9e,
-	0x70, 0xf8, 0x1e, 0x88, 0x4d, 0xaf, 0xde, 0xba, 0x4e, 0xde, 0x32, 0x23, 0x67, 0xcb, 0x8c, 0xc2,
-	0x2b, 0xe8, 0x56, 0xa7, 0xcf, 0x86, 0x1b, 0x24, 0x07, 0xe0, 0xf2, 0xea, 0x06, 0x8f, 0xb9, 0xdc,
-	0x90, 0x23, 0x68, 0xeb, 0x32, 0x60, 0x5d, 0xd8, 0x63, 0x15, 0x08, 0x7f, 0x39, 0x70, 0x30, 0x52,
-	0x32, 0x4f, 0x35, 0x36, 0xd7, 0xfd, 0x53, 0x23, 0x4f, 0xc0, 0xd7, 0x73, 0xae, 0x12, 0x6d, 0x17,
-	0x69, 0x9f, 0xd5, 0xa8, 0xe4, 0x8d, 0xfc, 0x8a, 0x42, 0xd3, 0x76, 0xd0, 0x8a, 0x3c, 0x56, 0x23,
-	0x72, 0x0c, 0xfe, 0x54, 0xaa, 0x71, 0xae, 0xad, 0x7f, 0x1e, 0x6b, 0x4f, 0xa5, 0x1a, 0xea, 0x30,
-	0x82, 0xbd, 0xa7, 0xae, 0x8b, 0xec, 0xb1, 0xf4, 0x79, 0xa6, 0xaa, 0x05, 0x75, 0x6c, 0xdd, 0x06,
-	0x5e, 0xfe, 0x74, 0xc1, 0x1b, 0x21, 0x2a, 0xf2, 0x0e, 0x76, 0xae, 0x1f, 0xe2, 0x39, 0x17, 0x33,
-	0x24, 0xc7, 0x1b, 0x5f, 0x47, 0xf9, 0x65, 0xf5, 0xb7, 0xd3, 0x64, 0x04, 0xfb, 0x6b, 0xa6, 0x92,
-	0xb3, 0x0d, 0xdd, 0x36, 0xd3, 0xfb, 0x74, 0x43, 0xd6, 0xec, 0xc0, 0x08, 0xba, 0x2b, 0x3e, 0x93,
-	0x57, 0xdb, 0xeb, 0xad, 0x6d, 0x41, 0xff, 0x74, 0x43, 0xb4, 0xea, 0xf6, 0x2d, 0x74, 0xea, 0x81,
-	0x90, 0x97, 0x1b, 0xc2, 0x75, 0x83, 0xfb, 0x2f, 0xfe, 0x2e, 0x28, 0xb2, 0xc7, 0x8f, 0x6f, 0xbe,
-	0x9c, 0xaf, 0xc4, 0xf1, 0x81, 0xe7, 0x45, 0x86, 0x17, 0xcf, 0xd4, 0xc5, 0xda, 0x3f, 0x6b, 0xe2,
-	0xdb, 0xff, 0xd5, 0xd5, 0xef, 0x00, 0x00, 0x00, 0xff, 0xff, 0x49, 0x2c, 0x1d, 0x7b, 0xcb, 0x04,
+	// 834 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x55, 0xdf, 0x6e, 0xdb, 0xb6,
+	0x17, 0xfe, 0xc9, 0x56, 0x64, 0xe7, 0x38, 0xfe, 0x13, 0xfe, 0x9a, 0x54, 0xf3, 0xba, 0x56, 0xd0,
+	0x10, 0xcc, 0x5d, 0xb1, 0x04, 0x4b, 0x31, 0x60, 0xc0, 0x6e, 0xe6, 0x20, 0x4e, 0x51, 0x64, 0xf1,
+	0x02, 0x36, 0xed, 0xb0, 0xde, 0x68, 0x8c, 0x75, 0x1c, 0x0b, 0xb5, 0x28, 0x95, 0xa4, 0x93, 0xfa,
+	0x35, 0xf6, 0x2c, 0x7b, 0x85, 0xbd, 0xc0, 0x9e, 0x68, 0x20, 0x25, 0xc6, 0x76, 0xed, 0xed, 0x62,
+	0x40, 0x6f, 0x0c, 0x9e, 0x8f, 0xdf, 0xf9, 0xc7, 0xf3, 0x1d, 0x0b, 0xfc, 0x84, 0x2b, 0x14, 0x9c,
+	0x4d, 0x8f, 0x72, 0x44, 0x61, 0x7e, 0x0e, 0x73, 0x91, 0xa9, 0x8c, 0xb4, 0x47, 0x6c, 0xa4, 0x66,
+	0xf2, 0x8e, 0x4d, 0xa7, 0x87, 0x1a, 0x0e, 0x7f, 0x77, 0xc0, 0x7d, 0x93, 0xe0, 0x1d, 0x21, 0xe0,
+	0x8e, 0x45, 0x96, 0xfa, 0x4e, 0xe0, 0xf4, 0xb6, 0xa9, 0x39, 0x93, 0x6f, 0xa1, 0x96, 0x62, 0x7a,
+	0x8d, 0x42, 0xfa, 0x95, 0xa0, 0xda, 0x6b, 0x1c, 0x3f, 0x3c, 0xfc, 0xc8, 0xff, 0xf0, 0xc2, 0xdc,
+	0x53, 0xcb, 0x23, 0xcf, 0x60, 0x77, 0x8a, 0xec, 0x36, 0xe1, 0x37, 0x11, 0xf2, 0x38, 0xcf, 0x12,
+	0xae, 0xa4, 0x5f, 0x0d, 0xaa, 0xbd, 0x6d, 0xda, 0x29, 0x2f, 0x06, 0x16, 0x27, 0xfb, 0xe0, 0xdd,
+	0x31, 0xae, 0x30, 0xf6, 0x5d, 0xc3, 0x28, 0xad, 0xf0, 0xaf, 0x0a, 0x78, 0x45, 0x60, 0x5d, 0x16,
+	0xcf, 0x62, 0xb4, 0x65, 0xe9, 0x33, 0x09, 0xa0, 0x91, 0xf0, 0x11, 0x13, 0x9c, 0xa9, 0x24, 0xe3,
+	0x7e, 0x25, 0x70, 0x7a, 0x2e, 0x5d, 0x86, 0xc8, 0x01, 0xb4, 0xc6, 0x2c, 0x99, 0xce, 0x04, 0x46,
+	0x71, 0x96, 0xb2, 0x84, 0xfb, 0x55, 0xe3, 0xdf, 0x2c, 0xd1, 0x53, 0x03, 0x12, 0x1f, 0x6a, 0x2c,
+	0x8e, 0x05, 0x4a, 0xe9, 0xbb, 0xe6, 0xde, 0x9a, 0xe4, 0x11, 0x6c, 0x4f, 0x90, 0x09, 0x75, 0x8d,
+	0x4c, 0xf9, 0x5b, 0x26, 0xc1, 0x02, 0xd0, 0x7e, 0x65, 0x2f, 0xbe, 0x17, 0x38, 0xbd, 0x3a, 0xb5,
+	0x26, 0x79, 0x0a, 0x9d, 0x94, 0xf1, 0x64, 0x8c, 0x52, 0x45, 0xb7, 0x28, 0xa4, 0xae, 0xaf, 0x66,
+	0xdc, 0xdb, 0x16, 0x7f, 0x53, 0xc0, 0xa4, 0x0b, 0xf5, 0x38, 0xb9, 0x4d, 0x0c, 0xe5, 0x71, 0xe0,
+	0xf4, 0x3c, 0x7a, 0x6f, 0x93, 0xaf, 0xa0, 0x5d, 0xd4, 0x1d, 0xdd, 0x53, 0x9e, 0x18, 0x4a, 0xab,
+	0x80, 0x4f, 0x2d, 0xf1, 0x29, 0x74, 0xb2, 0x1c, 0x05, 0x53, 0x99, 0x88, 0x6c, 0x2b, 0x6d, 0xd3,
+	0x4a, 0xdb, 0xe2, 0xfd, 0x02, 0x0e, 0xf7, 0xe1, 0xc1, 0x19, 0xaa, 0xd1, 0xe4, 0xa2, 0xac, 0x83,
+	0xe2, 0xfb, 0x19, 0x4a, 0x15, 0x1e, 0x40, 0xed, 0x25, 0x3f, 0xcb, 0xc4, 0x08, 0x75, 0x49, 0x92,
+	0xb3, 0x5c, 0x4e, 0x32, 0x65, 0x1e, 0x7c, 0x87, 0xde, 0xdb, 0xe1, 0x0f, 0x40, 0x8c, 0x7b, 0xf1,
+	0x74, 0xa5, 0xf3, 0x86, 0x87, 0x76, 0x36, 0x3c, 0x74, 0xf8, 0x1c, 0x1a, 0xc5, 0xe9, 0x95, 0x62,
+	0x0a, 0x49, 0x0b, 0x2a, 0xac, 0xc8, 0xe0, 0xd2, 0x0a, 0x53, 0xe4, 0x01, 0x6c, 0x49, 0x7d, 0x61,
+	0x46, 0xb9, 0x43, 0x0b, 0x23, 0xfc, 0xc3, 0x81, 0xd6, 0xa5, 0xc8, 0xd2, 0x44, 0xa2, 0x4d, 0xf7,
+	0x49, 0xd5, 0xb0, 0x0f, 0x9e, 0x9c, 0x30, 0x11, 0x4b, 0xa3, 0xc6, 0x26, 0x2d, 0x2d, 0x8d, 0xab,
+	0xec, 0x1d, 0x72, 0xe9, 0x6f, 0x05, 0xd5, 0x9e, 0x4b, 0x4b, 0x8b, 0xec, 0x81, 0x37, 0xce, 0x44,
+	0x94, 0x4a, 0x23, 0x02, 0x97, 0x6e, 0x8d, 0x33, 0x71, 0x21, 0xc3, 0x1e, 0xec, 0xdc, 0x57, 0x9d,
+	0x4f, 0xe7, 0x5a, 0x2c, 0x37, 0xa2, 0x50, 0xb9, 0x63, 0xe2, 0x5a, 0x33, 0x7c, 0x0b, 0x70, 0x8e,
+	0xf3, 0xbe, 0x52, 0x98, 0xe6, 0xff, 0xb5, 0xb7, 0x7d, 0xf0, 0xf8, 0x4c, 0x6f, 0x8a, 0xe9, 0xc9,
+	0xa5, 0xa5, 0x15, 0x4a, 0x68, 0x9f, 0xe0, 0x4d, 0xc2, 0xcf, 0x71, 0x6e, 0x1f, 0xaf, 0x03, 0xd5,
+	0x77, 0x38, 0x2f, 0x07, 0xab, 0x8f, 0xe4, 0x3b, 0xa8, 0xb1, 0x22, 0xbb, 0x09, 0xdd, 0x38, 0xfe,
+	0x7c, 0x6d, 0xbf, 0x17, 0x05, 0x52, 0xcb, 0x25, 0x0f, 0xa1, 0x76, 0xc7, 0x12, 0xa5, 0x3b, 0x2f,
+	0x93, 0x6a, 0xf3, 0x42, 0x86, 0x3f, 0x42, 0x73, 0x91, 0x54, 0xf7, 0x7e, 0x64, 0x07, 0xab, 0x93,
+	0xb6, 0x8e, 0x3f, 0xdb, 0x14, 0xde, 0x48, 0xc2, 0xce, 0xfc, 0x3d, 0x34, 0x07, 0x3c, 0xfe, 0x44,
+	0x45, 0xf3, 0x4c, 0x45, 0x62, 0x56, 0x4c, 0xbf, 0x4e, 0x3d, 0x9e, 0x29, 0x3a, 0xe3, 0x61, 0x13,
+	0x1a, 0x36, 0x65, 0x3e, 0x9d, 0x7f, 0xfd, 0x1b, 0xd4, 0x6d, 0x51, 0x64, 0x0f, 0x76, 0xcf, 0x07,
+	0xbf, 0x46, 0xaf, 0xae, 0xfa, 0x57, 0x83, 0xe8, 0xf5, 0xf0, 0x7c, 0xf8, 0xf3, 0x2f, 0xc3, 0xce,
+	0xff, 0x56, 0xe1, 0x17, 0xb4, 0x3f, 0xbc, 0x1a, 0x9c, 0x76, 0x1c, 0xf2, 0x7f, 0x68, 0x2f, 0xe0,
+	0x93, 0xc1, 0x8b, 0xd7, 0xc3, 0x4e, 0x85, 0xec, 0x42, 0x73, 0x01, 0xd2, 0xfe, 0xb0, 0x53, 0x3d,
+	0xfe, 0xb3, 0x0a, 0xee, 0x25, 0xa2, 0x20, 0xdf, 0x43, 0x7d, 0xf0, 0x61, 0x34, 0x61, 0xfc, 0x06,
+	0xc9, 0xde, 0x5a, 0x13, 0xfa, 0x5f, 0xb9, 0xbb, 0x19, 0x26, 0x97, 0xd0, 0x5c, 0xd9, 0x65, 0x72,
+	0xb0, 0xc6, 0xdb, 0xb4, 0xeb, 0x5d, 0x7f, 0x8d, 0x66, 0x57, 0xff, 0x12, 0x1a, 0x4b, 0xeb, 0x4d,
+	0xbe, 0xdc, 0x1c, 0x6f, 0x65, 0xf9, 0xbb, 0x8f, 0xd6, 0x48, 0xcb, 0x4b, 0xfe, 0x12, 0x6a, 0xe5,
+	0x1e, 0x90, 0x27, 0x6b, 0xc4, 0xd5, 0xbd, 0xee, 0x7e, 0xf1, 0xcf, 0x04, 0x2d, 0xa3, 0x9f, 0xa0,
+	0x6e, 0x75, 0x45, 0x82, 0x35, 0xea, 0x47, 0x3a, 0xef, 0x3e, 0xfe, 0x17, 0x86, 0x8e, 0x76, 0x06,
+	0x5e, 0x31, 0x70, 0xb2, 0xce, 0x5c, 0x11, 0xdf, 0x86, 0x06, 0x97, 0x94, 0x72, 0xf2, 0xcd, 0xdb,
+	0x67, 0x4b, 0xd7, 0xf8, 0x81, 0xa5, 0xf9, 0x14, 0x8f, 0x16, 0xd0, 0xd1, 0xca, 0x57, 0xf8, 0xda,
+	0x33, 0x5f, 0xe0, 0xe7, 0x7f, 0x07, 0x00, 0x00, 0xff, 0xff, 0xf4, 0x96, 0xa7, 0x5d, 0x9d, 0x07,
 	0x00, 0x00,
 }
