--- a/internal/node/rescue.go
+++ b/internal/node/rescue.go
@@ -103,15 +103,17 @@
 	stream := journal.DomainStream(lost)
 	writer := r.writer(stream)
 	ctx, cancel := context.WithCancel(e.ctx)
+	counters := journal.NewMetrics(r.set, stream)
+	claimLease := e.settings.Scheduling.ClaimLease.Std()
 	c := &rescueCase{
-		Case:   rescue.NewCase(lost, e.settings.FailureDomain, e.self, e.settings.Scheduling.ClaimLease.Std(), writer),
+		Case:   rescue.NewCase(lost, e.settings.FailureDomain, e.self, claimLease, writer, journal.NewReplay(counters)),
 		writer: writer,
 		cancel: cancel,
 	}
 	deliver := func(ds []journal.Delivery) {
 		e.ask(ctx, func(now time.Time) { c.Take(ds, now) })
 	}
-	follower := journal.NewFollower(r.log, stream, 1, deliver, journal.NewMetrics(r.set, stream), e.logger)
+	follower := journal.NewFollower(r.log, stream, 1, deliver, counters, e.logger)
 	go func() { _ = follower.Run(ctx) }()
 	r.cases[lost] = c
 	e.logger.Warn("failure domain is lost", zap.String("lost", lost))
--- a/internal/rescue/rescue.go
+++ b/internal/rescue/rescue.go
@@ -7,6 +7,7 @@
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/ownership"
+	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/task"
 )
@@ -29,14 +30,14 @@
 	stream   *ledger.Ledger
 	owner    *ownership.Owner
 	settler  Settler
+	// replay says which entries may be applied when retention has taken the stream's beginning.
+	replay   *journal.Replay
 	caughtUp bool
-	// incomplete is set when an entry of the stream was lost to retention or cannot be understood.
-	incomplete bool
 }
 
 // NewCase returns a case that has read nothing of the lost domain's stream yet. receiver is this node's own
-// failure domain.
-func NewCase(lost, receiver string, self ledger.Writer, claimLease time.Duration, settler Settler) *Case {
+// failure domain, replay that of the lost domain's stream.
+func NewCase(lost, receiver string, self ledger.Writer, claimLease time.Duration, settler Settler, replay *journal.Replay) *Case {
 	return &Case{
 		lost:     lost,
 		receiver: receiver,
@@ -44,24 +45,53 @@
 		stream:   ledger.New(),
 		owner:    ownership.NewOwner(self, lost, claimLease),
 		settler:  settler,
+		replay:   replay,
 	}
 }
 
 // Take applies entries of the lost domain's stream. An empty call says that its end has been reached.
 func (c *Case) Take(deliveries []journal.Delivery, now time.Time) {
 	for _, d := range deliveries {
-		c.incomplete = c.incomplete || d.Gap || d.Newer
-		if d.Batch == nil {
+		if d, applicable := c.replay.Take(d); applicable {
+			c.apply(d, now)
 			continue
 		}
-		sent, own := c.settler.Settle(d.Batch)
-		c.owner.Observe(c.stream, c.stream.Apply(d.Offset, d.Batch, now), sent, own)
+		for _, r := range d.Batch.GetRecords() {
+			if snapshot := r.GetDomainSnapshot(); snapshot != nil {
+				c.restore(snapshot, now)
+			}
+		}
 	}
 	if len(deliveries) == 0 {
 		c.caughtUp = true
 	}
 }
 
+func (c *Case) apply(d journal.Delivery, now time.Time) {
+	if d.Batch == nil {
+		return
+	}
+	sent, own := c.settler.Settle(d.Batch)
+	c.owner.Observe(c.stream, c.stream.Apply(d.Offset, d.Batch, now), sent, own)
+}
+
+// restore replaces the state by a snapshot from the stream, when that completes it.
+func (c *Case) restore(snapshot *record.DomainSnapshot, now time.Time) {
+	at := platform.Offset(snapshot.GetAt())
+	if !c.replay.Fits(at) {
+		return
+	}
+	restored, err := ledger.Restore(snapshot.GetState(), now)
+	if err != nil {
+		return
+	}
+	c.stream = restored
+	c.owner.Drop()
+	for _, d := range c.replay.Restored(at) {
+		c.apply(d, now)
+	}
+}
+
 // Records are what a case wants appended.
 type Records struct {
 	// Lost go to the lost domain's stream.
@@ -73,7 +103,7 @@
 // Decide returns the records that are due. declared are the lost domain's tasks under the manifest in force;
 // own is the ledger of this node's own domain.
 func (c *Case) Decide(declared []task.Spec, own *ledger.Ledger, now time.Time) Records {
-	if !c.caughtUp || c.incomplete {
+	if !c.caughtUp || !c.replay.Complete() {
 		return Records{}
 	}
 	var r Records
--- a/internal/rescue/rescue_test.go
+++ b/internal/rescue/rescue_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
@@ -35,9 +36,13 @@
 	home *ledger.Ledger
 }
 
+func replay() *journal.Replay {
+	return journal.NewReplay(journal.NewMetrics(metrics.NewSet(), "home"))
+}
+
 func newWorld() *world {
 	w := &world{now: start, sequence: make(map[ledger.Writer]uint64), sent: make(map[uint64]time.Time), own: ledger.New(), home: ledger.New()}
-	w.rescue = NewCase("home", "other", rescuer, claimLease, w)
+	w.rescue = NewCase("home", "other", rescuer, claimLease, w, replay())
 	return w
 }
 
@@ -100,13 +105,24 @@
 			So(count(w.step(movable)), ShouldEqual, 0)
 		})
 		Convey("nothing is done before the stream has been read to its end", func() {
-			fresh := NewCase("home", "other", rescuer, claimLease, w)
+			fresh := NewCase("home", "other", rescuer, claimLease, w, replay())
 			So(count(fresh.Decide(movable, w.own, start.Add(time.Hour))), ShouldEqual, 0)
 		})
 		Convey("nothing is done when entries of the stream were lost", func() {
-			w.rescue.Take([]journal.Delivery{{Offset: 1, Gap: true}}, w.now)
-			w.now = start.Add(time.Hour)
-			So(count(w.step(movable)), ShouldEqual, 0)
+			fresh := NewCase("home", "other", rescuer, claimLease, w, replay())
+			fresh.Take([]journal.Delivery{{Offset: 5, Gap: true}}, w.now)
+			fresh.Take(nil, w.now)
+			So(count(fresh.Decide(movable, w.own, start.Add(time.Hour))), ShouldEqual, 0)
+
+			Convey("until a snapshot in the stream covers them", func() {
+				state, err := w.home.Snapshot()
+				So(err, ShouldBeNil)
+				body := &record.DomainSnapshot{At: 5, State: state}
+				batch := &record.Batch{Node: homeNode.Node, Records: []*record.Record{{Body: &record.Record_DomainSnapshot{DomainSnapshot: body}}}}
+				fresh.Take([]journal.Delivery{{Offset: 6, Batch: batch}}, w.now)
+				So(count(fresh.Decide(movable, w.own, w.now)), ShouldEqual, 0)
+				So(fresh.Decide(movable, w.own, start.Add(time.Hour)).Lost, ShouldHaveLength, failuredomain.Shards)
+			})
 		})
 		Convey("after its lease the waiting tasks move, once each", func() {
 			w.now = start.Add(2 * claimLease)
