Check HTTP between caller and endpoint, announce trailers, wait for listeners at a stop

Cause: trailers of short answers were lost, since the server set a length; a stop did not count requests that were accepted at that moment, nor listeners. Change: trailers are announced; a request is counted before the look at the stop.

--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -109,8 +109,9 @@
 	if a.rest == nil && r.Method != http.MethodHead && len(a.trailer) == 0 && bodyAllowed(a.status) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
-	if len(a.trailer) > 0 {
+	for name := range a.trailer {
 		w.Header().Del("Content-Length")
+		w.Header().Add("Trailer", name)
 	}
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil && bodyAllowed(a.status) && r.Method != http.MethodHead {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -117,21 +117,23 @@
 
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Counted before the look at whether the node stops, so that a stop waits for every accepted request.
+	inFlight := h.inFlight.Add(1)
+	var once sync.Once
+	leave := func() { once.Do(func() { h.inFlight.Add(-1) }) }
+	defer leave()
 	req, refusal := h.accept(r)
-	if refusal != nil {
+	switch {
+	case refusal != nil:
 		h.refuse(w, refusal)
-		return
-	}
-	if req.rule.Listener {
+	case req.rule.Listener:
+		leave()
 		h.serveListener(w, req)
-		return
-	}
-	defer h.inFlight.Add(-1)
-	if h.inFlight.Add(1) > int64(h.limits.MaxRequests) {
+	case inFlight > int64(h.limits.MaxRequests):
 		h.refuse(w, verdict.New(verdict.NotRun, ReasonOverload, nil))
-		return
+	default:
+		h.serve(w, req)
 	}
-	h.serve(w, req)
 }
 
 // accept finds what a request is for and checks it. Every error is NotRun.
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -21,7 +21,7 @@
 	n.engine.ask(n.ctx, n.engine.beginStop)
 	n.pause(n.settings.Stop.BalancerDelay.Std())
 	n.caller.Stop()
-	drained := n.waitUntil(n.settings.Stop.DrainTimeout.Std(), func() bool { return n.caller.InFlight() == 0 })
+	drained := n.waitUntil(n.settings.Stop.DrainTimeout.Std(), func() bool { return n.caller.InFlight()+n.caller.Listeners() == 0 })
 	if !drained {
 		n.options.Logger.Warn("requests were still in flight at the end of the drain", zap.Int64("requests", n.caller.InFlight()))
 	}
