--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -9,14 +9,20 @@
 
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
@@ -35,6 +41,13 @@
 	domainWriter   *journal.Writer
 	manifestWriter *journal.Writer
 
+	domainReplay   *journal.Replay
+	manifestReplay *journal.Replay
+	// domainSnapshotAt and manifestSnapshotAt are when this node last saw or wrote a snapshot.
+	domainSnapshotAt   time.Time
+	manifestSnapshotAt time.Time
+	forgetAt           time.Time
+
 	config    config.State
 	members   *membership.Table
 	ledger    *ledger.Ledger
@@ -60,14 +73,28 @@
 	stopping  bool
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
-	waiters map[string]chan decision
-	rescuer *rescuer
-	views   views
+	planned planned
+	// withdrawals is set when the manifest may have dropped running tasks.
+	withdrawals bool
+	policy      scheduler.Policy
+	// quotas are the teams' quotas here under the manifest of quotaVersion.
+	quotas       map[string]units.Resources
+	quotaVersion config.Version
+	sizes        *sizing.Learner
+	slowdowns    *interference.Model
+	baselines    *interference.Baselines
+	pressure     *interference.Controller
+	outcomes     *quarantine.Table
+	promises     *promise.Book
+	// evicting holds the runs that wait for a checkpoint before they are stopped.
+	evicting map[string]platform.RunID
+	forgets  map[*worker.Worker][]platform.RunID
+	steady   map[string]steadiness
+	waiters  map[string]chan decision
+	rescuer  *rescuer
+	views    views
 }
 
-// maxPlacementsPerTick bounds the placements of one tick.
-const maxPlacementsPerTick = 64
-
 // eventQueue bounds the functions that wait for the engine.
 const eventQueue = 1024
 
@@ -125,74 +152,30 @@
 	e.renewLeases(now)
 	e.startPlaced(now)
 	e.stopWithdrawn(now)
+	e.pursueEvictions(now)
 	e.pursueStops(now)
 	e.schedule(now)
+	e.flushForgets()
 	e.rescuer.tick(now)
-	e.publishViews(now)
+	e.writeSnapshots(now)
 }
 
 // own claims, renews and gives up shards.
 func (e *engine) own(now time.Time) {
-	if !e.caughtUp || e.stopping {
+	if !e.current() || e.stopping {
 		return
 	}
 	live := e.members.LiveIn(e.settings.FailureDomain, now)
 	e.domainWriter.Enqueue(e.owner.Decide(e.ledger, live, now)...)
 }
 
-// takeDomainEntries applies entries of the domain stream.
-func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
-	e.logReadAt = now
-	for _, d := range deliveries {
-		if d.Gap {
-			e.takeKeyGap(now)
-		}
-		if d.Batch == nil {
-			continue
-		}
-		sent, own := e.domainWriter.Settle(d.Batch)
-		for _, r := range d.Batch.GetRecords() {
-			e.takeKeyRecord(r, now)
-		}
-		results := e.ledger.Apply(d.Offset, d.Batch, now)
-		e.owner.Observe(e.ledger, results, sent, own)
-		for _, r := range results {
-			e.takeResult(r, now)
-		}
-	}
-	if len(deliveries) == 0 {
-		e.caughtUp = true
-	}
-}
-
-// takeManifestEntries applies entries of the manifest stream.
-func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
-	before := e.config.Version()
-	for _, d := range deliveries {
-		if d.Batch == nil {
-			continue
-		}
-		e.manifestWriter.Settle(d.Batch)
-		for _, r := range d.Batch.GetRecords() {
-			if p := r.GetPublication(); p != nil {
-				rejection := e.config.Publish(d.Offset, p)
-				e.metrics.countPublication(rejection)
-				e.decide(p.GetPublicationId(), decision{rejection: rejection, version: e.config.Version()})
-			}
-			if s := r.GetManifestSnapshot(); s != nil {
-				e.config.Restore(s)
-			}
-		}
-	}
-	e.manifestChanged(before, now)
-}
-
 // manifestChanged brings the tables in line after a new manifest has come in force.
 func (e *engine) manifestChanged(before config.Version, now time.Time) {
 	if e.config.Version() == before {
 		return
 	}
 	inForce := e.config.InForce()
+	e.decide(inForce.PublicationID, decision{rejection: config.Accepted, version: inForce.Version})
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
 	e.syncTasks(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"cactuswall.example/cactuswall/internal/caller"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
@@ -23,8 +24,11 @@
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/route"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/worker"
 )
@@ -103,9 +107,21 @@
 		manifestWriter: writer(journal.ManifestStream),
 		members:        membership.NewTable(member, periods),
 		ledger:         ledger.New(),
+		domainReplay:   journal.NewReplay(journal.NewMetrics(set, domainStream)),
+		manifestReplay: journal.NewReplay(journal.NewMetrics(set, journal.ManifestStream)),
 		owner:          ownership.NewOwner(self, s.FailureDomain, s.Scheduling.ClaimLease.Std()),
 		workerRow:      worker.NewTable(),
 		taskRow:        task.NewTable(),
+		policy:         policyOf(s.Scheduling.Weighing),
+		sizes:          sizing.NewLearner(),
+		slowdowns:      interference.NewModel(),
+		baselines:      interference.NewBaselines(),
+		pressure:       interference.NewController(),
+		outcomes:       quarantine.NewTable(),
+		promises:       promise.NewBook(),
+		evicting:       make(map[string]platform.RunID),
+		forgets:        make(map[*worker.Worker][]platform.RunID),
+		steady:         make(map[string]steadiness),
 		directory:      endpoint.NewDirectory(),
 		keys:           once.NewTable(s.Callers.KeyLifetime.Std()),
 		keyWaiters:     make(keyWaiters),
@@ -130,8 +146,8 @@
 	n.add(&group, n.engine.run)
 	n.add(&group, n.engine.domainWriter.Run)
 	n.add(&group, n.engine.manifestWriter.Run)
-	n.addFollower(&group, journal.DomainStream(n.settings.FailureDomain), n.engine.takeDomainEntries)
-	n.addFollower(&group, journal.ManifestStream, n.engine.takeManifestEntries)
+	n.add(&group, n.followDomain)
+	n.add(&group, n.followManifest)
 	n.add(&group, n.readList)
 	n.add(&group, (&gossip{engine: n.engine, transport: n.options.Peers}).run)
 	n.addServer(&group, n.options.Listeners.Callers, n.caller)
@@ -152,14 +168,6 @@
 	group.Add(func() error { return actor(n.ctx) }, func(error) { n.cancel() })
 }
 
-func (n *Node) addFollower(group *run.Group, stream string, take func([]journal.Delivery, time.Time)) {
-	deliver := func(ds []journal.Delivery) {
-		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
-	}
-	follower := journal.NewFollower(n.options.Log, stream, 1, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
-	n.add(group, follower.Run)
-}
-
 // closeTimeout bounds the closing of idle connections at the end of a stop.
 const closeTimeout = 2 * time.Second
 
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/journal"
+
 	"cactuswall.example/cactuswall/internal/caller"
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/once"
@@ -44,7 +46,7 @@
 			WaitMs:  uint64(max(0, wait.Milliseconds())),
 		})
 		if err == nil && reply.GetState() != peer.KeyState_KEY_STATE_UNKNOWN {
-			return answerOf(reply.GetState()), ticket
+			return keyAnswerOf(reply.GetState()), ticket
 		}
 	}
 	return caller.KeyUnknown, ticket
@@ -102,7 +104,7 @@
 	return &peer.KeyAttempt{Node: a.Node, Incarnation: a.Incarnation, Number: a.Number}
 }
 
-func answerOf(s peer.KeyState) caller.KeyAnswer {
+func keyAnswerOf(s peer.KeyState) caller.KeyAnswer {
 	switch s {
 	case peer.KeyState_KEY_STATE_GRANTED:
 		return caller.KeyGranted
@@ -118,6 +120,20 @@
 // keyWaiters are the attempts that wait for the log, by attempt.
 type keyWaiters map[once.Attempt]chan bool
 
+// takeKeys applies what an entry of the domain stream says of idempotency keys. An entry that only a newer
+// program can read may hold records on keys.
+func (e *engine) takeKeys(d journal.Delivery, now time.Time) {
+	if d.Gap {
+		e.takeKeyGap(now)
+	}
+	if d.Newer {
+		e.forgetKeys(now)
+	}
+	for _, r := range d.Batch.GetRecords() {
+		e.takeKeyRecord(r, now)
+	}
+}
+
 // takeKeyRecord applies a record on an idempotency key and tells the attempt that waits for it.
 func (e *engine) takeKeyRecord(r *record.Record, now time.Time) {
 	attempt, granted, begin := e.keys.Apply(r, now)
@@ -131,10 +147,15 @@
 // log keeps records for longer than the lifetime of a key.
 func (e *engine) takeKeyGap(now time.Time) {
 	if e.caughtUp {
-		e.keysUnknownUntil = now.Add(e.settings.Callers.KeyLifetime.Std())
+		e.forgetKeys(now)
 	}
 }
 
+// forgetKeys makes every key unknown until no key of before can still be used.
+func (e *engine) forgetKeys(now time.Time) {
+	e.keysUnknownUntil = now.Add(e.settings.Callers.KeyLifetime.Std())
+}
+
 // BeginKey implements peer.Peer.
 func (s peerServer) BeginKey(ctx context.Context, req *peer.BeginKeyRequest) (*peer.BeginKeyReply, error) {
 	if len(req.GetKey()) != len(once.Key{}) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Scheduling Scheduling `json:"scheduling"`
 	// Membership holds periods of the exchange between nodes.
 	Membership Membership `json:"membership"`
+	// Log holds periods of the use of the platform's log.
+	Log Log `json:"log"`
 	// Callers bounds what the node takes from callers.
 	Callers Callers `json:"callers"`
 	// Stop bounds the planned stop.
@@ -50,6 +52,8 @@
 	ClaimLease units.Duration `json:"claim_lease" validate:"gt=0"`
 	// TaskLease is how long a task runs on a worker without a renewal.
 	TaskLease units.Duration `json:"task_lease" validate:"gt=0"`
+	// Weighing says what weighs most: "latency" of services or "throughput" of batch tasks.
+	Weighing string `json:"weighing" validate:"oneof=latency throughput"`
 	// DomainLossAfter is the silence of all nodes of a failure domain after which tasks that may run
 	// elsewhere are moved out of it.
 	DomainLossAfter units.Duration `json:"domain_loss_after" validate:"gt=0"`
@@ -69,6 +73,13 @@
 	DeadAfter units.Duration `json:"dead_after" validate:"gt=0"`
 }
 
+// Log holds periods of the use of the platform's log.
+type Log struct {
+	// SnapshotPeriod is the time between two snapshots in a stream. It is to be a third of the log's
+	// retention at the most, so that a snapshot always outlives what it stands for.
+	SnapshotPeriod units.Duration `json:"snapshot_period" validate:"gt=0"`
+}
+
 // Callers bounds what the node takes from callers.
 type Callers struct {
 	// MaxRequests bounds requests in flight and queued, listeners apart.
@@ -116,6 +127,7 @@
 			Tick:              units.Duration(100 * time.Millisecond),
 			ClaimLease:        units.Duration(6 * time.Second),
 			TaskLease:         units.Duration(15 * time.Second),
+			Weighing:          "latency",
 			DomainLossAfter:   units.Duration(5 * time.Minute),
 			WorkerCallTimeout: units.Duration(2 * time.Second),
 		},
@@ -125,6 +137,9 @@
 			SuspectAfter:   units.Duration(3 * time.Second),
 			DeadAfter:      units.Duration(6 * time.Second),
 		},
+		Log: Log{
+			SnapshotPeriod: units.Duration(30 * time.Minute),
+		},
 		Callers: Callers{
 			MaxRequests:       4096,
 			MaxListeners:      4096,
