Keep a task where room is being made for it, and test urgent work, quotas, blame and growth

Cause: an urgent task for which tasks had been evicted was given to a sibling that had room for a moment and evicted there again: 12 evictions where 8 were needed, and two of eight urgent starts took 4.78 s. A group whose tasks all avoided their workers made a plan panic. Change: a task stays while room is made for it; the end of a group is guarded. Tests of a domain of two nodes in virtual time cover each case against the oracle.

--- a/internal/node/evict.go
+++ b/internal/node/evict.go
@@ -11,7 +11,7 @@
 	// checkpointWait is how long an eviction waits for the report to confirm the checkpoint.
 	checkpointWait = 2 * time.Second
 	// clearingTime is how long a task waits for the room that is made for it before more room is made.
-	clearingTime = 4 * time.Second
+	clearingTime = 3 * time.Second
 	// avoidTime is how long a task is not placed again on a worker that it was moved away from.
 	avoidTime = 2 * time.Minute
 	// maxEvictions bounds the evictions of one task over its life.
--- /dev/null
+++ b/internal/node/scheduling_cases_test.go
@@ -0,0 +1,219 @@
+package node
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/standin"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
+)
+
+// inDomain runs a test on a domain of two nodes in virtual time and checks the oracle at its end.
+func inDomain(t *testing.T, workers int, truth func(platform.StartRequest) standin.Truth, body func(t *testing.T, d *oneDomain)) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newOneDomain(workers, units.Resources{MilliProcessors: 8000, MemoryMiB: 4000}, truth)
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(5 * time.Second)
+		body(t, d)
+		if faults := d.oracle.faults; len(faults) > 0 {
+			t.Error(strings.Join(faults, "\n"))
+		}
+		d.stop()
+	})
+}
+
+// states counts the tasks of a job by state, as the owner of each sees it.
+func (d *oneDomain) states(job string) map[string]int {
+	seen := make(map[string]string)
+	for _, n := range d.nodes {
+		for _, row := range n.Tasks() {
+			if task.KindOf(row.ID) != job || row.State == string(task.Placed) || strings.Contains(row.Reason, "waits under node") {
+				continue
+			}
+			seen[row.ID] = row.State
+		}
+	}
+	count := make(map[string]int)
+	for _, state := range seen {
+		count[state]++
+	}
+	return count
+}
+
+// explain asks the owner of a task.
+func (d *oneDomain) explain(id string) operator.Explanation {
+	for _, n := range d.nodes {
+		if e, known := n.Explain(id); known && !strings.Contains(e.Summary, "waits under node") {
+			return e
+		}
+	}
+	return operator.Explanation{}
+}
+
+// starts returns when the attempts of a job truly started after a time, in order.
+func (d *oneDomain) starts(job string, after time.Time) (waits []time.Duration) {
+	d.oracle.mu.Lock()
+	defer d.oracle.mu.Unlock()
+	for _, r := range d.oracle.runs {
+		if task.KindOf(r.run.Task) == job {
+			waits = append(waits, r.at.Sub(after))
+		}
+	}
+	slices.Sort(waits)
+	return waits
+}
+
+func TestUrgentWorkMakesRoom(t *testing.T) {
+	inDomain(t, 4, steadyTruth(10*time.Minute), func(t *testing.T, d *oneDomain) {
+		full := jobText("full", "t", "batch", 16, 2000, 100, true)
+		d.publish(t, manifestText(100000, full))
+		time.Sleep(30 * time.Second)
+		if got := d.states("full"); got["running"] != 16 {
+			t.Fatalf("the workers are not full: %v", got)
+		}
+		asked := time.Now()
+		d.publish(t, manifestText(100000, full, jobText("urgent", "t", "urgent", 8, 2000, 100, false)))
+		time.Sleep(20 * time.Second)
+		waits := d.starts("urgent", asked)
+		if len(waits) != 8 || waits[7] > 5200*time.Millisecond {
+			t.Errorf("urgent tasks started after %v", waits)
+		}
+		t.Logf("urgent work on a full fleet started after %v", waits)
+		time.Sleep(40 * time.Minute)
+		if got := d.states("full"); got["finished"] != 16 {
+			t.Errorf("evicted work did not finish: %v", got)
+		}
+		if runs := len(d.starts("full", asked)); runs != 24 {
+			t.Errorf("16 tasks with 8 evictions ran in %d attempts", runs)
+		}
+	})
+}
+
+func TestWaitingTasksFindRoomAtSiblings(t *testing.T) {
+	inDomain(t, 4, steadyTruth(10*time.Minute), func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(100000, jobText("exact", "t", "batch", 8, 4000, 100, false)))
+		time.Sleep(15 * time.Second)
+		if got := d.states("exact"); got["running"] != 8 {
+			t.Errorf("tasks wait although a sibling has room: %v", got)
+		}
+	})
+}
+
+func TestImpossibleTasksAreReportedAndHoldNobodyUp(t *testing.T) {
+	inDomain(t, 2, steadyTruth(20*time.Second), func(t *testing.T, d *oneDomain) {
+		accelerated := strings.Replace(jobText("accelerated", "t", "urgent", 2, 1000, 100, false), `"accelerators": 0`, `"accelerators": 1`, 1)
+		d.publish(t, manifestText(16000,
+			jobText("huge", "t", "urgent", 2, 9000, 100, false), accelerated,
+			jobText("unpaid", "empty", "urgent", 2, 1000, 100, false),
+			jobText("small", "t", "spare", 4, 1000, 100, false)))
+		time.Sleep(5 * time.Second)
+		for id, reason := range map[string]string{
+			"huge@1/0": "no worker is large enough", "accelerated@1/1": "no worker has 1 accelerators", "unpaid@1/0": "quota is zero",
+		} {
+			if e := d.explain(id); !e.Never || !strings.Contains(e.Summary, reason) {
+				t.Errorf("%s: never %v, %s", id, e.Never, e.Summary)
+			}
+		}
+		if got := d.states("small"); got["running"] != 4 {
+			t.Errorf("tasks behind impossible ones: %v", got)
+		}
+	})
+}
+
+func TestQuotaHoldsOverTheNodesOfADomain(t *testing.T) {
+	inDomain(t, 4, steadyTruth(20*time.Second), func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(6000, jobText("many", "t", "batch", 12, 2000, 100, false)))
+		for range 600 {
+			time.Sleep(200 * time.Millisecond)
+			d.oracle.mu.Lock()
+			running := len(d.oracle.open)
+			d.oracle.mu.Unlock()
+			if running > 3 {
+				t.Fatalf("%d tasks of 2000 run at once, the quota is 6000", running)
+			}
+		}
+		if got := d.states("many"); got["finished"] != 12 {
+			t.Errorf("after two minutes: %v", got)
+		}
+	})
+}
+
+func TestBadWorkerAndBadJobAreToldApart(t *testing.T) {
+	bad := func(req platform.StartRequest) standin.Truth {
+		return standin.Truth{RunTime: 2 * time.Second, Usage: req.Size, Fails: task.KindOf(req.Run.Task) == "bad"}
+	}
+	inDomain(t, 5, bad, func(t *testing.T, d *oneDomain) {
+		d.agent["w0"].FailEverything()
+		d.publish(t, manifestText(100000, jobText("good", "t", "batch", 60, 2000, 100, false), jobText("bad", "t", "batch", 2, 1000, 100, false)))
+		time.Sleep(20 * time.Minute)
+		if got := d.states("good"); got["finished"] != 60 {
+			t.Errorf("good tasks: %v", got)
+		}
+		if got := d.states("bad"); got["failed"] != 2 {
+			t.Errorf("bad tasks: %v", got)
+		}
+		onBad := 0
+		for _, r := range d.oracle.runs {
+			if r.worker == "w0" {
+				onBad++
+			}
+		}
+		if onBad > 12 {
+			t.Errorf("%d attempts went to the worker that fails every task", onBad)
+		}
+		for _, n := range d.nodes {
+			for _, id := range []string{"w1", "w2", "w3", "w4"} {
+				if rate := n.engine.outcomes.State(id, time.Now()); rate != 0 {
+					t.Errorf("good worker %s is in state %v", id, rate)
+				}
+			}
+		}
+	})
+}
+
+func TestOutgrownTasks(t *testing.T) {
+	outgrows := func(req platform.StartRequest) standin.Truth {
+		truth := standin.Truth{RunTime: time.Minute, Usage: req.Size}
+		if task.KindOf(req.Run.Task) == "under" {
+			truth.Usage = units.Resources{MilliProcessors: 1500, MemoryMiB: 900}
+		}
+		return truth
+	}
+	inDomain(t, 4, outgrows, func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(100000, jobText("under", "t", "batch", 12, 1000, 600, true)))
+		time.Sleep(15 * time.Second)
+		for id, agent := range d.agent {
+			report, _ := agent.Report(t.Context())
+			for _, run := range report.Runs {
+				if !run.State.Final() && run.Size.MemoryMiB < run.Usage.MemoryMiB {
+					t.Errorf("%v on %s uses %v of %v", run.ID, id, run.Usage, run.Size)
+				}
+			}
+		}
+		time.Sleep(20 * time.Minute)
+		if got := d.states("under"); got["finished"] != 12 {
+			t.Errorf("tasks that outgrew their size: %v", got)
+		}
+	})
+}
+
+func TestPromisesInStatus(t *testing.T) {
+	inDomain(t, 1, steadyTruth(time.Minute), func(t *testing.T, d *oneDomain) {
+		promises := d.nodes["n1"].Status().Promises
+		if len(promises) < 6 {
+			t.Errorf("promises: %v", promises)
+		}
+		for _, p := range promises {
+			if p.Broken != 0 {
+				t.Errorf("broken at the start: %v", p)
+			}
+		}
+	})
+}
--- a/internal/node/scheduling_test.go
+++ b/internal/node/scheduling_test.go
@@ -250,7 +250,7 @@
 
 func manifestText(quota int, jobs ...string) string {
 	return fmt.Sprintf(`{"release": "r", "failure_domains": [{"name": "a", "region": "r"}],
-  "teams": [{"name": "t", "quota": {"milli_processors": %d, "memory_mib": 1000000, "accelerators": 0}},
+  "teams": [{"name": "t", "quota": {"milli_processors": %d, "memory_mib": 1000000, "accelerators": 4}},
             {"name": "empty", "quota": {"milli_processors": 0, "memory_mib": 0, "accelerators": 0}}],
   "services": [], "jobs": [%s]}`, quota, strings.Join(jobs, ","))
 }
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -21,9 +21,6 @@
 // evict makes room for a task on the worker where the least work is lost. It returns false when no
 // worker can be cleared or the limit is reached.
 func (p *planner) evict(t *task.Task, size units.Resources) bool {
-	if p.Now.Before(t.ClearedUntil) {
-		return true
-	}
 	var best *victims
 	for _, w := range p.Workers.All() {
 		if !w.Eligible || w.Probation || !size.Fits(w.Capacity) || p.taken[w] != (units.Resources{}) {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -54,7 +54,9 @@
 			return len(it.rows) <= limit
 		})
 	}
-	it.rows = it.rows[1:]
+	if len(it.rows) > 0 {
+		it.rows = it.rows[1:]
+	}
 	return len(it.rows) > 0
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -168,18 +168,12 @@
 func (p *planner) makeRoom(it *item, t *task.Task, size units.Resources) bool {
 	settled := true
 	for {
-		switch p.transfer(it, t, size) {
-		case transferred:
-		case transferLater:
-			settled = false
-		case noTransfer:
-			if it.key.rank > rankUrgent {
-				return settled
-			}
-			if !p.evict(t, size) {
-				return false
-			}
+		switch p.find(it, t, size) {
+		case found:
+		case foundLater:
 			settled = false
+		case notFound:
+			return settled && it.key.rank > rankUrgent
 		}
 		if !it.next(p.Limits.Transfers) {
 			return settled
@@ -187,3 +181,16 @@
 		t = it.rows[0]
 	}
 }
+
+// find gives a task to a shard with room, or evicts for it. A task for which others are being evicted stays
+// where it is.
+func (p *planner) find(it *item, t *task.Task, size units.Resources) search {
+	if p.Now.Before(t.ClearedUntil) {
+		return foundLater
+	}
+	result := p.transfer(it, t, size)
+	if result == notFound && it.key.rank <= rankUrgent && p.evict(t, size) {
+		return foundLater
+	}
+	return result
+}
--- a/internal/scheduler/transfer.go
+++ b/internal/scheduler/transfer.go
@@ -6,35 +6,35 @@
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
-// transferResult says what became of an attempt to give a task away.
-type transferResult int
+// search says what became of the search for room elsewhere.
+type search int
 
 const (
-	noTransfer transferResult = iota
-	transferred
-	// transferLater: there is room elsewhere, but the task has moved a moment ago.
-	transferLater
+	notFound search = iota
+	found
+	// foundLater: there is or will be room, but not yet.
+	foundLater
 )
 
 // transfer gives a task to the shard of the worker with most room among those of other owners. What is
 // known of their rooms follows the log and may be out of date; the new owner decides.
-func (p *planner) transfer(it *item, t *task.Task, size units.Resources) transferResult {
+func (p *planner) transfer(it *item, t *task.Task, size units.Resources) search {
 	if len(p.plan.Transfers) >= p.Limits.Transfers {
-		return transferLater
+		return foundLater
 	}
 	if reason, _ := p.refuseQuota(t); reason != "" {
-		return transferLater
+		return foundLater
 	}
 	w := p.roomiest(it, size)
 	if w == nil {
-		return noTransfer
+		return notFound
 	}
 	if p.Now.Before(t.TransferAfter) {
-		return transferLater
+		return foundLater
 	}
 	p.take(w, t, size)
 	p.plan.Transfers = append(p.plan.Transfers, Transfer{Task: t.ID, Shard: w.Shard})
-	return transferred
+	return found
 }
 
 // roomiest returns the worker of another owner with most room for a size, or nil.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -49,6 +49,8 @@
 	mu      sync.Mutex
 	token   platform.Offset
 	runs    map[platform.RunID]*run
+	// failing makes every batch run fail.
+	failing bool
 }
 
 type run struct {
@@ -71,6 +73,13 @@
 // ID returns the worker's ID.
 func (w *Worker) ID() string { return w.options.ID }
 
+// FailEverything makes every batch run on the worker fail at its end.
+func (w *Worker) FailEverything() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = true
+}
+
 // Fence implements httpjson.Agent.
 func (w *Worker) Fence(ctx context.Context, token platform.Offset) (platform.Report, error) {
 	return w.withReport(ctx, token, func() error { return nil })
@@ -151,7 +160,7 @@
 	if r == nil || r.State.Final() {
 		return
 	}
-	if r.truth.Fails {
+	if r.truth.Fails || w.failing {
 		r.Message = "exit status 1"
 		w.end(r, platform.RunFailed)
 		return
