--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -163,7 +163,7 @@
 // watchLatency learns from the latencies of the services on a worker and acts when one is past its target.
 func (e *engine) watchLatency(w *worker.Worker, report platform.Report, now time.Time) {
 	pressure, measured := 0.0, false
-	steady := now.Sub(e.steadySince(w, now)) >= measurementLag
+	steady := now.Sub(e.steadySince(w, now)) >= measurementLag && !anyThrottled(report)
 	for i := range report.Runs {
 		run := &report.Runs[i]
 		row := e.taskRow.Get(run.ID.Task)
@@ -189,6 +189,17 @@
 	e.takeStep(step, now)
 }
 
+// anyThrottled reports whether a run takes less than its reservation on request.
+func anyThrottled(report platform.Report) bool {
+	for i := range report.Runs {
+		run := &report.Runs[i]
+		if !run.State.Final() && run.Throttle < outgrownThrottle {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *engine) latencyTarget(service string) time.Duration {
 	for i := range e.config.InForce().Manifest.Services {
 		s := &e.config.InForce().Manifest.Services[i]
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if p.Policy.DeadlineOnly {
-		it.key = key{critical: true, slack: t.Deadline.Sub(p.Now)}
+		it.key = key{rank: rankBatch, critical: true, slack: t.Deadline.Sub(p.Now)}
 		return
 	}
 	runTime := p.Estimates.RunTime(t)
