--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -29,9 +29,9 @@
 	// Teams lists the teams and their quotas.
 	Teams []Team `json:"teams" validate:"required,unique=Name,dive"`
 	// Services lists the latency-critical services.
-	Services []Service `json:"services" validate:"unique=Name,dive"`
+	Services []Service `json:"services,omitempty" validate:"unique=Name,dive"`
 	// Jobs lists the batch jobs.
-	Jobs []Job `json:"jobs" validate:"unique=Name,dive"`
+	Jobs []Job `json:"jobs,omitempty" validate:"unique=Name,dive"`
 }
 
 // FailureDomain is one failure domain of the deployment.
@@ -67,7 +67,7 @@
 	Timeout units.Duration `json:"timeout" validate:"gt=0"`
 	// Requests says how kinds of requests are treated. The first rule that matches counts.
 	// A request that no rule matches is not idempotent unless its method is GET, HEAD or OPTIONS.
-	Requests []RequestRule `json:"requests" validate:"dive"`
+	Requests []RequestRule `json:"requests,omitempty" validate:"dive"`
 	// Limits bounds what callers may ask of the service.
 	Limits ServiceLimits `json:"limits"`
 }
@@ -178,6 +178,15 @@
 // Encode returns m as plain JSON.
 func (m *Manifest) Encode() ([]byte, error) { return json.Marshal(m) }
 
+// CheckReferences checks what the entries of a manifest say of each other, but not the entries themselves.
+// The error is of type strictjson.Problems.
+func (m *Manifest) CheckReferences() error {
+	if problems := m.crossCheck(); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
 // crossCheck reports references that do not resolve and prefixes that overlap.
 func (m *Manifest) crossCheck() strictjson.Problems {
 	var problems strictjson.Problems
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +13,7 @@
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/promise"
@@ -39,6 +41,13 @@
 	domainWriter   *journal.Writer
 	manifestWriter *journal.Writer
 
+	domainReplay   *journal.Replay
+	manifestReplay *journal.Replay
+	// domainSnapshotAt and manifestSnapshotAt are when this node last saw or wrote a snapshot.
+	domainSnapshotAt   time.Time
+	manifestSnapshotAt time.Time
+	forgetAt           time.Time
+
 	config    config.State
 	members   *membership.Table
 	ledger    *ledger.Ledger
@@ -46,6 +55,14 @@
 	workerRow *worker.Table
 	taskRow   *task.Table
 	directory *endpoint.Directory
+	// keys are the idempotency keys of the failure domain.
+	keys       *once.Table
+	keyWaiters keyWaiters
+	// keysUnknownUntil is the end of the time in which keys may be in use that this node has not read.
+	keysUnknownUntil time.Time
+	division         division
+	// callers is the number of nodes that answer callers.
+	callers atomic.Int64
 
 	vms        []platform.VM
 	listReadAt time.Time
@@ -128,6 +145,7 @@
 
 // tick runs the systems over the tables.
 func (e *engine) tick(now time.Time) {
+	e.divide(now)
 	e.own(now)
 	e.removeAbsent(now)
 	e.adoptWorkers(now)
@@ -139,64 +157,25 @@
 	e.schedule(now)
 	e.flushForgets()
 	e.rescuer.tick(now)
+	e.writeSnapshots(now)
 }
 
 // own claims, renews and gives up shards.
 func (e *engine) own(now time.Time) {
-	if !e.caughtUp || e.stopping {
+	if !e.current() || e.stopping {
 		return
 	}
 	live := e.members.LiveIn(e.settings.FailureDomain, now)
 	e.domainWriter.Enqueue(e.owner.Decide(e.ledger, live, now)...)
 }
 
-// takeDomainEntries applies entries of the domain stream.
-func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
-	e.logReadAt = now
-	for _, d := range deliveries {
-		if d.Batch == nil {
-			continue
-		}
-		sent, own := e.domainWriter.Settle(d.Batch)
-		results := e.ledger.Apply(d.Offset, d.Batch, now)
-		e.owner.Observe(e.ledger, results, sent, own)
-		for _, r := range results {
-			e.takeResult(r, now)
-		}
-	}
-	if len(deliveries) == 0 {
-		e.caughtUp = true
-	}
-}
-
-// takeManifestEntries applies entries of the manifest stream.
-func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
-	before := e.config.Version()
-	for _, d := range deliveries {
-		if d.Batch == nil {
-			continue
-		}
-		e.manifestWriter.Settle(d.Batch)
-		for _, r := range d.Batch.GetRecords() {
-			if p := r.GetPublication(); p != nil {
-				rejection := e.config.Publish(d.Offset, p)
-				e.metrics.countPublication(rejection)
-				e.decide(p.GetPublicationId(), decision{rejection: rejection, version: e.config.Version()})
-			}
-			if s := r.GetManifestSnapshot(); s != nil {
-				e.config.Restore(s)
-			}
-		}
-	}
-	e.manifestChanged(before, now)
-}
-
 // manifestChanged brings the tables in line after a new manifest has come in force.
 func (e *engine) manifestChanged(before config.Version, now time.Time) {
 	if e.config.Version() == before {
 		return
 	}
 	inForce := e.config.InForce()
+	e.decide(inForce.PublicationID, decision{rejection: config.Accepted, version: inForce.Version})
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
 	e.syncTasks(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/membership"
+	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/peer"
@@ -75,10 +76,12 @@
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:    o.Settings.Callers,
 		Directory: n.engine.directory,
-		Chooser:   route.Local{FailureDomain: o.Settings.FailureDomain},
+		Chooser:   route.Adaptive{FailureDomain: o.Settings.FailureDomain},
 		Transport: o.Endpoints,
 		Metrics:   set,
 		Manifest:  n.manifestInForce,
+		Nodes:     n.callerNodes,
+		Once:      &onceKeys{node: n},
 	})
 	return n
 }
@@ -104,6 +107,8 @@
 		manifestWriter: writer(journal.ManifestStream),
 		members:        membership.NewTable(member, periods),
 		ledger:         ledger.New(),
+		domainReplay:   journal.NewReplay(journal.NewMetrics(set, domainStream)),
+		manifestReplay: journal.NewReplay(journal.NewMetrics(set, journal.ManifestStream)),
 		owner:          ownership.NewOwner(self, s.FailureDomain, s.Scheduling.ClaimLease.Std()),
 		workerRow:      worker.NewTable(),
 		taskRow:        task.NewTable(),
@@ -118,6 +123,9 @@
 		forgets:        make(map[*worker.Worker][]platform.RunID),
 		steady:         make(map[string]steadiness),
 		directory:      endpoint.NewDirectory(),
+		keys:           once.NewTable(s.Callers.KeyLifetime.Std()),
+		keyWaiters:     make(keyWaiters),
+		division:       division{transport: o.Endpoints},
 		waiters:        make(map[string]chan decision),
 	}
 }
@@ -138,8 +146,8 @@
 	n.add(&group, n.engine.run)
 	n.add(&group, n.engine.domainWriter.Run)
 	n.add(&group, n.engine.manifestWriter.Run)
-	n.addFollower(&group, journal.DomainStream(n.settings.FailureDomain), n.engine.takeDomainEntries)
-	n.addFollower(&group, journal.ManifestStream, n.engine.takeManifestEntries)
+	n.add(&group, n.followDomain)
+	n.add(&group, n.followManifest)
 	n.add(&group, n.readList)
 	n.add(&group, (&gossip{engine: n.engine, transport: n.options.Peers}).run)
 	n.addServer(&group, n.options.Listeners.Callers, n.caller)
@@ -160,14 +168,6 @@
 	group.Add(func() error { return actor(n.ctx) }, func(error) { n.cancel() })
 }
 
-func (n *Node) addFollower(group *run.Group, stream string, take func([]journal.Delivery, time.Time)) {
-	deliver := func(ds []journal.Delivery) {
-		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
-	}
-	follower := journal.NewFollower(n.options.Log, stream, 1, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
-	n.add(group, follower.Run)
-}
-
 // closeTimeout bounds the closing of idle connections at the end of a stop.
 const closeTimeout = 2 * time.Second
 
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -26,7 +26,7 @@
 
 // schedule plans when a table has changed since the last plan, and carries the plan out.
 func (e *engine) schedule(now time.Time) {
-	if !e.caughtUp || e.stopping || e.config.InForce() == nil {
+	if !e.current() || e.stopping || e.config.InForce() == nil {
 		return
 	}
 	e.taskRow.Wake(now)
