--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -54,7 +54,9 @@
 			return len(it.rows) <= limit
 		})
 	}
-	it.rows = it.rows[1:]
+	if len(it.rows) > 0 {
+		it.rows = it.rows[1:]
+	}
 	return len(it.rows) > 0
 }
 
@@ -66,7 +68,7 @@
 		return
 	}
 	if p.Policy.DeadlineOnly {
-		it.key = key{critical: true, slack: t.Deadline.Sub(p.Now)}
+		it.key = key{rank: rankBatch, critical: true, slack: t.Deadline.Sub(p.Now)}
 		return
 	}
 	runTime := p.Estimates.RunTime(t)
