Take the newest manifest of all peers when a node starts

Ruled out: the log, which was down. Change: the node asks all peers for their versions first and fetches from the newest. The fuzzer asks for the newest version that a starting process can learn from the log or a peer in reach, and no more: with only an older peer in reach there is nothing newer to take. Conclusion: a restart does not revert a manifest that a reachable node has.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -83,7 +83,12 @@
 	if g.behindSince.IsZero() {
 		g.behindSince = time.Now()
 	}
-	return time.Since(g.behindSince) >= fetchGrace
+	grace := fetchGrace
+	if g.manifestVersion() == 0 {
+		// The start looks for the newest manifest of all peers first.
+		grace = recoveryTimeout
+	}
+	return time.Since(g.behindSince) >= grace
 }
 
 func (g *gossip) manifestVersion() uint64 {
--- a/internal/node/recover.go
+++ b/internal/node/recover.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sort"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,7 +27,7 @@
 // stream from there.
 func (n *Node) followDomain(ctx context.Context) error {
 	var at platform.Offset
-	n.askPeers(ctx, true, func(ctx context.Context, client peer.Peer) bool {
+	n.askPeers(ctx, n.startAddresses(ctx, true), func(ctx context.Context, client peer.Peer) bool {
 		state, err := client.FetchDomain(ctx, &peer.FetchDomainRequest{FailureDomain: n.settings.FailureDomain})
 		if err != nil || len(state.GetState()) == 0 {
 			return false
@@ -41,10 +43,10 @@
 	return n.follow(ctx, journal.DomainStream(n.settings.FailureDomain), at+1, n.engine.takeDomainEntries)
 }
 
-// followManifest takes the manifest from a peer, when one has it, and follows the stream from there.
+// followManifest takes the newest manifest that a peer has and follows the stream from there.
 func (n *Node) followManifest(ctx context.Context) error {
 	var at platform.Offset
-	n.askPeers(ctx, false, func(ctx context.Context, client peer.Peer) bool {
+	n.askPeers(ctx, n.byManifest(ctx, n.startAddresses(ctx, false)), func(ctx context.Context, client peer.Peer) bool {
 		at = n.engine.fetchManifest(ctx, client)
 		return at > 0
 	})
@@ -65,12 +67,11 @@
 	return follower.Run(ctx)
 }
 
-// askPeers calls ask for one peer after the other, in random order, until one succeeds or the time is up.
-// siblings limits it to nodes of the same failure domain as far as the list tells.
-func (n *Node) askPeers(ctx context.Context, siblings bool, ask func(context.Context, peer.Peer) bool) {
+// askPeers calls ask for one peer after the other until one succeeds or the time is up.
+func (n *Node) askPeers(ctx context.Context, addresses []string, ask func(context.Context, peer.Peer) bool) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	for _, address := range n.startAddresses(ctx, siblings) {
+	for _, address := range addresses {
 		callCtx, cancelCall := context.WithTimeout(ctx, fetchTimeout)
 		done := ask(callCtx, peer.NewClient(address, n.settings.PeerKey, n.options.Peers))
 		cancelCall()
@@ -80,6 +81,34 @@
 	}
 }
 
+// byManifest orders peers by the version that each has in force, the newest first. A peer that is cut from
+// the log may be behind the others, so that the first one that answers is not good enough.
+func (n *Node) byManifest(ctx context.Context, addresses []string) []string {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var view *peer.View
+	if !n.engine.ask(ctx, func(time.Time) { view = n.engine.view() }) {
+		return nil
+	}
+	versions := make([]uint64, len(addresses))
+	var wait sync.WaitGroup
+	for i, address := range addresses {
+		wait.Go(func() {
+			answer, err := peer.NewClient(address, n.settings.PeerKey, n.options.Peers).Exchange(ctx, view)
+			if err == nil {
+				versions[i] = newestVersion(answer)
+			}
+		})
+	}
+	wait.Wait()
+	order := make(map[string]uint64, len(addresses))
+	for i, address := range addresses {
+		order[address] = versions[i]
+	}
+	sort.SliceStable(addresses, func(a, b int) bool { return order[addresses[a]] > order[addresses[b]] })
+	return addresses
+}
+
 // startAddresses returns the peers that are known before any exchange: those of the list and the seeds.
 func (n *Node) startAddresses(ctx context.Context, siblings bool) []string {
 	listCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -44,8 +44,10 @@
 	process *process
 	node    *node.Node
 	up      bool
-	// version is the newest manifest version that the node was ever seen to have in force.
+	// version is the newest manifest version that the newest process was seen to have in force, floor the
+	// oldest one that it may put in force first.
 	version uint64
+	floor   uint64
 }
 
 // cluster is the world of one case.
