--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -20,6 +20,7 @@
 func (e *engine) takeDomainEntries(deliveries []journal.Delivery, now time.Time) {
 	e.logReadAt = now
 	for _, d := range deliveries {
+		e.takeKeys(d, now)
 		wasComplete := e.domainReplay.Complete()
 		if d, applicable := e.domainReplay.Take(d); applicable {
 			e.applyDomainEntry(d, now)
--- a/internal/peer/peer.twirp.go
+++ b/internal/peer/peer.twirp.go
@@ -44,6 +44,12 @@
 
 	// Promise asks a node not to claim shards for a time while the log is out of reach.
 	Promise(context.Context, *PromiseRequest) (*PromiseReply, error)
+
+	// BeginKey asks a node of the key's home failure domain for the right to run a request.
+	BeginKey(context.Context, *BeginKeyRequest) (*BeginKeyReply, error)
+
+	// EndKey says what became of the request.
+	EndKey(context.Context, *EndKeyRequest) (*EndKeyReply, error)
 }
 
 // ====================
@@ -52,7 +58,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -80,11 +86,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.peer", "Peer")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchManifest",
 		serviceURL + "FetchDomain",
 		serviceURL + "Promise",
+		serviceURL + "BeginKey",
+		serviceURL + "EndKey",
 	}
 
 	return &peerProtobufClient{
@@ -279,13 +287,105 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) BeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	caller := c.callBeginKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return c.callBeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callBeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	out := new(BeginKeyReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerProtobufClient) EndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	caller := c.callEndKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return c.callEndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callEndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	out := new(EndKeyReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -313,11 +413,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.peer", "Peer")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchManifest",
 		serviceURL + "FetchDomain",
 		serviceURL + "Promise",
+		serviceURL + "BeginKey",
+		serviceURL + "EndKey",
 	}
 
 	return &peerJSONClient{
@@ -512,6 +614,98 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) BeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	caller := c.callBeginKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return c.callBeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callBeginKey(ctx context.Context, in *BeginKeyRequest) (*BeginKeyReply, error) {
+	out := new(BeginKeyReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *peerJSONClient) EndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	caller := c.callEndKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return c.callEndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callEndKey(ctx context.Context, in *EndKeyRequest) (*EndKeyReply, error) {
+	out := new(EndKeyReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -621,6 +815,12 @@
 	case "Promise":
 		s.servePromise(ctx, resp, req)
 		return
+	case "BeginKey":
+		s.serveBeginKey(ctx, resp, req)
+		return
+	case "EndKey":
+		s.serveEndKey(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1348,6 +1548,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *peerServer) serveBeginKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveBeginKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveBeginKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveBeginKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(BeginKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.BeginKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return s.Peer.BeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginKeyReply and nil error while calling BeginKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveBeginKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "BeginKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(BeginKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.BeginKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BeginKeyRequest) (*BeginKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BeginKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BeginKeyRequest) when calling interceptor")
+					}
+					return s.Peer.BeginKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BeginKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BeginKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BeginKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BeginKeyReply and nil error while calling BeginKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveEndKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveEndKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveEndKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveEndKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(EndKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.EndKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return s.Peer.EndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *EndKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndKeyReply and nil error while calling EndKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveEndKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "EndKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(EndKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.EndKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *EndKeyRequest) (*EndKeyReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*EndKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*EndKeyRequest) when calling interceptor")
+					}
+					return s.Peer.EndKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*EndKeyReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*EndKeyReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *EndKeyReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *EndKeyReply and nil error while calling EndKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1929,41 +2489,57 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 566 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x54, 0xcd, 0x6a, 0xdb, 0x4c,
-	0x14, 0x45, 0x3f, 0xb6, 0x93, 0xeb, 0x24, 0xce, 0x37, 0x24, 0xf9, 0x06, 0x93, 0x52, 0xa1, 0x12,
-	0x50, 0x09, 0xb5, 0x69, 0xb2, 0x29, 0x74, 0xd5, 0xd2, 0x04, 0xb2, 0x30, 0x98, 0x29, 0x64, 0xd1,
-	0x8d, 0x19, 0x4b, 0xd7, 0xb6, 0xa8, 0x34, 0xa3, 0xce, 0x8c, 0xf3, 0xd3, 0x77, 0xe8, 0xb3, 0x74,
-	0xd3, 0x07, 0x2c, 0x1a, 0x49, 0x89, 0x5d, 0xbb, 0xcb, 0x6e, 0xcc, 0x9c, 0x73, 0xcf, 0xfd, 0xf1,
-	0x3d, 0x9a, 0x01, 0x9a, 0x0a, 0x83, 0x4a, 0xf0, 0x6c, 0x58, 0x20, 0x2a, 0xfb, 0x33, 0x28, 0x94,
-	0x34, 0x92, 0xf4, 0x62, 0x1e, 0x9b, 0xa5, 0xbe, 0xe7, 0x59, 0x36, 0x28, 0xe9, 0xf0, 0x3b, 0xf8,
-	0xb7, 0x29, 0xde, 0x13, 0x02, 0xfe, 0x4c, 0xc9, 0x9c, 0x3a, 0x81, 0x13, 0xed, 0x32, 0x7b, 0x26,
-	0x6f, 0xa1, 0x93, 0x63, 0x3e, 0x45, 0xa5, 0xa9, 0x1b, 0x78, 0x51, 0xf7, 0xe2, 0xff, 0xc1, 0x1f,
-	0xe9, 0x83, 0x91, 0x8d, 0xb3, 0x46, 0x47, 0xce, 0xe1, 0xbf, 0x0c, 0xf9, 0x5d, 0x2a, 0xe6, 0x13,
-	0x14, 0x49, 0x21, 0x53, 0x61, 0x34, 0xf5, 0x02, 0x2f, 0xda, 0x65, 0x87, 0x75, 0xe0, 0xaa, 0xe1,
-	0xc3, 0x1f, 0x2e, 0xb4, 0xab, 0x02, 0x65, 0x7b, 0x21, 0x13, 0x6c, 0xda, 0x97, 0x67, 0x12, 0x40,
-	0x37, 0x15, 0x31, 0x57, 0x82, 0x9b, 0x54, 0x0a, 0xea, 0x06, 0x4e, 0xe4, 0xb3, 0x55, 0x8a, 0x9c,
-	0xc1, 0xc1, 0x8c, 0xa7, 0xd9, 0x52, 0xe1, 0x24, 0x91, 0x39, 0x4f, 0x05, 0xf5, 0x6c, 0xfe, 0x7e,
-	0xcd, 0x7e, 0xb2, 0x24, 0xa1, 0xd0, 0xe1, 0x49, 0xa2, 0x50, 0x6b, 0xea, 0xdb, 0x78, 0x03, 0xc9,
-	0x29, 0xec, 0x2e, 0x90, 0x2b, 0x33, 0x45, 0x6e, 0x68, 0xcb, 0x36, 0x78, 0x26, 0xca, 0xbc, 0x7a,
-	0x66, 0xda, 0x0e, 0x9c, 0x68, 0x87, 0x35, 0x90, 0xbc, 0x86, 0xc3, 0x9c, 0x8b, 0x74, 0x86, 0xda,
-	0x4c, 0xee, 0x50, 0xe9, 0x72, 0xbe, 0x8e, 0x4d, 0xef, 0x35, 0xfc, 0x6d, 0x45, 0x97, 0x52, 0x59,
-	0xa0, 0xe2, 0x46, 0xaa, 0x49, 0x33, 0x45, 0xcf, 0x4e, 0xd1, 0x6b, 0xf8, 0x0f, 0x15, 0x1d, 0x9e,
-	0xc0, 0xd1, 0x35, 0x9a, 0x78, 0x31, 0xaa, 0x4b, 0x30, 0xfc, 0xb6, 0x44, 0x6d, 0xc2, 0x33, 0xe8,
-	0xdc, 0x88, 0x6b, 0xa9, 0x62, 0x24, 0x7d, 0xd8, 0xd1, 0x82, 0x17, 0x7a, 0x21, 0x8d, 0xdd, 0xd5,
-	0x1e, 0x7b, 0xc2, 0xe1, 0x7b, 0x20, 0x36, 0xbd, 0xfa, 0xd7, 0x75, 0xf2, 0x96, 0x1d, 0x39, 0x5b,
-	0x76, 0x14, 0x5e, 0x42, 0xb7, 0x3a, 0x7d, 0x36, 0xdc, 0x20, 0x39, 0x00, 0x97, 0x57, 0x1d, 0x7c,
-	0xe6, 0x72, 0x43, 0x8e, 0xa0, 0xa5, 0xcb, 0x80, 0x75, 0x61, 0x8f, 0x55, 0x20, 0xfc, 0xe5, 0xc0,
-	0xc1, 0x58, 0xc9, 0x3c, 0xd5, 0xd8, 0xb4, 0xfb, 0xa7, 0x46, 0x9e, 0x40, 0x5b, 0x2f, 0xb8, 0x4a,
-	0x4a, 0x1f, 0xbd, 0x68, 0x9f, 0xd5, 0xa8, 0xe4, 0x8d, 0xfc, 0x8a, 0x42, 0xd3, 0x56, 0xe0, 0x45,
-	0x3e, 0xab, 0x11, 0x39, 0x86, 0xf6, 0x4c, 0xaa, 0x49, 0xae, 0xad, 0x7f, 0x3e, 0x6b, 0xcd, 0xa4,
-	0x1a, 0xe9, 0x30, 0x82, 0xbd, 0xa7, 0xa9, 0x8b, 0xec, 0xb1, 0xf4, 0x79, 0xae, 0xb8, 0x30, 0x98,
-	0x50, 0xc7, 0xd6, 0x6d, 0xe0, 0xc5, 0x4f, 0x17, 0xfc, 0x31, 0xa2, 0x22, 0xef, 0x60, 0xe7, 0xea,
-	0x21, 0x5e, 0x70, 0x31, 0x47, 0x72, 0xbc, 0x71, 0x0b, 0xca, 0x1b, 0xd4, 0xdf, 0x4e, 0x93, 0x31,
-	0xec, 0xaf, 0x99, 0x4a, 0xce, 0x36, 0x74, 0xdb, 0x4c, 0xef, 0xd3, 0x0d, 0x59, 0xf3, 0x0d, 0x8c,
-	0xa1, 0xbb, 0xe2, 0x33, 0x79, 0xb5, 0xbd, 0xde, 0xda, 0x57, 0xd0, 0x3f, 0xdd, 0x10, 0xad, 0xba,
-	0x7d, 0x03, 0x9d, 0x7a, 0x21, 0xe4, 0xe5, 0x86, 0x70, 0xdd, 0xe0, 0xfe, 0x8b, 0xbf, 0x0b, 0x8a,
-	0xec, 0xf1, 0xe3, 0x9b, 0x2f, 0xe7, 0x2b, 0x71, 0x7c, 0xe0, 0x79, 0x91, 0xe1, 0xf0, 0x99, 0x1a,
-	0xae, 0x3d, 0x4d, 0xd3, 0xb6, 0x7d, 0x96, 0x2e, 0x7f, 0x07, 0x00, 0x00, 0xff, 0xff, 0x59, 0xff,
-	0x2f, 0x4a, 0xb2, 0x04, 0x00, 0x00,
+	// 823 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x55, 0xdf, 0x6e, 0xdb, 0xb6,
+	0x17, 0xfe, 0xc9, 0x52, 0x64, 0xe7, 0x38, 0xfe, 0x13, 0xfe, 0x9a, 0x54, 0xf3, 0xba, 0x56, 0xd0,
+	0x10, 0x4c, 0x5d, 0xb1, 0x04, 0x4b, 0x31, 0x60, 0xc0, 0x6e, 0xe6, 0x20, 0x4e, 0x51, 0x64, 0xf1,
+	0x02, 0x36, 0xed, 0xb0, 0xde, 0x68, 0x8c, 0x45, 0xc7, 0x42, 0x2d, 0x52, 0x25, 0xe9, 0xa4, 0xde,
+	0x73, 0xed, 0x15, 0xf6, 0x02, 0x7b, 0xa2, 0x81, 0x94, 0x18, 0xdb, 0xb5, 0xb7, 0x8b, 0x01, 0xbd,
+	0x31, 0x78, 0x3e, 0x7e, 0xe7, 0x1f, 0xcf, 0xf9, 0x2c, 0x08, 0x32, 0xa6, 0xa8, 0x60, 0x64, 0x7a,
+	0x54, 0x50, 0x2a, 0xcc, 0xcf, 0x61, 0x21, 0xb8, 0xe2, 0xa8, 0x33, 0x22, 0x23, 0x35, 0x93, 0x77,
+	0x64, 0x3a, 0x3d, 0xd4, 0x70, 0xf4, 0x3b, 0x78, 0x6f, 0x32, 0x7a, 0x87, 0x10, 0x78, 0x63, 0xc1,
+	0xf3, 0xc0, 0x09, 0x9d, 0x78, 0x1b, 0x9b, 0x33, 0xfa, 0x16, 0xea, 0x39, 0xcd, 0xaf, 0xa9, 0x90,
+	0x41, 0x2d, 0x74, 0xe3, 0xe6, 0xf1, 0xc3, 0xc3, 0x8f, 0xdc, 0x0f, 0x2f, 0xcc, 0x3d, 0xb6, 0x3c,
+	0xf4, 0x0c, 0x76, 0xa7, 0x94, 0xdc, 0x66, 0xec, 0x26, 0xa1, 0x2c, 0x2d, 0x78, 0xc6, 0x94, 0x0c,
+	0xdc, 0xd0, 0x8d, 0xb7, 0x71, 0xb7, 0xba, 0x18, 0x58, 0x3c, 0xfa, 0xab, 0x06, 0x7e, 0x19, 0x40,
+	0xa7, 0x67, 0x3c, 0xa5, 0x36, 0xbd, 0x3e, 0xa3, 0x10, 0x9a, 0x19, 0x1b, 0x11, 0xc1, 0x88, 0xca,
+	0x38, 0x0b, 0x6a, 0xa1, 0x13, 0x7b, 0x78, 0x19, 0x42, 0x07, 0xd0, 0x1e, 0x93, 0x6c, 0x3a, 0x13,
+	0x34, 0x49, 0x79, 0x4e, 0x32, 0x16, 0xb8, 0xc6, 0xbf, 0x55, 0xa1, 0xa7, 0x06, 0x44, 0x01, 0xd4,
+	0x49, 0x9a, 0x0a, 0x2a, 0x65, 0xe0, 0x99, 0x7b, 0x6b, 0xa2, 0x47, 0xb0, 0x3d, 0xa1, 0x44, 0xa8,
+	0x6b, 0x4a, 0x54, 0xb0, 0x65, 0x12, 0x2c, 0x00, 0xed, 0x57, 0xd5, 0x1c, 0xf8, 0xa1, 0x13, 0x37,
+	0xb0, 0x35, 0xd1, 0x53, 0xe8, 0xe6, 0x84, 0x65, 0x63, 0x2a, 0x55, 0x72, 0x4b, 0x85, 0xd4, 0xf5,
+	0xd5, 0x8d, 0x7b, 0xc7, 0xe2, 0x6f, 0x4a, 0x18, 0xf5, 0xa0, 0x91, 0x66, 0xb7, 0x99, 0xa1, 0x3c,
+	0x0e, 0x9d, 0xd8, 0xc7, 0xf7, 0x36, 0xfa, 0x0a, 0x3a, 0x65, 0xdd, 0xc9, 0x3d, 0xe5, 0x89, 0xa1,
+	0xb4, 0x4b, 0xf8, 0xd4, 0x12, 0x9f, 0x42, 0x97, 0x17, 0x54, 0x10, 0xc5, 0x45, 0x62, 0x5b, 0xe9,
+	0x98, 0x56, 0x3a, 0x16, 0xef, 0x97, 0x70, 0xb4, 0x0f, 0x0f, 0xce, 0xa8, 0x1a, 0x4d, 0x2e, 0xaa,
+	0x3a, 0x30, 0x7d, 0x3f, 0xa3, 0x52, 0x45, 0x07, 0x50, 0x7f, 0xc9, 0xce, 0xb8, 0x18, 0x51, 0x5d,
+	0x92, 0x64, 0xa4, 0x90, 0x13, 0xae, 0xcc, 0x83, 0xef, 0xe0, 0x7b, 0x3b, 0xfa, 0x01, 0x90, 0x71,
+	0x2f, 0x9f, 0xae, 0x72, 0xde, 0xf0, 0xd0, 0xce, 0x86, 0x87, 0x8e, 0x9e, 0x43, 0xb3, 0x3c, 0xbd,
+	0x52, 0x44, 0x51, 0xd4, 0x86, 0x1a, 0x29, 0x33, 0x78, 0xb8, 0x46, 0x14, 0x7a, 0x00, 0x5b, 0x52,
+	0x5f, 0x98, 0x51, 0xee, 0xe0, 0xd2, 0x88, 0xfe, 0x70, 0xa0, 0x7d, 0x29, 0x78, 0x9e, 0x49, 0x6a,
+	0xd3, 0x7d, 0xd2, 0x6d, 0xd8, 0x07, 0x5f, 0x4e, 0x88, 0x48, 0xf5, 0x32, 0xb8, 0x71, 0x0b, 0x57,
+	0x96, 0xc6, 0x15, 0x7f, 0x47, 0x99, 0x0c, 0xb6, 0x42, 0x37, 0xf6, 0x70, 0x65, 0xa1, 0x3d, 0xf0,
+	0xc7, 0x5c, 0x24, 0xb9, 0x34, 0x4b, 0xe0, 0xe1, 0xad, 0x31, 0x17, 0x17, 0x32, 0x8a, 0x61, 0xe7,
+	0xbe, 0xea, 0x62, 0x3a, 0xd7, 0xcb, 0x72, 0x23, 0x08, 0x53, 0x34, 0x0d, 0x1c, 0x13, 0xd7, 0x9a,
+	0xd1, 0x5b, 0x80, 0x73, 0x3a, 0xef, 0x2b, 0x45, 0xf3, 0xe2, 0xbf, 0xf6, 0xb6, 0x0f, 0x3e, 0x9b,
+	0x69, 0xa5, 0x98, 0x9e, 0x3c, 0x5c, 0x59, 0x91, 0x84, 0xce, 0x09, 0xbd, 0xc9, 0xd8, 0x39, 0x9d,
+	0xdb, 0xc7, 0xeb, 0x82, 0xfb, 0x8e, 0xce, 0xab, 0xc1, 0xea, 0x23, 0xfa, 0x0e, 0xea, 0xa4, 0xcc,
+	0x6e, 0x42, 0x37, 0x8f, 0x3f, 0x5f, 0xd3, 0xf1, 0xa2, 0x40, 0x6c, 0xb9, 0xe8, 0x21, 0xd4, 0xef,
+	0x48, 0xa6, 0x74, 0xe7, 0x55, 0x52, 0x6d, 0x5e, 0xc8, 0xe8, 0x47, 0x68, 0x2d, 0x92, 0xea, 0xde,
+	0x8f, 0xec, 0x60, 0x75, 0xd2, 0xf6, 0xf1, 0x67, 0x9b, 0xc2, 0x9b, 0x95, 0xb0, 0x33, 0x7f, 0x0f,
+	0xad, 0x01, 0x4b, 0x3f, 0x51, 0xd1, 0x8c, 0xab, 0x44, 0xcc, 0xca, 0xe9, 0x37, 0xb0, 0xcf, 0xb8,
+	0xc2, 0x33, 0x16, 0xb5, 0xa0, 0x69, 0x53, 0x16, 0xd3, 0xf9, 0xd7, 0xbf, 0x41, 0xc3, 0x16, 0x85,
+	0xf6, 0x60, 0xf7, 0x7c, 0xf0, 0x6b, 0xf2, 0xea, 0xaa, 0x7f, 0x35, 0x48, 0x5e, 0x0f, 0xcf, 0x87,
+	0x3f, 0xff, 0x32, 0xec, 0xfe, 0x6f, 0x15, 0x7e, 0x81, 0xfb, 0xc3, 0xab, 0xc1, 0x69, 0xd7, 0x41,
+	0xff, 0x87, 0xce, 0x02, 0x3e, 0x19, 0xbc, 0x78, 0x3d, 0xec, 0xd6, 0xd0, 0x2e, 0xb4, 0x16, 0x20,
+	0xee, 0x0f, 0xbb, 0xee, 0xf1, 0x9f, 0x2e, 0x78, 0x97, 0x94, 0x0a, 0xf4, 0x3d, 0x34, 0x06, 0x1f,
+	0x46, 0x13, 0xc2, 0x6e, 0x28, 0xda, 0x5b, 0x6b, 0x42, 0xff, 0xfb, 0xf6, 0x36, 0xc3, 0xe8, 0x12,
+	0x5a, 0x2b, 0x5a, 0x46, 0x07, 0x6b, 0xbc, 0x4d, 0x5a, 0xef, 0x05, 0x6b, 0x34, 0x2b, 0xfd, 0x4b,
+	0x68, 0x2e, 0xc9, 0x1b, 0x7d, 0xb9, 0x39, 0xde, 0x8a, 0xf8, 0x7b, 0x8f, 0xd6, 0x48, 0xcb, 0x22,
+	0x7f, 0x09, 0xf5, 0x4a, 0x07, 0xe8, 0xc9, 0x1a, 0x71, 0x55, 0xd7, 0xbd, 0x2f, 0xfe, 0x99, 0xa0,
+	0xd7, 0xe8, 0x27, 0x68, 0xd8, 0xbd, 0x42, 0xe1, 0x1a, 0xf5, 0xa3, 0x3d, 0xef, 0x3d, 0xfe, 0x17,
+	0x86, 0x8e, 0x76, 0x06, 0x7e, 0x39, 0x70, 0xb4, 0xce, 0x5c, 0x59, 0xbe, 0x0d, 0x0d, 0x2e, 0x6d,
+	0xca, 0xc9, 0x37, 0x6f, 0x9f, 0x2d, 0x5d, 0xd3, 0x0f, 0x24, 0x2f, 0xa6, 0xf4, 0x68, 0x01, 0x1d,
+	0xad, 0x7c, 0x6c, 0xaf, 0x7d, 0xf3, 0xa1, 0x7d, 0xfe, 0x77, 0x00, 0x00, 0x00, 0xff, 0xff, 0xf3,
+	0xd5, 0x9b, 0xfc, 0x84, 0x07, 0x00, 0x00,
 }
