--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -203,7 +203,7 @@
 
 func (f *fleet) Size(t *task.Task) units.Resources {
 	switch {
-	case t.IsService() || !(f.learns || f.knows):
+	case t.IsService() || (!f.learns && !f.knows):
 		return t.Size
 	case f.knows:
 		return f.kinds[t.Kind()].usage
