Let the client report on the whole deployment

Cause: the client asked one node and so showed one failure domain; a node reports tasks of other nodes' shards as starting; publish returned before the manifest was in force; workers, endpoints, nodes and explain were missing; no report said which promises were kept. Change: the client finds all nodes through one, takes each task and worker from its owner, names silent nodes, waits for a publication with progress, and has documented exit codes. Package promise counts breaches that a node can see: capacity, two places, planned stop, configuration, deadlines. Before: status of one domain, 11 of 22 running tasks shown as starting. After: tested with fake nodes in two domains. Conclusion: promises that no node can see are reported as not watched; the proofs of those are tests.

--- a/cmd/cactuswall/main.go
+++ b/cmd/cactuswall/main.go
@@ -2,11 +2,17 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"cactuswall.example/cactuswall/internal/command"
 )
 
 func main() {
-	os.Exit(command.Execute(os.Args[1:], os.Stdout, os.Stderr))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,250 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/examples"
+	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/exitcode"
+	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/operator"
+)
+
+// fakeNode answers operators with fixed reports.
+type fakeNode struct {
+	mu      sync.Mutex
+	status  operator.Status
+	tasks   []operator.Task
+	workers []operator.Worker
+	nodes   []operator.Node
+	publish func(*fakeNode, operator.Publication) (operator.Decision, error)
+}
+
+func (f *fakeNode) Status() operator.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status
+}
+func (f *fakeNode) Tasks() []operator.Task     { return f.tasks }
+func (f *fakeNode) Workers() []operator.Worker { return f.workers }
+func (f *fakeNode) Endpoints() []endpoint.Info { return []endpoint.Info{} }
+func (f *fakeNode) Nodes() []operator.Node     { return f.nodes }
+func (f *fakeNode) Manifest() (operator.Manifest, bool) {
+	return operator.Manifest{Version: 7, Release: "r", Document: "{}"}, f.Status().ManifestVersion != 0
+}
+
+func (f *fakeNode) Explain(id string) (operator.Explanation, bool) {
+	for _, t := range f.tasks {
+		if t.ID == id {
+			return operator.Explanation{Task: t, Summary: "the team's quota is used up"}, true
+		}
+	}
+	return operator.Explanation{}, false
+}
+
+func (f *fakeNode) Publish(_ context.Context, p operator.Publication) (operator.Decision, error) {
+	if _, err := manifest.Parse([]byte(p.Document)); err != nil {
+		return operator.Decision{}, err
+	}
+	return f.publish(f, p)
+}
+
+// accept puts every publication in force as version 8.
+func accept(f *fakeNode, _ operator.Publication) (operator.Decision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status.ManifestVersion = 8
+	return operator.Decision{Accepted: true, Known: true, Version: 8}, nil
+}
+
+// deployment is two fake nodes in each of two failure domains.
+type deployment struct {
+	nodes     map[string]*fakeNode
+	servers   map[string]*httptest.Server
+	addresses map[string]string
+}
+
+func newDeployment() *deployment {
+	d := &deployment{nodes: map[string]*fakeNode{}, servers: map[string]*httptest.Server{}, addresses: map[string]string{}}
+	var nodes []operator.Node
+	for _, n := range []struct{ name, domain string }{{"de-1", "de"}, {"de-2", "de"}, {"mon-1", "mon"}} {
+		f := &fakeNode{publish: accept}
+		f.status = operator.Status{Node: n.name, FailureDomain: n.domain, Ready: true, LogReachable: true, ManifestVersion: 7,
+			Promises: []operator.Promise{{Name: "capacity", Text: "capacity is kept", Watched: true}}}
+		server := httptest.NewServer(operator.NewHandler(f, metrics.NewSet()))
+		d.nodes[n.name], d.servers[n.name] = f, server
+		d.addresses[n.name] = server.Listener.Addr().String()
+		nodes = append(nodes, operator.Node{Node: n.name, FailureDomain: n.domain, State: "live", OperatorAddress: d.addresses[n.name]})
+	}
+	d.nodes["de-1"].status.Shards = []uint32{0, 1, 2, 3}
+	d.nodes["de-2"].status.Shards = []uint32{4, 5, 6, 7}
+	d.nodes["mon-1"].status.Shards = []uint32{0, 1, 2, 3, 4, 5, 6, 7}
+	d.nodes["de-1"].tasks = []operator.Task{{ID: "plan/0", State: "starting", Attempt: 1}}
+	d.nodes["de-2"].tasks = []operator.Task{{ID: "plan/0", State: "running", Attempt: 1, Owned: true}}
+	d.nodes["mon-1"].tasks = []operator.Task{{ID: "wash/0", State: "waiting", Owned: true}}
+	for _, f := range d.nodes {
+		f.nodes = nodes
+	}
+	return d
+}
+
+func (d *deployment) close() {
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+// run runs the client against the node and returns the exit code and what it printed.
+func (d *deployment) run(node string, args ...string) (int, string, string) {
+	var stdout, stderr bytes.Buffer
+	args = append([]string{"--node", d.addresses[node]}, args...)
+	code := Execute(context.Background(), args, &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+func TestReports(t *testing.T) {
+	Convey("With nodes in two failure domains", t, func() {
+		d := newDeployment()
+		Reset(d.close)
+		Convey("tasks takes each task from its owner, whichever node is asked first", func() {
+			for _, first := range []string{"de-1", "mon-1"} {
+				code, out, _ := d.run(first, "tasks", "--output", "json")
+				So(code, ShouldEqual, exitcode.OK)
+				var tasks []domainTask
+				So(json.Unmarshal([]byte(out), &tasks), ShouldBeNil)
+				So(tasks, ShouldHaveLength, 2)
+				So(tasks[0].State, ShouldEqual, "running")
+				So(tasks[1].FailureDomain, ShouldEqual, "mon")
+			}
+		})
+		Convey("explain finds a task of another failure domain", func() {
+			code, out, _ := d.run("de-1", "explain", "wash/0")
+			So(code, ShouldEqual, exitcode.OK)
+			So(out, ShouldContainSubstring, "mon")
+			So(out, ShouldContainSubstring, "quota")
+		})
+		Convey("explain tells an unknown task from one that a silent domain may hold", func() {
+			code, _, _ := d.run("de-1", "explain", "none/0")
+			So(code, ShouldEqual, exitcode.NotFound)
+			d.servers["mon-1"].Close()
+			code, _, message := d.run("de-1", "explain", "none/0")
+			So(code, ShouldEqual, exitcode.Unreachable)
+			So(message, ShouldContainSubstring, "did not answer: mon")
+		})
+		Convey("status --check fails once a promise is broken or a node is silent", func() {
+			code, out, _ := d.run("de-1", "status", "--check")
+			So(code, ShouldEqual, exitcode.OK)
+			So(out, ShouldContainSubstring, "8 of 8")
+			d.nodes["mon-1"].status.Promises[0].Broken = 3
+			code, out, message := d.run("de-1", "status", "--check")
+			So(code, ShouldEqual, exitcode.Unhealthy)
+			So(out, ShouldContainSubstring, "broken 3 times")
+			So(message, ShouldContainSubstring, "failure domain mon: promise capacity broken 3 times")
+			d.servers["de-2"].Close()
+			_, _, message = d.run("de-1", "status", "--check")
+			So(message, ShouldContainSubstring, "failure domain de: de-2 silent")
+			So(message, ShouldContainSubstring, "failure domain de: 4 of 8 shards are owned")
+		})
+		Convey("a failure domain that does not answer is named and left out", func() {
+			d.servers["mon-1"].Close()
+			code, out, message := d.run("de-1", "tasks")
+			So(code, ShouldEqual, exitcode.OK)
+			So(out, ShouldNotContainSubstring, "wash/0")
+			So(message, ShouldContainSubstring, "failure domain mon is left out")
+		})
+	})
+}
+
+func TestPublish(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "manifest.jsonc")
+	if err := os.WriteFile(file, examples.ArwyddionManifest, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	Convey("manifest publish", t, func() {
+		d := newDeployment()
+		Reset(d.close)
+		Convey("waits until every node reports the version in force", func() {
+			d.nodes["de-2"].status.ManifestVersion = 8
+			d.nodes["mon-1"].status.ManifestVersion = 8
+			code, out, progress := d.run("de-1", "manifest", "publish", file)
+			So(code, ShouldEqual, exitcode.OK)
+			So(out, ShouldEqual, "version 8 is in force on all 3 nodes\n")
+			So(progress, ShouldContainSubstring, "accepted as version 8")
+		})
+		Convey("names the nodes that do not report it in time", func() {
+			d.nodes["de-2"].status.ManifestVersion = 8
+			code, _, message := d.run("de-1", "manifest", "publish", "--timeout", "300ms", file)
+			So(code, ShouldEqual, exitcode.Unhealthy)
+			So(message, ShouldContainSubstring, "not yet reported in force by: mon-1")
+		})
+		Convey("tells the loser of a race what is in force", func() {
+			d.nodes["de-1"].publish = func(*fakeNode, operator.Publication) (operator.Decision, error) {
+				return operator.Decision{Known: true, Version: 9, Because: "replaces_another_version"}, nil
+			}
+			code, _, message := d.run("de-1", "manifest", "publish", "--replaces", "5", file)
+			So(code, ShouldEqual, exitcode.NotAccepted)
+			So(message, ShouldContainSubstring, "not accepted, because version 9 is in force and the publication replaces version 5")
+		})
+		Convey("says that the decision is unknown", func() {
+			d.nodes["de-1"].publish = func(*fakeNode, operator.Publication) (operator.Decision, error) {
+				return operator.Decision{Because: "the log does not answer"}, nil
+			}
+			code, _, message := d.run("de-1", "manifest", "publish", file)
+			So(code, ShouldEqual, exitcode.Unreachable)
+			So(message, ShouldContainSubstring, "--replaces 7")
+		})
+		Convey("reports a node's refusal as not carried out", func() {
+			d.nodes["de-1"].publish = func(*fakeNode, operator.Publication) (operator.Decision, error) {
+				return operator.Decision{}, errors.New("the node is stopping")
+			}
+			code, _, message := d.run("de-1", "manifest", "publish", file)
+			So(code, ShouldEqual, exitcode.Unreachable)
+			So(message, ShouldContainSubstring, "the node is stopping")
+		})
+	})
+}
+
+func TestUsage(t *testing.T) {
+	Convey("What is wrong with the command line is said before a node is asked", t, func() {
+		d := newDeployment()
+		d.close()
+		missing := filepath.Join(t.TempDir(), "missing.jsonc")
+		for _, c := range []struct {
+			args    []string
+			code    int
+			message string
+		}{
+			{[]string{"tasks", "--output", "yaml"}, exitcode.Invalid, `--output is "yaml", want table or json`},
+			{[]string{"tasks", "--node", "localhost:1"}, exitcode.Invalid, "is not an IP number with a port"},
+			{[]string{"tasks", "extra"}, exitcode.Invalid, "extra"},
+			{[]string{"explain"}, exitcode.Invalid, "accepts 1 arg"},
+			{[]string{"place"}, exitcode.Invalid, "unknown command"},
+			{[]string{"manifest"}, exitcode.Invalid, "needs one of the subcommands"},
+			{[]string{"manifest", "drop"}, exitcode.Invalid, "drop"},
+			{[]string{"manifest", "check", missing}, exitcode.NotFound, "no such file"},
+			{[]string{"manifest", "publish", missing, "--timeout", "0s"}, exitcode.Invalid, "--timeout must be greater than 0"},
+			{[]string{"status"}, exitcode.Unreachable, "does not answer"},
+		} {
+			code, out, message := d.run("de-1", c.args...)
+			So(code, ShouldEqual, c.code)
+			So(message, ShouldContainSubstring, c.message)
+			So(out, ShouldBeEmpty)
+		}
+	})
+	Convey("version needs no node", t, func() {
+		var stdout, stderr bytes.Buffer
+		So(Execute(context.Background(), []string{"version"}, &stdout, &stderr), ShouldEqual, exitcode.OK)
+		So(stdout.String(), ShouldStartWith, "cactuswall ")
+	})
+}
--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"io"
 	"os"
 
 	"github.com/gravitational/trace"
@@ -8,16 +9,26 @@
 
 	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/manifest"
-	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/strictjson"
 )
 
 func newManifestCommand(o *options) *cobra.Command {
 	command := &cobra.Command{Use: "manifest", Short: "Check, publish or show the manifest"}
-	command.AddCommand(newManifestCheckCommand(), newManifestPublishCommand(o), newManifestShowCommand(o))
-	return command
+	command.AddCommand(newManifestCheckCommand(o), newManifestPublishCommand(o), newManifestShowCommand(o))
+	return exitcode.Group(command)
 }
 
-func newManifestCheckCommand() *cobra.Command {
+// manifestSummary is what check reports of a valid manifest.
+type manifestSummary struct {
+	Release  string `json:"release"`
+	Services int    `json:"services"`
+	Jobs     int    `json:"jobs"`
+	Teams    int    `json:"teams"`
+	// Tasks counts service instances and batch tasks together.
+	Tasks int `json:"tasks"`
+}
+
+func newManifestCheckCommand(o *options) *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a manifest and report every problem",
@@ -25,17 +36,51 @@
 		RunE: func(c *cobra.Command, args []string) error {
 			m, _, err := readManifest(args[0])
 			if err != nil {
-				return err
+				return reportProblems(c, o, err)
+			}
+			if o.output == outputJSON {
+				return printJSON(c.OutOrStdout(), summarize(m))
 			}
-			c.Printf("%s: valid manifest for release %s: %d services, %d jobs, %d teams\n",
-				args[0], m.Release, len(m.Services), len(m.Jobs), len(m.Teams))
+			c.Printf("%s: valid manifest for release %s: %d services, %d jobs, %d teams, %d tasks\n",
+				args[0], m.Release, len(m.Services), len(m.Jobs), len(m.Teams), summarize(m).Tasks)
 			return nil
 		},
 	}
 }
 
+// reportProblems prints the problems of a document as JSON when that is asked for.
+func reportProblems(c *cobra.Command, o *options, err error) error {
+	if problems, ok := err.(strictjson.Problems); ok && o.output == outputJSON {
+		if printErr := printJSON(c.OutOrStdout(), problems); printErr != nil {
+			return printErr
+		}
+	}
+	return err
+}
+
+func summarize(m *manifest.Manifest) manifestSummary {
+	s := manifestSummary{Release: m.Release, Services: len(m.Services), Jobs: len(m.Jobs), Teams: len(m.Teams)}
+	for i := range m.Services {
+		s.Tasks += m.Services[i].Instances
+	}
+	for i := range m.Jobs {
+		s.Tasks += m.Jobs[i].Tasks
+	}
+	return s
+}
+
+// readManifest reads the file at path, or the standard input for "-". A document that is too long is not
+// read to its end.
 func readManifest(path string) (*manifest.Manifest, []byte, error) {
-	data, err := os.ReadFile(path)
+	file := os.Stdin
+	if path != "-" {
+		var err error
+		if file, err = os.Open(path); err != nil {
+			return nil, nil, trace.ConvertSystemError(err)
+		}
+		defer func() { _ = file.Close() }()
+	}
+	data, err := io.ReadAll(io.LimitReader(file, manifest.MaxDocumentBytes+1))
 	if err != nil {
 		return nil, nil, trace.ConvertSystemError(err)
 	}
@@ -43,47 +88,28 @@
 	return m, data, err
 }
 
-func newManifestPublishCommand(o *options) *cobra.Command {
+func newManifestShowCommand(o *options) *cobra.Command {
 	return &cobra.Command{
-		Use:   "publish FILE",
-		Short: "Publish a manifest in place of the one in force",
-		Args:  exitcode.Arguments(cobra.ExactArgs(1)),
-		RunE: func(c *cobra.Command, args []string) error {
-			_, data, err := readManifest(args[0])
-			if err != nil {
-				return err
-			}
-			status, err := o.client().Status(c.Context())
+		Use:   "show",
+		Short: "Show the manifest in force, as JSON that can be published again",
+		Args:  exitcode.Arguments(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			client, _, err := o.first(c.Context())
 			if err != nil {
 				return err
 			}
-			decision, err := o.client().Publish(c.Context(), operator.Publication{Document: string(data), Replaces: status.ManifestVersion})
+			m, err := client.Manifest(c.Context())
 			if err != nil {
 				return err
 			}
-			if !decision.Known {
-				return trace.ConnectionProblem(nil, "the decision is not known: %s", decision.Because)
-			}
-			if !decision.Accepted {
-				return trace.CompareFailed("not accepted, because: %s; version %d is in force", decision.Because, decision.Version)
+			if o.output == outputJSON {
+				return printJSON(c.OutOrStdout(), m)
 			}
-			c.Printf("accepted as version %d\n", decision.Version)
-			return nil
-		},
-	}
-}
-
-func newManifestShowCommand(o *options) *cobra.Command {
-	return &cobra.Command{
-		Use:   "show",
-		Short: "Show the manifest in force",
-		Args:  exitcode.Arguments(cobra.NoArgs),
-		RunE: func(c *cobra.Command, _ []string) error {
-			m, err := o.client().Manifest(c.Context())
+			text, err := indentDocument(m.Document)
 			if err != nil {
 				return err
 			}
-			c.Println(m.Document)
+			c.Printf("// version %d, release %s\n%s\n", m.Version, m.Release, text)
 			return nil
 		},
 	}
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -8,8 +8,6 @@
 	"text/tabwriter"
 
 	"github.com/gravitational/trace"
-
-	"cactuswall.example/cactuswall/internal/exitcode"
 )
 
 // The output formats.
@@ -23,16 +21,16 @@
 
 // print writes value as JSON, or as a table of header and rows.
 func (o *options) print(w io.Writer, value any, header []string, rows [][]string) error {
-	switch o.output {
-	case outputJSON:
-		encoder := json.NewEncoder(w)
-		encoder.SetIndent("", "  ")
-		return trace.Wrap(encoder.Encode(value))
-	case outputTable:
-		return printTable(w, header, rows)
-	default:
-		return exitcode.Usage(fmt.Errorf("--output is %q, want table or json", o.output))
+	if o.output == outputJSON {
+		return printJSON(w, value)
 	}
+	return printTable(w, header, rows)
+}
+
+func printJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return trace.Wrap(encoder.Encode(value))
 }
 
 func printTable(w io.Writer, header []string, rows [][]string) error {
@@ -43,3 +41,11 @@
 	}
 	return trace.Wrap(table.Flush())
 }
+
+// orDash returns text, or a dash in place of nothing.
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/internal/exitcode/exitcode.go
+++ b/internal/exitcode/exitcode.go
@@ -24,8 +24,20 @@
 	Unreachable = 4
 	// NotFound: what was asked for does not exist.
 	NotFound = 5
+	// Unhealthy: the command was carried out, and what it looked at is not as it should be.
+	Unhealthy = 6
 )
 
+// Help lists the exit codes for the help of a command.
+const Help = `Exit codes:
+  0  done
+  1  the command could not be carried out
+  2  the command line or a file that it names is not valid
+  3  a publication was not accepted
+  4  a node did not answer, or the outcome could not be learnt
+  5  what was asked for does not exist
+  6  carried out, but: status --check found a fault, or an accepted manifest is not yet in force on every node`
+
 // usageError is a fault of the command line.
 type usageError struct{ err error }
 
@@ -35,15 +47,28 @@
 // Usage marks err as a fault of the command line.
 func Usage(err error) error { return usageError{err: err} }
 
+// unhealthyError says what is not as it should be.
+type unhealthyError struct{ message string }
+
+func (u unhealthyError) Error() string { return u.message }
+
+// NotHealthy returns an error that exits with Unhealthy.
+func NotHealthy(format string, args ...any) error {
+	return unhealthyError{message: fmt.Sprintf(format, args...)}
+}
+
 // Of returns the exit code for err.
 func Of(err error) int {
 	var usage usageError
+	var unhealthy unhealthyError
 	var problems strictjson.Problems
 	switch {
 	case err == nil:
 		return OK
 	case errors.As(err, &usage), errors.As(err, &problems), strings.HasPrefix(err.Error(), "unknown command"):
 		return Invalid
+	case errors.As(err, &unhealthy):
+		return Unhealthy
 	case trace.IsCompareFailed(err):
 		return NotAccepted
 	case trace.IsConnectionProblem(err):
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -107,6 +107,7 @@
 	now := time.Now()
 	w.ReportedAt = now
 	w.Capacity = report.Capacity
+	e.promises.checkReport(w.ID, report, now)
 	shown := make(map[platform.RunID]bool, len(report.Runs))
 	for i := range report.Runs {
 		run := &report.Runs[i]
@@ -201,6 +202,7 @@
 		return
 	}
 	e.metrics.strayRuns.Inc()
+	e.promises.checkStray(w.ID, run.ID, e.taskRow.Get(run.ID.Task), time.Now())
 	e.stopRun(w, run.ID)
 }
 
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -51,8 +51,10 @@
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
 	waiters map[string]chan decision
-	rescuer *rescuer
-	views   views
+	// promises counts the breaches that this node sees.
+	promises *promiseWatch
+	rescuer  *rescuer
+	views    views
 }
 
 // maxPlacementsPerTick bounds the placements of one tick.
@@ -117,6 +119,7 @@
 	e.pursueStops(now)
 	e.schedule(now)
 	e.rescuer.tick(now)
+	e.promises.check(e.taskRow.All(), now)
 	e.publishViews(now)
 }
 
@@ -151,6 +154,9 @@
 // takeManifestEntries applies entries of the manifest stream.
 func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
 	before := e.config.Version()
+	if len(deliveries) == 0 {
+		e.promises.following = true
+	}
 	for _, d := range deliveries {
 		if d.Batch == nil {
 			continue
@@ -176,6 +182,7 @@
 		return
 	}
 	inForce := e.config.InForce()
+	e.promises.checkManifest(inForce, now)
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
 	e.syncTasks(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,7 @@
 		taskRow:        task.NewTable(),
 		directory:      endpoint.NewDirectory(),
 		waiters:        make(map[string]chan decision),
+		promises:       newPromiseWatch(set, o.Logger),
 	}
 }
 
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/promise"
 )
 
 // drainPoll is how often the planned stop looks whether it may go on.
@@ -23,6 +25,7 @@
 	n.caller.Stop()
 	drained := n.waitUntil(n.settings.Stop.DrainTimeout.Std(), func() bool { return n.caller.InFlight() == 0 })
 	if !drained {
+		n.engine.promises.recorder.Broken(promise.GracefulStop, time.Now())
 		n.options.Logger.Warn("requests were still in flight at the end of the drain", zap.Int64("requests", n.caller.InFlight()))
 	}
 	n.waitUntil(n.settings.Scheduling.ClaimLease.Std(), func() bool { return n.engine.domainWriter.Queued() == 0 })
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -30,7 +30,7 @@
 
 func (e *engine) publishViews(now time.Time) {
 	e.views.inForce.Store(e.config.InForce())
-	r := &report{tasks: e.taskReports(), workers: e.workerReports(), nodes: e.nodeReports(now)}
+	r := &report{tasks: e.taskReports(now), workers: e.workerReports(), nodes: e.nodeReports(now)}
 	r.status = e.status(now)
 	e.views.report.Store(r)
 }
@@ -45,6 +45,7 @@
 		LogReachable:  e.caughtUp && now.Sub(e.logReadAt) < logSilence,
 		ListReadAt:    e.listReadAt,
 		TasksByState:  make(map[string]int),
+		Promises:      e.promises.reports(),
 	}
 	if inForce := e.config.InForce(); inForce != nil {
 		s.ManifestVersion = uint64(inForce.Version)
@@ -56,16 +57,25 @@
 		}
 	}
 	for _, row := range e.taskRow.All() {
-		s.TasksByState[string(row.State)]++
+		if e.ownsTask(row, now) {
+			s.TasksByState[string(row.State)]++
+		}
 	}
 	return s
 }
 
-func (e *engine) taskReports() []operator.Task {
+// ownsTask reports whether this node holds the shard of a task, and so knows its state best.
+func (e *engine) ownsTask(row *task.Task, now time.Time) bool {
+	_, held := e.owner.Holds(e.ledger.ShardOf(row.ID), now)
+	return held
+}
+
+func (e *engine) taskReports(now time.Time) []operator.Task {
 	rows := e.taskRow.All()
 	reports := make([]operator.Task, len(rows))
 	for i, row := range rows {
 		reports[i] = taskReport(row)
+		reports[i].Owned = e.ownsTask(row, now)
 	}
 	return reports
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,7 +22,7 @@
 	LogReachable    bool      `json:"log_reachable"`
 	ListReadAt      time.Time `json:"list_read_at"`
 	Shards          []uint32  `json:"shards"`
-	// TasksByState counts the tasks of the failure domain.
+	// TasksByState counts the tasks in the shards that the node owns.
 	TasksByState map[string]int `json:"tasks_by_state"`
 	Promises     []Promise      `json:"promises"`
 }
@@ -30,6 +30,10 @@
 // Promise says whether one promise was kept, as far as this node can see.
 type Promise struct {
 	Name string `json:"name"`
+	// Text is the promise in one sentence.
+	Text string `json:"text"`
+	// Watched says that the node notices a breach by itself.
+	Watched bool `json:"watched"`
 	// Broken counts the times that the node has seen the promise broken since its start.
 	Broken     uint64    `json:"broken"`
 	LastBroken time.Time `json:"last_broken,omitzero"`
@@ -37,7 +41,9 @@
 
 // Task is the report on one task.
 type Task struct {
-	ID       string    `json:"id"`
+	ID string `json:"id"`
+	// Owned says that the answering node owns the task's shard. Other nodes know of a task only what the log says.
+	Owned    bool      `json:"owned"`
 	Team     string    `json:"team"`
 	State    string    `json:"state"`
 	Attempt  uint32    `json:"attempt"`
