Stop an endpoint in the development deployment, and give its ports back

Cause: nothing in dev let an operator see an endpoint leave; a taken port left the sockets of earlier nodes open; a base port near the end of the range failed half way. Change: POST /standin/leave?id=VM on the platform's stand-in marks a VM as leaving and ends an endpoint after 5 s; ports are checked at the start and closed at the end; service instances report no progress.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -43,6 +43,7 @@
 	// peerKey is the shared key of the development nodes.
 	peerKey = "development-peer-key"
 	host    = "127.0.0.1"
+	maxPort = 65535
 )
 
 // Deployment is one of the deployments that dev knows.
@@ -86,6 +87,12 @@
 	servers    []*http.Server
 	nodes      []*node.Node
 	settings   []settings.Settings
+	listeners  []node.Listeners
+	agents     []*standin.Worker
+	timers     []*time.Timer
+	// workers holds the IDs of the workers, instances the running service instances by the ID of their VM.
+	workers   map[string]bool
+	instances map[string]instance
 }
 
 // Run runs a deployment until ctx ends.
@@ -94,7 +101,10 @@
 	if !known {
 		return trace.BadParameter("unknown deployment %q; use arwyddion or vinnufata", o.Deployment)
 	}
-	w := &world{deployment: deployment, options: o, log: standin.NewLog(), list: standin.NewList(listLag)}
+	if err := checkPorts(o.BasePort, deployment); err != nil {
+		return err
+	}
+	w := newWorld(o, deployment)
 	defer w.close()
 	if err := w.startPlatform(); err != nil {
 		return err
@@ -114,6 +124,26 @@
 	return group.Wait()
 }
 
+func newWorld(o Options, deployment Deployment) *world {
+	return &world{
+		deployment: deployment,
+		options:    o,
+		log:        standin.NewLog(),
+		list:       standin.NewList(listLag),
+		workers:    make(map[string]bool),
+		instances:  make(map[string]instance),
+	}
+}
+
+// checkPorts refuses a base port from which the ports of the deployment do not fit.
+func checkPorts(base int, d Deployment) error {
+	last := base + workerPortOffset + len(d.Domains)*workersPerDomain - 1
+	if base < 1 || last > maxPort {
+		return trace.BadParameter("--base-port is %d; the deployment takes the ports from there to %d, which must lie between 1 and %d", base, last, maxPort)
+	}
+	return nil
+}
+
 func (w *world) address(offset int) string {
 	return fmt.Sprintf("%s:%d", host, w.options.BasePort+offset)
 }
@@ -133,7 +163,7 @@
 }
 
 func (w *world) startPlatform() error {
-	_, _, err := w.serve(w.address(0), httpjson.PlatformHandler(w.log, w.list))
+	_, _, err := w.serve(w.address(0), w.platformHandler(httpjson.PlatformHandler(w.log, w.list)))
 	return err
 }
 
@@ -149,14 +179,20 @@
 }
 
 func (w *world) startWorker(domain string, index int, address string) error {
-	agent := standin.NewWorker(standin.WorkerOptions{
+	var agent *standin.Worker
+	agent = standin.NewWorker(standin.WorkerOptions{
 		ID:       fmt.Sprintf("%s-w%d", domain, index),
 		Capacity: w.deployment.Capacity,
 		TruthOf: func(req platform.StartRequest) standin.Truth {
+			if req.Service != "" {
+				return standin.Truth{Usage: req.Size}
+			}
 			return standin.Truth{RunTime: batchRunTime, Usage: req.Size}
 		},
-		Serve: func(req platform.StartRequest) (standin.Instance, error) { return w.startEndpoint(domain, req) },
+		Serve: func(req platform.StartRequest) (standin.Instance, error) { return w.startEndpoint(agent, domain, req) },
 	})
+	w.agents = append(w.agents, agent)
+	w.workers[agent.ID()] = true
 	if _, _, err := w.serve(address, httpjson.WorkerHandler(agent)); err != nil {
 		return err
 	}
@@ -171,7 +207,7 @@
 	return nil
 }
 
-func (w *world) startEndpoint(domain string, req platform.StartRequest) (standin.Instance, error) {
+func (w *world) startEndpoint(agent *standin.Worker, domain string, req platform.StartRequest) (standin.Instance, error) {
 	id := fmt.Sprintf("%s@%d", req.Run.Task, req.Run.Attempt)
 	e := standin.NewEndpoint(id, req.Slots, serviceTime)
 	address, stop, err := w.serve(host+":0", e)
@@ -179,8 +215,14 @@
 		return standin.Instance{}, err
 	}
 	w.list.Put(e.VM(req.Service, domain, address))
+	w.mu.Lock()
+	w.instances[id] = instance{endpoint: e, agent: agent, run: req.Run}
+	w.mu.Unlock()
 	return standin.Instance{Address: address, Close: func() {
 		w.list.Remove(id)
+		w.mu.Lock()
+		delete(w.instances, id)
+		w.mu.Unlock()
 		stop()
 	}}, nil
 }
@@ -210,8 +252,9 @@
 	s.Membership.ListPeriod = units.Duration(500 * time.Millisecond)
 	listeners, err := node.Listen(s)
 	if err != nil {
-		return trace.Wrap(err, "choose another port with --base-port")
+		return trace.ConnectionProblem(err, "%s; choose another port with --base-port", trace.UserMessage(err))
 	}
+	w.listeners = append(w.listeners, listeners)
 	w.settings = append(w.settings, s)
 	w.list.Put(platform.VM{ID: name, Kind: platform.EntryVM, State: platform.Live, FailureDomain: domain, Address: s.PeerAddress})
 	w.nodes = append(w.nodes, node.NewDaemon(s, listeners, w.options.Logger))
@@ -231,15 +274,28 @@
 }
 
 func (w *world) announce() {
+	_, _ = fmt.Fprintf(w.options.Output, "%-14s log and VM list %s\n", "platform", w.address(0))
 	for _, s := range w.settings {
 		_, _ = fmt.Fprintf(w.options.Output, "%-14s failure domain %-12s callers %s  operators %s\n",
 			s.Node, s.FailureDomain, s.CallerAddress, s.OperatorAddress)
 	}
 }
 
+// close ends every stand-in and closes the sockets of nodes that never ran.
 func (w *world) close() {
+	for _, l := range w.listeners {
+		_ = l.Callers.Close()
+		_ = l.Operators.Close()
+		_ = l.Peers.Close()
+	}
+	for _, a := range w.agents {
+		a.Close()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, t := range w.timers {
+		t.Stop()
+	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
