--- a/internal/capacity/measure/codecs.go
+++ b/internal/capacity/measure/codecs.go
@@ -8,6 +8,7 @@
 
 	"cactuswall.example/cactuswall/internal/capacity"
 	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/platform"
@@ -61,16 +62,23 @@
 	return slopes, nil
 }
 
-// lives returns a claim and, for each task, a placement and an end, in batches.
+// lives returns the claims of all shards and, for each task, a placement and an end, in batches.
 func lives(count int) []*record.Batch {
-	claim := &record.Record{Body: &record.Record_Claim{Claim: &record.Claim{LeaseMs: 6000}}}
-	batches := []*record.Batch{{Node: "de-1", Incarnation: 1, Sequence: 1, Records: []*record.Record{claim}}}
-	token := &record.ShardToken{Token: 1}
+	var claims []*record.Record
+	for shard := range uint32(failuredomain.Shards) {
+		claims = append(claims, &record.Record{Body: &record.Record_Claim{Claim: &record.Claim{Shard: shard, LeaseMs: 6000}}})
+	}
+	// The token of each claim is the offset of its batch.
+	const claimOffset = 1
+	batches := []*record.Batch{{Node: "de-1", Incarnation: 1, Sequence: 1, Records: claims}}
 	var records []*record.Record
 	for i := range count {
 		id := fmt.Sprintf("rebuild-timetables-%04d@17/%d", i/16, i%16)
-		placement := &record.Placement{Task: id, Attempt: 1, Worker: fmt.Sprintf("de-w%d", i%118), From: token, To: token}
-		end := &record.End{Task: id, Attempt: 1, By: token, Outcome: record.Outcome_OUTCOME_FINISHED, Reason: "finished"}
+		worker := fmt.Sprintf("de-w%d", i%118)
+		from := &record.ShardToken{Shard: failuredomain.ShardOf(id), Token: claimOffset}
+		to := &record.ShardToken{Shard: failuredomain.ShardOf(worker), Token: claimOffset}
+		placement := &record.Placement{Task: id, Attempt: 1, Worker: worker, From: from, To: to}
+		end := &record.End{Task: id, Attempt: 1, By: to, Outcome: record.Outcome_OUTCOME_FINISHED, Reason: "finished"}
 		records = append(records,
 			&record.Record{Body: &record.Record_Placement{Placement: placement}},
 			&record.Record{Body: &record.Record_End{End: end}})
@@ -96,28 +104,36 @@
 	return float64(total), nil
 }
 
-func replay(batches []*record.Batch) *ledger.Ledger {
+func replay(batches []*record.Batch) (*ledger.Ledger, error) {
 	l := ledger.New()
 	for i, b := range batches {
-		l.Apply(platform.Offset(i+1), b, time.Now())
+		for _, r := range l.Apply(platform.Offset(i+1), b, time.Now()) {
+			if r.Rejection != ledger.Accepted {
+				return nil, fmt.Errorf("a record is rejected: %s", r.Rejection)
+			}
+		}
 	}
-	return l
+	return l, nil
 }
 
 func applyTime(count int) (float64, error) {
 	batches := lives(count)
 	return fastest(func() error {
-		replay(batches)
-		return nil
+		_, err := replay(batches)
+		return err
 	})
 }
 
 func ledgerMemory(count int) (float64, error) {
-	return heapOf(func() (any, error) { return replay(lives(count)), nil })
+	return heapOf(func() (any, error) { return replay(lives(count)) })
 }
 
 func snapshotBytes(count int) (float64, error) {
-	data, err := replay(lives(count)).Snapshot()
+	l, err := replay(lives(count))
+	if err != nil {
+		return 0, err
+	}
+	data, err := l.Snapshot()
 	return float64(len(data)), err
 }
 
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,67 @@
+package record_test
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/record"
+)
+
+func batch() *record.Batch {
+	placement := &record.Placement{Task: "plan/0", Attempt: 1, Worker: "w", From: &record.ShardToken{Shard: 1, Token: 2}}
+	return &record.Batch{Node: "de-1", Incarnation: 7, Sequence: 3, Records: []*record.Record{
+		{Body: &record.Record_Placement{Placement: placement}},
+		{Body: &record.Record_Claim{Claim: &record.Claim{Shard: 1}}},
+	}}
+}
+
+func TestDecode(t *testing.T) {
+	Convey("Decode", t, func() {
+		data, err := record.Encode(batch())
+		So(err, ShouldBeNil)
+		Convey("reads what Encode wrote", func() {
+			b, err := record.Decode(data)
+			So(err, ShouldBeNil)
+			So(b.GetRecords(), ShouldHaveLength, 2)
+			So(b.GetRecords()[0].GetPlacement().GetFrom().GetToken(), ShouldEqual, 2)
+		})
+		Convey("refuses a newer schema, foreign bytes, nothing, and what is too long", func() {
+			// Field 1 is the schema: tag 0x08 and the value.
+			_, err := record.Decode(append([]byte{0x08, record.Schema + 1}, data[2:]...))
+			So(errors.Is(err, record.ErrNewerSchema), ShouldBeTrue)
+			for _, foreign := range [][]byte{nil, []byte("{}"), data[:len(data)-1], make([]byte, record.MaxBatchBytes+1)} {
+				_, err := record.Decode(foreign)
+				So(err, ShouldNotBeNil)
+			}
+		})
+	})
+}
+
+// FuzzDecode checks that no entry of a stream makes Decode panic and that what it reads can be written again.
+func FuzzDecode(f *testing.F) {
+	data, err := record.Encode(batch())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		b, err := record.Decode(data)
+		if err != nil {
+			return
+		}
+		if b.GetNode() == "" || b.GetSchema() != record.Schema {
+			t.Fatalf("read a batch of nobody or of another schema: %v", b)
+		}
+		again, err := record.Encode(b)
+		if err != nil {
+			t.Fatalf("what was read cannot be written: %v", err)
+		}
+		if _, err := record.Decode(again); err != nil {
+			t.Fatalf("what was written again cannot be read: %v", err)
+		}
+	})
+}
