--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -28,6 +28,8 @@
 	Release         string         `json:"release"`
 	LogReachable    bool           `json:"log_reachable"`
 	TasksByState    map[string]int `json:"tasks_by_state"`
+	// PredictedMisses counts the batch tasks that are not expected to end before their deadline.
+	PredictedMisses int `json:"predicted_misses"`
 	// Promises give, for each promise, the highest count of breaches that a node of the domain has seen.
 	Promises []operator.Promise `json:"promises"`
 }
@@ -93,6 +95,7 @@
 		d.Ready++
 	}
 	d.Shards += len(s.Shards)
+	d.PredictedMisses = max(d.PredictedMisses, s.PredictedMisses)
 	if s.ManifestVersion >= d.ManifestVersion {
 		d.ManifestVersion, d.Release = s.ManifestVersion, s.Release
 	}
@@ -108,7 +111,7 @@
 		known := &d.Promises[i]
 		known.Broken = max(known.Broken, p.Broken)
 		if p.LastBroken.After(known.LastBroken) {
-			known.LastBroken = p.LastBroken
+			known.LastBroken, known.LastCase = p.LastBroken, p.LastCase
 		}
 	}
 }
@@ -153,9 +156,10 @@
 			log,
 			fmt.Sprintf("%d of %d", d.Shards, failuredomain.Shards),
 			countsByState(d.TasksByState),
+			fmt.Sprint(d.PredictedMisses),
 		}
 	}
-	header := []string{"DOMAIN", "READY", "SILENT", "MANIFEST", "LOG", "SHARDS OWNED", "TASKS"}
+	header := []string{"DOMAIN", "READY", "SILENT", "MANIFEST", "LOG", "SHARDS OWNED", "TASKS", "EXPECTED LATE"}
 	if err := o.print(c.OutOrStdout(), domains, header, rows); err != nil || o.output == outputJSON {
 		return err
 	}
@@ -211,7 +215,7 @@
 		case p.Broken == 0:
 			return "kept"
 		default:
-			return fmt.Sprintf("broken %d times, last %s", p.Broken, p.LastBroken.Format("15:04:05"))
+			return fmt.Sprintf("broken %d times, last %s %s", p.Broken, p.LastBroken.Format("15:04:05"), p.LastCase)
 		}
 	}
 	return "no answer"
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -8,13 +8,19 @@
 
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/interference"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/quarantine"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/sizing"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
@@ -45,21 +51,35 @@
 	listReadAt time.Time
 	// caughtUp is set once the domain stream has been read to its end.
 	caughtUp bool
+	// manifestCaughtUp is set once the manifest stream has been read to its end.
+	manifestCaughtUp bool
 	// logReadAt is when the domain stream last answered.
 	logReadAt time.Time
 	stopping  bool
 	// dirty is set when a schedule may find something new to do.
 	dirty   bool
-	waiters map[string]chan decision
-	// promises counts the breaches that this node sees.
-	promises *promiseWatch
+	planned planned
+	// withdrawals is set when the manifest may have dropped running tasks.
+	withdrawals bool
+	policy      scheduler.Policy
+	// quotas are the teams' quotas here under the manifest of quotaVersion.
+	quotas       map[string]units.Resources
+	quotaVersion config.Version
+	sizes        *sizing.Learner
+	slowdowns    *interference.Model
+	baselines    *interference.Baselines
+	pressure     *interference.Controller
+	outcomes     *quarantine.Table
+	promises     *promise.Book
+	// evicting holds the runs that wait for a checkpoint before they are stopped.
+	evicting map[string]platform.RunID
+	forgets  map[*worker.Worker][]platform.RunID
+	steady   map[string]steadiness
+	waiters  map[string]chan decision
 	rescuer  *rescuer
 	views    views
 }
 
-// maxPlacementsPerTick bounds the placements of one tick.
-const maxPlacementsPerTick = 64
-
 // eventQueue bounds the functions that wait for the engine.
 const eventQueue = 1024
 
@@ -116,11 +136,11 @@
 	e.renewLeases(now)
 	e.startPlaced(now)
 	e.stopWithdrawn(now)
+	e.pursueEvictions(now)
 	e.pursueStops(now)
 	e.schedule(now)
+	e.flushForgets()
 	e.rescuer.tick(now)
-	e.promises.check(e.taskRow.All(), now)
-	e.publishViews(now)
 }
 
 // own claims, renews and gives up shards.
@@ -155,7 +175,7 @@
 func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
 	before := e.config.Version()
 	if len(deliveries) == 0 {
-		e.promises.following = true
+		e.manifestCaughtUp = true
 	}
 	for _, d := range deliveries {
 		if d.Batch == nil {
@@ -182,7 +202,9 @@
 		return
 	}
 	inForce := e.config.InForce()
-	e.promises.checkManifest(inForce, now)
+	if e.manifestCaughtUp && now.Sub(inForce.Published) > promise.ConfigurationBound {
+		e.promises.Break(promise.Configuration, inForce.Manifest.Release, now)
+	}
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
 	e.syncTasks(now)
--- a/internal/promise/promise.go
+++ b/internal/promise/promise.go
@@ -1,4 +1,4 @@
-// Package promise counts, for each promise of the system, how often one node has seen it broken.
+// Package promise counts the times that a node has seen a promise to the users broken.
 package promise
 
 import (
@@ -14,12 +14,12 @@
 
 // The promises.
 const (
-	// Capacity: no VM is committed beyond its processors, memory or accelerators.
+	// Capacity: no worker is committed beyond its processors, memory or accelerators.
 	Capacity Name = "capacity"
-	// OnePlace: no task runs in two places at once.
-	OnePlace Name = "one_place"
-	// ResumeOnce: evicted work resumes exactly once.
-	ResumeOnce Name = "resume_once"
+	// SingleRun: no task runs in two places at once.
+	SingleRun Name = "single_run"
+	// Resumed: evicted work resumes from its newest confirmed checkpoint.
+	Resumed Name = "resumed"
 	// WholeAnswers: each caller gets the whole answer to its own request.
 	WholeAnswers Name = "whole_answers"
 	// NotRun: a request that was refused as not run did not run.
@@ -32,13 +32,22 @@
 	GracefulStop Name = "graceful_stop"
 	// Configuration: an accepted configuration takes effect within seconds and never reverts.
 	Configuration Name = "configuration"
-	// Deadlines: batch work finishes before its deadline.
-	Deadlines Name = "deadlines"
-	// LatencyTargets: latency-critical answers arrive in time.
-	LatencyTargets Name = "latency_targets"
+	// Deadline: batch tasks end before their deadline.
+	Deadline Name = "deadline"
+	// Urgent: urgent work starts within UrgentStart.
+	Urgent Name = "urgent"
+	// Latency: services answer within their latency target.
+	Latency Name = "latency"
 )
 
-// Definition says what a promise is and what a node can see of it.
+const (
+	// UrgentStart is the time within which urgent work is to start.
+	UrgentStart = 5200 * time.Millisecond
+	// ConfigurationBound is the time after its publication within which a manifest is to be in force.
+	ConfigurationBound = 4 * time.Second
+)
+
+// Definition says what a promise is and whether a node can see it broken.
 type Definition struct {
 	Name Name
 	// Text is the promise in one sentence.
@@ -51,63 +60,71 @@
 func Definitions() []Definition {
 	return []Definition{
 		{Capacity, "no worker is committed beyond its capacity", true},
-		{OnePlace, "no task runs in two places at once", true},
-		{ResumeOnce, "evicted work resumes exactly once", false},
+		{SingleRun, "no task runs twice at once", true},
+		{Resumed, "evicted work resumes from its newest checkpoint", true},
 		{WholeAnswers, "each caller gets the whole answer to its own request", false},
 		{NotRun, "a request refused as not run did not run", false},
 		{AtMostOnce, "a non-idempotent request runs at most once", false},
 		{LeavingEndpoints, "a leaving endpoint receives no new work after a few seconds", false},
 		{GracefulStop, "a planned stop cuts off no request in flight", true},
-		{Configuration, "an accepted manifest is in force everywhere within seconds and never reverts", true},
-		{Deadlines, "batch tasks finish before their deadline", true},
-		{LatencyTargets, "answers arrive within the latency target", false},
+		{Configuration, "an accepted manifest is in force within 4 s and never reverts", true},
+		{Deadline, "batch tasks end before their deadline", true},
+		{Urgent, "urgent work starts within 5.2 s", true},
+		{Latency, "services answer within their latency target", true},
 	}
 }
 
-// State is what a node has seen of one promise since its start.
-type State struct {
+// Record is what is known of one promise.
+type Record struct {
 	Definition
-	// Broken counts the breaches.
 	Broken uint64
-	// LastBroken is when the newest breach was seen, or zero.
+	// LastBroken is zero when the promise was never seen broken.
 	LastBroken time.Time
+	// LastCase names what broke the promise last.
+	LastCase string
 }
 
-// Recorder counts breaches. It is safe for concurrent use.
-type Recorder struct {
+// Book holds the records of a node since its start. Its methods are safe for concurrent use.
+type Book struct {
 	counters map[Name]*metrics.Counter
 	mu       sync.Mutex
-	states   []State
+	records  map[Name]*Record
 }
 
-// NewRecorder returns a recorder that registers a counter for each promise that a node watches.
-func NewRecorder(set *metrics.Set) *Recorder {
-	r := &Recorder{counters: make(map[Name]*metrics.Counter)}
+// NewBook returns a book in which every promise is kept. It registers a counter for each watched promise.
+func NewBook(set *metrics.Set) *Book {
+	b := &Book{counters: make(map[Name]*metrics.Counter), records: make(map[Name]*Record)}
 	for _, d := range Definitions() {
-		r.states = append(r.states, State{Definition: d})
+		b.records[d.Name] = &Record{Definition: d}
 		if d.Watched {
-			r.counters[d.Name] = set.GetOrCreateCounter(fmt.Sprintf("cactuswall_promises_broken_total{promise=%q}", string(d.Name)))
+			b.counters[d.Name] = set.GetOrCreateCounter(fmt.Sprintf("cactuswall_promises_broken_total{promise=%q}", string(d.Name)))
 		}
 	}
-	return r
+	return b
 }
 
-// Broken counts one breach seen at a time.
-func (r *Recorder) Broken(name Name, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i := range r.states {
-		if r.states[i].Name == name {
-			r.states[i].Broken++
-			r.states[i].LastBroken = now
-			r.counters[name].Inc()
-		}
+// Break notes that a watched promise was broken at a time by a case, such as a task or a worker.
+func (b *Book) Break(name Name, by string, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.records[name]
+	if r == nil || !r.Watched {
+		return
 	}
+	r.Broken++
+	r.LastBroken = at
+	r.LastCase = by
+	b.counters[name].Inc()
 }
 
-// States returns what was seen of each promise.
-func (r *Recorder) States() []State {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]State(nil), r.states...)
+// Report returns the records in a fixed order.
+func (b *Book) Report() []Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	definitions := Definitions()
+	report := make([]Record, len(definitions))
+	for i, d := range definitions {
+		report[i] = *b.records[d.Name]
+	}
+	return report
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -35,6 +35,10 @@
 	Serve func(req platform.StartRequest) (Instance, error)
 	// OnRun is told of every start and end of a run, for oracles. May be nil.
 	OnRun func(worker string, run platform.RunID, state platform.RunState)
+	// OnEnd is told of every run that has ended, with its newest checkpoint. May be nil.
+	OnEnd func(worker string, run platform.Run)
+	// LatencyOf says how a service instance answers beside the other runs. Nil: its latency is not known.
+	LatencyOf func(run platform.Run, others []platform.Run) time.Duration
 }
 
 // Worker stands in for the agent of one worker.
@@ -45,6 +49,8 @@
 	mu      sync.Mutex
 	token   platform.Offset
 	runs    map[platform.RunID]*run
+	// failing makes every batch run fail.
+	failing bool
 }
 
 type run struct {
@@ -67,6 +73,13 @@
 // ID returns the worker's ID.
 func (w *Worker) ID() string { return w.options.ID }
 
+// FailEverything makes every batch run on the worker fail at its end.
+func (w *Worker) FailEverything() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failing = true
+}
+
 // Fence implements httpjson.Agent.
 func (w *Worker) Fence(ctx context.Context, token platform.Offset) (platform.Report, error) {
 	return w.withReport(ctx, token, func() error { return nil })
@@ -147,7 +160,7 @@
 	if r == nil || r.State.Final() {
 		return
 	}
-	if r.truth.Fails {
+	if r.truth.Fails || w.failing {
 		r.Message = "exit status 1"
 		w.end(r, platform.RunFailed)
 		return
@@ -178,6 +191,9 @@
 		go r.instance.Close()
 	}
 	w.tell(r.ID, state)
+	if w.options.OnEnd != nil {
+		w.options.OnEnd(w.options.ID, r.Run)
+	}
 }
 
 func (w *Worker) tell(id platform.RunID, state platform.RunState) {
@@ -188,7 +204,7 @@
 
 // progress is the share of the work that is done at now.
 func (r *run) progress(now time.Time) float64 {
-	if r.truth.RunTime <= 0 || r.State.Final() {
+	if r.endTimer == nil || r.truth.RunTime <= 0 || r.State.Final() {
 		return r.Progress
 	}
 	return min(1, r.base+float64(now.Sub(r.startedAt))/float64(r.truth.RunTime))
@@ -314,6 +330,11 @@
 		r.Usage = r.truth.Usage
 		report.Runs = append(report.Runs, r.Run)
 	}
+	if w.options.LatencyOf != nil {
+		for i := range report.Runs {
+			report.Runs[i].Latency = w.options.LatencyOf(report.Runs[i], report.Runs)
+		}
+	}
 	sort.Slice(report.Runs, func(a, b int) bool {
 		x, y := report.Runs[a].ID, report.Runs[b].ID
 		return x.Task < y.Task || (x.Task == y.Task && x.Attempt < y.Attempt)
