--- a/internal/capacity/measure/codecs.go
+++ b/internal/capacity/measure/codecs.go
@@ -6,6 +6,8 @@
 	"runtime"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cactuswall.example/cactuswall/internal/capacity"
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/failuredomain"
@@ -16,6 +18,9 @@
 	"cactuswall.example/cactuswall/internal/units"
 )
 
+// publicationID has the length of a real one.
+const publicationID = "00000000-0000-0000-0000-000000000000"
+
 // repetitions is how often a step is repeated to time it.
 const repetitions = 5
 
@@ -48,6 +53,7 @@
 		{"ledger: snapshot", "bytes", "task", tasks, snapshotBytes},
 		{"manifest: JSON document", "bytes", "job", jobs, documentBytes},
 		{"manifest: whole publication in the log", "bytes", "job", jobs, publicationBytes},
+		{"manifest: publication of added jobs", "bytes", "added job", []int{1, 6, 12, 60}, changeBytes},
 		{"manifest: parse and check", "ms", "job", jobs, parseTime},
 		{"manifest: memory", "bytes", "job", jobs, manifestMemory},
 		{"VM list: JSON", "bytes", "VM", []int{100, 1000, 4000}, listBytes},
@@ -170,11 +176,22 @@
 }
 
 func publicationBytes(jobs int) (float64, error) {
-	p, err := config.NewPublication(document(jobs), 1, "0123456789abcdef", time.Now())
+	p, err := config.NewPublication(document(jobs), nil, 1, publicationID, time.Now())
+	if err != nil {
+		return 0, err
+	}
+	return float64(proto.Size(p)), nil
+}
+
+// changeBytes returns the size of a publication that adds a number of jobs to a manifest of a day's jobs.
+func changeBytes(added int) (float64, error) {
+	const jobsOfADay = 7900
+	inForce := &config.InForce{Version: 1, Manifest: document(jobsOfADay)}
+	p, err := config.NewPublication(document(jobsOfADay+added), inForce, 1, publicationID, time.Now())
 	if err != nil {
 		return 0, err
 	}
-	return float64(len(p.GetDocument())), nil
+	return float64(proto.Size(p)), nil
 }
 
 func parseTime(jobs int) (float64, error) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	Scheduling Scheduling `json:"scheduling"`
 	// Membership holds periods of the exchange between nodes.
 	Membership Membership `json:"membership"`
+	// Log holds periods of the use of the platform's log.
+	Log Log `json:"log"`
 	// Callers bounds what the node takes from callers.
 	Callers Callers `json:"callers"`
 	// Stop bounds the planned stop.
@@ -71,6 +73,13 @@
 	DeadAfter units.Duration `json:"dead_after" validate:"gt=0"`
 }
 
+// Log holds periods of the use of the platform's log.
+type Log struct {
+	// SnapshotPeriod is the time between two snapshots in a stream. It is to be a third of the log's
+	// retention at the most, so that a snapshot always outlives what it stands for.
+	SnapshotPeriod units.Duration `json:"snapshot_period" validate:"gt=0"`
+}
+
 // Callers bounds what the node takes from callers.
 type Callers struct {
 	// MaxRequests bounds requests in flight and queued, listeners apart.
@@ -85,6 +94,19 @@
 	MaxBufferedBytes int64 `json:"max_buffered_bytes" validate:"gt=0"`
 	// ReadTimeout bounds the reading of a request from a slow caller.
 	ReadTimeout units.Duration `json:"read_timeout" validate:"gt=0"`
+	// WriteTimeout bounds one write to a caller that reads slowly.
+	WriteTimeout units.Duration `json:"write_timeout" validate:"gt=0"`
+	// CallerHeader is the request header by which the balancer names the caller, for rate limits. Empty:
+	// the IP number that the connection comes from.
+	CallerHeader string `json:"caller_header"`
+	// MaxTrackedCallers bounds the callers whose rate is remembered.
+	MaxTrackedCallers int `json:"max_tracked_callers" validate:"gt=0"`
+	// ListenerHeartbeat is the silence after which a listener is sent a comment.
+	ListenerHeartbeat units.Duration `json:"listener_heartbeat" validate:"gt=0"`
+	// MaxKeys bounds the idempotency keys that a node remembers.
+	MaxKeys int `json:"max_keys" validate:"gt=0"`
+	// KeyLifetime is how long an idempotency key is remembered. It must be shorter than the log keeps records.
+	KeyLifetime units.Duration `json:"key_lifetime" validate:"gt=0"`
 }
 
 // Stop bounds the planned stop.
@@ -115,13 +137,21 @@
 			SuspectAfter:   units.Duration(3 * time.Second),
 			DeadAfter:      units.Duration(6 * time.Second),
 		},
+		Log: Log{
+			SnapshotPeriod: units.Duration(30 * time.Minute),
+		},
 		Callers: Callers{
-			MaxRequests:      4096,
-			MaxListeners:     4096,
-			MaxHeaderBytes:   32 << 10,
-			MaxBodyBytes:     4 << 20,
-			MaxBufferedBytes: 64 << 20,
-			ReadTimeout:      units.Duration(10 * time.Second),
+			MaxRequests:       4096,
+			MaxListeners:      4096,
+			MaxHeaderBytes:    32 << 10,
+			MaxBodyBytes:      4 << 20,
+			MaxBufferedBytes:  64 << 20,
+			ReadTimeout:       units.Duration(10 * time.Second),
+			WriteTimeout:      units.Duration(10 * time.Second),
+			MaxTrackedCallers: 16384,
+			ListenerHeartbeat: units.Duration(15 * time.Second),
+			MaxKeys:           100000,
+			KeyLifetime:       units.Duration(10 * time.Minute),
 		},
 		Stop: Stop{
 			BalancerDelay: units.Duration(3 * time.Second),
