--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -9,6 +9,7 @@
 	"cactuswall.example/cactuswall/internal/endpoint"
 	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/promise"
 	"cactuswall.example/cactuswall/internal/task"
 )
 
@@ -47,18 +48,37 @@
 			s.Shards = append(s.Shards, shard)
 		}
 	}
-	for _, state := range task.States {
-		if count := e.taskRow.Count(state); count > 0 {
-			s.TasksByState[string(state)] = count
+	for _, row := range e.taskRow.All() {
+		if e.ownsTask(row, now) {
+			s.TasksByState[string(row.State)]++
 		}
 	}
-	for _, r := range e.promises.Report() {
-		s.Promises = append(s.Promises, operator.Promise{Name: string(r.Name), Broken: r.Broken, LastBroken: r.LastBroken, LastCase: r.LastCase})
-	}
+	s.Promises = promiseReports(e.promises.Report())
 	s.PredictedMisses = e.predictedMisses(now)
 	return s
 }
 
+// ownsTask reports whether this node holds the shard of a task, and so knows its state best.
+func (e *engine) ownsTask(row *task.Task, now time.Time) bool {
+	_, held := e.owner.Holds(row.Shard, now)
+	return held
+}
+
+func promiseReports(records []promise.Record) []operator.Promise {
+	reports := make([]operator.Promise, len(records))
+	for i, r := range records {
+		reports[i] = operator.Promise{
+			Name:       string(r.Name),
+			Text:       r.Text,
+			Watched:    r.Watched,
+			Broken:     r.Broken,
+			LastBroken: r.LastBroken,
+			LastCase:   r.LastCase,
+		}
+	}
+	return reports
+}
+
 // predictedMisses counts the batch tasks that will not end before their deadline as far as is known.
 func (e *engine) predictedMisses(now time.Time) int {
 	count := 0
@@ -89,6 +109,7 @@
 func (e *engine) taskReport(row *task.Task, now time.Time) operator.Task {
 	r := operator.Task{
 		ID:       row.ID,
+		Owned:    e.ownsTask(row, now),
 		Team:     row.Team,
 		State:    string(row.State),
 		Attempt:  row.Attempt,
