Compare every endpoint with a free slot, and forget slowness sooner

Change: the best of all endpoints with a free slot is taken; the node's own load counts a tenth; estimates have a time constant of 1 s and halve with each silent second.

--- a/internal/endpoint/health.go
+++ b/internal/endpoint/health.go
@@ -10,11 +10,11 @@
 	// initialLatency is the estimate for an endpoint that has not answered yet.
 	initialLatency = 5 * time.Millisecond
 	// latencyMemory is the time constant of the latency estimate.
-	latencyMemory = 2 * time.Second
+	latencyMemory = time.Second
 	// minLatencyWeight is the least weight of a new sample in the latency estimate.
 	minLatencyWeight = 0.1
 	// forgetAfter is the silence after which the latency estimate halves, again and again.
-	forgetAfter = 5 * time.Second
+	forgetAfter = time.Second
 	// failureWeight is the weight of one outcome in the failure rate.
 	failureWeight = 0.1
 	// ejectConsecutive is the number of failures in a row that ejects an endpoint.
@@ -29,6 +29,8 @@
 	slowStart = 5 * time.Second
 	// minStartWeight is the weight of an endpoint at the beginning of its slow start.
 	minStartWeight = 0.1
+	// loadWeight is what taking all of the node's slots at an endpoint adds to its score, as a part of it.
+	loadWeight = 0.1
 	// failurePenalty scales the score by the failure rate.
 	failurePenalty = 20.0
 	// maxFullWait bounds the pause after a refusal for want of a slot.
@@ -170,7 +172,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	latency := h.estimate(now).Seconds()
-	score = latency * (1 + float64(h.outstanding)/float64(max(1, h.slots)))
+	score = latency * (1 + loadWeight*float64(h.outstanding)/float64(max(1, h.slots)))
 	score *= 1 + failurePenalty*h.failureRate
 	return score / h.startWeight(now), h.free(now)
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -46,12 +46,10 @@
 	// maxEjectedPart is the part of the endpoints that may be left out because they fail. When more fail,
 	// the fault is taken to lie elsewhere and all are used.
 	maxEjectedPart = 0.5
-	// samples is the number of endpoints with a free slot that are compared.
-	samples = 2
 )
 
-// Adaptive prefers the node's own failure domain. Within a domain it compares a few random endpoints that
-// have a free slot by their measured latency, failures and load. It leaves out endpoints that fail.
+// Adaptive prefers the node's own failure domain. Within a domain it takes the endpoint with a free slot that
+// is best by measured latency, failures and load. It leaves out endpoints that fail.
 type Adaptive struct {
 	// FailureDomain is the node's own.
 	FailureDomain string
@@ -135,14 +133,14 @@
 	return worth
 }
 
-// take takes a slot at the best of a few random endpoints. It tries again when another request was
-// quicker.
+// take takes a slot at the best endpoint; among equals at a random one. It tries the next when another
+// request was quicker.
 func take(from []scored, now time.Time) *endpoint.Endpoint {
 	for len(from) > 0 {
-		best := rand.IntN(len(from))
-		for range samples - 1 {
-			if other := rand.IntN(len(from)); from[other].score < from[best].score {
-				best = other
+		best, first := 0, rand.IntN(len(from))
+		for i := range from {
+			if at := (first + i) % len(from); i == 0 || from[at].score < from[best].score {
+				best = at
 			}
 		}
 		if from[best].endpoint.TryAcquire(now) {
