Tell the age of the VM list, stream events from the stand-in endpoint, spread listeners

Cause: nothing showed how old the list is that a cut-off node goes on with; listeners of all nodes began at the same endpoint. Change: gauge cactuswall_list_age_seconds; /watch of the stand-in; a random endpoint among those with equally few listeners.

--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -174,7 +175,10 @@
 	refused := make(map[*endpoint.Endpoint]bool)
 	for {
 		var best *endpoint.Endpoint
-		for _, e := range l.h.directory.Of(l.request.service.Name) {
+		all := l.h.directory.Of(l.request.service.Name)
+		first := rand.IntN(max(1, len(all)))
+		for i := range all {
+			e := all[(first+i)%len(all)]
 			if e.Leaving() || refused[e] || l.request.tried[e] {
 				continue
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -187,16 +188,27 @@
 	})
 }
 
+// ageSeconds returns the time since a reading in Unix nanoseconds, or -1 when there was none.
+func ageSeconds(unixNano int64) float64 {
+	if unixNano == 0 {
+		return -1
+	}
+	return time.Since(time.Unix(0, unixNano)).Seconds()
+}
+
 // readList reads the platform's VM list in each period.
 func (n *Node) readList(ctx context.Context) error {
 	ticker := time.NewTicker(n.settings.Membership.ListPeriod.Std())
 	defer ticker.Stop()
 	failures := n.metrics.GetOrCreateCounter("cactuswall_list_failures_total")
+	var readAt atomic.Int64
+	n.metrics.GetOrCreateGauge("cactuswall_list_age_seconds", func() float64 { return ageSeconds(readAt.Load()) })
 	for {
 		vms, err := n.options.List.List(ctx)
 		if err != nil {
 			failures.Inc()
 		} else {
+			readAt.Store(time.Now().UnixNano())
 			n.engine.post(func(now time.Time) { n.engine.takeList(vms, now) })
 		}
 		select {
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,10 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
 	}
+	if strings.HasSuffix(r.URL.Path, watchSuffix) {
+		e.watch(w, r)
+		return
+	}
 	select {
 	case e.slots <- struct{}{}:
 	default:
@@ -66,6 +71,32 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+const (
+	// watchSuffix ends the paths that answer with a stream of events.
+	watchSuffix = "/watch"
+	// eventPeriod is the time between two events of a stream.
+	eventPeriod = time.Second
+)
+
+// watch streams events with rising IDs until the endpoint is leaving or the listener goes. It takes no slot.
+func (e *Endpoint) watch(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(EndpointHeader, e.name)
+	id, _ := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	for !e.leaving.Load() {
+		id++
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, e.name); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventPeriod):
+		}
+	}
+}
+
 // NotRunHeader is set by an endpoint on a refusal that it made without running the request.
 const NotRunHeader = "Cactuswall-Not-Run"
 
