Learn sizes from open runs, make reservations smaller, throttle a wave at once

Cause: with a fixed margin of 20% and learning from finished runs alone the workers were committed to 97-99% and 14% of the tasks missed their deadline; a wave was throttled one task at a time; sums over maps made plans differ between runs; the share of a team was compared as of when its group was queued. Change: peaks of open runs count after ten reports, the margin follows the spread of the peaks, a run that needs clearly less gives room back; all runs with at least half of the worst harm are throttled together; kinds on a worker are sorted; the first group is ranked again before it is placed.

--- a/internal/interference/controller.go
+++ b/internal/interference/controller.go
@@ -19,6 +19,8 @@
 	// throttleStep divides the share at each step, minThrottle is the last one.
 	throttleStep = 2.0
 	minThrottle  = 0.25
+	// sharedBlame is the part of the worst harm from which a run is throttled together with the worst.
+	sharedBlame = 0.5
 	// smoothing is the weight of a new measurement.
 	smoothing = 0.5
 )
@@ -35,6 +37,9 @@
 	Movable bool
 }
 
+// harmNow is the predicted slowdown at the present throttle.
+func (a *Aggressor) harmNow() float64 { return a.Harm * a.Throttle }
+
 // Step is one measure against interference on a worker.
 type Step struct {
 	Run platform.RunID
@@ -64,9 +69,9 @@
 func (c *Controller) Forget(worker string) { delete(c.workers, worker) }
 
 // React takes the measured latency of the services on a worker as a multiple of their target, and returns
-// the next measure or nil. Throttling comes first, moving second; easing takes a longer calm each time it
-// had to be taken back.
-func (c *Controller) React(worker string, measured float64, aggressors []Aggressor, now time.Time) *Step {
+// the next measures. Throttling comes first, moving second; easing takes a longer calm each time it had to
+// be taken back.
+func (c *Controller) React(worker string, measured float64, aggressors []Aggressor, now time.Time) []Step {
 	p := c.workers[worker]
 	if p == nil {
 		p = &pressure{smoothed: measured, calmTime: calmTime}
@@ -93,28 +98,34 @@
 	return p.ease(aggressors, now)
 }
 
-// tighten throttles the most harmful run that is not yet throttled all the way, or moves the most
+// tighten throttles the runs that do most harm and are not yet throttled all the way, or moves the most
 // harmful one.
-func (p *pressure) tighten(aggressors []Aggressor, now time.Time) *Step {
+func (p *pressure) tighten(aggressors []Aggressor, now time.Time) []Step {
 	if !p.easedAt.IsZero() && now.Sub(p.easedAt) < p.calmTime {
 		p.calmTime = min(2*p.calmTime, maxCalmTime)
 		p.easedAt = time.Time{}
 	}
-	worst := pick(aggressors, func(a Aggressor) bool { return a.Throttle > minThrottle })
-	if worst != nil {
+	throttleable := func(a Aggressor) bool { return a.Throttle > minThrottle }
+	if worst := pick(aggressors, throttleable); worst != nil {
 		p.changedAt = now
-		return &Step{Run: worst.Run, Throttle: max(worst.Throttle/throttleStep, minThrottle)}
+		var steps []Step
+		for _, a := range aggressors {
+			if throttleable(a) && a.harmNow() >= worst.harmNow()*sharedBlame {
+				steps = append(steps, Step{Run: a.Run, Throttle: max(a.Throttle/throttleStep, minThrottle)})
+			}
+		}
+		return steps
 	}
-	worst = pick(aggressors, func(a Aggressor) bool { return a.Movable })
+	worst := pick(aggressors, func(a Aggressor) bool { return a.Movable })
 	if worst == nil {
 		return nil
 	}
 	p.changedAt = now
-	return &Step{Run: worst.Run, Move: true}
+	return []Step{{Run: worst.Run, Move: true}}
 }
 
 // ease gives the least harmful throttled run one step back.
-func (p *pressure) ease(aggressors []Aggressor, now time.Time) *Step {
+func (p *pressure) ease(aggressors []Aggressor, now time.Time) []Step {
 	var mildest *Aggressor
 	for i := range aggressors {
 		a := &aggressors[i]
@@ -126,7 +137,7 @@
 		return nil
 	}
 	p.changedAt, p.easedAt, p.calmSince = now, now, now
-	return &Step{Run: mildest.Run, Throttle: min(mildest.Throttle*throttleStep, 1)}
+	return []Step{{Run: mildest.Run, Throttle: min(mildest.Throttle*throttleStep, 1)}}
 }
 
 // pick returns the wanted run that does most harm at its present throttle, or nil.
@@ -134,7 +145,7 @@
 	var worst *Aggressor
 	for i := range aggressors {
 		a := &aggressors[i]
-		if wanted(*a) && (worst == nil || a.Harm*a.Throttle > worst.Harm*worst.Throttle) {
+		if wanted(*a) && (worst == nil || a.harmNow() > worst.harmNow()) {
 			worst = a
 		}
 	}
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -57,11 +57,17 @@
 	if row.IsService() {
 		return
 	}
-	e.sizes.Observe(run.ID, run.Usage)
+	if e.sizes.Observe(run.ID, row.Kind(), run.Usage) {
+		e.taskRow.Recheck(row.Kind())
+	}
 	e.watchSpeed(w, row, now)
 	if row.Evicting() || row.State != task.Running || !row.Resizing.IsZero() {
 		return
 	}
+	if smaller, any := e.sizes.Shrunk(run.ID, row.Kind(), run.Size); any && row.Needed.IsZero() {
+		e.resize(w, row, smaller)
+		return
+	}
 	remedy := sizing.Outgrown(run.Usage, run.Size, w.Room(), run.Throttle > 0 && run.Throttle < 1)
 	switch remedy.Action {
 	case sizing.Grow:
@@ -76,13 +82,14 @@
 	}
 }
 
-// resize raises the reservation of a run. It counts from before the call, so that nothing else is placed
-// into the room.
+// resize changes the reservation of a run. A larger one counts from before the call, so that nothing else
+// is placed into the room, a smaller one once the worker reports it.
 func (e *engine) resize(w *worker.Worker, row *task.Task, size units.Resources) {
 	id, token, address := row.RunID(), w.Token, w.Address
 	row.Resizing = size
 	row.ResizedAt = time.Time{}
-	e.workerRow.Reserve(w, id, size)
+	before, _ := w.Reservation(id)
+	e.workerRow.Reserve(w, id, sizing.Max(before, size))
 	e.metrics.resizes.Inc()
 	go func() {
 		err := e.workers.Resize(e.ctx, address, token, id, size)
@@ -148,13 +155,13 @@
 	if w.Capacity.MilliProcessors == 0 {
 		return shares
 	}
-	for name, use := range w.Kinds() {
+	for _, use := range w.Kinds() {
 		held := use.MilliProcessors
-		if name == kind {
+		if use.Kind == kind {
 			held -= use.MilliProcessors / int64(use.Count)
 		}
 		if held > 0 {
-			shares[name] = float64(held) / float64(w.Capacity.MilliProcessors)
+			shares[use.Kind] = float64(held) / float64(w.Capacity.MilliProcessors)
 		}
 	}
 	return shares
@@ -182,11 +189,13 @@
 	if !measured {
 		return
 	}
-	step := e.pressure.React(w.ID, pressure, e.aggressors(w), now)
-	if pressure > 1 && step != nil {
+	steps := e.pressure.React(w.ID, pressure, e.aggressors(w), now)
+	if pressure > 1 && len(steps) > 0 {
 		e.promises.Break(promise.Latency, w.ID, now)
 	}
-	e.takeStep(step, now)
+	for _, step := range steps {
+		e.takeStep(step, now)
+	}
 }
 
 // anyThrottled reports whether a run takes less than its reservation on request.
@@ -219,9 +228,9 @@
 			continue
 		}
 		harm := 0.0
-		for kind := range w.Kinds() {
-			if e.taskRow.IsService(kind) {
-				harm = max(harm, e.slowdowns.Slowdown(kind, row.Kind()))
+		for _, use := range w.Kinds() {
+			if e.taskRow.IsService(use.Kind) {
+				harm = max(harm, e.slowdowns.Slowdown(use.Kind, row.Kind()))
 			}
 		}
 		size, _ := w.Reservation(id)
@@ -236,10 +245,7 @@
 	return found
 }
 
-func (e *engine) takeStep(step *interference.Step, now time.Time) {
-	if step == nil {
-		return
-	}
+func (e *engine) takeStep(step interference.Step, now time.Time) {
 	row := e.taskRow.Get(step.Run.Task)
 	if row == nil {
 		return
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -203,12 +203,14 @@
 
 func (f *fleet) Size(t *task.Task) units.Resources {
 	switch {
-	case t.IsService() || !(f.learns || f.knows):
+	case t.IsService():
 		return t.Size
 	case f.knows:
 		return f.kinds[t.Kind()].usage
-	default:
+	case f.learns:
 		return f.sizes.Size(t.Kind(), t.Size)
+	default:
+		return t.Size
 	}
 }
 
@@ -331,7 +333,7 @@
 func (f *fleet) progress(w *worker.Worker, row *task.Task, speed float64) {
 	k := f.kinds[row.Kind()]
 	row.Progress += speed / k.runTime.Seconds()
-	f.sizes.Observe(row.RunID(), k.usage)
+	f.watch(w, row, k.usage.Times(int64(90+f.random.IntN(11))).DividedBy(100))
 	if row.Progress < 1 {
 		return
 	}
@@ -347,6 +349,17 @@
 	f.tasks.Remove(row.ID)
 }
 
+// watch learns from the usage of a run and makes its reservation smaller when that is enough.
+func (f *fleet) watch(w *worker.Worker, row *task.Task, usage units.Resources) {
+	if f.sizes.Observe(row.RunID(), row.Kind(), usage) {
+		f.tasks.Recheck(row.Kind())
+	}
+	reserved, _ := w.Reservation(row.RunID())
+	if smaller, any := f.sizes.Shrunk(row.RunID(), row.Kind(), reserved); any && f.learns {
+		f.workers.Reserve(w, row.RunID(), smaller)
+	}
+}
+
 func (f *fleet) rows(w *worker.Worker) []*task.Task {
 	var rows []*task.Task
 	for _, id := range w.RunIDs() {
@@ -371,13 +384,13 @@
 			continue
 		}
 		victim := sensitive
-		if w.Kinds()[robust].Count > 0 {
+		if w.Count(robust) > 0 {
 			victim = robust
 		}
 		shares := make(map[string]float64)
-		for kind, use := range w.Kinds() {
-			if kind != victim {
-				shares[kind] = float64(use.MilliProcessors) / float64(w.Capacity.MilliProcessors)
+		for _, use := range w.Kinds() {
+			if use.Kind != victim {
+				shares[use.Kind] = float64(use.MilliProcessors) / float64(w.Capacity.MilliProcessors)
 			}
 		}
 		slowdown := f.base.Observe(victim, latencies[i])
@@ -408,17 +421,15 @@
 			Run: row.RunID(), Kind: row.Kind(), Harm: harm, Throttle: row.Throttle, Movable: row.Evictions < 3,
 		})
 	}
-	step := f.control.React(w.ID, pressure, aggressors, f.now)
-	if step == nil {
-		return
-	}
-	row := f.tasks.Get(step.Run.Task)
-	if !step.Move {
-		row.Throttle = step.Throttle
-		return
+	for _, step := range f.control.React(w.ID, pressure, aggressors, f.now) {
+		row := f.tasks.Get(step.Run.Task)
+		if !step.Move {
+			row.Throttle = step.Throttle
+			continue
+		}
+		row.Avoid, row.AvoidUntil = w.ID, f.now.Add(2*time.Minute)
+		f.evict(row)
 	}
-	row.Avoid, row.AvoidUntil = w.ID, f.now.Add(2*time.Minute)
-	f.evict(row)
 }
 
 // finish counts the tasks that are past their deadline and not done.
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -60,22 +60,23 @@
 	return len(it.rows) > 0
 }
 
-// rank computes the key of an item from its next task.
-func (p *planner) rank(it *item) {
+// rank computes the key of an item from its next task and returns it.
+func (p *planner) rank(it *item) key {
 	t := it.rows[0]
 	it.key = key{rank: rankOf(t)}
 	if t.IsService() {
-		return
+		return it.key
 	}
 	if p.Policy.DeadlineOnly {
 		it.key = key{rank: rankBatch, critical: true, slack: t.Deadline.Sub(p.Now)}
-		return
+		return it.key
 	}
 	runTime := p.Estimates.RunTime(t)
 	it.key.slack = t.Deadline.Sub(p.Now) - runTime
 	it.key.critical = it.key.slack < criticalReserve+runTime/criticalPart
 	used := p.Tasks.TeamUsage(t.Team).Add(p.teams[t.Team])
 	it.key.share = int(dominantShare(used, p.Quota[t.Team]) * shareSteps)
+	return it.key
 }
 
 func rankOf(t *task.Task) int {
--- a/internal/scheduler/overlay.go
+++ b/internal/scheduler/overlay.go
@@ -53,7 +53,7 @@
 
 // instancesOn returns how many tasks of a kind are on a worker.
 func (o *overlay) instancesOn(w *worker.Worker, kind string) int {
-	return w.Kinds()[kind].Count + o.onPlace[place{w.ID, kind}]
+	return w.Count(kind) + o.onPlace[place{w.ID, kind}]
 }
 
 // instancesIn returns how many tasks of a kind are in a rack.
--- /dev/null
+++ b/internal/scheduler/plan_test.go
@@ -0,0 +1,249 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/scheduler"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+// plain are estimates that believe the declarations.
+type plain struct{}
+
+func (plain) Size(t *task.Task) units.Resources  { return t.Size }
+func (plain) RunTime(t *task.Task) time.Duration { return t.RunTime }
+func (plain) Slowdown(_, _ string) float64       { return 0.1 }
+func (plain) FailureRate(string) float64         { return 0 }
+func ownAll(uint32) bool                         { return true }
+func (m *machine) quota() map[string]units.Resources {
+	return map[string]units.Resources{"t": m.quotaSize, "u": m.quotaSize}
+}
+
+// machine is a random sequence of arrivals, plans, ends and losses, checked against plain sums.
+type machine struct {
+	tasks     *task.Table
+	workers   *worker.Table
+	now       time.Time
+	quotaSize units.Resources
+	count     int
+	kinds     []task.Spec
+}
+
+func (m *machine) input() scheduler.Input {
+	return scheduler.Input{
+		Now: m.now, Tasks: m.tasks, Workers: m.workers, Owned: ownAll, Quota: m.quota(),
+		Estimates: plain{}, Policy: scheduler.LatencyFirst(), Limits: scheduler.DefaultLimits(),
+	}
+}
+
+func (m *machine) arrive(t *rapid.T) {
+	m.count++
+	kind := rapid.IntRange(0, len(m.kinds)-1).Draw(t, "kind")
+	spec := m.kinds[kind]
+	spec.ID = fmt.Sprintf("%s@1/%d", spec.Job, m.count)
+	spec.Index = m.count
+	m.tasks.Put(&task.Task{State: task.Waiting, Since: m.now, Spec: spec})
+}
+
+func drawKinds(t *rapid.T, now time.Time) []task.Spec {
+	var kinds []task.Spec
+	for i := range 6 {
+		kinds = append(kinds, task.Spec{
+			Job:      fmt.Sprintf("j%d", i),
+			Team:     rapid.SampledFrom([]string{"t", "u"}).Draw(t, "team"),
+			Size:     drawSize(t, 12),
+			RunTime:  time.Minute,
+			Deadline: now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "deadline")) * time.Minute),
+			Priority: rapid.SampledFrom([]manifest.Priority{manifest.Urgent, manifest.Batch, manifest.Spare}).Draw(t, "priority"),
+		})
+	}
+	return kinds
+}
+
+func drawSize(t *rapid.T, most int64) units.Resources {
+	return units.Resources{
+		MilliProcessors: rapid.Int64Range(1, most).Draw(t, "processors"),
+		MemoryMiB:       rapid.Int64Range(1, most).Draw(t, "memory"),
+		Accelerators:    rapid.Int64Range(0, 1).Draw(t, "accelerators"),
+	}
+}
+
+func (m *machine) plan(t *rapid.T) {
+	plan := scheduler.Make(m.input())
+	for _, b := range plan.Blocked {
+		b.Group.Checked = 0
+		if b.Settled {
+			b.Group.Checked = plan.Generation
+		}
+	}
+	for _, p := range plan.Placements {
+		row := m.tasks.Get(p.Task)
+		if row.State != task.Waiting {
+			t.Fatalf("%s is placed in state %s", p.Task, row.State)
+		}
+		row.Attempt++
+		row.Worker = p.Worker
+		m.workers.Reserve(m.workers.Get(p.Worker), row.RunID(), p.Size)
+		row.Set(task.Running, "", m.now)
+	}
+	for _, e := range plan.Evictions {
+		victim, winner := m.tasks.Get(e.Task), m.tasks.Get(e.For)
+		if victim.State != task.Running || victim.Priority == manifest.Urgent || winner.Priority != manifest.Urgent {
+			t.Fatalf("%s (%s, %s) is evicted for %s", e.Task, victim.State, victim.Priority, e.For)
+		}
+		m.end(victim, true)
+	}
+}
+
+func (m *machine) end(row *task.Task, again bool) {
+	if w := m.workers.Get(row.Worker); w != nil {
+		m.workers.Release(w, row.RunID())
+	}
+	row.Worker = ""
+	if again {
+		row.Evictions++
+		row.Wait("evicted", time.Time{}, m.now)
+		return
+	}
+	row.Set(task.Finished, "", m.now)
+}
+
+func (m *machine) check(t *rapid.T) {
+	used := make(map[string]units.Resources)
+	team := make(map[string]units.Resources)
+	for _, row := range m.tasks.All() {
+		if row.State == task.Running {
+			used[row.Worker] = used[row.Worker].Add(row.Size)
+			team[row.Team] = team[row.Team].Add(row.Size)
+		}
+		if row.Evictions > 3 {
+			t.Fatalf("%s was evicted %d times", row.ID, row.Evictions)
+		}
+	}
+	for _, w := range m.workers.All() {
+		if used[w.ID] != w.Committed() || !used[w.ID].Fits(w.Capacity) {
+			t.Fatalf("%s runs %v, has committed %v of %v", w.ID, used[w.ID], w.Committed(), w.Capacity)
+		}
+	}
+	for name, sum := range team {
+		if !sum.Fits(m.quota()[name]) {
+			t.Fatalf("team %s holds %v of %v", name, sum, m.quotaSize)
+		}
+	}
+}
+
+// idle checks that after a plan no waiting task fits a worker and its quota: nothing is passed over for good.
+func (m *machine) idle(t *rapid.T) {
+	for range 20 {
+		m.plan(t)
+	}
+	for _, row := range m.tasks.All() {
+		if row.State != task.Waiting || !row.Size.Fits(m.quotaSize.Sub(m.tasks.TeamUsage(row.Team))) {
+			continue
+		}
+		for _, w := range m.workers.All() {
+			if w.Eligible && row.Size.Fits(w.Room()) {
+				t.Fatalf("%s of %v waits although %s has %v", row.ID, row.Size, w.ID, w.Room())
+			}
+		}
+	}
+}
+
+// TestPlans draws arrivals, plans, ends and lost workers and checks capacity, quotas, evictions, and that
+// no task waits beside room that it fits.
+func TestPlans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0), quotaSize: units.Resources{MilliProcessors: 30, MemoryMiB: 30, Accelerators: 4}}
+		m.kinds = drawKinds(t, m.now)
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			w := &worker.Worker{ID: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i%2)}
+			m.workers.Put(w)
+			m.workers.SetCapacity(w, drawSize(t, 20))
+			m.workers.SetEligible(w, true)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": m.arrive,
+			"plan":   m.plan,
+			"end": func(t *rapid.T) {
+				if rows := m.tasks.In(task.Running); len(rows) > 0 {
+					m.end(rapid.SampledFrom(rows).Draw(t, "row"), false)
+				}
+			},
+			"lose worker": func(t *rapid.T) {
+				if m.workers.Len() < 2 {
+					t.Skip("the last worker stays")
+				}
+				w := rapid.SampledFrom(m.workers.All()).Draw(t, "worker")
+				for _, id := range w.RunIDs() {
+					row := m.tasks.Get(id.Task)
+					row.Worker = ""
+					row.Wait("lost", time.Time{}, m.now)
+				}
+				m.workers.Remove(w.ID)
+			},
+			"": m.check,
+		})
+		m.idle(t)
+	})
+}
+
+// TestOrder checks that services go first, then urgent work, then least slack, and that teams that hold
+// less go before others while nothing is critical.
+func TestOrder(t *testing.T) {
+	m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0), quotaSize: units.Resources{MilliProcessors: 100, MemoryMiB: 100}}
+	w := &worker.Worker{ID: "w"}
+	m.workers.Put(w)
+	m.workers.SetCapacity(w, units.Resources{MilliProcessors: 100, MemoryMiB: 100})
+	m.workers.SetEligible(w, true)
+	size := units.Resources{MilliProcessors: 10, MemoryMiB: 10}
+	add := func(id, team string, priority manifest.Priority, deadline time.Duration) {
+		m.tasks.Put(&task.Task{State: task.Waiting, Spec: task.Spec{ID: id, Job: task.KindOf(id), Team: team, Size: size,
+			Priority: priority, RunTime: time.Minute, Deadline: m.now.Add(deadline)}})
+	}
+	m.tasks.Put(&task.Task{State: task.Waiting, Spec: task.Spec{ID: "s/a/0", Service: "s", Size: size}})
+	add("late@1/0", "t", manifest.Batch, 100*time.Hour)
+	add("soon@1/0", "t", manifest.Batch, 90*time.Second)
+	add("urgent@1/0", "t", manifest.Urgent, 50*time.Hour)
+	add("spare@1/0", "u", manifest.Spare, time.Minute)
+	add("other@1/0", "u", manifest.Batch, 200*time.Hour)
+	var got []string
+	for _, p := range scheduler.Make(m.input()).Placements {
+		got = append(got, p.Task)
+	}
+	want := []string{"s/a/0", "urgent@1/0", "soon@1/0", "other@1/0", "late@1/0", "spare@1/0"}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
+
+// TestSpread checks that the instances of a service go to different racks and workers.
+func TestSpread(t *testing.T) {
+	m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0)}
+	for i := range 6 {
+		w := &worker.Worker{ID: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/2)}
+		m.workers.Put(w)
+		m.workers.SetCapacity(w, units.Resources{MilliProcessors: 100, MemoryMiB: 100})
+		m.workers.SetEligible(w, true)
+	}
+	for i := range 6 {
+		m.tasks.Put(&task.Task{State: task.Waiting, Spec: task.Spec{ID: fmt.Sprintf("s/a/%d", i), Service: "s", Index: i, Size: units.Resources{MilliProcessors: 10, MemoryMiB: 10}}})
+	}
+	onWorker, inRack := make(map[string]int), make(map[string]int)
+	for i, p := range scheduler.Make(m.input()).Placements {
+		onWorker[p.Worker]++
+		inRack[m.workers.Get(p.Worker).Rack]++
+		if i == 2 && len(inRack) != 3 {
+			t.Errorf("the first three instances are in racks %v", inRack)
+		}
+	}
+	if len(onWorker) != 6 {
+		t.Errorf("six instances are on %v", onWorker)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -132,6 +132,11 @@
 
 // step places the first task of an item, or takes the item out of the queue.
 func (p *planner) step(it *item) {
+	if before := it.key; p.rank(it) != before {
+		// The team has got more since the item was queued, so others may go first now.
+		heap.Fix(&p.queue, 0)
+		return
+	}
 	t := it.rows[0]
 	size := p.Estimates.Size(t)
 	w, blocked := p.choose(it, t, size)
--- a/internal/scheduler/score.go
+++ b/internal/scheduler/score.go
@@ -74,7 +74,8 @@
 func (p *planner) interference(w *worker.Worker, t *task.Task, size units.Resources) float64 {
 	added := share(size.MilliProcessors, w.Capacity.MilliProcessors)
 	total := 0.0
-	for kind, use := range w.Kinds() {
+	for _, use := range w.Kinds() {
+		kind := use.Kind
 		held := share(use.MilliProcessors, w.Capacity.MilliProcessors)
 		suffers := p.Estimates.Slowdown(kind, t.Kind()) * added
 		total += p.weight(kind) * suffers * float64(use.Count)
--- a/internal/sizing/outgrown.go
+++ b/internal/sizing/outgrown.go
@@ -31,7 +31,7 @@
 	if !processors && !memory {
 		return Remedy{Action: Leave, Size: reserved}
 	}
-	wanted := usage.Times(100 + marginPercent).DividedBy(100)
+	wanted := usage.Times(100 + runMarginPercent).DividedBy(100)
 	wanted.Accelerators = reserved.Accelerators
 	wanted = Max(wanted, reserved)
 	extra := wanted.Sub(reserved)
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -16,10 +16,19 @@
 	keptRuns = 32
 	// minRuns is the number of runs before an estimate replaces the declaration.
 	minRuns = 5
-	// minReports is the number of reports on a run before its peak counts.
-	minReports = 3
-	// marginPercent is added to the highest peak.
-	marginPercent = 20
+	// minReports is the number of reports on a finished run before its peak counts, earlyReports the number
+	// after which the peak of an open run counts.
+	minReports   = 3
+	earlyReports = 10
+	// firstMarginPercent is added to the highest peak while few runs are known, leastMarginPercent is the
+	// least that is added when settledRuns are.
+	firstMarginPercent = 20
+	leastMarginPercent = 5
+	settledRuns        = 16
+	// runMarginPercent is added to the peak of one run when its reservation is changed.
+	runMarginPercent = 10
+	// shrinkPercent is how much larger than enough a reservation must be before it is made smaller.
+	shrinkPercent = 10
 	// maxShrink and maxGrowth bound the estimate as a part and as a multiple of the declaration.
 	maxShrink = 4
 	maxGrowth = 4
@@ -57,18 +66,48 @@
 	return &Learner{kinds: make(map[string]*history), open: make(map[platform.RunID]*peak)}
 }
 
-// Observe takes the measured usage of an open run.
-func (l *Learner) Observe(run platform.RunID, usage units.Resources) {
+// Observe takes the measured usage of an open run. It reports whether the estimate for its kind changed.
+func (l *Learner) Observe(run platform.RunID, kind string, usage units.Resources) bool {
 	p := l.open[run]
 	if p == nil {
 		if len(l.open) >= maxOpenRuns {
-			return
+			return false
 		}
 		p = &peak{}
 		l.open[run] = p
 	}
 	p.usage = Max(p.usage, usage)
 	p.reports++
+	if p.reports != earlyReports {
+		return false
+	}
+	l.history(kind).addPeak(p.usage)
+	return true
+}
+
+// Shrunk returns the reservation that is enough for an open run, and whether it is clearly smaller than
+// the present one. It is only known after some reports on the run and on others of its kind.
+func (l *Learner) Shrunk(run platform.RunID, kind string, reserved units.Resources) (units.Resources, bool) {
+	p, h := l.open[run], l.kinds[kind]
+	if p == nil || h == nil || p.reports < earlyReports || h.sizeEstimate.IsZero() {
+		return reserved, false
+	}
+	enough := Max(h.sizeEstimate, p.usage.Times(100+runMarginPercent).DividedBy(100))
+	enough = units.Resources{
+		MilliProcessors: min(enough.MilliProcessors, reserved.MilliProcessors),
+		MemoryMiB:       min(enough.MemoryMiB, reserved.MemoryMiB),
+		Accelerators:    reserved.Accelerators,
+	}
+	return enough, !reserved.Fits(enough.Times(100 + shrinkPercent).DividedBy(100))
+}
+
+func (l *Learner) history(kind string) *history {
+	h := l.kinds[kind]
+	if h == nil {
+		h = &history{}
+		l.kinds[kind] = h
+	}
+	return h
 }
 
 // Ended drops an open run. finished says that it ran to its end; runTime is how long all of its work
@@ -79,11 +118,7 @@
 	if !finished {
 		return
 	}
-	h := l.kinds[kind]
-	if h == nil {
-		h = &history{}
-		l.kinds[kind] = h
-	}
+	h := l.history(kind)
 	if p != nil && p.reports >= minReports {
 		h.addPeak(p.usage)
 	}
@@ -132,11 +167,25 @@
 	if len(h.peaks) < minRuns {
 		return
 	}
-	var highest units.Resources
+	var highest, sum units.Resources
 	for _, p := range h.peaks {
 		highest = Max(highest, p)
+		sum = sum.Add(p)
+	}
+	mean := sum.DividedBy(int64(len(h.peaks)))
+	h.sizeEstimate = units.Resources{
+		MilliProcessors: h.withMargin(highest.MilliProcessors, mean.MilliProcessors),
+		MemoryMiB:       h.withMargin(highest.MemoryMiB, mean.MemoryMiB),
+	}
+}
+
+// withMargin adds a margin to the highest peak: a fixed one while few runs are known, later as much as the
+// highest peak lies above the mean.
+func (h *history) withMargin(highest, mean int64) int64 {
+	if len(h.peaks) < settledRuns {
+		return highest * (100 + firstMarginPercent) / 100
 	}
-	h.sizeEstimate = highest.Times(100 + marginPercent).DividedBy(100)
+	return highest + max(highest-mean, highest*leastMarginPercent/100)
 }
 
 func (h *history) addRunTime(runTime time.Duration) {
--- /dev/null
+++ b/internal/sizing/sizing_test.go
@@ -0,0 +1,87 @@
+package sizing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/units"
+)
+
+func size(processors, memory int64) units.Resources {
+	return units.Resources{MilliProcessors: processors, MemoryMiB: memory}
+}
+
+// run reports a run of a kind to its end.
+func run(l *Learner, index int, usage units.Resources, runTime time.Duration) {
+	id := platform.RunID{Task: fmt.Sprintf("k@1/%d", index), Attempt: 1}
+	for range minReports {
+		l.Observe(id, "k", usage)
+	}
+	l.Ended(id, "k", true, runTime)
+}
+
+func TestLearner(t *testing.T) {
+	Convey("Given a learner", t, func() {
+		l := NewLearner()
+		declared := size(4000, 4000)
+		Convey("the declaration counts until enough runs are known", func() {
+			for i := range minRuns - 1 {
+				run(l, i, size(1000, 1000), time.Minute)
+			}
+			So(l.Size("k", declared), ShouldResemble, declared)
+			So(l.RunTime("k", time.Hour), ShouldEqual, time.Hour)
+		})
+		Convey("then the highest peak with a margin, and the longest run", func() {
+			for i := range settledRuns {
+				run(l, i, size(1000+int64(i), 2000), time.Duration(i+1)*time.Minute)
+			}
+			learnt := l.Size("k", declared)
+			So(size(1000+settledRuns-1, 2000).Fits(learnt), ShouldBeTrue)
+			So(learnt.Fits(size(1200, 2200)), ShouldBeTrue)
+			So(l.RunTime("k", time.Hour), ShouldEqual, settledRuns*time.Minute)
+		})
+		Convey("the estimate is bounded by the declaration", func() {
+			for i := range minRuns {
+				run(l, i, size(1, 1000000), 0)
+			}
+			So(l.Size("k", declared), ShouldResemble, size(1000, 16000))
+		})
+		Convey("an open run is made smaller only after enough reports, and never below its own peak", func() {
+			for i := range settledRuns {
+				run(l, i, size(1000, 1000), 0)
+			}
+			id := platform.RunID{Task: "k@1/99", Attempt: 1}
+			for range earlyReports - 1 {
+				l.Observe(id, "k", size(3000, 500))
+			}
+			_, any := l.Shrunk(id, "k", declared)
+			So(any, ShouldBeFalse)
+			l.Observe(id, "k", size(3000, 500))
+			smaller, any := l.Shrunk(id, "k", declared)
+			So(any, ShouldBeTrue)
+			So(size(3000, 1000).Fits(smaller), ShouldBeTrue)
+			So(smaller.Fits(declared), ShouldBeTrue)
+		})
+	})
+}
+
+func TestOutgrown(t *testing.T) {
+	Convey("A run that outgrows its reservation", t, func() {
+		reserved := size(1000, 1000)
+		So(Outgrown(size(900, 900), reserved, size(0, 0), false).Action, ShouldEqual, Leave)
+		Convey("grows when there is room", func() {
+			So(Outgrown(size(1500, 1000), reserved, size(5000, 5000), false).Action, ShouldEqual, Grow)
+		})
+		Convey("is throttled once when it takes processors that are not there", func() {
+			So(Outgrown(size(1500, 900), reserved, size(0, 0), false).Action, ShouldEqual, Throttle)
+			So(Outgrown(size(1500, 900), reserved, size(0, 0), true).Action, ShouldEqual, Leave)
+		})
+		Convey("moves when it takes memory that is not there", func() {
+			So(Outgrown(size(900, 1500), reserved, size(0, 0), false).Action, ShouldEqual, Move)
+		})
+	})
+}
--- a/internal/worker/table.go
+++ b/internal/worker/table.go
@@ -44,7 +44,7 @@
 func (t *Table) Put(w *Worker) {
 	t.Remove(w.ID)
 	w.reserved = make(map[platform.RunID]units.Resources)
-	w.kinds = make(map[string]Use)
+	w.kinds = nil
 	w.committed = units.Resources{}
 	t.rows[w.ID] = w
 	t.order = nil
@@ -57,8 +57,8 @@
 	if w == nil {
 		return
 	}
-	for kind, use := range w.kinds {
-		t.addToRack(w.Rack, kind, -use.Count)
+	for _, use := range w.kinds {
+		t.addToRack(w.Rack, use.Kind, -use.Count)
 	}
 	delete(t.rows, id)
 	t.order = nil
@@ -69,9 +69,9 @@
 	if w.Rack == rack {
 		return
 	}
-	for kind, use := range w.kinds {
-		t.addToRack(w.Rack, kind, -use.Count)
-		t.addToRack(rack, kind, use.Count)
+	for _, use := range w.kinds {
+		t.addToRack(w.Rack, use.Kind, -use.Count)
+		t.addToRack(rack, use.Kind, use.Count)
 	}
 	w.Rack = rack
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -2,7 +2,9 @@
 package worker
 
 import (
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/platform"
@@ -12,6 +14,7 @@
 
 // Use is what the attempts of one kind hold on a worker.
 type Use struct {
+	Kind            string
 	Count           int
 	MilliProcessors int64
 }
@@ -47,8 +50,9 @@
 	// Expedite asks for the next report at once, because a decision waits for it.
 	Expedite bool
 
-	reserved  map[platform.RunID]units.Resources
-	kinds     map[string]Use
+	reserved map[platform.RunID]units.Resources
+	// kinds is sorted by kind, so that sums over it are the same on every run.
+	kinds     []Use
 	committed units.Resources
 	grownAt   uint64
 	changes   uint64
@@ -92,8 +96,20 @@
 // Changes grows with every reservation that is made or dropped.
 func (w *Worker) Changes() uint64 { return w.changes }
 
-// Kinds returns what the attempts of each kind hold. The map must not be changed.
-func (w *Worker) Kinds() map[string]Use { return w.kinds }
+// Kinds returns what the attempts of each kind hold, in the order of the kinds. It must not be changed.
+func (w *Worker) Kinds() []Use { return w.kinds }
+
+// Count returns the number of attempts of a kind that hold a reservation.
+func (w *Worker) Count(kind string) int {
+	if i, known := w.find(kind); known {
+		return w.kinds[i].Count
+	}
+	return 0
+}
+
+func (w *Worker) find(kind string) (int, bool) {
+	return slices.BinarySearchFunc(w.kinds, kind, func(u Use, k string) int { return strings.Compare(u.Kind, k) })
+}
 
 // GrownAt returns the generation of the table at which the worker last got more room.
 func (w *Worker) GrownAt() uint64 { return w.grownAt }
@@ -126,13 +142,15 @@
 	return true
 }
 
+// count changes what the attempts of a kind hold.
 func (w *Worker) count(kind string, count int, processors int64) {
-	use := w.kinds[kind]
-	use.Count += count
-	use.MilliProcessors += processors
-	if use.Count == 0 {
-		delete(w.kinds, kind)
-		return
+	i, known := w.find(kind)
+	if !known {
+		w.kinds = slices.Insert(w.kinds, i, Use{Kind: kind})
+	}
+	w.kinds[i].Count += count
+	w.kinds[i].MilliProcessors += processors
+	if w.kinds[i].Count == 0 {
+		w.kinds = slices.Delete(w.kinds, i, i+1)
 	}
-	w.kinds[kind] = use
 }
