--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -46,6 +46,9 @@
 	maxPort = 65535
 )
 
+// batchUsage is what every batch task really uses.
+var batchUsage = units.Resources{MilliProcessors: 1500, MemoryMiB: 3000}
+
 // Deployment is one of the deployments that dev knows.
 type Deployment struct {
 	Domains  []string
@@ -187,7 +190,7 @@
 			if req.Service != "" {
 				return standin.Truth{Usage: req.Size}
 			}
-			return standin.Truth{RunTime: batchRunTime, Usage: req.Size}
+			return standin.Truth{RunTime: batchRunTime, Usage: batchUsage}
 		},
 		Serve: func(req platform.StartRequest) (standin.Instance, error) { return w.startEndpoint(agent, domain, req) },
 	})
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -30,11 +30,11 @@
 
 // NewCounter registers the counters of a purpose.
 func NewCounter(set *metrics.Set, purpose Purpose) *Counter {
-	counter := func(direction string) *metrics.Counter {
+	bytesOf := func(direction string) *metrics.Counter {
 		name := fmt.Sprintf("cactuswall_control_bytes_total{purpose=%q,direction=%q}", purpose, direction)
 		return set.GetOrCreateCounter(name)
 	}
-	return &Counter{sent: counter("sent"), received: counter("received")}
+	return &Counter{sent: bytesOf("sent"), received: bytesOf("received")}
 }
 
 // DialFunc makes a connection, as in http.Transport.DialContext.
