--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -15,9 +15,11 @@
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/once"
 	"cactuswall.example/cactuswall/internal/ownership"
+	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/promise"
 	"cactuswall.example/cactuswall/internal/quarantine"
+	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/settings"
 	"cactuswall.example/cactuswall/internal/sizing"
@@ -47,6 +49,20 @@
 	domainSnapshotAt   time.Time
 	manifestSnapshotAt time.Time
 	forgetAt           time.Time
+	promisesAskedAt    time.Time
+	// committing is set once this process may write to its domain stream.
+	committing bool
+	// replaced says that another process has taken this node's place.
+	replaced error
+	// retreats holds the batch tasks that were given up while the authority had lapsed.
+	retreats map[platform.RunID]time.Time
+	// push asks the gossip to tell all peers at once.
+	push chan struct{}
+	// leavingSince is when this node first knew that each endpoint is leaving.
+	leavingSince   map[string]time.Time
+	domainFollower atomic.Pointer[journal.Follower]
+	// peers returns a client for the node at a peer address.
+	peers func(address string) peer.Peer
 
 	config    config.State
 	members   *membership.Table
@@ -68,6 +84,8 @@
 	listReadAt time.Time
 	// caughtUp is set once the domain stream has been read to its end.
 	caughtUp bool
+	// manifestCaughtUp is set once the manifest stream has been read to its end.
+	manifestCaughtUp bool
 	// logReadAt is when the domain stream last answered.
 	logReadAt time.Time
 	stopping  bool
@@ -111,6 +129,9 @@
 		case <-ticker.C:
 			e.tick(time.Now())
 		}
+		if e.replaced != nil {
+			return e.replaced
+		}
 	}
 }
 
@@ -147,6 +168,8 @@
 func (e *engine) tick(now time.Time) {
 	e.divide(now)
 	e.own(now)
+	e.askPromises(now)
+	e.noticeLeaving(now)
 	e.removeAbsent(now)
 	e.adoptWorkers(now)
 	e.renewLeases(now)
@@ -162,11 +185,27 @@
 
 // own claims, renews and gives up shards.
 func (e *engine) own(now time.Time) {
-	if !e.current() || e.stopping {
+	if !e.current() {
 		return
 	}
+	e.checkIncarnation()
+	if e.domainWriter.Unsettled() == 0 {
+		e.owner.SettleClaims()
+	}
 	live := e.members.LiveIn(e.settings.FailureDomain, now)
-	e.domainWriter.Enqueue(e.owner.Decide(e.ledger, live, now)...)
+	if e.stopping {
+		// A claim that was under way when the stop began may still be accepted.
+		e.enqueueEach(e.owner.Release(live, now))
+		return
+	}
+	stable := e.members.StableIn(e.settings.FailureDomain, now)
+	e.enqueueEach(e.owner.Decide(e.ledger, ownership.Candidates{Live: live, Stable: stable}, now))
+}
+
+func (e *engine) enqueueEach(records []*record.Record) {
+	for _, r := range records {
+		e.domainWriter.Enqueue(r)
+	}
 }
 
 // manifestChanged brings the tables in line after a new manifest has come in force.
@@ -175,6 +214,9 @@
 		return
 	}
 	inForce := e.config.InForce()
+	if e.manifestCaughtUp && now.Sub(inForce.Published) > promise.ConfigurationBound {
+		e.promises.Break(promise.Configuration, inForce.Manifest.Release, now)
+	}
 	e.decide(inForce.PublicationID, decision{rejection: config.Accepted, version: inForce.Version})
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -11,6 +11,7 @@
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/worker"
 )
 
 // current reports whether the node knows all of its domain stream, so that it may commit to it.
@@ -85,18 +86,22 @@
 	e.ledger = l
 	e.owner.Drop()
 	e.domainWriter.SettleUpTo(l.SequenceOf(e.self))
-	for _, w := range e.workerRow.All() {
-		w.Token = 0
-	}
+	e.workerRow = worker.NewTable()
 	e.taskRow = task.NewTable()
 	if e.config.InForce() != nil {
 		e.syncTasks(now)
 	}
+	if !e.listReadAt.IsZero() {
+		e.takeList(e.vms, now)
+	}
 }
 
 // takeManifestEntries applies entries of the manifest stream.
 func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
 	before := e.config.Version()
+	if len(deliveries) == 0 {
+		e.manifestCaughtUp = true
+	}
 	for _, d := range deliveries {
 		wasComplete := e.manifestReplay.Complete()
 		if d, applicable := e.manifestReplay.Take(d); applicable {
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -30,7 +30,9 @@
 	for _, w := range e.workerRow.All() {
 		token, held := e.owner.Holds(w.Shard, now)
 		if !held {
-			e.disown(w, now)
+			if !e.keepsLapsed(w) {
+				e.disown(w, now)
+			}
 			e.workerRow.SetEligible(w, false)
 			if asked < capacityCallsPerTick && e.learnCapacity(w, now) {
 				asked++
@@ -143,7 +145,7 @@
 	req := platform.RenewRequest{Token: w.Token, Lease: e.settings.Scheduling.TaskLease.Std()}
 	for _, id := range w.RunIDs() {
 		row := e.taskRow.Get(id.Task)
-		if row != nil && row.Attempt == id.Attempt && row.State == task.Running {
+		if row != nil && row.Attempt == id.Attempt && row.State == task.Running && e.mayRenew(w, row, sent) {
 			req.Runs = append(req.Runs, id)
 		}
 	}
