Use other failure domains before endpoints that fail

Cause: with every local endpoint ejected, a node went on sending to them although the other domains had slots; and the share of ejected endpoints was counted over all domains, so that nothing at all was sent when the own domain was down. Change: endpoints that fail are used only when no domain has another one.

--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -43,9 +43,6 @@
 const (
 	// spillPrice is what sending a request to another failure domain counts for, beyond its latency.
 	spillPrice = 8 * time.Millisecond
-	// maxEjectedPart is the part of the endpoints that may be left out because they fail. When more fail,
-	// the fault is taken to lie elsewhere and all are used.
-	maxEjectedPart = 0.5
 )
 
 // Adaptive prefers the node's own failure domain. Within a domain it takes the endpoint with a free slot that
@@ -61,53 +58,64 @@
 	view     endpoint.View
 }
 
-// Choose implements Chooser. It looks at other failure domains only when the own one has no free slot.
+// Choose implements Chooser. It looks at other failure domains only when the own one has no free slot, and
+// at endpoints that fail only when there are no others.
 func (a Adaptive) Choose(endpoints []*endpoint.Endpoint, r Request) (*endpoint.Endpoint, Result) {
-	local, localUsable := a.gather(endpoints, r, true)
-	if e := take(local, r.Now); e != nil {
+	local := a.gather(endpoints, r, true)
+	if e := take(local.free, r.Now); e != nil {
 		return e, Chosen
 	}
-	remote, remoteUsable := a.gather(endpoints, r, false)
-	if localUsable+remoteUsable == 0 {
-		return nil, None
+	remote := a.gather(endpoints, r, false)
+	if local.usable > 0 {
+		remote.free = worthSpilling(remote.free, r)
 	}
-	if localUsable > 0 {
-		remote = worthSpilling(remote, r)
+	if e := take(remote.free, r.Now); e != nil {
+		return e, Chosen
+	}
+	if local.usable+remote.usable > 0 {
+		return nil, Busy
 	}
-	if e := take(remote, r.Now); e != nil {
+	if e := take(append(local.failing, remote.failing...), r.Now); e != nil {
 		return e, Chosen
 	}
-	return nil, Busy
+	if local.failingUsable+remote.failingUsable > 0 {
+		return nil, Busy
+	}
+	return nil, None
 }
 
-// gather returns the endpoints with a free slot in the own failure domain or in the others, and the number
-// of those that may be sent to once they have one.
-func (a Adaptive) gather(endpoints []*endpoint.Endpoint, r Request, own bool) (free []candidate, usable int) {
-	out := 0
-	all := make([]candidate, 0, len(endpoints))
+// group is the endpoints of the own failure domain or of the others.
+type group struct {
+	// free have a free slot, usable counts those that may be sent to once they have one.
+	free   []candidate
+	usable int
+	// failing have a free slot but are ejected, or are probed and not fit for this request.
+	failing       []candidate
+	failingUsable int
+}
+
+func (a Adaptive) gather(endpoints []*endpoint.Endpoint, r Request, own bool) group {
+	g := group{free: make([]candidate, 0, len(endpoints))}
 	for _, e := range endpoints {
 		if (e.FailureDomain == a.FailureDomain) != own || e.Leaving() || r.Tried[e] {
 			continue
 		}
 		v := e.View(r.Now)
-		all = append(all, candidate{e, v})
-		if v.Ejected || v.Probing {
-			out++
-		}
-	}
-	useEjected := float64(out) > maxEjectedPart*float64(len(all))
-	free = all[:0]
-	for _, c := range all {
-		leftOut := c.view.Ejected || (c.view.Probing && !r.Probe)
-		if !c.view.Usable || (leftOut && !useEjected) {
-			continue
-		}
-		usable++
-		if c.view.Free {
-			free = append(free, c)
+		switch {
+		case !v.Usable:
+		case v.Ejected || (v.Probing && !r.Probe):
+			g.failingUsable++
+			if v.Free {
+				g.failing = append(g.failing, candidate{e, v})
+			}
+		default:
+			g.usable++
+			if v.Free {
+				g.free = append(g.free, candidate{e, v})
+			}
 		}
 	}
-	return free, usable
+	return g
 }
 
 // worthSpilling returns the endpoints of other failure domains that make the deadline, when waiting for
