Let urgent work find room that a sibling can make, vacate leaving workers, bound the look at the fleet

Cause: after the loss of a rack (TestRackLoss) three of eight urgent tasks waited for ever: the workers of their own node ran urgent work only, and nothing moved them to the node whose workers ran spare work. Each group that found no room looked at every worker again. Change: an urgent task that cannot clear an own worker is given to the shard of a worker that its owner can clear. Groups that were refused together share one look at the workers that have grown. Batch tasks with checkpoints are moved off leaving workers. Conclusion: TestRackLoss passes; the cost of a plan follows what changed.

--- a/internal/node/evict.go
+++ b/internal/node/evict.go
@@ -91,6 +91,9 @@
 
 // move evicts a task and keeps it away from its worker for a while.
 func (e *engine) move(row *task.Task, reason string, now time.Time) {
+	if row.State != task.Running || row.Evicting() {
+		return
+	}
 	row.Avoid = row.Worker
 	row.AvoidUntil = now.Add(avoidTime)
 	e.evict(row, reason, now)
--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -178,6 +178,58 @@
 	})
 }
 
+func TestLeavingWorkerIsVacated(t *testing.T) {
+	inDomain(t, 3, steadyTruth(4*time.Minute), func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(100000, jobText("moves", "t", "batch", 6, 2000, 100, true)))
+		time.Sleep(time.Minute)
+		d.list.SetState("w0", platform.Leaving)
+		time.Sleep(20 * time.Second)
+		for _, run := range d.oracle.open {
+			if run.worker == "w0" {
+				t.Errorf("%v still runs on the leaving worker", run.run)
+			}
+		}
+		time.Sleep(10 * time.Minute)
+		if got := d.states("moves"); got["finished"] != 6 {
+			t.Errorf("after the move: %v", got)
+		}
+	})
+}
+
+// TestRackLoss loses half of the workers at once and checks that urgent work is started first and nothing
+// is lost.
+func TestRackLoss(t *testing.T) {
+	inDomain(t, 6, steadyTruth(4*time.Minute), func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(100000,
+			jobText("first", "t", "urgent", 8, 2000, 100, false), jobText("later", "t", "spare", 16, 2000, 100, true)))
+		time.Sleep(time.Minute)
+		for _, id := range []string{"w0", "w1", "w2"} {
+			d.oracle.loses(id)
+			d.agent[id].SetDown(true)
+			d.agent[id].Close()
+			d.list.Remove(id)
+		}
+		time.Sleep(time.Minute)
+		d.oracle.mu.Lock()
+		urgent := 0
+		for id := range d.oracle.open {
+			if task.KindOf(id) == "first" {
+				urgent++
+			}
+		}
+		d.oracle.mu.Unlock()
+		if urgent != 8 {
+			t.Errorf("%d of 8 urgent tasks run a minute after the loss", urgent)
+		}
+		time.Sleep(30 * time.Minute)
+		for job, want := range map[string]int{"first": 8, "later": 16} {
+			if got := d.states(job); got["finished"] != want {
+				t.Errorf("%s: %v", job, got)
+			}
+		}
+	})
+}
+
 func TestOutgrownTasks(t *testing.T) {
 	outgrows := func(req platform.StartRequest) standin.Truth {
 		truth := standin.Truth{RunTime: time.Minute, Usage: req.Size}
--- /dev/null
+++ b/internal/node/tick_bench_test.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/ledger"
+	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/internal/standin"
+	"cactuswall.example/cactuswall/internal/task"
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+// busyEngine returns an engine that owns every shard, with running tasks on all workers.
+func busyEngine(b *testing.B, workers, tasks int) *engine {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	s := settings.Default()
+	s.Node, s.FailureDomain = "n1", "a"
+	s.Scheduling.ClaimLease = units.Duration(time.Hour)
+	set := metrics.NewSet()
+	e := newEngine(ctx, Options{Settings: s, Log: standin.NewLog(), Logger: zap.NewNop(), Incarnation: 1}, set)
+	e.rescuer = newRescuer(e, standin.NewLog(), set)
+	now := time.Now()
+	m := &manifest.Manifest{FailureDomains: []manifest.FailureDomain{{Name: "a"}}, Teams: []manifest.Team{{Name: "t"}}}
+	publication, err := config.NewPublication(m, nil, 0, "p", now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	e.config.Publish(1, publication)
+	e.caughtUp = true
+	batch := &record.Batch{Node: "n1", Incarnation: 1, Sequence: 1, Records: e.owner.Decide(e.ledger, []string{"n1"}, now)}
+	results := e.ledger.Apply(1, batch, now)
+	e.owner.Observe(e.ledger, results, now, true)
+	for i := range workers {
+		id := fmt.Sprintf("w%04d", i)
+		w := &worker.Worker{ID: id, Address: id, Shard: failuredomain.ShardOf(id), Token: 1, ReportedAt: now.Add(time.Hour)}
+		e.workerRow.Put(w)
+		e.workerRow.SetCapacity(w, units.Resources{MilliProcessors: 64000, MemoryMiB: 250000})
+	}
+	for i := range tasks {
+		w := e.workerRow.All()[i%workers]
+		id := fmt.Sprintf("j%d@1/%d", i%300, i)
+		row := &task.Task{Spec: task.Spec{ID: id, Job: task.KindOf(id), Team: "t"}, State: task.Running, Attempt: 1, Worker: w.ID}
+		e.taskRow.Put(row)
+		e.workerRow.Reserve(w, row.RunID(), units.Resources{MilliProcessors: 1000, MemoryMiB: 1000})
+	}
+	return e
+}
+
+// BenchmarkIdleTick gives the time of one tick of the engine while nothing changes.
+func BenchmarkIdleTick(b *testing.B) {
+	for _, size := range []struct{ workers, tasks int }{{48, 1000}, {118, 1450}, {400, 5000}, {1300, 16000}} {
+		b.Run(fmt.Sprintf("%d-workers-%d-tasks", size.workers, size.tasks), func(b *testing.B) {
+			e := busyEngine(b, size.workers, size.tasks)
+			for b.Loop() {
+				e.tick(time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkReport gives the time to take the report of one worker with 12 runs.
+func BenchmarkReport(b *testing.B) {
+	e := busyEngine(b, 118, 1416)
+	w := e.workerRow.All()[0]
+	report := platform.Report{Capacity: w.Capacity, Token: 1}
+	for _, id := range w.RunIDs() {
+		size, _ := w.Reservation(id)
+		body := &record.Placement{Task: id.Task, Attempt: 1, Worker: w.ID, From: e.owner.Token(e.ledger.ShardOf(id.Task)), To: e.owner.Token(w.Shard)}
+		r := &record.Record{Body: &record.Record_Placement{Placement: body}}
+		if got := e.ledger.Apply(platform.Offset(2+len(report.Runs)), &record.Batch{Node: "n1", Incarnation: 1, Sequence: uint64(2 + len(report.Runs)), Records: []*record.Record{r}}, time.Now()); got[0].Rejection != ledger.Accepted {
+			b.Fatal(got[0].Rejection)
+		}
+		report.Runs = append(report.Runs, platform.Run{ID: id, State: platform.RunRunning, Size: size, Usage: size.Times(9).DividedBy(10), Throttle: 1})
+	}
+	for b.Loop() {
+		e.takeReport(w, report, time.Now(), false)
+	}
+}
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -42,6 +42,19 @@
 			e.adopt(w, token)
 		}
 		e.judge(w, token, now)
+		if w.Leaving && w.Token == token {
+			e.vacate(w, now)
+		}
+	}
+}
+
+// vacate moves the batch tasks off a worker that is leaving. Its service instances stay until it is gone.
+func (e *engine) vacate(w *worker.Worker, now time.Time) {
+	for _, id := range w.RunIDs() {
+		row := e.taskRow.Get(id.Task)
+		if row != nil && row.RunID() == id && !row.IsService() && row.Checkpoints {
+			e.move(row, reasonLeaving, now)
+		}
 	}
 }
 
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -21,16 +21,7 @@
 // evict makes room for a task on the worker where the least work is lost. It returns false when no
 // worker can be cleared or the limit is reached.
 func (p *planner) evict(t *task.Task, size units.Resources) bool {
-	var best *victims
-	for _, w := range p.Workers.All() {
-		if !w.Eligible || w.Probation || !size.Fits(w.Capacity) || p.taken[w] != (units.Resources{}) {
-			continue
-		}
-		v := p.victimsOn(w, t, size)
-		if v != nil && (best == nil || v.lost < best.lost) {
-			best = v
-		}
-	}
+	best := p.cheapest(t, size, true)
 	if best == nil || len(p.plan.Evictions)+len(best.tasks) > p.Limits.Evictions {
 		return false
 	}
@@ -42,6 +33,26 @@
 	return true
 }
 
+// cheapest returns the tasks to evict on the worker where the least work is lost, among the own workers or
+// among those of other owners, or nil.
+func (p *planner) cheapest(t *task.Task, size units.Resources, own bool) *victims {
+	var best *victims
+	for _, w := range p.Workers.All() {
+		usable := w.Eligible && !w.Probation
+		if !own {
+			usable = p.elsewhere(w)
+		}
+		if !usable || !size.Fits(w.Capacity) || p.taken[w] != (units.Resources{}) {
+			continue
+		}
+		v := p.victimsOn(w, t, size)
+		if v != nil && (best == nil || v.lost < best.lost) {
+			best = v
+		}
+	}
+	return best
+}
+
 // victimsOn returns the tasks to evict from a worker, least lost work first, or nil.
 func (p *planner) victimsOn(w *worker.Worker, t *task.Task, size units.Resources) *victims {
 	var candidates []*task.Task
@@ -77,7 +88,8 @@
 
 // evictable reports whether row may be evicted for t.
 func (p *planner) evictable(row, t *task.Task) bool {
-	return row.State == task.Running && !row.Evicting() && !p.victims[row.ID] &&
+	open := row.State == task.Running || row.State == task.Placed
+	return open && !row.Evicting() && !p.victims[row.ID] &&
 		rankOf(row) > rankUrgent && rankOf(row) > rankOf(t) &&
 		row.Evictions < p.Limits.MaxEvictions
 }
--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -83,6 +83,25 @@
 	return !w.Probation || w.Runs()+p.counts[w] == 0
 }
 
+// grownSince returns the workers with more room than at a generation of the table, in the order of their
+// IDs. Groups that were refused together share one look at the table.
+func (p *planner) grownSince(generation uint64) []*worker.Worker {
+	if generation == 0 {
+		return p.Workers.All()
+	}
+	if grown, known := p.grown[generation]; known {
+		return grown
+	}
+	var grown []*worker.Worker
+	for _, w := range p.Workers.All() {
+		if w.GrownAt() > generation {
+			grown = append(grown, w)
+		}
+	}
+	p.grown[generation] = grown
+	return grown
+}
+
 // avoids reports whether a task was moved away from a worker a short time ago.
 func (p *planner) avoids(t *task.Task, w *worker.Worker) bool {
 	return t.Avoid == w.ID && p.Now.Before(t.AvoidUntil)
@@ -92,7 +111,7 @@
 // comparison does not favour the first workers. A group that was refused looks only at workers that
 // have more room since.
 func (p *planner) best(it *item, t *task.Task, size units.Resources) *worker.Worker {
-	workers := p.Workers.All()
+	workers := p.grownSince(it.group.Checked)
 	if len(workers) == 0 {
 		return nil
 	}
@@ -105,7 +124,7 @@
 	compared := 0
 	for i := range workers {
 		w := workers[(first+i)%len(workers)]
-		if w.GrownAt() <= it.group.Checked || !p.feasible(w, size) || p.avoids(t, w) {
+		if !p.feasible(w, size) || p.avoids(t, w) {
 			continue
 		}
 		score := p.score(w, t, size)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -103,11 +103,18 @@
 	overlay
 	queue queue
 	plan  Plan
+	// grown caches the workers with more room than at a generation.
+	grown map[uint64][]*worker.Worker
 }
 
 // Make returns the plan for the input.
 func Make(in Input) Plan {
-	p := &planner{Input: in, overlay: newOverlay(), plan: Plan{Generation: in.Workers.Generation()}}
+	p := &planner{
+		Input:   in,
+		overlay: newOverlay(),
+		plan:    Plan{Generation: in.Workers.Generation()},
+		grown:   make(map[uint64][]*worker.Worker),
+	}
 	in.Tasks.Groups(p.add)
 	heap.Init(&p.queue)
 	for p.queue.Len() > 0 {
--- a/internal/scheduler/transfer.go
+++ b/internal/scheduler/transfer.go
@@ -26,6 +26,9 @@
 		return foundLater
 	}
 	w := p.roomiest(it, size)
+	if w == nil && it.key.rank <= rankUrgent {
+		w = p.clearable(t, size)
+	}
 	if w == nil {
 		return notFound
 	}
@@ -37,16 +40,28 @@
 	return found
 }
 
+// clearable returns the worker of another owner whose tasks may be evicted for t at the least loss, or nil.
+// It is only asked for when no own worker can be cleared.
+func (p *planner) clearable(t *task.Task, size units.Resources) *worker.Worker {
+	if p.cheapest(t, size, true) != nil {
+		return nil
+	}
+	if v := p.cheapest(t, size, false); v != nil {
+		return v.worker
+	}
+	return nil
+}
+
 // roomiest returns the worker of another owner with most room for a size, or nil.
 func (p *planner) roomiest(it *item, size units.Resources) *worker.Worker {
 	var best *worker.Worker
 	var bestLeft float64
-	for _, w := range p.Workers.All() {
-		if p.Owned(w.Shard) || w.Leaving || w.Suspect || !w.AbsentSince.IsZero() {
+	for _, w := range p.grownSince(it.group.Checked) {
+		if !p.elsewhere(w) {
 			continue
 		}
 		room := p.room(w)
-		if w.GrownAt() <= it.group.Checked || !size.Fits(room) {
+		if !size.Fits(room) {
 			continue
 		}
 		left := share(room.MilliProcessors, w.Capacity.MilliProcessors)
@@ -56,3 +71,8 @@
 	}
 	return best
 }
+
+// elsewhere reports whether a worker of another owner may take tasks, as far as is known.
+func (p *planner) elsewhere(w *worker.Worker) bool {
+	return !p.Owned(w.Shard) && !w.Leaving && !w.Suspect && w.AbsentSince.IsZero()
+}
