--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -170,17 +170,37 @@
 	if node == t.self {
 		return Live
 	}
+	scale := t.scale(m)
 	refused := m.contact.outcome == Refused && m.contact.at.After(m.AdvancedAt)
 	switch silence := now.Sub(m.AdvancedAt); {
-	case silence >= t.periods.DeadAfter || (silence >= t.periods.SuspectAfter && refused):
+	case silence >= scale*t.periods.DeadAfter || (silence >= scale*t.periods.SuspectAfter && refused):
 		return Dead
-	case silence >= t.periods.SuspectAfter:
+	case silence >= scale*t.periods.SuspectAfter:
 		return Suspect
 	default:
 		return Live
 	}
 }
 
+// scale returns by how much longer a node may be silent than a sibling. News of the nodes of other failure
+// domains comes the later the more nodes there are, since a view holds few rows.
+func (t *Table) scale(m *Member) time.Duration {
+	if m.FailureDomain == t.Self().FailureDomain {
+		return 1
+	}
+	return time.Duration(max(1, len(t.rows)/maxViewRows))
+}
+
+// DomainOf returns the failure domain of the node at a peer address, or "".
+func (t *Table) DomainOf(address string) string {
+	for _, m := range t.rows {
+		if m.Address == address {
+			return m.FailureDomain
+		}
+	}
+	return ""
+}
+
 // All returns the nodes in the order of their names.
 func (t *Table) All() []Member {
 	members := make([]Member, 0, len(t.rows))
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -26,6 +26,7 @@
 	engine *engine
 	// behindSince is when a peer first named a newer manifest than the one in force here, or zero.
 	behindSince time.Time
+	rounds      int
 }
 
 const (
@@ -65,9 +66,8 @@
 	var target string
 	answered := g.engine.ask(ctx, func(now time.Time) {
 		g.engine.members.Self().Heartbeat++
-		if addresses := g.engine.peerAddresses(now); len(addresses) > 0 {
-			target = addresses[rand.IntN(len(addresses))]
-		}
+		g.rounds++
+		target = g.engine.pickPeer(g.rounds%2 == 0, now)
 	})
 	if !answered || target == "" {
 		return
@@ -88,7 +88,9 @@
 // exchange exchanges views with the node at a peer address.
 func (g *gossip) exchange(ctx context.Context, target string) (*peer.View, error) {
 	var view *peer.View
-	if !g.engine.ask(ctx, func(now time.Time) { view = g.engine.view(nil, now) }) {
+	if !g.engine.ask(ctx, func(now time.Time) {
+		view = g.engine.view(membership.Audience{FailureDomain: g.engine.members.DomainOf(target)}, now)
+	}) {
 		return nil, errStopping
 	}
 	sent := time.Now()
@@ -214,8 +216,35 @@
 	return slices.Sorted(maps.Keys(addresses))
 }
 
-// view returns what the node knows, for a peer that asks about the wanted nodes.
-func (e *engine) view(wanted []string, now time.Time) *peer.View {
+// pickPeer returns the address of a random peer, of a sibling where there is one and siblings is set, or "".
+func (e *engine) pickPeer(siblings bool, now time.Time) string {
+	addresses := e.peerAddresses(now)
+	near := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool {
+		return e.members.DomainOf(address) != e.settings.FailureDomain
+	})
+	if siblings && len(near) > 0 {
+		addresses = near
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// audienceOf returns whom the answer to a view is for.
+func audienceOf(v *peer.View) membership.Audience {
+	to := membership.Audience{Wanted: v.GetWanted(), Told: make(map[string]uint64, len(v.GetMembers()))}
+	for _, m := range v.GetMembers() {
+		to.Told[m.GetNode()] = m.GetHeartbeat()
+		if m.GetNode() == v.GetFrom() {
+			to.FailureDomain = m.GetFailureDomain()
+		}
+	}
+	return to
+}
+
+// view returns what the node knows, for a peer.
+func (e *engine) view(to membership.Audience, now time.Time) *peer.View {
 	v := &peer.View{From: e.self.Node, Wanted: e.members.Wanted()}
 	for id, since := range e.leavingSince {
 		if now.Sub(since) < leavingNews {
@@ -223,7 +252,7 @@
 		}
 	}
 	slices.Sort(v.LeavingEndpoints)
-	for _, m := range e.members.View(wanted, now) {
+	for _, m := range e.members.View(to, now) {
 		v.Members = append(v.Members, &peer.Member{
 			Node:            m.Node,
 			Incarnation:     m.Incarnation,
@@ -293,7 +322,7 @@
 	var answer *peer.View
 	answered := s.engine.ask(ctx, func(now time.Time) {
 		s.engine.takeView(v, now)
-		answer = s.engine.view(v.GetWanted(), now)
+		answer = s.engine.view(audienceOf(v), now)
 	})
 	if !answered {
 		return nil, errStopping
--- a/internal/node/recover.go
+++ b/internal/node/recover.go
@@ -12,6 +12,7 @@
 	"cactuswall.example/cactuswall/internal/config"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/ledger"
+	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/peer"
 	"cactuswall.example/cactuswall/internal/platform"
 )
@@ -90,7 +91,7 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var view *peer.View
-	if !n.engine.ask(ctx, func(now time.Time) { view = n.engine.view(nil, now) }) {
+	if !n.engine.ask(ctx, func(now time.Time) { view = n.engine.view(membership.Audience{}, now) }) {
 		return nil
 	}
 	versions := make([]uint64, len(addresses))
