Measure the VM list and the life of a task

Cause: the slopes lacked the two largest rates of the size to design for: task starts, and the platform's whole list. Change: series over VMs of other failure domains and over tasks that run half a second.

--- a/internal/capacity/measure/codecs.go
+++ b/internal/capacity/measure/codecs.go
@@ -22,7 +22,7 @@
 const publicationID = "00000000-0000-0000-0000-000000000000"
 
 // repetitions is how often a step is repeated to time it.
-const repetitions = 5
+const repetitions = 25
 
 // series measures value at each size and fits a line.
 func series(name, unit, of string, sizes []int, value func(size int) (float64, error)) (capacity.Slope, error) {
--- a/internal/capacity/measure/main.go
+++ b/internal/capacity/measure/main.go
@@ -15,7 +15,7 @@
 
 func main() {
 	asJSON := flag.Bool("json", false, "print JSON in place of a table")
-	only := flag.String("only", "", "measure only codecs, node, gossip or requests")
+	only := flag.String("only", "", "measure only codecs, gossip, node, list, starts or requests")
 	child := flag.String("run-node", "", "run a node with this settings file (used by the program itself)")
 	flag.Parse()
 	if err := run(*child, *only, *asJSON); err != nil {
@@ -36,6 +36,8 @@
 		{"codecs", measureCodecs},
 		{"gossip", measureGossip},
 		{"node", measureNode},
+		{"list", measureList},
+		{"starts", measureStarts},
 		{"requests", measureRequests},
 	} {
 		if only != "" && only != part.name {
--- a/internal/capacity/measure/node.go
+++ b/internal/capacity/measure/node.go
@@ -43,6 +43,8 @@
 // point is one size at which a node is measured.
 type point struct {
 	workers, tasks int
+	// others counts VMs of other failure domains in the platform's list.
+	others int
 }
 
 // cost is what a node took at a point.
@@ -74,24 +76,42 @@
 
 // measureNode measures one node that owns a whole failure domain, at several sizes.
 func measureNode() ([]capacity.Slope, error) {
-	byWorkers := []point{{10, 100}, {40, 100}, {118, 100}}
-	byTasks := []point{{118, 100}, {118, 500}, {118, 1427}}
+	byWorkers := []point{{workers: 10, tasks: 100}, {workers: 40, tasks: 100}, {workers: 118, tasks: 100}}
+	byTasks := []point{{workers: 118, tasks: 100}, {workers: 118, tasks: 500}, {workers: 118, tasks: 1427}}
+	costs, err := measurePoints(append(byWorkers, byTasks...))
+	if err != nil {
+		return nil, err
+	}
+	workers := func(p point) float64 { return float64(p.workers) }
+	tasks := func(p point) float64 { return float64(p.tasks) }
+	return append(lines("worker (100 tasks)", byWorkers, workers, costs), lines("task (118 workers)", byTasks, tasks, costs)...), nil
+}
+
+// measureList measures what the VMs of other failure domains in the platform's list cost a node.
+func measureList() ([]capacity.Slope, error) {
+	points := []point{{workers: 10, tasks: 100}, {workers: 10, tasks: 100, others: 2000}, {workers: 10, tasks: 100, others: 7000}}
+	costs, err := measurePoints(points)
+	if err != nil {
+		return nil, err
+	}
+	return lines("other VM (10 workers)", points, func(p point) float64 { return float64(p.others) }, costs), nil
+}
+
+func measurePoints(points []point) (map[point]cost, error) {
 	costs := make(map[point]cost)
-	for _, p := range append(byWorkers, byTasks...) {
+	for _, p := range points {
 		if _, done := costs[p]; done {
 			continue
 		}
 		c, err := measurePoint(p)
 		if err != nil {
-			return nil, fmt.Errorf("%d workers, %d tasks: %w", p.workers, p.tasks, err)
+			return nil, fmt.Errorf("%+v: %w", p, err)
 		}
-		fmt.Fprintf(os.Stderr, "%d workers, %d tasks: %.1f thousandths of a core, %.1f MB, platform %.0f B/s, workers %.0f B/s\n",
-			p.workers, p.tasks, c.processor, c.memory/1e6, c.platform, c.workers)
+		fmt.Fprintf(os.Stderr, "%+v: %.1f thousandths of a core, %.1f MB, platform %.0f B/s, workers %.0f B/s\n",
+			p, c.processor, c.memory/1e6, c.platform, c.workers)
 		costs[p] = c
 	}
-	workers := func(p point) float64 { return float64(p.workers) }
-	tasks := func(p point) float64 { return float64(p.tasks) }
-	return append(lines("worker (100 tasks)", byWorkers, workers, costs), lines("task (118 workers)", byTasks, tasks, costs)...), nil
+	return costs, nil
 }
 
 // lines fits the costs at points against a size.
@@ -137,12 +157,23 @@
 	return s, err
 }
 
-func (s *site) addWorker(index int) error {
+// addOthers adds VMs of other failure domains to the list.
+func (s *site) addOthers(count int) {
+	for i := range count {
+		domain := fmt.Sprintf("domain-%d", 1+i%10)
+		s.list.Put(platform.VM{
+			ID: fmt.Sprintf("boards/%s/%d@1", domain, i), Kind: platform.EndpointVM, State: platform.Live,
+			FailureDomain: domain, Rack: domain + "-rack12", Address: "10.13.22.101:7000", Service: "rental",
+		})
+	}
+}
+
+func (s *site) addWorker(index int, runTime time.Duration) error {
 	agent := standin.NewWorker(standin.WorkerOptions{
 		ID:       fmt.Sprintf("%s-w%d", domainName, index),
 		Capacity: units.Resources{MilliProcessors: 64000, MemoryMiB: 250000},
 		TruthOf: func(req platform.StartRequest) standin.Truth {
-			return standin.Truth{RunTime: time.Hour, Usage: req.Size}
+			return standin.Truth{RunTime: runTime, Usage: req.Size}
 		},
 	})
 	address, stop, err := s.workers.serve(httpjson.WorkerHandler(agent))
@@ -208,8 +239,8 @@
 	return operator.NewClient(s.operators, &http.Client{Timeout: 20 * time.Second})
 }
 
-// publish puts a manifest in force and waits until its tasks run.
-func (s *site) publish(m *manifest.Manifest, tasks int) error {
+// publish puts a first manifest in force and waits until a number of tasks is in a state.
+func (s *site) publish(m *manifest.Manifest, state string, tasks int) error {
 	data, err := m.Encode()
 	if err != nil {
 		return err
@@ -224,11 +255,11 @@
 			continue
 		}
 		status, err := s.client().Status(context.Background())
-		if err == nil && status.TasksByState["running"] >= tasks {
+		if err == nil && status.TasksByState[state] >= tasks {
 			return nil
 		}
 	}
-	return errors.New("the tasks did not all start in time")
+	return errors.New("the tasks did not get so far in time")
 }
 
 // load returns a manifest of one failure domain whose tasks are one third service instances.
@@ -261,14 +292,15 @@
 	}
 	defer s.close()
 	for i := range p.workers {
-		if err := s.addWorker(i); err != nil {
+		if err := s.addWorker(i, time.Hour); err != nil {
 			return cost{}, err
 		}
 	}
+	s.addOthers(p.others)
 	if err := s.startNode(); err != nil {
 		return cost{}, err
 	}
-	if err := s.publish(load(p.tasks), p.tasks); err != nil {
+	if err := s.publish(load(p.tasks), "running", p.tasks); err != nil {
 		return cost{}, err
 	}
 	time.Sleep(settleTime)
--- a/internal/capacity/measure/requests.go
+++ b/internal/capacity/measure/requests.go
@@ -35,13 +35,13 @@
 		s.stops = append(s.stops, stop)
 		s.list.Put(e.VM("boards", domainName, address))
 	}
-	if err := s.addWorker(0); err != nil {
+	if err := s.addWorker(0, time.Hour); err != nil {
 		return nil, err
 	}
 	if err := s.startNode(); err != nil {
 		return nil, err
 	}
-	if err := s.publish(load(3), 3); err != nil {
+	if err := s.publish(load(3), "running", 3); err != nil {
 		return nil, err
 	}
 	time.Sleep(settleTime)
