--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
@@ -156,6 +157,20 @@
 			So(message, ShouldContainSubstring, "failure domain de: de-2 silent")
 			So(message, ShouldContainSubstring, "failure domain de: 4 of 8 shards are owned")
 		})
+		Convey("status names a node that died, and passes over one that left or was replaced long ago", func() {
+			gone := []operator.Node{
+				{Node: "de-3", FailureDomain: "de", State: "dead", HeardAt: time.Now()},
+				{Node: "de-4", FailureDomain: "de", State: "dead", HeardAt: time.Now().Add(-24 * time.Hour)},
+				{Node: "de-5", FailureDomain: "de", State: "leaving", OperatorAddress: "127.0.0.1:1"},
+			}
+			d.nodes["de-1"].nodes = append(d.nodes["de-1"].nodes, gone[1:]...)
+			code, _, _ := d.run("de-1", "status", "--check")
+			So(code, ShouldEqual, exitcode.OK)
+			d.nodes["de-1"].nodes = append(d.nodes["de-1"].nodes, gone[0])
+			code, _, message := d.run("de-1", "status", "--check")
+			So(code, ShouldEqual, exitcode.Unhealthy)
+			So(message, ShouldContainSubstring, "failure domain de: de-3 silent")
+		})
 		Convey("a failure domain that does not answer is named and left out", func() {
 			d.servers["mon-1"].Close()
 			code, out, message := d.run("de-1", "tasks")
--- a/internal/command/manifest_publish.go
+++ b/internal/command/manifest_publish.go
@@ -149,9 +149,10 @@
 	r.InForce = 0
 	r.Waiting = []string{}
 	for _, a := range operator.AskNodes(ctx, deployment, question) {
-		if a.Err == nil && a.Value.ManifestVersion >= r.Version {
+		switch {
+		case a.Err == nil && a.Value.ManifestVersion >= r.Version:
 			r.InForce++
-		} else {
+		case a.Err == nil || !a.Leaving:
 			r.Waiting = append(r.Waiting, a.Node)
 		}
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
@@ -69,20 +70,19 @@
 		index[name] = len(domains)
 		domains = append(domains, domainStatus{FailureDomain: name, Nodes: []operator.Status{}, Silent: []string{}, TasksByState: map[string]int{}})
 	}
-	for _, n := range deployment.Nodes {
-		if !slices.ContainsFunc(deployment.Expected(), func(e operator.Node) bool { return e.Node == n.Node }) {
-			d := &domains[index[n.FailureDomain]]
-			d.Silent = append(d.Silent, n.Node)
-		}
+	for _, n := range deployment.Missing(time.Now()) {
+		d := &domains[index[n.FailureDomain]]
+		d.Silent = append(d.Silent, n.Node)
 	}
 	question := func(ctx context.Context, client *operator.Client) (operator.Status, error) { return client.Status(ctx) }
 	for _, a := range operator.AskNodes(ctx, deployment, question) {
 		d := &domains[index[a.FailureDomain]]
-		if a.Err != nil {
+		switch {
+		case a.Err == nil:
+			d.add(a.Value)
+		case !a.Leaving:
 			d.Silent = append(d.Silent, a.Node)
-			continue
 		}
-		d.add(a.Value)
 	}
 	return domains
 }
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -210,6 +210,7 @@
 			FailureDomain:   m.FailureDomain,
 			Address:         m.Address,
 			OperatorAddress: m.OperatorAddress,
+			HeardAt:         m.AdvancedAt,
 			State:           string(e.members.StateOf(m.Node, now)),
 			ManifestVersion: m.ManifestVersion,
 		}
--- a/internal/operator/deployment.go
+++ b/internal/operator/deployment.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -49,6 +50,21 @@
 	return names
 }
 
+// goneAfter is the silence after which a dead node counts as replaced.
+const goneAfter = 15 * time.Minute
+
+// Missing returns the nodes that are taken for dead and were heard of a short time ago. Nodes that left as
+// planned, and those that have been dead for long, count as replaced.
+func (d *Deployment) Missing(now time.Time) []Node {
+	var nodes []Node
+	for _, n := range d.Nodes {
+		if !slices.Contains(answeringStates, n.State) && now.Sub(n.HeardAt) < goneAfter {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
 // Expected returns the nodes that are to answer, dead ones left out.
 func (d *Deployment) Expected() []Node {
 	var nodes []Node
@@ -62,6 +78,8 @@
 
 // Answer is what one node answered.
 type Answer[T any] struct {
+	// Leaving is set when the node has said that it is in a planned stop, so that its silence is expected.
+	Leaving       bool
 	FailureDomain string
 	Node          string
 	Value         T
@@ -77,7 +95,7 @@
 	for i, n := range nodes {
 		group.Go(func() {
 			value, err := question(ctx, d.Client(n))
-			answers[i] = Answer[T]{FailureDomain: n.FailureDomain, Node: n.Node, Value: value, Err: err}
+			answers[i] = Answer[T]{Leaving: n.State == "leaving", FailureDomain: n.FailureDomain, Node: n.Node, Value: value, Err: err}
 		})
 	}
 	group.Wait()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -81,7 +81,9 @@
 	// OperatorAddress is where the node serves operators, an IP number with a port.
 	OperatorAddress string `json:"operator_address"`
 	State           string `json:"state"`
-	ManifestVersion uint64 `json:"manifest_version"`
+	// HeardAt is when the answering node last heard of a sign of life, by its own clock. Zero for itself.
+	HeardAt         time.Time `json:"heard_at,omitzero"`
+	ManifestVersion uint64    `json:"manifest_version"`
 }
 
 // Manifest is the manifest in force on a node.
