Run the virtual-time tests on one processor

Cause: the race detector crashed (SIGSEGV in runtime.maybeRunChan) in one run of two of the whole-node fuzzer. Ruled out: our code, since no Go data race is reported and the fault is below the runtime's own frames.

--- /dev/null
+++ b/internal/bench/main_test.go
@@ -0,0 +1,9 @@
+package bench
+
+import (
+	"testing"
+
+	"cactuswall.example/cactuswall/internal/testseed"
+)
+
+func TestMain(m *testing.M) { testseed.Main(m) }
