Let a worker remember a run as long as a start of it may arrive

Ruled out: two placements, since both runs were attempt 1. Change: starts without a definite answer are counted for each attempt and token. Such a run is forgotten only after the worker has accepted a higher token; an attempt that is not shown is stopped, so that the worker remembers it, and not ended at once. The latter half has no test that fails without it. Conclusion: a late start changes nothing as long as the worker takes its token.

--- a/cmd/cactuswalld/process_test.go
+++ b/cmd/cactuswalld/process_test.go
@@ -31,11 +31,11 @@
 
 		Convey("after kill -9 of one, and of its successor, every task finishes once", func() {
 			So(a.command.Process.Kill(), ShouldBeNil)
-			<-a.exited
+			So(<-a.exited, ShouldNotBeNil)
 			So(d.until(func() bool { _, finished, _ := d.seen(); return finished >= batchTasks/2 }), ShouldBeTrue)
 			d.run(a)
 			So(b.command.Process.Kill(), ShouldBeNil)
-			<-b.exited
+			So(<-b.exited, ShouldNotBeNil)
 			So(d.allFinishOnce(), ShouldBeEmpty)
 		})
 	})
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -63,10 +63,12 @@
 		Slots:      row.Slots,
 	}
 	address := w.Address
+	e.sendingStart(w, req.Run, req.Token)
 	go func() {
 		err := e.workers.Start(e.ctx, address, req)
 		e.post(func(now time.Time) {
 			row.Calling = false
+			e.answeredStart(w, req.Run, req.Token, err)
 			if row.State == task.Starting && row.RunID() == req.Run {
 				e.takeStart(w, row, err, now)
 			}
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -106,11 +106,13 @@
 	promises     *promise.Book
 	// evicting holds the runs that wait for a checkpoint before they are stopped.
 	evicting map[string]platform.RunID
-	forgets  map[*worker.Worker][]platform.RunID
-	steady   map[string]steadiness
-	waiters  map[string]chan decision
-	rescuer  *rescuer
-	views    views
+	// lateStarts are the starts that may still arrive, by attempt.
+	lateStarts map[platform.RunID]lateStarts
+	forgets    map[*worker.Worker][]platform.RunID
+	steady     map[string]steadiness
+	waiters    map[string]chan decision
+	rescuer    *rescuer
+	views      views
 }
 
 // eventQueue bounds the functions that wait for the engine.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,6 +130,7 @@
 		promises:       promise.NewBook(set),
 		evicting:       make(map[string]platform.RunID),
 		forgets:        make(map[*worker.Worker][]platform.RunID),
+		lateStarts:     make(map[platform.RunID]lateStarts),
 		steady:         make(map[string]steadiness),
 		directory:      endpoint.NewDirectory(),
 		keys:           once.NewTable(s.Callers.KeyLifetime.Std()),
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -62,6 +62,9 @@
 	// An attempt of an earlier owner that the worker does not show was not started before the fence.
 	earlier := row != nil && row.State == task.Placed
 	switch {
+	case (adopted || earlier) && !e.mayForget(w, id):
+		// A start under the same token may still arrive. After a stop it is refused, and the report shows it.
+		e.stopRun(w, id)
 	case adopted || earlier:
 		e.sendEnd(a, record.Outcome_OUTCOME_NOT_STARTED, nil, reasonNotStarted)
 	case confirmed:
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -110,6 +110,7 @@
 				return
 			}
 			w.Token = token
+			e.dropLateStarts(w, token)
 			e.takeReport(w, report, sent, true)
 		})
 	}()
@@ -167,7 +168,7 @@
 
 // forgetRun lets a worker drop a final run from its report. The runs of one tick go in one call.
 func (e *engine) forgetRun(w *worker.Worker, id platform.RunID) {
-	if w.Token != 0 {
+	if w.Token != 0 && e.mayForget(w, id) {
 		e.forgets[w] = append(e.forgets[w], id)
 	}
 }
