--- a/internal/proof/late_test.go
+++ b/internal/proof/late_test.go
@@ -27,3 +27,22 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// TestStartThatArrivesAroundTheTakeOver lets the starts of a killed owner arrive at many moments around the
+// adoption of its workers by the next owner.
+func TestStartThatArrivesAroundTheTakeOver(t *testing.T) {
+	for late := 11 * time.Second; late < 16*time.Second; late += 100 * time.Millisecond {
+		inBubble(t, func(f *fuzzCase) {
+			n1 := f.members[0]
+			f.publish(n1, 0)
+			time.Sleep(2 * time.Second)
+			for _, address := range f.workersIn(north) {
+				f.net.setDelay(n1.name, address, late)
+			}
+			f.publish(n1, 1)
+			time.Sleep(500 * time.Millisecond)
+			f.act(action{kind: kill, node: 0})
+			time.Sleep(25 * time.Second)
+		})
+	}
+}
