--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,8 @@
 	Logger    *zap.Logger
 	// Incarnation is higher than that of every earlier process of the same node.
 	Incarnation uint64
+	// Metrics is the set to register metrics in, or nil for a new one.
+	Metrics *metrics.Set
 }
 
 // Node is one node of cactuswall.
@@ -69,7 +71,10 @@
 
 // New returns a node that is not yet running.
 func New(o Options) *Node {
-	set := metrics.NewSet()
+	set := o.Metrics
+	if set == nil {
+		set = metrics.NewSet()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
 	n.engine = newEngine(ctx, o, set)
@@ -87,12 +92,15 @@
 	return n
 }
 
+// stableLeases is how many claim leases a node has to be live before it is given shards that another holds.
+const stableLeases = 2
+
 func newEngine(ctx context.Context, o Options, set *metrics.Set) *engine {
 	s := o.Settings
 	self := ledger.Writer{Node: s.Node, Incarnation: o.Incarnation}
 	domainStream := journal.DomainStream(s.FailureDomain)
 	member := membership.Member{Node: s.Node, Incarnation: o.Incarnation, FailureDomain: s.FailureDomain, Address: s.PeerAddress, OperatorAddress: s.OperatorAddress}
-	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std()}
+	periods := membership.Periods{SuspectAfter: s.Membership.SuspectAfter.Std(), DeadAfter: s.Membership.DeadAfter.Std(), StableAfter: stableLeases * s.Scheduling.ClaimLease.Std()}
 	writer := func(stream string) *journal.Writer {
 		return journal.NewWriter(o.Log, stream, s.Node, o.Incarnation, journal.NewMetrics(set, stream), o.Logger)
 	}
@@ -119,7 +127,7 @@
 		baselines:      interference.NewBaselines(),
 		pressure:       interference.NewController(),
 		outcomes:       quarantine.NewTable(),
-		promises:       promise.NewBook(),
+		promises:       promise.NewBook(set),
 		evicting:       make(map[string]platform.RunID),
 		forgets:        make(map[*worker.Worker][]platform.RunID),
 		steady:         make(map[string]steadiness),
@@ -128,6 +136,10 @@
 		keyWaiters:     make(keyWaiters),
 		division:       division{transport: o.Endpoints},
 		waiters:        make(map[string]chan decision),
+		push:           make(chan struct{}, 1),
+		retreats:       make(map[platform.RunID]time.Time),
+		leavingSince:   make(map[string]time.Time),
+		peers:          peer.NewClients(s.PeerKey, o.Peers).At,
 	}
 }
 
@@ -150,7 +162,7 @@
 	n.add(&group, n.followDomain)
 	n.add(&group, n.followManifest)
 	n.add(&group, n.readList)
-	n.add(&group, (&gossip{engine: n.engine, transport: n.options.Peers}).run)
+	n.add(&group, (&gossip{engine: n.engine}).run)
 	n.addServer(&group, n.options.Listeners.Callers, n.caller)
 	n.addServer(&group, n.options.Listeners.Operators, operator.NewHandler(n, n.metrics))
 	n.addServer(&group, n.options.Listeners.Peers, peer.NewHandler(peerServer{engine: n.engine}, n.settings.PeerKey, n.metrics))
@@ -209,7 +221,10 @@
 			failures.Inc()
 		} else {
 			readAt.Store(time.Now().UnixNano())
-			n.engine.post(func(now time.Time) { n.engine.takeList(vms, now) })
+			n.engine.post(func(now time.Time) {
+				n.engine.takeList(vms, now)
+				n.engine.forgetMembers(now)
+			})
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/recover.go
+++ b/internal/node/recover.go
@@ -36,9 +36,9 @@
 		if err != nil {
 			return false
 		}
+		// Once posted, the state is taken even when this call is no longer waited for.
 		at = platform.Offset(state.GetAt())
-		n.engine.ask(ctx, func(now time.Time) { n.engine.startDomainAt(at, restored, now) })
-		return true
+		return n.engine.post(func(now time.Time) { n.engine.startDomainAt(platform.Offset(state.GetAt()), restored, now) })
 	})
 	return n.follow(ctx, journal.DomainStream(n.settings.FailureDomain), at+1, n.engine.takeDomainEntries)
 }
@@ -64,6 +64,9 @@
 		n.engine.ask(n.ctx, func(now time.Time) { take(ds, now) })
 	}
 	follower := journal.NewFollower(n.options.Log, stream, from, deliver, journal.NewMetrics(n.metrics, stream), n.options.Logger)
+	if stream != journal.ManifestStream {
+		n.engine.domainFollower.Store(follower)
+	}
 	return follower.Run(ctx)
 }
 
@@ -73,7 +76,7 @@
 	defer cancel()
 	for _, address := range addresses {
 		callCtx, cancelCall := context.WithTimeout(ctx, fetchTimeout)
-		done := ask(callCtx, peer.NewClient(address, n.settings.PeerKey, n.options.Peers))
+		done := ask(callCtx, n.engine.peers(address))
 		cancelCall()
 		if done || ctx.Err() != nil {
 			return
@@ -87,14 +90,14 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	var view *peer.View
-	if !n.engine.ask(ctx, func(time.Time) { view = n.engine.view() }) {
+	if !n.engine.ask(ctx, func(now time.Time) { view = n.engine.view(nil, now) }) {
 		return nil
 	}
 	versions := make([]uint64, len(addresses))
 	var wait sync.WaitGroup
 	for i, address := range addresses {
 		wait.Go(func() {
-			answer, err := peer.NewClient(address, n.settings.PeerKey, n.options.Peers).Exchange(ctx, view)
+			answer, err := n.engine.peers(address).Exchange(ctx, view)
 			if err == nil {
 				versions[i] = newestVersion(answer)
 			}
@@ -157,22 +160,28 @@
 		return 0
 	}
 	var readTo platform.Offset
-	e.ask(ctx, func(now time.Time) {
+	answered := e.ask(ctx, func(now time.Time) {
 		e.restoreManifest(snapshot, now)
 		if e.config.Version() == config.Version(snapshot.GetVersion()) {
 			readTo = max(platform.Offset(snapshot.GetReadTo()), e.config.Version())
 		}
 	})
+	if !answered {
+		return 0
+	}
 	return readTo
 }
 
 // repair completes a state that has a gap from a peer.
 func (e *engine) repair(ctx context.Context, client peer.Peer) {
 	var domain, manifest bool
-	e.ask(ctx, func(time.Time) {
+	answered := e.ask(ctx, func(time.Time) {
 		domain = !e.domainReplay.Complete()
 		manifest = !e.manifestReplay.Complete()
 	})
+	if !answered {
+		return
+	}
 	if manifest {
 		e.fetchManifest(ctx, client)
 	}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/promise"
 )
 
 // drainPoll is how often the planned stop looks whether it may go on.
@@ -23,16 +25,18 @@
 	n.caller.Stop()
 	drained := n.waitUntil(n.settings.Stop.DrainTimeout.Std(), func() bool { return n.caller.InFlight()+n.caller.Listeners() == 0 })
 	if !drained {
+		n.engine.promises.Break(promise.GracefulStop, n.settings.Node, time.Now())
 		n.options.Logger.Warn("requests were still in flight at the end of the drain", zap.Int64("requests", n.caller.InFlight()))
 	}
 	n.waitUntil(n.settings.Scheduling.ClaimLease.Std(), func() bool { return n.engine.domainWriter.Queued() == 0 })
 	return nil
 }
 
-// beginStop fails readiness, tells the peers with the next exchange, and gives the shards up.
+// beginStop fails readiness, tells all peers at once, and gives the shards up.
 func (e *engine) beginStop(now time.Time) {
 	e.stopping = true
 	e.members.Self().Leaving = true
+	e.requestPush()
 	heirs := e.members.LiveIn(e.settings.FailureDomain, now)
 	e.domainWriter.Enqueue(e.owner.Release(heirs, now)...)
 	e.publishViews(now)
