--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -147,6 +147,9 @@
 	domain *Set
 }
 
+// Reached reports whether the nodes of the own failure domain have agreed at least once.
+func (a *Agreement) Reached() bool { return a.domain != nil }
+
 // Update takes the newest set and returns the function that gives this node's part of total at an
 // endpoint. A node that has agreed with nobody yet has no part, unless it is alone.
 func (a *Agreement) Update(s Set) func(total int, endpointID, domain string) int {
