Be ready only once the nodes have agreed on their parts

Cause: a new node has no slot on any endpoint until its domain's nodes know it, yet /readyz said that it was ready as soon as a manifest was in force. Change: readiness needs the agreement where the manifest declares services.

--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -91,6 +91,9 @@
 			t.Fatal(err)
 		}
 		time.Sleep(30 * time.Second)
+		if !a.Status().Ready {
+			t.Error("the node is not ready")
+		}
 		first, other := keyOf("a", 1), keyOf("b", 2)
 		w.expect("a key", w.bill("a", 1, first), "200", 1)
 		w.expect("the key again", w.bill("a", 1, first), "409may_have_run", 1)
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -44,6 +44,16 @@
 	self.Division, self.DomainDivision = set.Digest(), set.DomainDigest()
 }
 
+// ready reports whether the node can answer callers: a manifest is in force and, if it declares services, the
+// nodes of the failure domain have agreed on their parts.
+func (e *engine) ready() bool {
+	inForce := e.config.InForce()
+	if inForce == nil || e.stopping {
+		return false
+	}
+	return len(inForce.Manifest.Services) == 0 || e.division.agreement.Reached()
+}
+
 // closeIdle closes idle connections, so that their number comes within a lowered part.
 func (e *engine) closeIdle() {
 	if t, ok := e.division.transport.(*http.Transport); ok {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -33,7 +33,7 @@
 		Node:          e.self.Node,
 		FailureDomain: e.settings.FailureDomain,
 		Incarnation:   e.self.Incarnation,
-		Ready:         e.config.InForce() != nil && !e.stopping,
+		Ready:         e.ready(),
 		Stopping:      e.stopping,
 		LogReachable:  e.caughtUp && now.Sub(e.logReadAt) < logSilence,
 		ListReadAt:    e.listReadAt,
