Let tasks that are late anyway go last, and close the gaps that broken mechanisms showed in the tests

Cause: under overload the least slack alone made every task late. Breaking mechanisms on purpose showed six that no test saw: lost start replies, stops that are not repeated, checkpoints that are not awaited, bounded evictions, the fault of kinds, the calm before a throttle is eased. Change: late tasks go last in their rank for an hour at most; each of the six has a test now. The test of noise waves counts the longest time over the target instead of the last one, since easing tries again.

--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -72,22 +72,25 @@
 }
 
 func TestWaveOfNoisyTasks(t *testing.T) {
-	for _, slowdown := range []float64{0.2, 0.35, 0.6, 1.5} {
+	for _, slowdown := range []float64{0.2, 0.35, 0.6, 1.3, 1.5} {
 		Convey(fmt.Sprintf("Four noisy tasks of slowdown %v are brought under the target and do not oscillate", slowdown), t, func() {
 			const lag, tasks = 2, 4
 			l := &loop{control: NewController(), throttles: []float64{1, 1, 1, 1}, moved: make([]bool, tasks)}
 			now := time.Unix(1000, 0)
-			lastOver := 0
-			for s := range 1800 {
+			streak, longest, over := 0, 0, 0
+			for range 1800 {
 				if l.second(now, lag, slowdown) > 1 {
-					lastOver = s
-				}
-				if s == 60 {
-					// Two throttling steps together and one move for each task at most.
-					So(lastOver, ShouldBeLessThan, lag+(2+tasks)*int(ReactionTime/time.Second))
+					streak++
+					over++
+				} else {
+					streak = 0
 				}
+				longest = max(longest, streak)
 				now = now.Add(time.Second)
 			}
+			// Two throttling steps together and one move for each task at most.
+			So(longest, ShouldBeLessThan, lag+(2+tasks)*int(ReactionTime/time.Second))
+			So(over, ShouldBeLessThan, 100)
 			So(l.changes, ShouldBeLessThan, 45)
 		})
 	}
--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -86,6 +86,11 @@
 			t.Errorf("urgent tasks started after %v", waits)
 		}
 		t.Logf("urgent work on a full fleet started after %v", waits)
+		for id, checkpoint := range d.oracle.evicted() {
+			if checkpoint == "" {
+				t.Errorf("%s was stopped before its checkpoint was confirmed", id)
+			}
+		}
 		time.Sleep(40 * time.Minute)
 		if got := d.states("full"); got["finished"] != 16 {
 			t.Errorf("evicted work did not finish: %v", got)
@@ -96,6 +101,43 @@
 	})
 }
 
+// TestLostStartReplies loses the replies of all calls while tasks are started.
+func TestLostStartReplies(t *testing.T) {
+	inDomain(t, 3, steadyTruth(time.Minute), func(t *testing.T, d *oneDomain) {
+		for _, agent := range d.agent {
+			agent.DropReplies(6)
+		}
+		d.publish(t, manifestText(100000, jobText("once", "t", "batch", 12, 2000, 100, false)))
+		time.Sleep(10 * time.Minute)
+		if runs := len(d.oracle.runs); runs != 12 {
+			t.Errorf("12 tasks ran in %d attempts", runs)
+		}
+		if got := d.states("once"); got["finished"] != 12 {
+			t.Errorf("after lost replies: %v", got)
+		}
+	})
+}
+
+// TestCancelledWhileWorkersAreDown loses the first stop of every task.
+func TestCancelledWhileWorkersAreDown(t *testing.T) {
+	inDomain(t, 4, steadyTruth(time.Hour), func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(100000, jobText("dropped", "t", "batch", 16, 2000, 100, false)))
+		time.Sleep(30 * time.Second)
+		for _, agent := range d.agent {
+			agent.SetDown(true)
+		}
+		d.publish(t, manifestText(100000))
+		time.Sleep(400 * time.Millisecond)
+		for _, agent := range d.agent {
+			agent.SetDown(false)
+		}
+		time.Sleep(8 * time.Second)
+		if open := len(d.oracle.open); open != 0 {
+			t.Errorf("%d cancelled tasks still run", open)
+		}
+	})
+}
+
 func TestWaitingTasksFindRoomAtSiblings(t *testing.T) {
 	inDomain(t, 4, steadyTruth(10*time.Minute), func(t *testing.T, d *oneDomain) {
 		d.publish(t, manifestText(100000, jobText("exact", "t", "batch", 8, 4000, 100, false)))
--- a/internal/node/scheduling_test.go
+++ b/internal/node/scheduling_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -124,6 +125,13 @@
 	return err
 }
 
+// evicted returns the checkpoint of each task that was stopped and has not started again.
+func (o *oracle) evicted() map[string]string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.checkpoints)
+}
+
 // finished returns how many times each task finished.
 func (o *oracle) finished() map[string]int {
 	o.mu.Lock()
@@ -175,7 +183,8 @@
 			d.oracle.took(id, req)
 			return d.truth(req)
 		},
-		OnEnd: d.oracle.ended,
+		OnEnd:          d.oracle.ended,
+		CheckpointTime: 500 * time.Millisecond,
 	})
 	d.list.Put(platform.VM{ID: id, Kind: platform.WorkerVM, State: platform.Live, FailureDomain: "a", Rack: "r", Address: id})
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -33,11 +33,13 @@
 			So(q.State("w", later), ShouldEqual, Trusted)
 			So(q.Quarantined(), ShouldEqual, 0)
 		})
-		Convey("a kind that fails everywhere is at fault, and no worker is quarantined for it", func() {
-			for i := range 12 {
-				q.Failed(fmt.Sprintf("w%d", i%4), "bad/0", "bad", now)
+		Convey("kinds that fail everywhere are at fault, and no worker is quarantined for them", func() {
+			for i := range 24 {
+				kind := fmt.Sprintf("bad%d", i/4%2)
+				q.Failed(fmt.Sprintf("w%d", i%4), kind+"/0", kind, now)
 			}
-			So(q.Faulty("bad"), ShouldBeTrue)
+			So(q.Faulty("bad0"), ShouldBeTrue)
+			So(q.Faulty("bad1"), ShouldBeTrue)
 			So(q.Quarantined(), ShouldEqual, 0)
 		})
 		Convey("one success clears what was held against a worker", func() {
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -21,13 +21,17 @@
 	criticalReserve = 30 * time.Second
 	// criticalPart adds a part of the run time to criticalReserve.
 	criticalPart = 4
+	// maxLate bounds how long a late task goes after those that can still make their deadline.
+	maxLate = time.Hour
 	// shareSteps is the number of steps in which the shares of teams are compared.
 	shareSteps = 20
 )
 
 // key orders the queue.
 type key struct {
-	rank     int
+	rank int
+	// late tasks can no longer make their deadline as far as is known.
+	late     bool
 	critical bool
 	share    int
 	slack    time.Duration
@@ -73,7 +77,8 @@
 	}
 	runTime := p.Estimates.RunTime(t)
 	it.key.slack = t.Deadline.Sub(p.Now) - runTime
-	it.key.critical = it.key.slack < criticalReserve+runTime/criticalPart
+	it.key.late = it.key.slack < 0 && it.key.slack > -maxLate
+	it.key.critical = !it.key.late && it.key.slack < criticalReserve+runTime/criticalPart
 	used := p.Tasks.TeamUsage(t.Team).Add(p.teams[t.Team])
 	it.key.share = int(dominantShare(used, p.Quota[t.Team]) * shareSteps)
 	return it.key
@@ -109,12 +114,15 @@
 }
 
 // before reports whether a goes before b. Critical tasks go by least slack, the others by the share that
-// their team holds and then by least slack.
+// their team holds and then by least slack. Late tasks go last in their rank, so that under overload they
+// do not make the others late as well, until they have waited for maxLate.
 func before(a, b *item) bool {
 	x, y := a.key, b.key
 	switch {
 	case x.rank != y.rank:
 		return x.rank < y.rank
+	case x.late != y.late:
+		return y.late
 	case x.critical != y.critical:
 		return x.critical
 	case !x.critical && x.share != y.share:
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -247,3 +247,42 @@
 		t.Errorf("six instances are on %v", onWorker)
 	}
 }
+
+// TestEvictionsAreBounded lets urgent tasks come and go on one worker and counts the evictions of the other.
+func TestEvictionsAreBounded(t *testing.T) {
+	m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0), quotaSize: units.Resources{MilliProcessors: 100, MemoryMiB: 100}}
+	w := &worker.Worker{ID: "w"}
+	m.workers.Put(w)
+	m.workers.SetCapacity(w, units.Resources{MilliProcessors: 10, MemoryMiB: 10})
+	m.workers.SetEligible(w, true)
+	spec := task.Spec{ID: "b@1/0", Job: "b", Team: "t", Size: units.Resources{MilliProcessors: 10, MemoryMiB: 10}, Priority: manifest.Batch, Deadline: m.now.Add(time.Hour)}
+	batch := &task.Task{Spec: spec, State: task.Waiting}
+	m.tasks.Put(batch)
+	apply := func() {
+		plan := scheduler.Make(m.input())
+		for _, p := range plan.Placements {
+			row := m.tasks.Get(p.Task)
+			row.Attempt++
+			row.Worker = p.Worker
+			m.workers.Reserve(w, row.RunID(), p.Size)
+			row.Set(task.Running, "", m.now)
+		}
+		for _, e := range plan.Evictions {
+			m.end(m.tasks.Get(e.Task), true)
+		}
+	}
+	for i := range 10 {
+		apply()
+		urgent := spec
+		urgent.ID, urgent.Job, urgent.Priority = fmt.Sprintf("u@1/%d", i), "u", manifest.Urgent
+		m.tasks.Put(&task.Task{Spec: urgent, State: task.Waiting})
+		apply()
+		apply()
+		if row := m.tasks.Get(urgent.ID); row.State == task.Running {
+			m.end(row, false)
+		}
+	}
+	if want := scheduler.DefaultLimits().MaxEvictions; batch.Evictions != want || batch.State != task.Running {
+		t.Errorf("the task was evicted %d times and is %s, want %d and running", batch.Evictions, batch.State, want)
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,6 +37,8 @@
 	OnRun func(worker string, run platform.RunID, state platform.RunState)
 	// OnEnd is told of every run that has ended, with its newest checkpoint. May be nil.
 	OnEnd func(worker string, run platform.Run)
+	// CheckpointTime is how long a checkpoint takes.
+	CheckpointTime time.Duration
 	// LatencyOf says how a service instance answers beside the other runs. Nil: its latency is not known.
 	LatencyOf func(run platform.Run, others []platform.Run) time.Duration
 }
@@ -213,12 +215,28 @@
 // Checkpoint implements httpjson.Agent.
 func (w *Worker) Checkpoint(ctx context.Context, token platform.Offset, id platform.RunID) error {
 	return w.withRun(ctx, token, id, func(r *run) error {
-		r.CheckpointProgress = r.progress(time.Now())
-		r.Checkpoint = checkpointName(r.CheckpointProgress)
+		progress := r.progress(time.Now())
+		if w.options.CheckpointTime == 0 {
+			r.keep(progress)
+			return nil
+		}
+		time.AfterFunc(w.options.CheckpointTime, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if !r.State.Final() {
+				r.keep(progress)
+			}
+		})
 		return nil
 	})
 }
 
+// keep confirms a checkpoint that holds a share of the work.
+func (r *run) keep(progress float64) {
+	r.CheckpointProgress = progress
+	r.Checkpoint = checkpointName(progress)
+}
+
 // Throttle implements httpjson.Agent. The stand-in only reports the throttle.
 func (w *Worker) Throttle(ctx context.Context, token platform.Offset, id platform.RunID, share float64) error {
 	return w.withRun(ctx, token, id, func(r *run) error {
