--- a/internal/node/tick_bench_test.go
+++ b/internal/node/tick_bench_test.go
@@ -13,6 +13,7 @@
 	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/ledger"
 	"cactuswall.example/cactuswall/internal/manifest"
+	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
 	"cactuswall.example/cactuswall/internal/settings"
@@ -40,7 +41,8 @@
 	}
 	e.config.Publish(1, publication)
 	e.caughtUp = true
-	batch := &record.Batch{Node: "n1", Incarnation: 1, Sequence: 1, Records: e.owner.Decide(e.ledger, []string{"n1"}, now)}
+	self := []string{"n1"}
+	batch := &record.Batch{Node: "n1", Incarnation: 1, Sequence: 1, Records: e.owner.Decide(e.ledger, ownership.Candidates{Live: self, Stable: self}, now)}
 	results := e.ledger.Apply(1, batch, now)
 	e.owner.Observe(e.ledger, results, now, true)
 	for i := range workers {
