Check that placements under way keep their reservation

Cause: leaving out the reservation of a placement that is not yet accepted was seen by no test, since the log of the tests answers within a tick. Change: jobs are published while the log takes 60 to 250 ms.

--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -118,6 +119,24 @@
 	})
 }
 
+// TestSlowLogKeepsReservations publishes jobs while placements are under way in a slow log.
+func TestSlowLogKeepsReservations(t *testing.T) {
+	for _, delay := range []time.Duration{60, 100, 150, 250} {
+		inDomain(t, 2, steadyTruth(20*time.Second), func(t *testing.T, d *oneDomain) {
+			d.log.SetDelay(delay * time.Millisecond)
+			var jobs []string
+			for i := range 6 {
+				jobs = append(jobs, jobText(fmt.Sprintf("j%d", i), "t", "batch", 5, 2000, 100, false))
+				d.publish(t, manifestText(100000, jobs...))
+			}
+			time.Sleep(5 * time.Minute)
+			if got := d.states("j5"); got["finished"] != 5 {
+				t.Errorf("the last job: %v", got)
+			}
+		})
+	}
+}
+
 // TestCancelledWhileWorkersAreDown loses the first stop of every task.
 func TestCancelledWhileWorkersAreDown(t *testing.T) {
 	inDomain(t, 4, steadyTruth(time.Hour), func(t *testing.T, d *oneDomain) {
