--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/standin"
 	"cactuswall.example/cactuswall/internal/task"
@@ -48,16 +47,6 @@
 	return count
 }
 
-// explain asks the owner of a task.
-func (d *oneDomain) explain(id string) operator.Explanation {
-	for _, n := range d.nodes {
-		if e, known := n.Explain(id); known && !strings.Contains(e.Summary, "waits under node") {
-			return e
-		}
-	}
-	return operator.Explanation{}
-}
-
 // starts returns when the attempts of a job truly started after a time, in order.
 func (d *oneDomain) starts(job string, after time.Time) (waits []time.Duration) {
 	d.oracle.mu.Lock()
@@ -178,8 +167,10 @@
 		for id, reason := range map[string]string{
 			"huge@1/0": "no worker is large enough", "accelerated@1/1": "no worker has 1 accelerators", "unpaid@1/0": "quota is zero",
 		} {
-			if e := d.explain(id); !e.Never || !strings.Contains(e.Summary, reason) {
-				t.Errorf("%s: never %v, %s", id, e.Never, e.Summary)
+			for name, n := range d.nodes {
+				if e, known := n.Explain(id); !known || !e.Never || !strings.Contains(e.Summary, reason) {
+					t.Errorf("%s says of %s: never %v, %s", name, id, e.Never, e.Summary)
+				}
 			}
 		}
 		if got := d.states("small"); got["running"] != 4 {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/promise"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/task"
 )
 
@@ -170,10 +171,12 @@
 	if e.missesDeadline(row, now) {
 		summary += " It is predicted to miss its deadline."
 	}
-	g := e.taskRow.Group(row)
-	never := row.State == task.Waiting && g != nil && g.Never
-	if never {
-		summary += " It can never run as declared."
+	never := false
+	if row.State == task.Waiting && e.config.InForce() != nil {
+		var reason string
+		if reason, never = scheduler.Impossible(e.planInput(now), row); never {
+			summary += " It can never run as declared: " + reason + "."
+		}
 	}
 	return operator.Explanation{Task: report, Summary: summary, Never: never}
 }
--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -35,6 +35,19 @@
 	return nil, blocked
 }
 
+// Impossible returns why a task can never run, as far as the tables tell, or false. It does not matter who
+// owns the task.
+func Impossible(in Input, t *task.Task) (string, bool) {
+	p := &planner{Input: in, overlay: newOverlay()}
+	if reason, never := p.refuseQuota(t); never {
+		return reason, true
+	}
+	if reason, never := p.refuseSize(in.Estimates.Size(t)); never {
+		return reason, true
+	}
+	return "", false
+}
+
 // refuseQuota returns why the team's quota does not permit a task, and whether it never will.
 func (p *planner) refuseQuota(t *task.Task) (string, bool) {
 	if t.IsService() {
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -194,8 +194,8 @@
 	})
 }
 
-// TestOrder checks that services go first, then urgent work, then least slack, and that teams that hold
-// less go before others while nothing is critical.
+// TestOrder checks that services go first, then urgent work, then least slack, that teams that hold less go
+// before others while nothing is critical, and that what misses its deadline anyway goes last in its class.
 func TestOrder(t *testing.T) {
 	m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0), quotaSize: units.Resources{MilliProcessors: 100, MemoryMiB: 100}}
 	w := &worker.Worker{ID: "w"}
@@ -213,11 +213,12 @@
 	add("urgent@1/0", "t", manifest.Urgent, 50*time.Hour)
 	add("spare@1/0", "u", manifest.Spare, time.Minute)
 	add("other@1/0", "u", manifest.Batch, 200*time.Hour)
+	add("missed@1/0", "u", manifest.Batch, 30*time.Second)
 	var got []string
 	for _, p := range scheduler.Make(m.input()).Placements {
 		got = append(got, p.Task)
 	}
-	want := []string{"s/a/0", "urgent@1/0", "soon@1/0", "other@1/0", "late@1/0", "spare@1/0"}
+	want := []string{"s/a/0", "urgent@1/0", "soon@1/0", "other@1/0", "late@1/0", "missed@1/0", "spare@1/0"}
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("order %v, want %v", got, want)
 	}
