--- a/internal/node/tick_bench_test.go
+++ b/internal/node/tick_bench_test.go
@@ -41,8 +41,7 @@
 	}
 	e.config.Publish(1, publication)
 	e.caughtUp = true
-	self := []string{"n1"}
-	batch := &record.Batch{Node: "n1", Incarnation: 1, Sequence: 1, Records: e.owner.Decide(e.ledger, ownership.Candidates{Live: self, Stable: self}, now)}
+	batch := &record.Batch{Node: "n1", Incarnation: 1, Sequence: 1, Records: e.owner.Decide(e.ledger, ownership.Candidates{Live: []string{"n1"}}, now)}
 	results := e.ledger.Apply(1, batch, now)
 	e.owner.Observe(e.ledger, results, now, true)
 	for i := range workers {
