--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -60,6 +60,7 @@
 	if e.sizes.Observe(run.ID, row.Kind(), run.Usage) {
 		e.taskRow.Recheck(row.Kind())
 	}
+	row.Slowed = row.Slowed || run.Throttle < outgrownThrottle
 	e.watchSpeed(w, row, now)
 	if row.Evicting() || row.State != task.Running || !row.Resizing.IsZero() {
 		return
@@ -263,7 +264,7 @@
 	id := platform.RunID{Task: end.GetTask(), Attempt: end.GetAttempt()}
 	finished := end.GetOutcome() == record.Outcome_OUTCOME_FINISHED
 	var runTime time.Duration
-	if finished && !row.ConfirmedAt.IsZero() && row.StartProgress < 1 {
+	if finished && !row.Slowed && !row.ConfirmedAt.IsZero() && row.StartProgress < 1 {
 		runTime = time.Duration(float64(now.Sub(row.ConfirmedAt)) / (1 - row.StartProgress))
 	}
 	e.sizes.Ended(id, row.Kind(), finished, runTime)
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -276,7 +276,7 @@
 		if row.Priority == manifest.Urgent {
 			f.result.urgentWaits = append(f.result.urgentWaits, f.now.Sub(row.Since).Seconds())
 		}
-		row.StartedAt, row.StartProgress, row.Throttle = f.now, row.Progress, 1
+		row.StartedAt, row.StartProgress, row.Throttle, row.Slowed = f.now, row.Progress, 1, false
 		row.Set(task.Running, "", f.now)
 	}
 	for _, e := range plan.Evictions {
@@ -344,6 +344,9 @@
 	}
 	f.workers.Release(w, row.RunID())
 	whole := float64(f.now.Sub(row.StartedAt)+time.Second) / (1 - row.StartProgress)
+	if row.Slowed {
+		whole = 0
+	}
 	f.sizes.Ended(row.RunID(), row.Kind(), true, time.Duration(whole))
 	f.tasks.Recheck(row.Kind())
 	f.tasks.Remove(row.ID)
@@ -425,6 +428,7 @@
 		row := f.tasks.Get(step.Run.Task)
 		if !step.Move {
 			row.Throttle = step.Throttle
+			row.Slowed = true
 			continue
 		}
 		row.Avoid, row.AvoidUntil = w.ID, f.now.Add(2*time.Minute)
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -212,6 +212,8 @@
 	// StartedAt is when this node first saw the open attempt run, and StartProgress what was done then.
 	StartedAt     time.Time
 	StartProgress float64
+	// Slowed is set when the open attempt was throttled, so that its run time says nothing about its kind.
+	Slowed bool
 	// RateAt and RateProgress are the beginning of the interval over which the speed is measured.
 	RateAt       time.Time
 	RateProgress float64
@@ -277,6 +279,7 @@
 	t.OverQuota = false
 	t.StartedAt = time.Time{}
 	t.EvictedFor = ""
+	t.Slowed = false
 	t.Throttle = 0
 	t.StopAfter = time.Time{}
 }
