Test that noise beside a service is throttled through the whole node

Cause: the path from a reported latency to a throttle was tested in its parts only. Change: stand-ins for workers report latencies; six noisy tasks arrive beside two instances. Conclusion: the path is whole.

--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -248,6 +248,63 @@
 	})
 }
 
+// noisyLatency is 20 ms alone and 60 ms more for each noisy run at full speed.
+func noisyLatency(run platform.Run, others []platform.Run) time.Duration {
+	if task.KindOf(run.ID.Task) != "board" {
+		return 0
+	}
+	latency := 20 * time.Millisecond
+	for _, o := range others {
+		if task.KindOf(o.ID.Task) == "noisy" && !o.State.Final() {
+			latency += time.Duration(o.Throttle * float64(60*time.Millisecond))
+		}
+	}
+	return latency
+}
+
+const boardService = `{"name": "board", "team": "t", "path_prefix": "/b/", "instances": 2, "slots": 1, "connections": 1,
+ "size": {"milli_processors": 1000, "memory_mib": 10, "accelerators": 0}, "latency_target": "70ms", "timeout": "1s",
+ "requests": [], "limits": {}}`
+
+// TestNoiseIsThrottled lets noisy tasks arrive beside a service and watches the latency that the workers
+// report.
+func TestNoiseIsThrottled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newNoisyDomain(2, units.Resources{MilliProcessors: 8000, MemoryMiB: 4000}, steadyTruth(20*time.Minute), noisyLatency)
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(5 * time.Second)
+		document := manifestText(100000, jobText("noisy", "t", "batch", 6, 2000, 100, true))
+		d.publish(t, strings.Replace(document, `"services": []`, `"services": [`+boardService+`]`, 1))
+		time.Sleep(20 * time.Second)
+		over := 0
+		for range 300 {
+			time.Sleep(time.Second)
+			for _, agent := range d.agent {
+				report, _ := agent.Report(t.Context())
+				for _, run := range report.Runs {
+					if run.Latency > 70*time.Millisecond {
+						over++
+					}
+				}
+			}
+		}
+		if over > 20 {
+			t.Errorf("the instances were past their target for %d of 600 seconds", over)
+		}
+		if got := d.states("noisy"); got["running"] == 0 {
+			t.Errorf("no noisy task runs: %v", got)
+		}
+		if got := d.states("board"); got["running"] != 2 {
+			t.Errorf("service: %v", got)
+		}
+		if len(d.oracle.faults) > 0 {
+			t.Error(d.oracle.faults)
+		}
+		d.stop()
+	})
+}
+
 // TestRackLoss loses half of the workers at once and checks that urgent work is started first and nothing
 // is lost.
 func TestRackLoss(t *testing.T) {
--- a/internal/node/scheduling_test.go
+++ b/internal/node/scheduling_test.go
@@ -153,21 +153,29 @@
 	agent  agents
 	oracle *oracle
 	truth  func(req platform.StartRequest) standin.Truth
-	nodes  map[string]*Node
-	kills  map[string]func()
-	born   uint64
+	// latency may be nil.
+	latency func(run platform.Run, others []platform.Run) time.Duration
+	nodes   map[string]*Node
+	kills   map[string]func()
+	born    uint64
 }
 
 func newOneDomain(workers int, capacity units.Resources, truth func(platform.StartRequest) standin.Truth) *oneDomain {
+	return newNoisyDomain(workers, capacity, truth, nil)
+}
+
+// newNoisyDomain is newOneDomain with services whose latency depends on what runs beside them.
+func newNoisyDomain(workers int, capacity units.Resources, truth func(platform.StartRequest) standin.Truth, latency func(platform.Run, []platform.Run) time.Duration) *oneDomain {
 	d := &oneDomain{
-		log:    standin.NewLog(),
-		list:   standin.NewList(0),
-		links:  &pipes{listeners: make(map[string]*pipeListener)},
-		agent:  make(agents),
-		oracle: newOracle(),
-		truth:  truth,
-		nodes:  make(map[string]*Node),
-		kills:  make(map[string]func()),
+		latency: latency,
+		log:     standin.NewLog(),
+		list:    standin.NewList(0),
+		links:   &pipes{listeners: make(map[string]*pipeListener)},
+		agent:   make(agents),
+		oracle:  newOracle(),
+		truth:   truth,
+		nodes:   make(map[string]*Node),
+		kills:   make(map[string]func()),
 	}
 	for i := range workers {
 		d.addWorker(fmt.Sprintf("w%d", i), capacity)
@@ -185,6 +193,7 @@
 		},
 		OnEnd:          d.oracle.ended,
 		CheckpointTime: 500 * time.Millisecond,
+		LatencyOf:      d.latency,
 	})
 	d.list.Put(platform.VM{ID: id, Kind: platform.WorkerVM, State: platform.Live, FailureDomain: "a", Rack: "r", Address: id})
 }
