--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -1,13 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/standin"
 	"cactuswall.example/cactuswall/internal/task"
@@ -47,16 +47,6 @@
 	return count
 }
 
-// explain asks the owner of a task.
-func (d *oneDomain) explain(id string) operator.Explanation {
-	for _, n := range d.nodes {
-		if e, known := n.Explain(id); known && !strings.Contains(e.Summary, "waits under node") {
-			return e
-		}
-	}
-	return operator.Explanation{}
-}
-
 // starts returns when the attempts of a job truly started after a time, in order.
 func (d *oneDomain) starts(job string, after time.Time) (waits []time.Duration) {
 	d.oracle.mu.Lock()
@@ -86,6 +76,11 @@
 			t.Errorf("urgent tasks started after %v", waits)
 		}
 		t.Logf("urgent work on a full fleet started after %v", waits)
+		for id, checkpoint := range d.oracle.evicted() {
+			if checkpoint == "" {
+				t.Errorf("%s was stopped before its checkpoint was confirmed", id)
+			}
+		}
 		time.Sleep(40 * time.Minute)
 		if got := d.states("full"); got["finished"] != 16 {
 			t.Errorf("evicted work did not finish: %v", got)
@@ -96,6 +91,61 @@
 	})
 }
 
+// TestLostStartReplies loses the replies of all calls while tasks are started.
+func TestLostStartReplies(t *testing.T) {
+	inDomain(t, 3, steadyTruth(time.Minute), func(t *testing.T, d *oneDomain) {
+		for _, agent := range d.agent {
+			agent.DropReplies(6)
+		}
+		d.publish(t, manifestText(100000, jobText("once", "t", "batch", 12, 2000, 100, false)))
+		time.Sleep(10 * time.Minute)
+		if runs := len(d.oracle.runs); runs != 12 {
+			t.Errorf("12 tasks ran in %d attempts", runs)
+		}
+		if got := d.states("once"); got["finished"] != 12 {
+			t.Errorf("after lost replies: %v", got)
+		}
+	})
+}
+
+// TestSlowLogKeepsReservations publishes jobs while placements are under way in a slow log.
+func TestSlowLogKeepsReservations(t *testing.T) {
+	for _, delay := range []time.Duration{60, 100, 150, 250} {
+		inDomain(t, 2, steadyTruth(20*time.Second), func(t *testing.T, d *oneDomain) {
+			d.log.SetDelay(delay * time.Millisecond)
+			var jobs []string
+			for i := range 6 {
+				jobs = append(jobs, jobText(fmt.Sprintf("j%d", i), "t", "batch", 5, 2000, 100, false))
+				d.publish(t, manifestText(100000, jobs...))
+			}
+			time.Sleep(5 * time.Minute)
+			if got := d.states("j5"); got["finished"] != 5 {
+				t.Errorf("the last job: %v", got)
+			}
+		})
+	}
+}
+
+// TestCancelledWhileWorkersAreDown loses the first stop of every task.
+func TestCancelledWhileWorkersAreDown(t *testing.T) {
+	inDomain(t, 4, steadyTruth(time.Hour), func(t *testing.T, d *oneDomain) {
+		d.publish(t, manifestText(100000, jobText("dropped", "t", "batch", 16, 2000, 100, false)))
+		time.Sleep(30 * time.Second)
+		for _, agent := range d.agent {
+			agent.SetDown(true)
+		}
+		d.publish(t, manifestText(100000))
+		time.Sleep(400 * time.Millisecond)
+		for _, agent := range d.agent {
+			agent.SetDown(false)
+		}
+		time.Sleep(8 * time.Second)
+		if open := len(d.oracle.open); open != 0 {
+			t.Errorf("%d cancelled tasks still run", open)
+		}
+	})
+}
+
 func TestWaitingTasksFindRoomAtSiblings(t *testing.T) {
 	inDomain(t, 4, steadyTruth(10*time.Minute), func(t *testing.T, d *oneDomain) {
 		d.publish(t, manifestText(100000, jobText("exact", "t", "batch", 8, 4000, 100, false)))
@@ -117,8 +167,10 @@
 		for id, reason := range map[string]string{
 			"huge@1/0": "no worker is large enough", "accelerated@1/1": "no worker has 1 accelerators", "unpaid@1/0": "quota is zero",
 		} {
-			if e := d.explain(id); !e.Never || !strings.Contains(e.Summary, reason) {
-				t.Errorf("%s: never %v, %s", id, e.Never, e.Summary)
+			for name, n := range d.nodes {
+				if e, known := n.Explain(id); !known || !e.Never || !strings.Contains(e.Summary, reason) {
+					t.Errorf("%s says of %s: never %v, %s", name, id, e.Never, e.Summary)
+				}
 			}
 		}
 		if got := d.states("small"); got["running"] != 4 {
@@ -196,6 +248,63 @@
 	})
 }
 
+// noisyLatency is 20 ms alone and 60 ms more for each noisy run at full speed.
+func noisyLatency(run platform.Run, others []platform.Run) time.Duration {
+	if task.KindOf(run.ID.Task) != "board" {
+		return 0
+	}
+	latency := 20 * time.Millisecond
+	for _, o := range others {
+		if task.KindOf(o.ID.Task) == "noisy" && !o.State.Final() {
+			latency += time.Duration(o.Throttle * float64(60*time.Millisecond))
+		}
+	}
+	return latency
+}
+
+const boardService = `{"name": "board", "team": "t", "path_prefix": "/b/", "instances": 2, "slots": 1, "connections": 1,
+ "size": {"milli_processors": 1000, "memory_mib": 10, "accelerators": 0}, "latency_target": "70ms", "timeout": "1s",
+ "requests": [], "limits": {}}`
+
+// TestNoiseIsThrottled lets noisy tasks arrive beside a service and watches the latency that the workers
+// report.
+func TestNoiseIsThrottled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newNoisyDomain(2, units.Resources{MilliProcessors: 8000, MemoryMiB: 4000}, steadyTruth(20*time.Minute), noisyLatency)
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(5 * time.Second)
+		document := manifestText(100000, jobText("noisy", "t", "batch", 6, 2000, 100, true))
+		d.publish(t, strings.Replace(document, `"services": []`, `"services": [`+boardService+`]`, 1))
+		time.Sleep(20 * time.Second)
+		over := 0
+		for range 300 {
+			time.Sleep(time.Second)
+			for _, agent := range d.agent {
+				report, _ := agent.Report(t.Context())
+				for _, run := range report.Runs {
+					if run.Latency > 70*time.Millisecond {
+						over++
+					}
+				}
+			}
+		}
+		if over > 20 {
+			t.Errorf("the instances were past their target for %d of 600 seconds", over)
+		}
+		if got := d.states("noisy"); got["running"] == 0 {
+			t.Errorf("no noisy task runs: %v", got)
+		}
+		if got := d.states("board"); got["running"] != 2 {
+			t.Errorf("service: %v", got)
+		}
+		if len(d.oracle.faults) > 0 {
+			t.Error(d.oracle.faults)
+		}
+		d.stop()
+	})
+}
+
 // TestRackLoss loses half of the workers at once and checks that urgent work is started first and nothing
 // is lost.
 func TestRackLoss(t *testing.T) {
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -194,8 +194,8 @@
 	})
 }
 
-// TestOrder checks that services go first, then urgent work, then least slack, and that teams that hold
-// less go before others while nothing is critical.
+// TestOrder checks that services go first, then urgent work, then least slack, that teams that hold less go
+// before others while nothing is critical, and that what misses its deadline anyway goes last in its class.
 func TestOrder(t *testing.T) {
 	m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0), quotaSize: units.Resources{MilliProcessors: 100, MemoryMiB: 100}}
 	w := &worker.Worker{ID: "w"}
@@ -213,11 +213,12 @@
 	add("urgent@1/0", "t", manifest.Urgent, 50*time.Hour)
 	add("spare@1/0", "u", manifest.Spare, time.Minute)
 	add("other@1/0", "u", manifest.Batch, 200*time.Hour)
+	add("missed@1/0", "u", manifest.Batch, 30*time.Second)
 	var got []string
 	for _, p := range scheduler.Make(m.input()).Placements {
 		got = append(got, p.Task)
 	}
-	want := []string{"s/a/0", "urgent@1/0", "soon@1/0", "other@1/0", "late@1/0", "spare@1/0"}
+	want := []string{"s/a/0", "urgent@1/0", "soon@1/0", "other@1/0", "late@1/0", "missed@1/0", "spare@1/0"}
 	if fmt.Sprint(got) != fmt.Sprint(want) {
 		t.Errorf("order %v, want %v", got, want)
 	}
@@ -247,3 +248,42 @@
 		t.Errorf("six instances are on %v", onWorker)
 	}
 }
+
+// TestEvictionsAreBounded lets urgent tasks come and go on one worker and counts the evictions of the other.
+func TestEvictionsAreBounded(t *testing.T) {
+	m := &machine{tasks: task.NewTable(), workers: worker.NewTable(), now: time.Unix(1000, 0), quotaSize: units.Resources{MilliProcessors: 100, MemoryMiB: 100}}
+	w := &worker.Worker{ID: "w"}
+	m.workers.Put(w)
+	m.workers.SetCapacity(w, units.Resources{MilliProcessors: 10, MemoryMiB: 10})
+	m.workers.SetEligible(w, true)
+	spec := task.Spec{ID: "b@1/0", Job: "b", Team: "t", Size: units.Resources{MilliProcessors: 10, MemoryMiB: 10}, Priority: manifest.Batch, Deadline: m.now.Add(time.Hour)}
+	batch := &task.Task{Spec: spec, State: task.Waiting}
+	m.tasks.Put(batch)
+	apply := func() {
+		plan := scheduler.Make(m.input())
+		for _, p := range plan.Placements {
+			row := m.tasks.Get(p.Task)
+			row.Attempt++
+			row.Worker = p.Worker
+			m.workers.Reserve(w, row.RunID(), p.Size)
+			row.Set(task.Running, "", m.now)
+		}
+		for _, e := range plan.Evictions {
+			m.end(m.tasks.Get(e.Task), true)
+		}
+	}
+	for i := range 10 {
+		apply()
+		urgent := spec
+		urgent.ID, urgent.Job, urgent.Priority = fmt.Sprintf("u@1/%d", i), "u", manifest.Urgent
+		m.tasks.Put(&task.Task{Spec: urgent, State: task.Waiting})
+		apply()
+		apply()
+		if row := m.tasks.Get(urgent.ID); row.State == task.Running {
+			m.end(row, false)
+		}
+	}
+	if want := scheduler.DefaultLimits().MaxEvictions; batch.Evictions != want || batch.State != task.Running {
+		t.Errorf("the task was evicted %d times and is %s, want %d and running", batch.Evictions, batch.State, want)
+	}
+}
