Treat an unanswered log as out of reach, and test recovery and outages with real nodes

Cause: a read or an append that hangs looked like a log that works, so an owner whose link to the log was cut silently asked nobody for promises, and a read had no time limit at all. Change: a read unanswered for 4 s or an append unanswered for 2 s counts as out of reach; a read ends after 13 s.

Conclusion: an outage of the log for all and the isolation of one owner are told apart by the siblings.

--- a/internal/journal/follower.go
+++ b/internal/journal/follower.go
@@ -12,8 +12,14 @@
 	"cactuswall.example/cactuswall/internal/record"
 )
 
-// readWait is how long one read of the log waits for new entries.
-const readWait = 5 * time.Second
+const (
+	// readWait is how long one read of the log waits for new entries.
+	readWait = 3 * time.Second
+	// readGrace is how much longer a read may take until the log counts as out of reach.
+	readGrace = time.Second
+	// readTimeout bounds one read of a slow log.
+	readTimeout = readWait + 10*time.Second
+)
 
 // Delivery is one entry of a stream as a follower hands it on.
 type Delivery struct {
@@ -35,6 +41,8 @@
 	logger  *zap.Logger
 	next    platform.Offset
 	down    atomic.Bool
+	// asked is when the read that is under way began, or nil.
+	asked atomic.Pointer[time.Time]
 }
 
 // NewFollower returns a follower of stream from the entry at from on. deliver is called from one
@@ -43,15 +51,27 @@
 	return &Follower{log: log, stream: stream, deliver: deliver, metrics: metrics, logger: logger, next: max(from, 1)}
 }
 
-// Down reports whether the newest read of the log has failed.
-func (f *Follower) Down() bool { return f.down.Load() }
+// Down reports whether the newest read of the log has failed or goes unanswered.
+func (f *Follower) Down() bool {
+	asked := f.asked.Load()
+	return f.down.Load() || (asked != nil && time.Since(*asked) > readWait+readGrace)
+}
+
+func (f *Follower) read(ctx context.Context, wait time.Duration) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	now := time.Now()
+	f.asked.Store(&now)
+	defer f.asked.Store(nil)
+	return f.log.Read(ctx, f.stream, f.next, wait)
+}
 
 // Run follows the stream until ctx ends. It does not wait for new entries before it has reached the end once.
 func (f *Follower) Run(ctx context.Context) error {
 	retry := newBackOff()
 	var wait time.Duration
 	for ctx.Err() == nil {
-		page, err := f.log.Read(ctx, f.stream, f.next, wait)
+		page, err := f.read(ctx, wait)
 		if err != nil {
 			f.metrics.ReadFailures.Inc()
 			if ctx.Err() == nil && f.down.CompareAndSwap(false, true) {
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -21,6 +21,8 @@
 	maxBatchRecords = 512
 	// appendTimeout bounds one append.
 	appendTimeout = 5 * time.Second
+	// appendGrace is how long an append may take until the log counts as out of reach.
+	appendGrace = 2 * time.Second
 	// settleWait is how long a batch whose reply was lost is looked for in the stream before it is
 	// appended again.
 	settleWait = time.Second
@@ -41,6 +43,8 @@
 	logger  *zap.Logger
 	wake    chan struct{}
 	failing atomic.Bool
+	// asked is when the append that is under way began, or nil.
+	asked atomic.Pointer[time.Time]
 
 	mu          sync.Mutex
 	incarnation uint64
@@ -149,8 +153,11 @@
 	return open.started, true
 }
 
-// Failing reports whether the newest append has failed.
-func (w *Writer) Failing() bool { return w.failing.Load() }
+// Failing reports whether the newest append has failed or goes unanswered.
+func (w *Writer) Failing() bool {
+	asked := w.asked.Load()
+	return w.failing.Load() || (asked != nil && time.Since(*asked) > appendGrace)
+}
 
 // SettleUpTo tells the writer that its batches up to a sequence number are in the log, as a snapshot says.
 func (w *Writer) SettleUpTo(sequence uint64) {
@@ -257,6 +264,9 @@
 func (w *Writer) appendOnce(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
+	now := time.Now()
+	w.asked.Store(&now)
+	defer w.asked.Store(nil)
 	_, err := w.log.Append(ctx, w.stream, data)
 	w.failing.Store(err != nil)
 	if err == nil {
--- a/internal/ledger/snapshot_test.go
+++ b/internal/ledger/snapshot_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
 )
 
@@ -126,3 +127,71 @@
 	}
 	return restored
 }
+
+// BenchmarkRecovery measures how long a fresh node takes to have the state of a domain: from a snapshot, and
+// from all records since the beginning of the stream.
+func BenchmarkRecovery(b *testing.B) {
+	for _, tasks := range []int{1_500, 15_000, 150_000} {
+		s := newStream()
+		var batches []*record.Batch
+		send := func(records ...*record.Record) {
+			s.offset++
+			s.sequence["a"]++
+			batch := &record.Batch{Node: "a", Incarnation: 1, Sequence: s.sequence["a"], Records: records}
+			for _, r := range s.ledger.Apply(s.offset, batch, time.Time{}) {
+				if r.Rejection != Accepted {
+					b.Fatal(r.Rejection)
+				}
+			}
+			batches = append(batches, batch)
+		}
+		for shard := range uint32(failuredomain.Shards) {
+			send(claim(shard, 0))
+		}
+		held := func(id string) *record.ShardToken {
+			shard := s.ledger.ShardOf(id)
+			return token(shard, s.ledger.Claim(shard).Token)
+		}
+		for i := range tasks {
+			id := fmt.Sprintf("rebuild-timetable-%d@%d/%d", i/40, 1000+i/40, i%40)
+			send(place(id, 1, held(id), held(id)), end(id, 1, held(id), record.Outcome_OUTCOME_FINISHED))
+		}
+		data, err := s.ledger.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("snapshot-%d", tasks), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Restore(data, time.Time{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+		b.Run(fmt.Sprintf("records-%d", tasks), func(b *testing.B) { replayAll(b, batches) })
+	}
+}
+
+func replayAll(b *testing.B, batches []*record.Batch) {
+	encoded := make([][]byte, len(batches))
+	size := 0
+	for i, batch := range batches {
+		data, err := record.Encode(batch)
+		if err != nil {
+			b.Fatal(err)
+		}
+		encoded[i] = data
+		size += len(data)
+	}
+	for b.Loop() {
+		l := New()
+		for i, data := range encoded {
+			batch, err := record.Decode(data)
+			if err != nil {
+				b.Fatal(err)
+			}
+			l.Apply(platform.Offset(i+1), batch, time.Time{})
+		}
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- /dev/null
+++ b/internal/proof/nodes_test.go
@@ -0,0 +1,110 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/settings"
+)
+
+// shardsOf returns the number of shards that a node holds.
+func (f *fuzzCase) shardsOf(m *member) int { return len(m.node.Status().Shards) }
+
+func TestOwnersGoOnDuringAnOutageOfTheLog(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		n1, n2 := f.members[0], f.members[1]
+		f.log.SetDown(true)
+		for range 60 {
+			time.Sleep(time.Minute)
+			if held := f.shardsOf(n1) + f.shardsOf(n2); held != failuredomain.Shards {
+				f.oracle.breachf("%d shards are held during the outage", held)
+			}
+			if count := f.oracle.runsNow("svc"); count != services {
+				f.oracle.breachf("%d instances run during the outage", count)
+			}
+		}
+	})
+}
+
+func TestOwnerCutFromTheLogIsReplaced(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		n1, n2 := f.members[0], f.members[1]
+		f.cut(n1.name, logParty, 0)
+		time.Sleep(settings.Default().Scheduling.ClaimLease.Std() + time.Second)
+		if held := f.shardsOf(n2); held != failuredomain.Shards {
+			f.oracle.breachf("the sibling holds %d shards one lease and a second after the cut", held)
+		}
+		if held := f.shardsOf(n1); held != 0 {
+			f.oracle.breachf("the cut node still holds %d shards", held)
+		}
+	})
+}
+
+func TestAllNodesRestartedDuringAnOutage(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		f.log.SetDown(true)
+		for i := range f.members {
+			f.act(action{kind: kill, node: i})
+		}
+		for i := range f.members {
+			f.act(action{kind: restart, node: i})
+		}
+		time.Sleep(10 * time.Second)
+		for _, m := range f.members {
+			if s := m.node.Status(); s.Ready || len(s.Shards) > 0 {
+				f.oracle.breachf("%s stands on nothing and is ready: %v, holds %v", m.name, s.Ready, s.Shards)
+			}
+		}
+	})
+}
+
+func TestFreshNodesServeDuringAnOutageWhenAPeerIsLeft(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		f.log.SetDown(true)
+		for i := range 2 {
+			f.act(action{kind: kill, node: i})
+			f.act(action{kind: restart, node: i})
+		}
+		time.Sleep(5 * time.Second)
+		for _, m := range f.members[:2] {
+			if s := m.node.Status(); !s.Ready || len(s.Shards) > 0 {
+				f.oracle.breachf("%s has a peer to learn from; ready: %v, holds %v", m.name, s.Ready, s.Shards)
+			}
+		}
+	})
+}
+
+func TestDomainIsReplacedAfterRetention(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		period := settings.Default().Log.SnapshotPeriod.Std()
+		for _, stream := range []string{journal.DomainStream(north), journal.ManifestStream} {
+			f.trimBefore(stream, period)
+		}
+		for i := range 2 {
+			f.act(action{kind: kill, node: i})
+		}
+		f.act(action{kind: kill, node: 2})
+		for i := range f.members {
+			f.act(action{kind: restart, node: i})
+		}
+		time.Sleep(20 * time.Second)
+		n1, n2 := f.members[0], f.members[1]
+		if held := f.shardsOf(n1) + f.shardsOf(n2); held != failuredomain.Shards {
+			f.oracle.breachf("%d shards are held after the replacement", held)
+		}
+	})
+}
+
+// trimBefore lets a stream go on for longer than a snapshot period and then drops what is older.
+func (f *fuzzCase) trimBefore(stream string, period time.Duration) {
+	page, err := f.log.Read(context.Background(), stream, 1, 0)
+	if err != nil {
+		f.oracle.breachf("the log cannot be read: %v", err)
+	}
+	time.Sleep(period + time.Minute)
+	f.log.Trim(stream, max(page.Next, platform.Offset(2)))
+}
