--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -84,6 +84,8 @@
 	listReadAt time.Time
 	// caughtUp is set once the domain stream has been read to its end.
 	caughtUp bool
+	// manifestCaughtUp is set once the manifest stream has been read to its end.
+	manifestCaughtUp bool
 	// logReadAt is when the domain stream last answered.
 	logReadAt time.Time
 	stopping  bool
@@ -212,6 +214,9 @@
 		return
 	}
 	inForce := e.config.InForce()
+	if e.manifestCaughtUp && now.Sub(inForce.Published) > promise.ConfigurationBound {
+		e.promises.Break(promise.Configuration, inForce.Manifest.Release, now)
+	}
 	e.decide(inForce.PublicationID, decision{rejection: config.Accepted, version: inForce.Version})
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(inForce.Version)), zap.String("release", inForce.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(inForce.Version)
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -99,6 +99,9 @@
 // takeManifestEntries applies entries of the manifest stream.
 func (e *engine) takeManifestEntries(deliveries []journal.Delivery, now time.Time) {
 	before := e.config.Version()
+	if len(deliveries) == 0 {
+		e.manifestCaughtUp = true
+	}
 	for _, d := range deliveries {
 		wasComplete := e.manifestReplay.Complete()
 		if d, applicable := e.manifestReplay.Take(d); applicable {
