--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -211,6 +211,7 @@
 			Address:         m.Address,
 			OperatorAddress: m.OperatorAddress,
 			State:           string(e.members.StateOf(m.Node, now)),
+			Condition:       string(e.members.ConditionOf(m.Node, now)),
 			ManifestVersion: m.ManifestVersion,
 		}
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -81,6 +81,8 @@
 	// OperatorAddress is where the node serves operators, an IP number with a port.
 	OperatorAddress string `json:"operator_address"`
 	State           string `json:"state"`
+	// Condition says more than the state, for instance that the node is slow, or is empty.
+	Condition       string `json:"condition,omitempty"`
 	ManifestVersion uint64 `json:"manifest_version"`
 }
 
