Give the ports of dev back at once

A request in TestDeployments was sent before the lagging list could show the endpoints. Conclusion: nothing of dev outlives its end.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -87,12 +87,13 @@
 	log        *standin.Log
 	list       *standin.List
 	mu         sync.Mutex
-	servers    []*http.Server
-	nodes      []*node.Node
-	settings   []settings.Settings
-	listeners  []node.Listeners
-	agents     []*standin.Worker
-	timers     []*time.Timer
+	// stops end the servers of the stand-ins.
+	stops     []func()
+	nodes     []*node.Node
+	settings  []settings.Settings
+	listeners []node.Listeners
+	agents    []*standin.Worker
+	timers    []*time.Timer
 	// workers holds the IDs of the workers, instances the running service instances by the ID of their VM.
 	workers   map[string]bool
 	instances map[string]instance
@@ -158,11 +159,16 @@
 		return "", nil, trace.ConnectionProblem(err, "cannot listen on %s; if the port is taken, choose another with --base-port", address)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	// The server closes only the listener that it has begun to serve, so the listener is closed as well.
+	stop := func() {
+		_ = listener.Close()
+		_ = server.Close()
+	}
 	w.mu.Lock()
-	w.servers = append(w.servers, server)
+	w.stops = append(w.stops, stop)
 	w.mu.Unlock()
 	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), func() { _ = server.Close() }, nil
+	return listener.Addr().String(), stop, nil
 }
 
 func (w *world) startPlatform() error {
@@ -299,7 +305,7 @@
 	for _, t := range w.timers {
 		t.Stop()
 	}
-	for _, s := range w.servers {
-		_ = s.Close()
+	for _, stop := range w.stops {
+		stop()
 	}
 }
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -79,6 +79,16 @@
 	return seen >= 66
 }
 
+// answers reports whether a request is answered with status 200.
+func answers(url string) bool {
+	resp, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 func TestDeployments(t *testing.T) {
 	for _, name := range []string{"arwyddion", "vinnufata"} {
 		Convey(name+" places every task, answers a request and stops cleanly", t, func() {
@@ -92,10 +102,8 @@
 			}()
 			So(eventually(func() bool { return allPlaced(base) }), ShouldBeTrue)
 			path := map[string]string{"arwyddion": "boards/1", "vinnufata": "rental/1"}[name]
-			resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/%s", base+1, path))
-			So(err, ShouldBeNil)
-			_ = resp.Body.Close()
-			So(resp.StatusCode, ShouldEqual, http.StatusOK)
+			// The node learns of its endpoints from the list, which lags.
+			So(eventually(func() bool { return answers(fmt.Sprintf("http://127.0.0.1:%d/%s", base+1, path)) }), ShouldBeTrue)
 			cancel()
 			So(<-ended, ShouldBeNil)
 			So(output.String(), ShouldContainSubstring, fmt.Sprintf("operators 127.0.0.1:%d", base+2))
