--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -65,6 +65,7 @@
 		return
 	}
 	row.Set(task.Starting, "", now)
+	e.withdrawals = e.withdrawals || row.Withdrawn
 	row.OverQuota = e.overQuota(row)
 }
 
--- a/internal/node/scheduling_cases_test.go
+++ b/internal/node/scheduling_cases_test.go
@@ -126,6 +126,23 @@
 	}
 }
 
+// TestCancelledWhilePlacing drops a job while its placements are under way in a slow log.
+func TestCancelledWhilePlacing(t *testing.T) {
+	for _, delay := range []time.Duration{50, 100, 200, 300} {
+		inDomain(t, 2, steadyTruth(time.Hour), func(t *testing.T, d *oneDomain) {
+			d.log.SetDelay(delay * time.Millisecond)
+			d.publish(t, manifestText(100000, jobText("dropped", "t", "batch", 8, 2000, 100, false)))
+			d.publish(t, manifestText(100000))
+			time.Sleep(time.Minute)
+			for name, n := range d.nodes {
+				if rows := n.Tasks(); len(rows) != 0 {
+					t.Errorf("delay %d ms: %s still has %d rows, the first is %s", delay, name, len(rows), rows[0].State)
+				}
+			}
+		})
+	}
+}
+
 // TestCancelledWhileWorkersAreDown loses the first stop of every task.
 func TestCancelledWhileWorkersAreDown(t *testing.T) {
 	inDomain(t, 4, steadyTruth(time.Hour), func(t *testing.T, d *oneDomain) {
