--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -130,6 +130,10 @@
 		if err := n.Run(ctx); err != nil {
 			c.oracle.tracef("%s ended: %v", m.name, err)
 		}
+		// The end of a process closes what is still open.
+		for _, l := range sockets {
+			l.abort()
+		}
 	}()
 }
 
--- a/internal/proof/fuzz_test.go
+++ b/internal/proof/fuzz_test.go
@@ -15,7 +15,7 @@
 	"cactuswall.example/cactuswall/internal/testseed"
 )
 
-func TestMain(m *testing.M) { testseed.Main(m) }
+func TestMain(m *testing.M) { testseed.MainWithChecks(m, "40") }
 
 // twoAndOne is two nodes in one failure domain and one in another.
 var twoAndOne = layout{{"n1", north}, {"n2", north}, {"s1", south}}
--- a/internal/proof/late_test.go
+++ b/internal/proof/late_test.go
@@ -31,13 +31,15 @@
 // TestStartThatArrivesAroundTheTakeOver lets the starts of a killed owner arrive at many moments around the
 // adoption of its workers by the next owner.
 func TestStartThatArrivesAroundTheTakeOver(t *testing.T) {
-	for late := 11 * time.Second; late < 16*time.Second; late += 100 * time.Millisecond {
+	for late := 7 * time.Second; late < 11*time.Second; late += 200 * time.Millisecond {
 		inBubble(t, func(f *fuzzCase) {
 			n1 := f.members[0]
 			f.publish(n1, 0)
 			time.Sleep(2 * time.Second)
 			for _, address := range f.workersIn(north) {
 				f.net.setDelay(n1.name, address, late)
+				// The next owner is just fast enough, so that what is wrong lasts.
+				f.net.setDelay(f.members[1].name, address, 1900*time.Millisecond)
 			}
 			f.publish(n1, 1)
 			time.Sleep(500 * time.Millisecond)
--- a/internal/proof/requests_test.go
+++ b/internal/proof/requests_test.go
@@ -22,6 +22,8 @@
 	endpointWell endpointFault = iota
 	// endpointSlow takes longer than a request may.
 	endpointSlow
+	// endpointLong takes nearly as long as a request may.
+	endpointLong
 	// endpointRefuses refuses without running.
 	endpointRefuses
 	// endpointBreaksBefore closes the connection before it runs the request, endpointBreaksAfter afterwards.
@@ -31,9 +33,11 @@
 )
 
 const (
-	// serviceTime is how long an endpoint works on a request, slowServiceTime a slow one.
+	// serviceTime is how long an endpoint works on a request, slowServiceTime a slow one, and
+	// longServiceTime is below the service's limit of three seconds.
 	serviceTime     = 20 * time.Millisecond
 	slowServiceTime = 5 * time.Second
+	longServiceTime = 2800 * time.Millisecond
 )
 
 // endpointHandler is one endpoint. It answers with the request's name.
@@ -60,6 +64,8 @@
 		panic(http.ErrAbortHandler)
 	case endpointSlow:
 		time.Sleep(slowServiceTime)
+	case endpointLong:
+		time.Sleep(longServiceTime)
 	default:
 		time.Sleep(serviceTime)
 	}
--- a/internal/proof/rows_test.go
+++ b/internal/proof/rows_test.go
@@ -137,3 +137,22 @@
 		f.expectAnswer(n2, "while n1 is cut off")
 	})
 }
+
+func TestPlannedStopWaitsForLongRequests(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		n1 := f.members[0]
+		process := n1.process
+		f.mended(endpointLong)
+		f.act(action{kind: stopPlanned, node: 0})
+		time.Sleep(n1.settings.Stop.BalancerDelay.Std() - 100*time.Millisecond)
+		for i := range 5 {
+			name := fmt.Sprintf("long%d", i)
+			f.wait.Go(func() {
+				if v := f.cluster.send(n1, process, name, false); v.claimed != verdict.Ran {
+					f.oracle.breachf("request %s, sent before the node refused requests, got no answer", name)
+				}
+			})
+		}
+		time.Sleep(cutTime)
+	})
+}
