--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -26,6 +26,10 @@
 	// batchRunTime is how long a batch task truly runs.
 	batchRunTime = 12 * time.Second
 	peerKey      = "key-of-the-nodes-in-tests"
+	// snapshotPeriod is the time between two snapshots of a stream, retention how long the log keeps an
+	// entry. A retention is to exceed several periods and the outages that are to be outlived.
+	snapshotPeriod = 10 * time.Second
+	retention      = 60 * time.Second
 )
 
 // capacity is what every worker offers.
@@ -96,6 +100,7 @@
 	s.OperatorAddress = fmt.Sprintf("10.0.0.%d:81", index+1)
 	s.PeerAddress = fmt.Sprintf("10.0.0.%d:82", index+1)
 	s.PeerKey = peerKey
+	s.Log.SnapshotPeriod = units.Duration(snapshotPeriod)
 	s.Seeds = []string{"10.0.0.1:82", "10.0.0.2:82", "10.0.0.3:82"}
 	c.list.Put(platform.VM{ID: name, Kind: platform.EntryVM, State: platform.Live, FailureDomain: domain, Address: s.PeerAddress})
 	return &member{name: name, domain: domain, settings: s}
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -12,6 +12,7 @@
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/standin"
 	"cactuswall.example/cactuswall/internal/units"
 )
 
@@ -36,6 +37,11 @@
 	// executions counts how often each request ran at an endpoint.
 	executions map[string]int
 
+	// landed gives the time at which each entry reached its stream.
+	landed map[string][]landing
+	// snapshots gives the newest offset that a snapshot in each stream stands for.
+	snapshots map[string]platform.Offset
+
 	chain []accepted
 	// state reads the documents of accepted publications.
 	state    config.State
@@ -57,6 +63,8 @@
 		finishedTasks: make(map[string]string),
 		recorded:      make(map[string]bool),
 		forgotten:     make(map[string]bool),
+		landed:        make(map[string][]landing),
+		snapshots:     make(map[string]platform.Offset),
 		checkpoint:    make(map[string]float64),
 		executions:    make(map[string]int),
 		entries:       make(map[platform.Offset][]byte),
@@ -151,6 +159,26 @@
 	}
 }
 
+// landing is when an entry reached its stream.
+type landing struct {
+	offset platform.Offset
+	at     time.Time
+}
+
+// trim drops what the log has kept for longer than its retention. It leaves what no snapshot stands for:
+// what becomes of a failure domain without a snapshot in the log is TestDomainDownForLongerThanTheRetention.
+func (o *oracle) trim(log *standin.Log) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for stream, entries := range o.landed {
+		for _, e := range entries {
+			if time.Since(e.at) > retention && e.offset <= o.snapshots[stream] {
+				log.Trim(stream, e.offset+1)
+			}
+		}
+	}
+}
+
 // workerFailed is told that a VM is gone. What finished on it and is not in the log is known to nobody any
 // more: a node that could not reach the log had no way to keep it. So only such a task may run again.
 func (o *oracle) workerFailed(worker string) {
@@ -169,6 +197,8 @@
 func (o *oracle) appended(stream string, offset platform.Offset, data []byte) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.landed[stream] = append(o.landed[stream], landing{offset, time.Now()})
+	o.noteSnapshots(stream, data)
 	if stream != journal.ManifestStream {
 		o.recordEnds(data)
 		return
@@ -180,6 +210,18 @@
 	}
 }
 
+// noteSnapshots keeps the newest offset that a snapshot in a stream stands for.
+func (o *oracle) noteSnapshots(stream string, data []byte) {
+	batch, err := record.Decode(data)
+	if err != nil {
+		return
+	}
+	for _, r := range batch.GetRecords() {
+		at := max(r.GetDomainSnapshot().GetAt(), r.GetManifestSnapshot().GetReadTo())
+		o.snapshots[stream] = max(o.snapshots[stream], platform.Offset(at))
+	}
+}
+
 // recordEnds keeps which finishes are in the log.
 func (o *oracle) recordEnds(data []byte) {
 	batch, err := record.Decode(data)
--- a/internal/proof/rows_test.go
+++ b/internal/proof/rows_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
+	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
 
@@ -156,3 +157,11 @@
 		time.Sleep(cutTime)
 	})
 }
+
+// TestDomainDownForLongerThanTheRetention is red: see KNOWN-RED.txt.
+func TestDomainDownForLongerThanTheRetention(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		f.act(action{kind: kill, node: 2, wait: retention + cutTime})
+		f.log.Trim(journal.DomainStream(south), 1000)
+	})
+}
