--- a/internal/proof/fuzz_test.go
+++ b/internal/proof/fuzz_test.go
@@ -15,7 +15,7 @@
 	"cactuswall.example/cactuswall/internal/testseed"
 )
 
-func TestMain(m *testing.M) { testseed.Main(m) }
+func TestMain(m *testing.M) { testseed.MainWithChecks(m, "40") }
 
 // twoAndOne is two nodes in one failure domain and one in another.
 var twoAndOne = layout{{"n1", north}, {"n2", north}, {"s1", south}}
@@ -48,6 +48,7 @@
 	dropAppends
 	dropWorkerReplies
 	failWorker
+	trim
 	publish
 	publishRace
 	request
@@ -60,7 +61,7 @@
 var actionNames = [...]string{
 	"kill", "restart", "planned stop of", "pause", "resume", "cut off", "cut from a worker", "cut from peers",
 	"slow a worker for", "slow the log for", "log down", "log up", "lose replies of the log", "lose replies of workers",
-	"fail a worker", "publish at", "race publications at", "send idempotent requests to", "send requests to", "change the endpoints", "heal",
+	"fail a worker", "trim the log", "publish at", "race publications at", "send idempotent requests to", "send requests to", "change the endpoints", "heal",
 }
 
 // action is one step of a case: what happens to which node, an argument, and the wait afterwards.
@@ -211,6 +212,8 @@
 		f.agent(workers[a.arg%len(workers)]).DropReplies(a.arg)
 	case failWorker:
 		f.failWorker(workers[a.arg%len(workers)])
+	case trim:
+		f.oracle.trim(f.log)
 	case publish:
 		f.publish(m, a.arg)
 	case publishRace:
