Count an absent worker as gone only a lease after the shard was claimed

Change: the silence of an absent worker counts from the claim at the earliest. Conclusion: an attempt that another owner renewed is not ended early.

--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -163,12 +163,16 @@
 	}
 }
 
-// goneAt returns when an absent worker counts as gone unless it answers before.
+// goneAt returns when an absent worker counts as gone unless it answers before. An earlier owner, whose list
+// may still have shown the worker, may have renewed leases on it until this node claimed the shard.
 func (e *engine) goneAt(w *worker.Worker) time.Time {
 	silentSince := w.AbsentSince
 	if w.ReportedAt.After(silentSince) {
 		silentSince = w.ReportedAt
 	}
+	if claimed := e.owner.Since(w.Shard); claimed.After(silentSince) {
+		silentSince = claimed
+	}
 	lastCallEnds := silentSince.Add(e.settings.Scheduling.WorkerCallTimeout.Std())
 	return lease.ObserverEnd(lastCallEnds, e.settings.Scheduling.TaskLease.Std())
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -40,6 +40,8 @@
 	until [failuredomain.Shards]time.Time
 	// tokens are the claims that until belongs to.
 	tokens [failuredomain.Shards]platform.Offset
+	// since is when this node began to send the claim that each token belongs to.
+	since [failuredomain.Shards]time.Time
 	// released are the claims that this node has given up, whether or not the log shows it yet.
 	released [failuredomain.Shards]platform.Offset
 	// claiming is set from the sending of a claim until its fate is known.
@@ -67,6 +69,10 @@
 	return o.tokens[shard], true
 }
 
+// Since returns when this node began to send its newest claim of a shard. Every earlier owner had stopped
+// acting by then.
+func (o *Owner) Since(shard uint32) time.Time { return o.since[shard%failuredomain.Shards] }
+
 // Keeps reports whether the newest claim of a shard that this node knows of is its own, even when the
 // authority has lapsed.
 func (o *Owner) Keeps(l *ledger.Ledger, shard uint32) bool {
@@ -120,6 +126,7 @@
 	}
 	if c := l.Claim(shard); own && o.isMine(c) && c.Token != o.tokens[shard] {
 		o.tokens[shard] = c.Token
+		o.since[shard] = sent
 		o.until[shard] = lease.HolderEnd(sent, o.lease)
 		return
 	}
