Test the hand-over at a planned stop and an owner that neither log nor siblings answer

Cause: both rules of docs/DESIGN.md stood without a test with real nodes. Change: TestPlannedStopHandsShardsOverWithoutAGap and TestServicesGoOnWithoutLogAndSibling.

--- a/internal/proof/nodes_test.go
+++ b/internal/proof/nodes_test.go
@@ -108,3 +108,37 @@
 	time.Sleep(period + time.Minute)
 	f.log.Trim(stream, max(page.Next, platform.Offset(2)))
 }
+
+func TestPlannedStopHandsShardsOverWithoutAGap(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		time.Sleep(time.Minute)
+		n1, n2 := f.members[0], f.members[1]
+		began := time.Now()
+		f.stop(n1)
+		for f.shardsOf(n2) < failuredomain.Shards && time.Since(began) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(began); took > time.Second {
+			f.oracle.breachf("the sibling owned all shards %v after the stop began", took)
+		}
+		if count := f.oracle.runsNow("svc"); count != services {
+			f.oracle.breachf("%d instances run after the hand-over", count)
+		}
+	})
+}
+
+func TestServicesGoOnWithoutLogAndSibling(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		f.act(action{kind: kill, node: 1})
+		time.Sleep(30 * time.Second)
+		f.log.SetDown(true)
+		time.Sleep(5 * time.Minute)
+		n1 := f.members[0]
+		if held := f.shardsOf(n1); held != 0 {
+			f.oracle.breachf("%d shards are held without the promise of the sibling that the list shows", held)
+		}
+		if count := f.oracle.runsNow("svc"); count != services {
+			f.oracle.breachf("%d instances run although their leases can be renewed", count)
+		}
+	})
+}
