--- a/internal/capacity/measure/codecs.go
+++ b/internal/capacity/measure/codecs.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -57,6 +59,7 @@
 		{"manifest: parse and check", "ms", "job", jobs, parseTime},
 		{"manifest: memory", "bytes", "job", jobs, manifestMemory},
 		{"VM list: JSON", "bytes", "VM", []int{100, 1000, 4000}, listBytes},
+		{"VM list: JSON compressed", "bytes", "VM", []int{100, 1000, 4000}, compressedListBytes},
 		{"worker report: JSON", "bytes", "run", []int{1, 4, 12, 24}, reportBytes},
 	} {
 		slope, err := series(s.name, s.unit, s.of, s.sizes, s.value)
@@ -216,15 +219,37 @@
 }
 
 func listBytes(count int) (float64, error) {
+	data, err := list(count)
+	return float64(len(data)), err
+}
+
+func compressedListBytes(count int) (float64, error) {
+	data, err := list(count)
+	if err != nil {
+		return 0, err
+	}
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	if _, err := writer.Write(data); err != nil {
+		return 0, err
+	}
+	if err := writer.Close(); err != nil {
+		return 0, err
+	}
+	return float64(compressed.Len()), nil
+}
+
+// list returns the encoded list of a number of endpoints, with addresses that all differ.
+func list(count int) ([]byte, error) {
 	vms := make([]platform.VM, count)
 	for i := range vms {
 		vms[i] = platform.VM{
 			ID: fmt.Sprintf("boards/domain-3/%d@1", i), Kind: platform.EndpointVM, State: platform.Live,
-			FailureDomain: "domain-3", Rack: "domain-3-rack12", Address: "10.13.22.101:7000", Service: "boards",
+			FailureDomain: "domain-3", Rack: fmt.Sprintf("domain-3-rack%d", i%16), Address: fmt.Sprintf("10.13.%d.%d:7000", i/250, i%250),
+			Service: "boards",
 		}
 	}
-	data, err := json.Marshal(vms)
-	return float64(len(data)), err
+	return json.Marshal(vms)
 }
 
 func reportBytes(runs int) (float64, error) {
