Show that a start waits for its accepted placement

Cause: with starts before the placement was read back, 60 cases of the fuzzer passed: the owner itself stops such a run as a stray within a tick. Change: a test that kills the owner between its start and that tick, with the placement still on its way.

--- a/internal/proof/late_test.go
+++ b/internal/proof/late_test.go
@@ -48,3 +48,20 @@
 		})
 	}
 }
+
+// TestPlacementThatIsNeverAccepted kills an owner whose placements reach the log only after the next owner's
+// claim. A start before the placement is read back as accepted would run beside the next owner's.
+func TestPlacementThatIsNeverAccepted(t *testing.T) {
+	for slow := range workersPerDomain {
+		inBubble(t, func(f *fuzzCase) {
+			f.publish(f.members[0], 0)
+			time.Sleep(2 * time.Second)
+			f.publish(f.members[0], 1)
+			time.Sleep(30 * time.Millisecond)
+			f.net.setDelay("n1", logParty, 20*time.Second)
+			f.net.setDelay("n2", f.workersIn(north)[slow], 1900*time.Millisecond)
+			time.Sleep(210 * time.Millisecond)
+			f.act(action{kind: kill, node: 0, wait: 30 * time.Second})
+		})
+	}
+}
