Ask for no promises before the list was read

Change: without the list there is no promise. TestOwnerThatKnowsNoSiblingGetsNoPromise. Broken on purpose: the test fails without the change with the same breach.

--- a/internal/node/promise.go
+++ b/internal/node/promise.go
@@ -34,7 +34,8 @@
 		return
 	}
 	tokens := e.owner.Expiring(e.ledger, now)
-	if len(tokens) == 0 || !e.logDown() {
+	if len(tokens) == 0 || !e.logDown() || e.listReadAt.IsZero() {
+		// Without the list there may be siblings that this node has never heard of.
 		return
 	}
 	e.promisesAskedAt = now
--- a/internal/proof/nodes_test.go
+++ b/internal/proof/nodes_test.go
@@ -142,3 +142,21 @@
 		}
 	})
 }
+
+func TestOwnerThatKnowsNoSiblingGetsNoPromise(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		n1, n2 := f.members[0], f.members[1]
+		f.act(action{kind: kill, node: 1})
+		f.act(action{kind: kill, node: 0})
+		f.cut(n1.name, listParty, 0)
+		f.cut(n1.name, n2.name, 0)
+		f.cut(n1.name, f.members[2].name, 0)
+		f.act(action{kind: restart, node: 0, wait: 20 * time.Second})
+		f.act(action{kind: restart, node: 1, wait: 10 * time.Second})
+		f.cut(n1.name, logParty, 0)
+		time.Sleep(30 * time.Second)
+		if held := f.shardsOf(n1); held != 0 {
+			f.oracle.breachf("the cut node holds %d shards", held)
+		}
+	})
+}
