--- a/internal/capacity/measure/main.go
+++ b/internal/capacity/measure/main.go
@@ -1,7 +1,7 @@
 // Command measure prints the slopes behind docs/CAPACITY.md as a table, or as JSON with -json.
 //
 // It starts nodes as processes of its own against stand-ins on loopback, one after the other, and takes a
-// few minutes and less than 2 GB of memory.
+// several minutes and less than 1 GB of memory.
 package main
 
 import (
