--- a/internal/capacity/measure/main.go
+++ b/internal/capacity/measure/main.go
@@ -1,7 +1,7 @@
 // Command measure prints the slopes behind docs/CAPACITY.md as a table, or as JSON with -json.
 //
-// It starts nodes as processes of its own against stand-ins on loopback, one after the other, and takes a
-// several minutes and less than 1 GB of memory.
+// It starts nodes as processes of its own against stand-ins on loopback, one after the other, and takes
+// several minutes.
 package main
 
 import (
