Hold the lock of the case while a test stops a node

Cause: TestPlannedStopHandsShardsOverWithoutAGap stopped a node while the sampler looked at it (race detector). Change: the test holds the lock that the sampler holds. Conclusion: a fault of the test, not of the nodes.

--- a/internal/proof/nodes_test.go
+++ b/internal/proof/nodes_test.go
@@ -114,7 +114,9 @@
 		time.Sleep(time.Minute)
 		n1, n2 := f.members[0], f.members[1]
 		began := time.Now()
+		f.step.Lock()
 		f.stop(n1)
+		f.step.Unlock()
 		for f.shardsOf(n2) < failuredomain.Shards && time.Since(began) < time.Minute {
 			time.Sleep(10 * time.Millisecond)
 		}
