Ask a leaving sibling for its promise as well

Cause: an owner that the log did not answer left nodes that are leaving out of the siblings whose promises it needs. Ruled out: the arithmetic of the leases, since the authority was extended after it had lapsed. Change: a leaving or dead sibling counts until a list that was read after it fell silent no longer shows it.

--- a/internal/node/promise.go
+++ b/internal/node/promise.go
@@ -101,8 +101,8 @@
 }
 
 // siblings returns the peer addresses of every other node that may claim shards of this failure domain: the
-// nodes of the list, and those known from exchanges unless they are leaving or are both dead and gone from
-// the list.
+// nodes of the list, and those known from exchanges unless they have left or died and are gone from the
+// list.
 func (e *engine) siblings(now time.Time) []string {
 	addresses := make(map[string]bool)
 	for _, vm := range e.vms {
@@ -115,10 +115,9 @@
 			continue
 		}
 		switch e.members.StateOf(m.Node, now) {
-		case membership.Leaving:
-			delete(addresses, m.Address)
-		case membership.Dead:
-			// The list tells of a dead node only when it was read after the node fell silent.
+		case membership.Leaving, membership.Dead:
+			// The list tells of such a node only when it was read after the node fell silent. A node that is
+			// leaving may have owned shards until a moment ago, and may be back under the same address.
 			if !e.listReadAt.After(m.AdvancedAt.Add(e.settings.Membership.DeadAfter.Std())) {
 				addresses[m.Address] = true
 			}
--- a/internal/proof/nodes_test.go
+++ b/internal/proof/nodes_test.go
@@ -162,3 +162,22 @@
 		}
 	})
 }
+
+// TestLeavingSiblingDoesNotCountAsPromise: a sibling that is leaving has owned the shards until a moment ago
+// and comes back under its old address, so an owner that is cut from the log must not go on without its word.
+func TestLeavingSiblingDoesNotCountAsPromise(t *testing.T) {
+	inBubble(t, func(f *fuzzCase) {
+		n1, n2 := f.members[0], f.members[1]
+		f.cut(n2.name, logParty, 0)
+		time.Sleep(20 * time.Second)
+		f.act(action{kind: stopPlanned, node: 0, wait: 20 * time.Second})
+		if held := f.shardsOf(n2); held != 0 {
+			f.oracle.breachf("the cut node holds %d shards while its sibling is away", held)
+		}
+		f.cut(n1.name, n2.name, 0)
+		f.act(action{kind: restart, node: 0, wait: 20 * time.Second})
+		if held := f.shardsOf(n2); held != 0 {
+			f.oracle.breachf("the cut node holds %d shards after its sibling came back", held)
+		}
+	})
+}
