Give no shard again to a node that does not claim

Cause: in the traces of the fuzzer an owner gave a shard each 3 s to a sibling that exchanged views but did not read the log, and took it back a second later, for as long as that lasted; every turn fences the workers anew. A reading of the VM list had no time limit. Change: an owner that takes a shard back from an heir that did not claim gives it none for ten leases. A reading of the list ends after 10 s. Conclusion: movement is bounded also towards nodes that are only half alive.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,6 +209,15 @@
 	return time.Since(time.Unix(0, unixNano)).Seconds()
 }
 
+// listTimeout bounds one reading of the VM list.
+const listTimeout = 10 * time.Second
+
+func (n *Node) listOnce(ctx context.Context) ([]platform.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return n.options.List.List(ctx)
+}
+
 // readList reads the platform's VM list in each period.
 func (n *Node) readList(ctx context.Context) error {
 	ticker := time.NewTicker(n.settings.Membership.ListPeriod.Std())
@@ -217,7 +226,7 @@
 	var readAt atomic.Int64
 	n.metrics.GetOrCreateGauge("cactuswall_list_age_seconds", func() float64 { return ageSeconds(readAt.Load()) })
 	for {
-		vms, err := n.options.List.List(ctx)
+		vms, err := n.listOnce(ctx)
 		if err != nil {
 			failures.Inc()
 		} else {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -21,6 +21,9 @@
 	rankDelay = 300 * time.Millisecond
 	// movesPerLease bounds the shards that a node gives to others within one lease.
 	movesPerLease = 2
+	// idleHeirLeases is for how many leases no shard is given to a node that did not claim one that it was
+	// given: it may be live and yet be cut off from the log.
+	idleHeirLeases = 10
 )
 
 // Candidates are the nodes of the failure domain that may own shards, this one included.
@@ -47,7 +50,9 @@
 	// claiming is set from the sending of a claim until its fate is known.
 	claiming [failuredomain.Shards]bool
 	// promised is until when this node has promised not to claim each shard.
-	promised  [failuredomain.Shards]time.Time
+	promised [failuredomain.Shards]time.Time
+	// idle gives, for each node that did not claim a shard it was given, until when it is given none.
+	idle      map[string]time.Time
 	startedAt time.Time
 	renewedAt time.Time
 	movedAt   time.Time
@@ -55,7 +60,7 @@
 
 // NewOwner returns an owner without any authority.
 func NewOwner(self ledger.Writer, domain string, claimLease time.Duration) *Owner {
-	return &Owner{self: self, domain: domain, lease: claimLease}
+	return &Owner{self: self, domain: domain, lease: claimLease, idle: make(map[string]time.Time)}
 }
 
 // SetSelf changes the identity that claims are made under. It must be called before the first claim.
@@ -170,17 +175,19 @@
 	if o.startedAt.IsZero() {
 		o.startedAt = now
 	}
+	stable := o.withoutIdle(nodes.Stable, now)
 	var records []*record.Record
 	var renew, release []*record.ShardToken
 	for shard := range uint32(failuredomain.Shards) {
 		c := l.Claim(shard)
 		switch {
-		case o.isMine(c) && o.mayMove(shard, nodes.Stable, now):
+		case o.isMine(c) && o.mayMove(shard, stable, now):
 			o.movedAt = now
 			release = append(release, &record.ShardToken{Shard: shard, Token: uint64(c.Token)})
 		case o.isMine(c):
 			renew = append(renew, &record.ShardToken{Shard: shard, Token: uint64(c.Token)})
 		case o.mayClaim(c, nodes.Live, now):
+			o.noteIdleHeir(c, now)
 			o.claiming[shard] = true
 			records = append(records, o.claim(c))
 		}
@@ -189,7 +196,19 @@
 		o.renewedAt = now
 		records = append(records, &record.Record{Body: &record.Record_Renewal{Renewal: &record.Renewal{Claims: renew}}})
 	}
-	return append(records, o.releases(release, nodes.Stable)...)
+	return append(records, o.releases(release, stable)...)
+}
+
+// noteIdleHeir notes that this node takes back a shard which the heir did not claim in time.
+func (o *Owner) noteIdleHeir(c ledger.Claim, now time.Time) {
+	if c.Released && c.Owner == o.self && c.Heir != "" && c.Heir != o.self.Node {
+		o.idle[c.Heir] = now.Add(idleHeirLeases * o.lease)
+	}
+}
+
+// withoutIdle returns the nodes that may be given shards.
+func (o *Owner) withoutIdle(nodes []string, now time.Time) []string {
+	return slices.DeleteFunc(slices.Clone(nodes), func(n string) bool { return now.Before(o.idle[n]) })
 }
 
 // mayMove reports whether a shard that this node holds is to be given to a stable node that comes before it.
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -236,6 +236,32 @@
 	})
 }
 
+// TestHeirThatDoesNotClaim: a node that is live but reads nothing of the log is given shards in vain.
+func TestHeirThatDoesNotClaim(t *testing.T) {
+	Convey("Given two nodes, of which the second stays live but is cut off from the log", t, func() {
+		c := newCluster(1, 1)
+		c.settle(time.Minute, 0, 1)
+		owner := c.nodes[0]
+		releases := 0
+		for end := c.elapsed + idleHeirLeases*testLease; c.elapsed < end; c.elapsed += 100 * time.Millisecond {
+			c.readSome(owner, len(c.log))
+			c.tick(owner, Candidates{Live: c.names, Stable: c.names})
+			for len(owner.inFlight) > 0 {
+				for _, r := range owner.inFlight[0].GetRecords() {
+					if r.GetRelease() != nil {
+						releases++
+					}
+				}
+				c.land(owner)
+			}
+		}
+		Convey("the first takes its shards over and offers it one again only after ten leases", func() {
+			So(c.held(0), ShouldEqual, failuredomain.Shards)
+			So(releases, ShouldBeBetweenOrEqual, 1, 2)
+		})
+	})
+}
+
 func TestPromises(t *testing.T) {
 	Convey("Given an outage of the log for all nodes", t, func() {
 		c := newCluster(1, 1)
