--- a/internal/scheduler/fleet_test.go
+++ b/internal/fleet/fleet.go
@@ -1,4 +1,8 @@
-package scheduler_test
+// Package fleet compares policies of the scheduler on a table of workers with true sizes, run times and
+// pairwise slowdowns, stepped by a controlled clock. Its figures are made by its benchmark:
+//
+//	go test ./internal/fleet -run '^$' -bench Policies -benchtime=1x -fleet.seed=1
+package fleet
 
 import (
 	"fmt"
--- a/internal/scheduler/fleet_step_test.go
+++ b/internal/fleet/step.go
@@ -1,4 +1,4 @@
-package scheduler_test
+package fleet
 
 import (
 	"math"
--- a/internal/node/requests_test.go
+++ b/internal/node/requests_test.go
@@ -39,10 +39,10 @@
 	w := &billing{twoDomains: newTwoDomains(0), t: t, endpoint: standin.NewEndpoint("e", 8, time.Millisecond)}
 	w.list.Put(w.endpoint.VM("s", "a", "e:80"))
 	w.server = &http.Server{Handler: w.endpoint}
-	listener := w.links.listen("e:80")
+	listener := w.links.Listen("e:80")
 	go func() { _ = w.server.Serve(listener) }()
 	dial := func(ctx context.Context, network, _ string) (net.Conn, error) {
-		return w.links.dial(ctx, network, w.target)
+		return w.links.Dial(ctx, network, w.target)
 	}
 	w.client = &http.Transport{DialContext: dial, DisableKeepAlives: true}
 	return w
--- a/internal/node/rescue_test.go
+++ b/internal/node/rescue_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -15,6 +13,7 @@
 
 	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/pipenet"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/settings"
 	"cactuswall.example/cactuswall/internal/standin"
@@ -22,69 +21,6 @@
 	"cactuswall.example/cactuswall/internal/units"
 )
 
-// pipes connects the nodes of a test by address.
-type pipes struct {
-	mu        sync.Mutex
-	listeners map[string]*pipeListener
-	cut       bool
-}
-
-// setCut makes every new connection fail while cut is true.
-func (p *pipes) setCut(cut bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.cut = cut
-}
-
-type pipeListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func (p *pipes) listen(address string) *pipeListener {
-	l := &pipeListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listeners[address] = l
-	return l
-}
-
-func (p *pipes) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	p.mu.Lock()
-	l, cut := p.listeners[address], p.cut
-	p.mu.Unlock()
-	if l == nil || cut {
-		return nil, errors.New("nobody listens")
-	}
-	near, far := net.Pipe()
-	select {
-	case l.conns <- far:
-		return near, nil
-	case <-l.closed:
-		return nil, errors.New("closed")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: l.address} }
-
 // agents reaches the stand-ins for workers without a wire.
 type agents map[string]*standin.Worker
 
@@ -142,7 +78,7 @@
 type twoDomains struct {
 	log   *standin.Log
 	list  *standin.List
-	links *pipes
+	links *pipenet.Network
 	agent agents
 	mu    sync.Mutex
 	ran   map[string]int
@@ -152,7 +88,7 @@
 	w := &twoDomains{
 		log:   standin.NewLog(),
 		list:  standin.NewList(0),
-		links: &pipes{listeners: make(map[string]*pipeListener)},
+		links: pipenet.New(),
 		agent: make(agents),
 		ran:   make(map[string]int),
 	}
@@ -185,13 +121,13 @@
 	s.PeerAddress = domain + ":1"
 	s.PeerKey = "0123456789abcdef"
 	s.Seeds = []string{"a:1", "b:1"}
-	transport := &http.Transport{DialContext: w.links.dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: w.links.Dial, DisableKeepAlives: true}
 	n := New(Options{
 		Settings: s, Log: w.log, List: w.list, Workers: w.agent,
 		Listeners: Listeners{
-			Callers:   w.links.listen(fmt.Sprint(domain, ":callers", incarnation)),
-			Operators: w.links.listen(fmt.Sprint(domain, ":operators", incarnation)),
-			Peers:     w.links.listen(s.PeerAddress),
+			Callers:   w.links.Listen(fmt.Sprint(domain, ":callers", incarnation)),
+			Operators: w.links.Listen(fmt.Sprint(domain, ":operators", incarnation)),
+			Peers:     w.links.Listen(s.PeerAddress),
 		},
 		Endpoints: transport, Peers: transport, Logger: zap.NewNop(), Incarnation: incarnation,
 	})
@@ -277,7 +213,8 @@
 			t.Fatal(err)
 		}
 		before := claimTokens(a)
-		w.links.setCut(true)
+		w.links.Cut("a:1", true)
+		w.links.Cut("b:1", true)
 		time.Sleep(20 * time.Minute)
 		if after := claimTokens(a); after != before {
 			t.Errorf("the claims of the home domain changed from %v to %v", before, after)
--- a/internal/node/scheduling_test.go
+++ b/internal/node/scheduling_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/operator"
+	"cactuswall.example/cactuswall/internal/pipenet"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/settings"
 	"cactuswall.example/cactuswall/internal/standin"
@@ -146,7 +147,7 @@
 type oneDomain struct {
 	log    *standin.Log
 	list   *standin.List
-	links  *pipes
+	links  *pipenet.Network
 	agent  agents
 	oracle *oracle
 	truth  func(req platform.StartRequest) standin.Truth
@@ -167,7 +168,7 @@
 		latency: latency,
 		log:     standin.NewLog(),
 		list:    standin.NewList(0),
-		links:   &pipes{listeners: make(map[string]*pipeListener)},
+		links:   pipenet.New(),
 		agent:   make(agents),
 		oracle:  newOracle(),
 		truth:   truth,
@@ -205,13 +206,13 @@
 	s.PeerAddress = name + ":1"
 	s.PeerKey = "0123456789abcdef"
 	s.Seeds = []string{"n1:1", "n2:1"}
-	transport := &http.Transport{DialContext: d.links.dial, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: d.links.Dial, DisableKeepAlives: true}
 	n := New(Options{
 		Settings: s, Log: d.log, List: d.list, Workers: watchedAgents{d.agent, d.oracle},
 		Listeners: Listeners{
-			Callers:   d.links.listen(fmt.Sprint(name, ":callers", incarnation)),
-			Operators: d.links.listen(fmt.Sprint(name, ":operators", incarnation)),
-			Peers:     d.links.listen(s.PeerAddress),
+			Callers:   d.links.Listen(fmt.Sprint(name, ":callers", incarnation)),
+			Operators: d.links.Listen(fmt.Sprint(name, ":operators", incarnation)),
+			Peers:     d.links.Listen(s.PeerAddress),
 		},
 		Endpoints: transport, Peers: transport, Logger: zap.NewNop(), Incarnation: incarnation,
 	})
--- a/internal/membership/period_test.go
+++ b/internal/periods/period.go
@@ -1,21 +1,21 @@
-package membership_test
+// Package periods compares two ways to choose the time between two exchanges of a node: a fixed period, and
+// one that follows churn as the Lazyton protocol does. It steps the tables of package membership over links
+// in memory with a controlled clock. Its figures are made by its tests:
+//
+//	go test ./internal/periods -run TestPeriodFigures -v -figures
+package periods
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
-	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
 
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/peer"
 )
 
-var figures = flag.Bool("figures", false, "print figures of the exchange between nodes at several sizes")
-
 const (
 	// exchangeOverhead is what the headers of one exchange take in both directions, in bytes.
 	exchangeOverhead = 520
@@ -266,27 +266,3 @@
 func followingPeriods() membership.Periods {
 	return membership.Periods{SuspectAfter: 3 * maxPeriod, DeadAfter: 6 * maxPeriod, StableAfter: 12 * maxPeriod}
 }
-
-func TestExchangeAtTodaysSize(t *testing.T) {
-	Convey("Nine nodes know of a death and of a leaving in time, within their bytes, without false alarm", t, func() {
-		res := measure(9, fixedPeriods(), func() period { return fixed{} })
-		So(res.falseDead, ShouldEqual, 0)
-		So(res.deathKnown, ShouldBeLessThan, 12*time.Second)
-		So(res.leavingKnown, ShouldBeLessThan, 6*time.Second)
-		So(res.bytesPerSecond, ShouldBeLessThan, 4096)
-	})
-}
-
-func TestPeriodFigures(t *testing.T) {
-	if !*figures {
-		t.Skip("prints figures; run with -figures")
-	}
-	for _, count := range []int{9, 33, 100} {
-		print := func(name string, res result) {
-			t.Logf("%3d nodes, %-9s: %5.0f B/s, death known %6s (siblings %6s), leaving known %6s, stale pairs %6.1f, false suspects %5.1f, false dead %5.1f",
-				count, name, res.bytesPerSecond, res.deathKnown, res.siblingsKnow, res.leavingKnown, res.stale, res.falseSuspects, res.falseDead)
-		}
-		print("fixed", measure(count, fixedPeriods(), func() period { return fixed{} }))
-		print("following", measure(count, followingPeriods(), func() period { return &following{current: fixedPeriod} }))
-	}
-}
