--- a/internal/node/rescue_test.go
+++ b/internal/node/rescue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"sync"
 	"testing"
@@ -113,6 +114,13 @@
 	w.list.Put(platform.VM{ID: id, Kind: platform.WorkerVM, State: platform.Live, FailureDomain: domain, Address: id})
 }
 
+// runs returns how often each task was started in each domain.
+func (w *twoDomains) runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.ran)
+}
+
 // start runs the node of a domain and returns it with the function that kills it.
 func (w *twoDomains) start(domain string, incarnation uint64) (*Node, func()) {
 	s := settings.Default()
@@ -167,14 +175,14 @@
 		}
 		killA()
 		time.Sleep(4 * time.Minute)
-		if len(w.ran) != 0 {
-			t.Fatalf("tasks were moved before the domain counted as lost: %v", w.ran)
+		if len(w.runs()) != 0 {
+			t.Fatalf("tasks were moved before the domain counted as lost: %v", w.runs())
 		}
 		time.Sleep(2 * time.Minute)
 		for i := range 3 {
 			id := fmt.Sprintf("moves@1/%d", i)
-			if w.ran["b "+id] != 1 || stateOf(b, id) != string(task.Finished) {
-				t.Errorf("%s ran %d times in b and is %q", id, w.ran["b "+id], stateOf(b, id))
+			if w.runs()["b "+id] != 1 || stateOf(b, id) != string(task.Finished) {
+				t.Errorf("%s ran %d times in b and is %q", id, w.runs()["b "+id], stateOf(b, id))
 			}
 		}
 		a, killA = w.start("a", 2)
@@ -185,8 +193,8 @@
 		if got := stateOf(a, "stays@1/0"); got != string(task.Waiting) {
 			t.Errorf("after the return the task that stays is %q at home", got)
 		}
-		if len(w.ran) != 3 {
-			t.Errorf("runs: %v", w.ran)
+		if len(w.runs()) != 3 {
+			t.Errorf("runs: %v", w.runs())
 		}
 		killA()
 		killB()
@@ -222,8 +230,8 @@
 		if got := stateOf(a, "moves@1/0"); got != string(task.Waiting) {
 			t.Errorf("the task is %q although its home domain renews its claims", got)
 		}
-		if len(w.ran) != 0 {
-			t.Errorf("runs: %v", w.ran)
+		if len(w.runs()) != 0 {
+			t.Errorf("runs: %v", w.runs())
 		}
 		killA()
 		killB()
