Let the stand-ins be cut off for each failure domain and lag

Cause: the stand-ins could be slow, down and lose replies, but nothing in them cut a failure domain off, the log had no lagging replica and a worker's report was always fresh.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,8 @@
 	down bool
 	// dropReplies is how many of the next replies are lost after the effect.
 	dropReplies int
+	// cut holds the failure domains whose calls are lost.
+	cut map[string]bool
 }
 
 // SetDelay makes every call take d longer.
@@ -63,7 +65,7 @@
 	if down {
 		return verdict.New(verdict.NotRun, platform.ReasonLogDown, nil)
 	}
-	return nil
+	return f.awaitCut(ctx)
 }
 
 // after returns an error when the reply is to be lost.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,6 +37,8 @@
 	OnRun func(worker string, run platform.RunID, state platform.RunState)
 	// OnEnd is told of every run that has ended, with its newest checkpoint. May be nil.
 	OnEnd func(worker string, run platform.Run)
+	// ReportLag is how far the reported progress and usage lag behind the truth.
+	ReportLag time.Duration
 	// CheckpointTime is how long a checkpoint takes.
 	CheckpointTime time.Duration
 	// LatencyOf says how a service instance answers beside the other runs. Nil: its latency is not known.
@@ -341,11 +343,14 @@
 
 // report returns the state of all runs. The caller holds the lock.
 func (w *Worker) report() platform.Report {
-	now := time.Now()
+	seen := time.Now().Add(-w.options.ReportLag)
 	report := platform.Report{Capacity: w.options.Capacity, Token: w.token}
 	for _, r := range w.runs {
-		r.Progress = r.progress(now)
-		r.Usage = r.truth.Usage
+		r.Progress = max(r.base, r.progress(seen))
+		r.Usage = units.Resources{}
+		if !r.startedAt.After(seen) {
+			r.Usage = r.truth.Usage
+		}
 		report.Runs = append(report.Runs, r.Run)
 	}
 	if w.options.LatencyOf != nil {
