Give the refusals of requests that cannot be parsed a verdict

Cause: net/http answers a malformed request or an oversized header by itself, with status 400, 431 or 501 and without the verdict that every other refusal carries. Change: the callers' connections add the header Cactuswall-Verdict: not_run to exactly those replies. Figures: three new cases of TestHTTP; they fail with the change taken out. Conclusion: every 4xx of a node says whether the request ran.

--- a/internal/caller/http_test.go
+++ b/internal/caller/http_test.go
@@ -53,7 +53,7 @@
 	})
 	server := &http.Server{Handler: b.handler, ReadTimeout: slowCaller, MaxHeaderBytes: 8 << 10}
 	front := b.net.Listen("n:80")
-	go func() { _ = server.Serve(front) }()
+	go func() { _ = server.Serve(WithVerdicts(front)) }()
 	b.closers = append(b.closers, back, closing(func() { transport.CloseIdleConnections() }), server)
 	return b
 }
@@ -146,6 +146,11 @@
 		{"TRACE is refused", plain, "TRACE /s/x HTTP/1.1\r\nHost: n\r\n\r\n", "405", "200 OK", "", "", 0},
 		{"a header that is too long is refused", plain,
 			"GET /s/x HTTP/1.1\r\nHost: n\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", "431", "200 OK", "", "", 0},
+		{"a request that cannot be parsed is refused with a verdict", plain, "GARBAGE\r\n\r\n", "400 Bad Request\r\nCactuswall-Verdict: not_run", "200 OK", "", "", 0},
+		{"a header that is too long is refused with a verdict", plain,
+			"GET /s/x HTTP/1.1\r\nHost: n\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", "Too Large\r\nCactuswall-Verdict: not_run", "200 OK", "", "", 0},
+		{"an unknown transfer encoding is refused with a verdict", plain,
+			"POST /s/x HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "Cactuswall-Verdict: not_run", "200 OK", "", "", 0},
 		{"a body that comes too slowly is refused", plain,
 			"POST /s/x HTTP/1.1\r\nHost: n\r\nContent-Length: 50\r\n\r\nhalf", "not_run", "200 OK", "", "", 0},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,7 +164,7 @@
 	n.add(&group, n.followManifest)
 	n.add(&group, n.readList)
 	n.add(&group, (&gossip{engine: n.engine}).run)
-	n.addServer(&group, n.options.Listeners.Callers, n.caller)
+	n.addServer(&group, caller.WithVerdicts(n.options.Listeners.Callers), n.caller)
 	n.addServer(&group, n.options.Listeners.Operators, operator.NewHandler(n, n.metrics))
 	n.addServer(&group, n.options.Listeners.Peers, peer.NewHandler(peerServer{engine: n.engine}, n.settings.PeerKey, n.metrics))
 	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { n.cancel() })
