Never take another VM's answer for a worker's

Cause: calls to workers name an address alone. A new VM that gets the address of one that is gone answered for it, so that the old row was adopted and looked alive. Change: a report may name the VM that answers; another name counts as no answer, reason other_worker_answers. Figures: TestAnotherWorkerAtTheAddress fails with the check taken out. Conclusion: an address that is used again brings no worker back to life.

--- a/internal/node/replay_test.go
+++ b/internal/node/replay_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/config"
+	"cactuswall.example/cactuswall/internal/failuredomain"
 	"cactuswall.example/cactuswall/internal/journal"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/platform"
@@ -16,6 +17,7 @@
 	"cactuswall.example/cactuswall/internal/settings"
 	"cactuswall.example/cactuswall/internal/standin"
 	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/worker"
 )
 
 // newTestEngine returns an engine of a node that is not running. Its methods are called directly.
@@ -158,3 +160,24 @@
 		})
 	})
 }
+
+func TestAnotherWorkerAtTheAddress(t *testing.T) {
+	Convey("Given a new VM at the address of a worker that is gone", t, func() {
+		e := newTestEngine(t, "a")
+		size := units.Resources{MilliProcessors: 1000, MemoryMiB: 1000}
+		e.workers = agents{"address": standin.NewWorker(standin.WorkerOptions{ID: "new", Capacity: size})}
+		now := time.Now()
+		e.takeDomainEntries([]journal.Delivery{entry(1, "a", 1, claimRecord(failuredomain.ShardOf("old"), 0))}, now)
+		old := &worker.Worker{ID: "old", Address: "address", Shard: failuredomain.ShardOf("old")}
+		e.workerRow.Put(old)
+
+		Convey("the old worker is not adopted by its answer", func() {
+			old.Adopting = true
+			e.adopt(old, 1)
+			event := <-e.events
+			event(now)
+			So(old.Token, ShouldEqual, 0)
+			So(old.CallAfter.After(now), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -198,6 +198,7 @@
 		report, err := e.workers.Report(e.ctx, address)
 		e.post(func(now time.Time) {
 			w.Calling = false
+			err = answeredBy(w, report, err)
 			if err != nil {
 				e.workerFailed(w, err, now)
 				return
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -96,6 +96,7 @@
 		report, err := e.workers.Report(e.ctx, address)
 		e.post(func(now time.Time) {
 			w.Calling = false
+			err = answeredBy(w, report, err)
 			if err != nil {
 				e.workerFailed(w, err, now)
 				return
@@ -115,6 +116,7 @@
 		report, err := e.workers.Fence(e.ctx, address, token)
 		e.post(func(now time.Time) {
 			w.Adopting = false
+			err = answeredBy(w, report, err)
 			if err != nil {
 				e.workerFailed(w, err, now)
 				return
@@ -129,6 +131,18 @@
 	}()
 }
 
+// reasonOtherWorker: another VM answers at the address of a worker, which is then gone.
+const reasonOtherWorker = verdict.Reason("other_worker_answers")
+
+// answeredBy turns the report of another VM into a failure. A new VM may have the address of one that is
+// gone; what it says is nothing about the old one, and it must not be commanded under its name.
+func answeredBy(w *worker.Worker, report platform.Report, err error) error {
+	if err != nil || report.Worker == "" || report.Worker == w.ID {
+		return err
+	}
+	return verdict.New(verdict.MayHaveRun, reasonOtherWorker, nil)
+}
+
 func (e *engine) workerFailed(w *worker.Worker, err error, now time.Time) {
 	w.CallAfter = now.Add(workerRetryDelay)
 	e.metrics.countWorkerFailure(verdict.ReasonOf(err))
@@ -168,6 +182,7 @@
 		report, err := e.workers.Renew(e.ctx, address, req)
 		e.post(func(now time.Time) {
 			w.Calling = false
+			err = answeredBy(w, report, err)
 			if err != nil {
 				e.workerFailed(w, err, now)
 				return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -129,6 +129,8 @@
 
 // Report is what a worker says about itself.
 type Report struct {
+	// Worker is the ID of the VM that answers, or empty where the platform does not tell it.
+	Worker   string
 	Capacity units.Resources
 	Runs     []Run
 	// Token is the highest fencing token that the worker has seen.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -344,7 +344,7 @@
 // report returns the state of all runs. The caller holds the lock.
 func (w *Worker) report() platform.Report {
 	seen := time.Now().Add(-w.options.ReportLag)
-	report := platform.Report{Capacity: w.options.Capacity, Token: w.token}
+	report := platform.Report{Worker: w.options.ID, Capacity: w.options.Capacity, Token: w.token}
 	for _, r := range w.runs {
 		r.Progress = max(r.base, r.progress(seen))
 		r.Usage = units.Resources{}
