Join the four calls to workers that return a report

Cause: adopting, renewing, probing and learning the capacity each carried the same frame around their call. Change: one function makes the call, checks who answered and counts failures. Conclusion: a check on reports has one place.

--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -192,23 +192,13 @@
 // probeAbsent asks an absent worker for its report, which renews nothing.
 func (e *engine) probeAbsent(w *worker.Worker) {
 	w.Calling = true
-	token, address := w.Token, w.Address
-	sent := time.Now()
-	go func() {
-		report, err := e.workers.Report(e.ctx, address)
-		e.post(func(now time.Time) {
-			w.Calling = false
-			err = answeredBy(w, report, err)
-			if err != nil {
-				e.workerFailed(w, err, now)
-				return
-			}
-			w.AbsentSince = time.Time{}
-			if w.Token == token {
-				e.takeReport(w, report, sent, false)
-			}
-		})
-	}()
+	token, sent := w.Token, time.Now()
+	e.callWorker(w, e.workers.Report, func() { w.Calling = false }, func(report platform.Report, _ time.Time) {
+		w.AbsentSince = time.Time{}
+		if w.Token == token {
+			e.takeReport(w, report, sent, false)
+		}
+	})
 }
 
 // updateDirectory rebuilds the endpoints from the list and from what own workers report.
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -84,51 +84,54 @@
 	e.workerRow.SetEligible(w, usable && state != quarantine.Quarantined)
 }
 
-// learnCapacity asks a worker of another owner for its capacity, once. It reports whether a call was made.
-func (e *engine) learnCapacity(w *worker.Worker, now time.Time) bool {
-	known := !w.Capacity.IsZero() || w.Address == "" || !w.AbsentSince.IsZero()
-	if known || w.Calling || now.Before(w.CallAfter) {
-		return false
-	}
-	w.Calling = true
+// reportCall is a call to the worker at an address that returns its report.
+type reportCall func(ctx context.Context, address string) (platform.Report, error)
+
+// callWorker makes a call to a worker that returns its report. Afterwards, in the engine's goroutine, done is called
+// in any case and take when the worker itself has answered.
+func (e *engine) callWorker(w *worker.Worker, call reportCall, done func(), take func(platform.Report, time.Time)) {
 	address := w.Address
 	go func() {
-		report, err := e.workers.Report(e.ctx, address)
+		report, err := call(e.ctx, address)
 		e.post(func(now time.Time) {
-			w.Calling = false
-			err = answeredBy(w, report, err)
-			if err != nil {
+			done()
+			if err := answeredBy(w, report, err); err != nil {
 				e.workerFailed(w, err, now)
 				return
 			}
-			if w.Capacity.IsZero() {
-				e.workerRow.SetCapacity(w, report.Capacity)
-			}
+			take(report, now)
 		})
 	}()
+}
+
+// learnCapacity asks a worker of another owner for its capacity, once. It reports whether a call was made.
+func (e *engine) learnCapacity(w *worker.Worker, now time.Time) bool {
+	known := !w.Capacity.IsZero() || w.Address == "" || !w.AbsentSince.IsZero()
+	if known || w.Calling || now.Before(w.CallAfter) {
+		return false
+	}
+	w.Calling = true
+	e.callWorker(w, e.workers.Report, func() { w.Calling = false }, func(report platform.Report, _ time.Time) {
+		if w.Capacity.IsZero() {
+			e.workerRow.SetCapacity(w, report.Capacity)
+		}
+	})
 	return true
 }
 
 func (e *engine) adopt(w *worker.Worker, token platform.Offset) {
-	address := w.Address
-	go func() {
-		sent := time.Now()
-		report, err := e.workers.Fence(e.ctx, address, token)
-		e.post(func(now time.Time) {
-			w.Adopting = false
-			err = answeredBy(w, report, err)
-			if err != nil {
-				e.workerFailed(w, err, now)
-				return
-			}
-			if current, held := e.owner.Holds(w.Shard, now); !held || current != token {
-				return
-			}
-			w.Token = token
-			e.dropLateStarts(w, token)
-			e.takeReport(w, report, sent, true)
-		})
-	}()
+	sent := time.Now()
+	fence := func(ctx context.Context, address string) (platform.Report, error) {
+		return e.workers.Fence(ctx, address, token)
+	}
+	e.callWorker(w, fence, func() { w.Adopting = false }, func(report platform.Report, now time.Time) {
+		if current, held := e.owner.Holds(w.Shard, now); !held || current != token {
+			return
+		}
+		w.Token = token
+		e.dropLateStarts(w, token)
+		e.takeReport(w, report, sent, true)
+	})
 }
 
 // reasonOtherWorker: another VM answers at the address of a worker, which is then gone.
@@ -177,21 +180,14 @@
 			req.Runs = append(req.Runs, id)
 		}
 	}
-	address := w.Address
-	go func() {
-		report, err := e.workers.Renew(e.ctx, address, req)
-		e.post(func(now time.Time) {
-			w.Calling = false
-			err = answeredBy(w, report, err)
-			if err != nil {
-				e.workerFailed(w, err, now)
-				return
-			}
-			if w.Token == req.Token {
-				e.takeReport(w, report, sent, false)
-			}
-		})
-	}()
+	renew := func(ctx context.Context, address string) (platform.Report, error) {
+		return e.workers.Renew(ctx, address, req)
+	}
+	e.callWorker(w, renew, func() { w.Calling = false }, func(report platform.Report, _ time.Time) {
+		if w.Token == req.Token {
+			e.takeReport(w, report, sent, false)
+		}
+	})
 }
 
 // forgetRun lets a worker drop a final run from its report. The runs of one tick go in one call.
