--- /dev/null
+++ b/internal/cell/cell.go
@@ -0,0 +1,335 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/quarantine"
+	"cactuswall.example/cactuswall/internal/queue"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// Settings are the bounds that a cell keeps.
+type Settings struct {
+	MaxHold    time.Duration // longest lease that workers grant
+	Stop       time.Duration // longest time that a stop takes
+	KeepStatus time.Duration // how long ended jobs are kept
+	FarFactor  float64
+	Harm       time.Duration
+}
+
+// Cell is the state of one cell while this process owns it. It is used by one goroutine at a time.
+//
+// Times are durations on a clock that counts suspension; wall times are Unix milliseconds.
+type Cell struct {
+	settings Settings
+	token    int64
+	log      *zap.Logger
+	counts   *Counts
+	config   *queue.Config
+	jobs     map[jobs.ID]*job
+	// early holds cancellations of jobs that are not known yet.
+	early   map[jobs.ID]bool
+	workers map[string]*worker
+	// reborn are former lives, kept until their runs are cleared.
+	health *quarantine.Table
+	// claimed is when the process claimed the cell, forgotten when leases of a former owner have lapsed everywhere.
+	forgotten time.Duration
+	// waiting is set when a task may be waiting for room.
+	waiting bool
+	retry   time.Duration
+	// dirtyGroups and dirtyJobs must be written.
+	dirtyGroups []*group
+	dirtyJobs   []*job
+	deletions   []string
+	starts      []*run
+	open        []*group // groups with tasks that are not done, of live jobs
+	scheduled   []*job   // live jobs with occurrences that are not open yet
+	now         time.Duration
+	wall        time.Time
+}
+
+// New returns the cell of a new owner with a token. forgotten is when all leases of former owners have lapsed.
+func New(s Settings, token int64, forgotten time.Duration, log *zap.Logger, counts *Counts) *Cell {
+	return &Cell{
+		settings: s, token: token, forgotten: forgotten, log: log, counts: counts,
+		jobs: make(map[jobs.ID]*job), early: make(map[jobs.ID]bool), workers: make(map[string]*worker),
+		health: quarantine.NewTable(),
+	}
+}
+
+// At sets the time for the calls that follow.
+func (c *Cell) At(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
+
+// SetConfig puts a configuration in force.
+func (c *Cell) SetConfig(config *queue.Config) {
+	c.config = config
+	c.waiting = true
+}
+
+// AddJob takes in an accepted job. The first one of an ID wins; later copies change nothing.
+func (c *Cell) AddJob(id jobs.ID, record jobrecord.Job) {
+	if _, known := c.jobs[id]; known {
+		c.counts.DuplicateJobs.Inc()
+		return
+	}
+	j := &job{
+		id: id, record: record, groups: make(map[jobs.GroupID]*group),
+		chain: chains(&record.Spec), arrived: c.now,
+	}
+	c.jobs[id] = j
+	if c.early[id] {
+		delete(c.early, id)
+		j.cancelled = true
+	}
+	c.openOccurrences(j)
+	if record.Spec.Times > 0 {
+		c.scheduled = append(c.scheduled, j)
+	}
+	c.log.Info("job taken in", zap.String("job", string(id)), zap.String("queue", record.Queue),
+		zap.Int("steps", len(record.Spec.Steps)), zap.Int64("received_ms", record.ReceivedMS), zap.Int("occurrences", record.Spec.Times))
+}
+
+// chains returns the estimated time of the longest chain from each step on.
+func chains(s *jobs.Spec) []time.Duration {
+	chain := make([]time.Duration, len(s.Steps))
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		chain[i] += s.Steps[i].Estimate
+		for _, earlier := range s.Steps[i].After {
+			chain[earlier] = max(chain[earlier], chain[i])
+		}
+	}
+	return chain
+}
+
+// openOccurrences makes the groups of the occurrences that are due.
+func (c *Cell) openOccurrences(j *job) {
+	for j.opened < j.record.Spec.Occurrences() {
+		due := j.record.Spec.Due(j.opened)
+		if !due.IsZero() && c.wall.Before(due) {
+			return
+		}
+		for step := range j.record.Spec.Steps {
+			c.group(j, jobs.GroupID{Job: j.id, Occurrence: j.opened, Step: step})
+		}
+		occurrence := j.opened
+		j.opened++
+		c.markReady(j, occurrence)
+	}
+}
+
+// group returns a group of a job and makes it if need be.
+func (c *Cell) group(j *job, id jobs.GroupID) *group {
+	if g := j.groups[id]; g != nil {
+		return g
+	}
+	step := &j.record.Spec.Steps[id.Step]
+	g := &group{id: id, job: j, step: step, left: step.Count, tasks: make([]*task, step.Count), nextRun: 1}
+	for i := range g.tasks {
+		g.tasks[i] = &task{id: id.Task(i), group: g}
+	}
+	j.groups[id] = g
+	c.open = append(c.open, g)
+	return g
+}
+
+// markReady finds the groups of an occurrence whose earlier steps are all done.
+func (c *Cell) markReady(j *job, occurrence int) {
+	for step := range j.record.Spec.Steps {
+		g := j.groups[jobs.GroupID{Job: j.id, Occurrence: occurrence, Step: step}]
+		if g == nil || g.ready || !c.earlierDone(g) {
+			continue
+		}
+		g.ready, g.readyAt = true, c.now
+		for _, t := range g.tasks {
+			t.waiting = c.now
+		}
+		c.waiting = true
+	}
+}
+
+func (c *Cell) earlierDone(g *group) bool {
+	for _, earlier := range g.step.After {
+		e := g.job.groups[jobs.GroupID{Job: g.id.Job, Occurrence: g.id.Occurrence, Step: earlier}]
+		if e == nil || e.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel takes in a stored cancellation.
+func (c *Cell) Cancel(id jobs.ID) {
+	j := c.jobs[id]
+	if j == nil {
+		c.early[id] = true
+		return
+	}
+	if j.cancelled || j.ended {
+		return
+	}
+	j.cancelled = true
+	c.log.Info("job cancelled", zap.String("job", string(id)))
+	c.endJob(j, jobs.Cancelled)
+	c.stopAll(j, stopCancelled)
+}
+
+// endJob ends a job; callers see the end once it is stored.
+func (c *Cell) endJob(j *job, state jobs.State) {
+	if j.ended {
+		return
+	}
+	j.ended, j.outcome, j.endedAtMS = true, state, c.wall.UnixMilli()
+	c.touchJob(j)
+	c.log.Info("job ended", zap.String("job", string(j.id)), zap.Stringer("state", state),
+		zap.Duration("after", c.now-j.arrived))
+}
+
+func (c *Cell) stopAll(j *job, why stopReason) {
+	for _, g := range j.groups {
+		for _, t := range g.tasks {
+			for _, r := range t.runs {
+				c.stopRun(r, why)
+			}
+		}
+	}
+}
+
+// stopRun marks a run to be stopped. A run whose start was not handed out yet is dropped at once.
+func (c *Cell) stopRun(r *run, why stopReason) {
+	if r.stop {
+		return
+	}
+	r.stop, r.why = true, why
+	if r.state == runPlaced {
+		c.dropRun(r)
+	}
+}
+
+// dropRun forgets a run that certainly does not run and never will.
+func (c *Cell) dropRun(r *run) {
+	t := r.task
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	if r.worker != nil {
+		key := workercall.Run{Task: t.id, Number: r.number}
+		if r.worker.runs[key] == r {
+			delete(r.worker.runs, key)
+			r.worker.used = r.worker.used.Minus(t.group.step.Room())
+		}
+	}
+	if !t.done && len(t.runs) == 0 {
+		t.waiting = c.now
+	}
+	c.waiting = true
+	c.touch(t.group)
+}
+
+func (c *Cell) touch(g *group) {
+	if !g.dirty {
+		g.dirty = true
+		c.dirtyGroups = append(c.dirtyGroups, g)
+	}
+}
+
+func (c *Cell) touchJob(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		c.dirtyJobs = append(c.dirtyJobs, j)
+	}
+}
+
+// Tick does what falls due by time alone.
+func (c *Cell) Tick() {
+	c.openDue()
+	c.expireWorkers()
+	c.forgetJobs()
+	if c.retry != 0 && c.now >= c.retry {
+		c.retry, c.waiting = 0, true
+	}
+}
+
+func (c *Cell) openDue() {
+	kept := c.scheduled[:0]
+	for _, j := range c.scheduled {
+		if !j.live() {
+			continue
+		}
+		c.openOccurrences(j)
+		if j.opened < j.record.Spec.Occurrences() {
+			kept = append(kept, j)
+		}
+	}
+	c.scheduled = kept
+}
+
+// forgetJobs drops ended jobs whose state need not be told any more.
+func (c *Cell) forgetJobs() {
+	for id, j := range c.jobs {
+		if !j.ended || !j.visible || c.wall.UnixMilli()-j.endedAtMS < c.settings.KeepStatus.Milliseconds() || j.running() {
+			continue
+		}
+		c.deletions = append(c.deletions, jobrecord.JobKey(id), jobrecord.OutcomeKey(id), jobrecord.CancelKey(id))
+		for group := range j.groups {
+			c.deletions = append(c.deletions, jobrecord.GroupKey(group))
+		}
+		delete(c.jobs, id)
+	}
+}
+
+// running tells whether a run of the job may still be on a worker.
+func (j *job) running() bool {
+	for _, g := range j.groups {
+		for _, t := range g.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Status returns the state of a job as far as it is stored; known is false for a job that was never taken in.
+func (c *Cell) Status(id jobs.ID) (state jobs.State, known bool) {
+	j := c.jobs[id]
+	switch {
+	case j == nil:
+		return jobs.Queued, false
+	case j.ended && j.visible:
+		return j.outcome, true
+	case j.cancelled:
+		return jobs.Cancelled, true
+	case j.started:
+		return jobs.Running, true
+	}
+	return jobs.Queued, true
+}
+
+// Pending returns for each queue the number of accepted jobs of which no task was started.
+func (c *Cell) Pending() map[string]int {
+	pending := make(map[string]int)
+	for _, j := range c.jobs {
+		if j.live() && !j.started {
+			pending[j.record.Queue]++
+		}
+	}
+	return pending
+}
+
+// sortedWorkers returns the workers in the order of their IDs.
+func (c *Cell) sortedWorkers() []*worker {
+	workers := make([]*worker, 0, len(c.workers))
+	for _, w := range c.workers {
+		workers = append(workers, w)
+	}
+	sort.Slice(workers, func(i, j int) bool { return workers[i].info.ID < workers[j].info.ID })
+	return workers
+}
--- /dev/null
+++ b/internal/cell/orders.go
@@ -0,0 +1,414 @@
+package cell
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+const (
+	// holdWait is how long a worker with work may wait for an end before it answers a hold. Its figures are as old
+	// as this at most, which leaves several readings within the time that a service may be over its target.
+	holdWait = 800 * time.Millisecond
+	// idleHoldPause is between two holds of a worker without work.
+	idleHoldPause = 2 * time.Second
+	// failedHoldPause is between two holds of a worker that does not answer.
+	failedHoldPause = 250 * time.Millisecond
+	// unsavedHoldPause is between two holds while ends that were taken in are not stored.
+	unsavedHoldPause = time.Second
+	// freshReport is how old the newest report may be for a lease to be extended or a task to be placed.
+	freshReport = 1800 * time.Millisecond
+	// repeatStop is between two stops of the same run.
+	repeatStop = 600 * time.Millisecond
+	// repeatStart is how long after an unanswered start the same start is sent again.
+	repeatStart = 150 * time.Millisecond
+	// maxStarts is how often the same start is sent before the run is stopped.
+	maxStarts = 3
+)
+
+// HoldOrder asks a worker for a report.
+type HoldOrder struct {
+	To   workercall.Target
+	Hold workercall.Hold
+	// Sent is when the order was given.
+	Sent time.Duration
+}
+
+// StartOrder starts a run. Run is to be handed back with the answer.
+type StartOrder struct {
+	To    workercall.Target
+	Start workercall.Start
+}
+
+// StopOrder stops a run.
+type StopOrder struct {
+	To    workercall.Target
+	Run   workercall.Run
+	Token int64
+}
+
+// PaceOrder sets the share of its speed at which a run works, in percent.
+type PaceOrder struct {
+	To      workercall.Target
+	Run     workercall.Run
+	Percent int
+	Token   int64
+}
+
+// Orders may be sent at once: nothing has to be stored first.
+type Orders struct {
+	Holds  []HoldOrder
+	Starts []StartOrder
+	Stops  []StopOrder
+	Paces  []PaceOrder
+}
+
+// Round is what one plan decided. Its records are to be stored before its starts are sent.
+type Round struct {
+	Records []store.Record
+	runs    []*run
+	groups  []*group
+	jobs    []*job
+	// deletions are the keys among the records that are to be dropped.
+	deletions []string
+	ends      map[*worker]int64
+}
+
+// Empty tells whether the round has nothing to store and nothing to do after.
+func (r *Round) Empty() bool { return len(r.Records) == 0 && len(r.runs) == 0 && len(r.ends) == 0 }
+
+// Plan places waiting tasks and returns what has to be stored.
+func (c *Cell) Plan() *Round {
+	if c.waiting {
+		c.waiting = false
+		c.place()
+	}
+	round := &Round{runs: c.starts, ends: make(map[*worker]int64)}
+	c.starts = nil
+	for _, g := range c.dirtyGroups {
+		g.dirty = false
+		round.groups = append(round.groups, g)
+		round.add(c, jobrecord.GroupKey(g.id), recordOf(g))
+	}
+	for _, j := range c.dirtyJobs {
+		j.dirty = false
+		round.jobs = append(round.jobs, j)
+		round.add(c, jobrecord.OutcomeKey(j.id), &jobrecord.Outcome{State: j.outcome, AtMS: j.endedAtMS})
+	}
+	for _, key := range c.deletions {
+		round.Records = append(round.Records, store.Record{Key: key})
+	}
+	round.deletions = c.deletions
+	c.dirtyGroups, c.dirtyJobs, c.deletions = nil, nil, nil
+	for _, w := range c.workers {
+		if w.seen > w.stored {
+			round.ends[w] = w.seen
+		}
+	}
+	return round
+}
+
+func (r *Round) add(c *Cell, key string, record any) {
+	encoded, err := jobrecord.Encode(record)
+	if err != nil {
+		c.log.Error("record could not be encoded", zap.String("key", key), zap.Error(err))
+		return
+	}
+	r.Records = append(r.Records, store.Record{Key: key, Value: encoded})
+}
+
+// Stored takes in that a round's records are stored and returns its starts.
+func (c *Cell) Stored(round *Round) []StartOrder {
+	for w, seen := range round.ends {
+		w.stored = max(w.stored, min(seen, w.seen))
+		w.nextHold = min(w.nextHold, c.now)
+	}
+	for _, j := range round.jobs {
+		j.visible = true
+	}
+	var starts []StartOrder
+	for _, r := range round.runs {
+		if r.state != runPlaced || r.stop || r.worker.runs[workercall.Run{Task: r.task.id, Number: r.number}] != r {
+			continue
+		}
+		starts = append(starts, c.startOrder(r))
+	}
+	return starts
+}
+
+// Return takes a round back that was certainly not stored. Its starts and records go into the next one.
+func (c *Cell) Return(round *Round) {
+	for _, r := range round.runs {
+		if r.state == runPlaced && !r.stop {
+			c.starts = append(c.starts, r)
+		}
+		c.touch(r.task.group)
+	}
+	for _, g := range round.groups {
+		c.touch(g)
+	}
+	for _, j := range round.jobs {
+		c.touchJob(j)
+	}
+	c.deletions = append(c.deletions, round.deletions...)
+}
+
+// Postpone takes back the starts of a round that is stored, because the claim does not permit them now.
+func (c *Cell) Postpone(round *Round) {
+	starts := round.runs
+	round.runs = nil
+	c.Stored(round)
+	for _, r := range starts {
+		if r.state == runPlaced && !r.stop {
+			c.starts = append(c.starts, r)
+			c.touch(r.task.group)
+		}
+	}
+}
+
+func (c *Cell) startOrder(r *run) StartOrder {
+	w, g := r.worker, r.task.group
+	r.state, r.since = runSent, c.now
+	r.attempts++
+	if !g.started {
+		g.started = true
+		c.counts.stepChanged(g, c.now)
+	}
+	if !g.job.started {
+		g.job.started = true
+		c.log.Info("job begun", zap.String("job", string(g.job.id)), zap.Duration("after", c.now-g.job.arrived))
+	}
+	c.log.Info("start", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
+		zap.Int64("token", c.token), zap.Int("attempt", r.attempts), zap.Duration("waited", c.now-r.task.waiting),
+		zap.Duration("worker_report_age", c.now-w.reported), zap.Bool("checkpoint", r.task.checkpoint != ""))
+	return StartOrder{To: w.target(), Start: workercall.Start{
+		Run:        workercall.Run{Task: r.task.id, Number: r.number},
+		Payload:    g.job.record.Spec.Payload,
+		Checkpoint: r.task.checkpoint,
+		Until:      c.extend(w),
+		Token:      c.token,
+	}}
+}
+
+// extend returns the end of a new lease on the worker's clock and notes that it was granted.
+func (c *Cell) extend(w *worker) time.Duration {
+	until := w.clockNow(c.now) + c.settings.MaxHold
+	w.granted = max(w.granted, until)
+	w.updateLapse()
+	return until
+}
+
+// Orders returns what may be sent at once. Without mayDecide it only renews leases.
+func (c *Cell) Orders(mayDecide bool) Orders {
+	var orders Orders
+	for _, w := range c.sortedWorkers() {
+		if w.info.Address == "" || w.dead && !w.listed {
+			continue
+		}
+		if !w.holding && c.now >= w.nextHold {
+			orders.Holds = append(orders.Holds, c.holdOrder(w))
+		}
+		if mayDecide && w.fenced {
+			c.repairs(w, &orders)
+		}
+	}
+	return orders
+}
+
+func (c *Cell) holdOrder(w *worker) HoldOrder {
+	hold := workercall.Hold{Token: c.token, Acknowledged: w.stored}
+	w.holding = true
+	if w.fenced && w.hasTime && len(w.runs) > 0 && c.now-w.reported < freshReport {
+		hold.Until = c.extend(w)
+		if w.seen == w.stored {
+			hold.Wait = holdWait
+		}
+	}
+	return HoldOrder{To: w.target(), Hold: hold, Sent: c.now}
+}
+
+// holdPause is how long after a report the next hold is sent.
+func (c *Cell) holdPause(w *worker) time.Duration {
+	switch {
+	case w.seen > w.stored:
+		return unsavedHoldPause // sooner once the ends are stored
+	case len(w.runs) == 0:
+		return idleHoldPause
+	}
+	return 0
+}
+
+// repairs sends stops that are due, and starts that had no answer.
+func (c *Cell) repairs(w *worker, orders *Orders) {
+	for _, foreign := range w.foreign {
+		c.counts.stopped(string(stopUnknown))
+		orders.Stops = append(orders.Stops, StopOrder{To: w.target(), Run: foreign, Token: c.token})
+	}
+	w.foreign = nil
+	for _, r := range w.sortedRuns() {
+		switch {
+		case r.stop && !r.stopping && r.state != runPlaced && (r.stopSent == 0 || c.now-r.stopSent >= repeatStop):
+			orders.Stops = append(orders.Stops, c.stopOrder(r))
+		case !r.stop && r.state == runUncertain && !r.settled && w.failing == 0 && c.now-r.since >= repeatStart:
+			c.settle(r, orders)
+		}
+	}
+}
+
+func (c *Cell) stopOrder(r *run) StopOrder {
+	if r.stopSent == 0 {
+		c.counts.stopped(string(r.why))
+		c.log.Info("stop", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", r.worker.info.ID),
+			zap.String("reason", string(r.why)))
+	}
+	r.stopping, r.stopSent = true, c.now
+	return StopOrder{To: r.worker.target(), Run: workercall.Run{Task: r.task.id, Number: r.number}, Token: c.token}
+}
+
+// settle sends an unanswered start again, and stops the run after some tries.
+func (c *Cell) settle(r *run, orders *Orders) {
+	if r.attempts < maxStarts && r.task.group.job.live() && !r.task.done {
+		orders.Starts = append(orders.Starts, c.startOrder(r))
+		return
+	}
+	c.stopRun(r, stopUnknown)
+}
+
+// Started takes in the answer to a start.
+func (c *Cell) Started(order StartOrder, answer workercall.Answer, err error) (fenced bool) {
+	w := c.workers[order.To.ID]
+	if w == nil {
+		return false
+	}
+	r := w.runs[order.Start.Run]
+	if r == nil || r.state == runRunning {
+		return verdict.ReasonOf(err) == workercall.ReasonFenced && err != nil
+	}
+	if err == nil {
+		c.counts.Starting.Update((c.now - r.since).Seconds())
+		c.nowRunning(r)
+		w.nextHold = min(w.nextHold, c.now)
+		return false
+	}
+	reason := verdict.ReasonOf(err)
+	c.counts.refused(string(reason))
+	c.log.Info("start not taken", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
+		zap.String("reason", string(reason)), zap.Stringer("verdict", verdict.Of(err)), zap.Error(err))
+	switch reason {
+	case workercall.ReasonFenced:
+		return true
+	case workercall.ReasonOtherLife:
+		c.otherLife(w)
+	case workercall.ReasonOld:
+		r.state, r.since, r.settled = runUncertain, c.now, true
+		w.nextHold = min(w.nextHold, c.now)
+	default:
+		c.refused(r, reason, verdict.Of(err))
+	}
+	return false
+}
+
+// refused deals with a start that was not taken or had no answer.
+func (c *Cell) refused(r *run, reason verdict.Reason, v verdict.Verdict) {
+	w := r.worker
+	if v != verdict.NotRun {
+		r.doubt = true
+		r.state, r.since = runUncertain, c.now
+		w.nextHold = min(w.nextHold, c.now)
+		return
+	}
+	pause := refusedPause
+	if reason == workercall.ReasonUnhealthy || reason == workercall.ReasonUnreachable {
+		pause = unhealthyPause
+	}
+	w.refusing = c.now + pause
+	c.retryAt(w.refusing)
+	if r.doubt {
+		r.state, r.since = runUncertain, c.now
+		c.stopRun(r, stopUnknown)
+		return
+	}
+	c.dropRun(r)
+	c.breakGang(r.task.group, r.number)
+}
+
+// StopAnswered takes in the answer to a stop.
+func (c *Cell) StopAnswered(order StopOrder, err error) (fenced bool) {
+	w := c.workers[order.To.ID]
+	if w == nil {
+		return false
+	}
+	reason := verdict.ReasonOf(err)
+	if err != nil && reason == workercall.ReasonFenced {
+		return true
+	}
+	r := w.runs[order.Run]
+	if r != nil {
+		r.stopping = false
+	}
+	switch {
+	case err != nil && reason == workercall.ReasonOtherLife:
+		c.otherLife(w)
+	case err != nil:
+		c.log.Info("stop not taken", taskField(order.Run.Task), zap.Int("run", order.Run.Number),
+			zap.String("worker", w.info.ID), zap.String("reason", string(reason)))
+	case r != nil:
+		r.settled = true
+		if r.state != runRunning {
+			r.state, r.since = runUncertain, c.now
+		}
+		w.nextHold = min(w.nextHold, c.now)
+	}
+	return false
+}
+
+// PaceAnswered takes in the answer to an order to pace.
+func (c *Cell) PaceAnswered(order PaceOrder, err error) (fenced bool) {
+	if err == nil {
+		return false
+	}
+	reason := verdict.ReasonOf(err)
+	c.log.Info("pace not taken", taskField(order.Run.Task), zap.String("worker", order.To.ID), zap.String("reason", string(reason)))
+	if w := c.workers[order.To.ID]; w != nil {
+		if r := w.runs[order.Run]; r != nil {
+			r.pace = unknownPace
+		}
+	}
+	return reason == workercall.ReasonFenced
+}
+
+// unknownPace marks a run whose last order to pace had no answer.
+const unknownPace = -1
+
+// Next returns when something falls due without any news.
+func (c *Cell) Next() time.Duration {
+	next := c.now + idleHoldPause
+	for _, w := range c.workers {
+		if !w.holding {
+			next = min(next, w.nextHold)
+		}
+		if len(w.runs) > 0 {
+			next = min(next, max(w.lapsed, c.now+failedHoldPause))
+		}
+	}
+	if c.retry != 0 {
+		next = min(next, c.retry)
+	}
+	return next
+}
+
+func (c *Counts) stepChanged(g *group, now time.Duration) {
+	for _, earlier := range g.step.After {
+		before := g.job.groups[jobs.GroupID{Job: g.id.Job, Occurrence: g.id.Occurrence, Step: earlier}]
+		if before != nil && before.lastEnd > 0 {
+			c.StepChange.Update((now - before.lastEnd).Seconds())
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemoncmd/platform.go
@@ -0,0 +1,104 @@
+package daemoncmd
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap/zapcore"
+
+	"cactuswall.example/cactuswall/internal/cell"
+	"cactuswall.example/cactuswall/internal/cellnode"
+	"cactuswall.example/cactuswall/internal/exitcode"
+	"cactuswall.example/cactuswall/internal/logsink"
+	"cactuswall.example/cactuswall/platform"
+)
+
+const (
+	// memoryPercent is the share of the memory limit at which the garbage collector works harder.
+	memoryPercent = 40
+	// ranks is the number of turns in which nodes claim.
+	ranks = 8
+)
+
+func newPlatformCommand() *cobra.Command {
+	var level string
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a node on the users' platform until SIGTERM",
+		Long: "Run a node on the users' platform until SIGTERM. The path of the settings file is taken from the environment variable " +
+			platform.SettingsVariable + ".",
+		Args: exitcode.Arguments(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			parsed, err := zapcore.ParseLevel(level)
+			if err != nil {
+				return exitcode.Usage(err)
+			}
+			settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return runOnPlatform(c.Context(), settings, parsed)
+		},
+	}
+	command.Flags().StringVar(&level, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
+	return command
+}
+
+func runOnPlatform(ctx context.Context, s *platform.Settings, level zapcore.Level) error {
+	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) << 20 * memoryPercent / 100)
+	sink := logsink.New(os.Stdout)
+	sinkContext, endSink := context.WithCancel(context.WithoutCancel(ctx))
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		_ = sink.Run(sinkContext) // ends with the context
+	}()
+	defer func() {
+		endSink()
+		<-flushed
+	}()
+	node := cellnode.New(nodeSettings(s), cellnode.Platform{
+		Store:     platform.NewStore(s.Store.Address),
+		Workers:   platform.NewWorkers(),
+		Documents: platform.Documents(),
+		Wire:      platform.Wire(),
+	}, s.Node+"-"+uuid.NewString()[:8], sink.Logger(level))
+	return node.Run(ctx)
+}
+
+func nodeSettings(s *platform.Settings) cellnode.Settings {
+	return cellnode.Settings{
+		Node: s.Node, Rank: rankOf(s.Node),
+		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
+		PeerAddress:    net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
+		MetricsAddress: metricsAddress(s),
+		MaxRecordBytes: s.Store.RecordBytes, MaxCallBytes: s.Store.CallBytes,
+		Grace: s.Bounds.Grace, Heartbeat: s.Heartbeat,
+		Cell: cell.Settings{
+			MaxHold: s.Bounds.MaxHold, Stop: s.Bounds.Stop, KeepStatus: s.Bounds.KeepStatus + time.Minute,
+			FarFactor: s.Bounds.FarFactor, Harm: s.Bounds.Harm,
+		},
+	}
+}
+
+func metricsAddress(s *platform.Settings) string {
+	if s.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort))
+}
+
+// rankOf spreads nodes over the turns in which they claim.
+func rankOf(node string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(node)) // never fails
+	return int(h.Sum32() % ranks)
+}
--- a/internal/daemoncmd/root.go
+++ b/internal/daemoncmd/root.go
@@ -39,7 +39,7 @@
 		SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return exitcode.Usage(err) })
-	root.AddCommand(newRunCommand(), newCheckSettingsCommand(), newDevCommand(), newVersionCommand())
+	root.AddCommand(newRunCommand(), newPlatformCommand(), newCheckSettingsCommand(), newDevCommand(), newVersionCommand())
 	return root
 }
 
