--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -8,6 +8,7 @@
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/pressure"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/queue"
 	"cactuswall.example/cactuswall/internal/workercall"
@@ -35,8 +36,9 @@
 	// early holds cancellations of jobs that are not known yet.
 	early   map[jobs.ID]bool
 	workers map[string]*worker
-	// reborn are former lives, kept until their runs are cleared.
-	health *quarantine.Table
+	health  *quarantine.Table
+	// pressures is what is known of the disturbance of services.
+	pressures *pressure.Learner
 	// claimed is when the process claimed the cell, forgotten when leases of a former owner have lapsed everywhere.
 	forgotten time.Duration
 	// waiting is set when a task may be waiting for room.
@@ -58,7 +60,7 @@
 	return &Cell{
 		settings: s, token: token, forgotten: forgotten, log: log, counts: counts,
 		jobs: make(map[jobs.ID]*job), early: make(map[jobs.ID]bool), workers: make(map[string]*worker),
-		health: quarantine.NewTable(),
+		health: quarantine.NewTable(), pressures: pressure.NewLearner(),
 	}
 }
 
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -216,6 +216,10 @@
 		}
 		if mayDecide && w.fenced {
 			c.repairs(w, &orders)
+			if w.figures {
+				w.figures = false
+				c.paceWorker(w, &orders)
+			}
 		}
 	}
 	return orders
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -224,7 +224,7 @@
 		if g.step.MaxPerWorker > 0 && here[w]+pending[i] >= g.step.MaxPerWorker {
 			return false
 		}
-		return f.views[i].Rack != "" || !g.step.RackSensitive
+		return !g.step.Fills || c.mayFill(w, g.step)
 	})
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -47,11 +47,18 @@
 		c.waiting = true
 	}
 	first := !w.fenced
+	if first {
+		// Former owners may have extended the lease up to the moment at which the worker took the new token.
+		w.granted = max(w.granted, report.Clock+c.settings.MaxHold)
+	}
 	w.fenced, w.failing, w.reported, w.expired = true, 0, c.now, false
 	w.learnClock(report.Clock, c.now)
 	c.takeEnds(w, report)
 	c.compareRuns(w, report, sent, first)
-	c.scheduleHold(w, len(report.Ended) > 0)
+	c.learnServices(w)
+	w.figures = true
+	c.logFigures(w)
+	w.nextHold = c.now + c.holdPause(w)
 }
 
 func (w *worker) learnClock(clock, now time.Duration) {
@@ -65,11 +72,6 @@
 	w.lapsed = w.clockAt + left + left*slowClockPercent/100 + leaseSlack
 }
 
-func (c *Cell) scheduleHold(w *worker, ends bool) {
-	w.nextHold = c.now + c.holdPause(w)
-	_ = ends
-}
-
 func (c *Cell) takeEnds(w *worker, report workercall.Report) {
 	ends := report.Ended
 	sort.Slice(ends, func(i, j int) bool { return ends[i].Sequence < ends[j].Sequence })
@@ -252,3 +254,15 @@
 		}
 	}
 }
+
+// logFigures logs what the worker's tasks report of themselves, for the study of interference.
+func (c *Cell) logFigures(w *worker) {
+	if c.log.Core().Enabled(zap.DebugLevel) {
+		for _, r := range w.sortedRuns() {
+			c.log.Debug("figures", zap.String("worker", w.info.ID), taskField(r.task.id), zap.String("image", r.task.group.step.Image),
+				zap.Duration("target", r.task.group.step.TargetTail), zap.Duration("tail", r.tail), zap.Bool("fills", r.task.group.step.Fills),
+				zap.Int("milli_cpu", r.milliCPU), zap.Int("request", r.task.group.step.Request.MilliCPU), zap.Int("pace", r.pace),
+				zap.Int("size", w.info.Capacity.MilliCPU), zap.Int("percent", r.percent))
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/services.go
@@ -0,0 +1,146 @@
+package cell
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/pacing"
+	"cactuswall.example/cactuswall/internal/pressure"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+const (
+	// loadRise is the rise of a service's utilization for which placing leaves room: its load swings while a
+	// filling task of some seconds runs.
+	loadRise = 0.08
+	// settled is how long a run must have worked for its figure to show its processor time.
+	settledFigure = 700 * time.Millisecond
+	// leastPace is the pace at which a filling task must at least be able to run where it is placed.
+	leastPace = 0.5
+	// boldness is the part of a coefficient's deviation that placing adds to it.
+	boldness = 0.5
+)
+
+// learnServices takes in what a report says of services and of what fills beside them.
+func (c *Cell) learnServices(w *worker) {
+	shares := pressure.Shares{}
+	for _, r := range w.runs {
+		if r.task.group.step.Fills && r.state == runRunning {
+			shares[r.task.group.step.Image] += float64(r.milliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
+		}
+	}
+	for _, r := range w.runs {
+		step := r.task.group.step
+		if step.TargetTail == 0 || r.state != runRunning || r.percent < fullPace || r.tail <= 0 {
+			continue
+		}
+		reading := c.pressures.Read(step.Image, r.tail, shares, c.now)
+		if r.reading != nil {
+			if c.now-r.reading.At < sameFigure {
+				continue
+			}
+			c.pressures.Learn(step.Image, *r.reading, reading)
+		}
+		r.reading = &reading
+	}
+}
+
+// sameFigure is the time within which two reports show the same figures.
+const sameFigure = 350 * time.Millisecond
+
+// paceWorker decides the paces of what fills on a worker.
+func (c *Cell) paceWorker(w *worker, orders *Orders) {
+	services := c.services(w)
+	if len(services) == 0 {
+		return
+	}
+	var runs []*run
+	var fillers []pacing.Filler
+	for _, r := range w.sortedRuns() {
+		if r.task.group.step.Fills && r.state == runRunning && !r.stop {
+			runs = append(runs, r)
+			fillers = append(fillers, c.filler(w, r))
+		}
+	}
+	for i, pace := range pacing.Paces(services, fillers, c.pressures.Pressure) {
+		r := runs[i]
+		if pace == r.pace {
+			continue
+		}
+		c.log.Info("pace", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
+			zap.Int("percent", pace), zap.Int("before", r.pace), zap.Duration("report_age", c.now-w.reported))
+		r.pace = pace
+		orders.Paces = append(orders.Paces, PaceOrder{
+			To: w.target(), Run: workercall.Run{Task: r.task.id, Number: r.number}, Percent: pace, Token: c.token,
+		})
+	}
+}
+
+func (c *Cell) services(w *worker) []pacing.Service {
+	var services []pacing.Service
+	for _, r := range w.sortedRuns() {
+		step := r.task.group.step
+		if step.TargetTail > 0 && r.reading != nil && r.state == runRunning {
+			services = append(services, pacing.Service{
+				Image: step.Image, Utilization: r.reading.Utilization, Limit: c.pressures.Limit(step.Image, step.TargetTail),
+			})
+		}
+	}
+	return services
+}
+
+// filler describes a filling run. Until its figure shows its processor time, what it asked for counts.
+func (c *Cell) filler(w *worker, r *run) pacing.Filler {
+	size := float64(max(1, w.info.Capacity.MilliCPU))
+	full := float64(r.task.group.step.Request.MilliCPU) / size
+	pace := r.pace
+	if pace < 0 {
+		pace = fullPace
+	}
+	inUse := float64(r.milliCPU) / size
+	if c.now-r.began < settledFigure {
+		inUse = 0 // the services' figures do not show it either
+	}
+	return pacing.Filler{Image: r.task.group.step.Image, InUse: inUse, AtFull: full, Pace: r.pace}
+}
+
+// headroom is how much processor time, as a share of the worker's, a filling task of a step may use there before
+// a service comes near its limit.
+func (c *Cell) headroom(w *worker, step *jobs.Step) float64 {
+	headroom := 1.0
+	for _, r := range w.runs {
+		serving := r.task.group.step
+		if serving.TargetTail == 0 || r.reading == nil {
+			continue
+		}
+		mean, deviation := c.pressures.Pressure(serving.Image, step.Image)
+		p := mean + boldness*deviation
+		if p <= 0 {
+			continue
+		}
+		free := c.pressures.Limit(serving.Image, serving.TargetTail) - r.reading.Utilization - loadRise - c.coming(w, serving.Image)
+		headroom = min(headroom, free/p)
+	}
+	return headroom
+}
+
+// coming is the utilization that filling runs will press on a service which its newest figure does not show yet.
+func (c *Cell) coming(w *worker, service string) float64 {
+	coming := 0.0
+	size := float64(max(1, w.info.Capacity.MilliCPU))
+	for _, r := range w.runs {
+		if step := r.task.group.step; step.Fills && (r.state != runRunning || c.now-r.began < settledFigure) {
+			mean, _ := c.pressures.Pressure(service, step.Image)
+			coming += mean * float64(step.Request.MilliCPU) / size
+		}
+	}
+	return coming
+}
+
+// mayFill tells whether a filling task may be placed on a worker without harm to the services there.
+func (c *Cell) mayFill(w *worker, step *jobs.Step) bool {
+	use := float64(step.Request.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
+	return c.headroom(w, step) >= use*leastPace
+}
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -7,6 +7,7 @@
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/pressure"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -47,6 +48,8 @@
 	pace     int // ordered share of its speed, in percent
 	tail     time.Duration
 	milliCPU int
+	// reading is the newest reading of a serving run.
+	reading *pressure.Reading
 }
 
 type stopReason string
@@ -149,7 +152,8 @@
 	nextHold     time.Duration
 	// refusing delays new starts after a refusal.
 	refusing time.Duration
-	paced    time.Duration
+	// figures is set when a report brought new figures that pacing has not seen.
+	figures bool
 	// foreign are runs to stop that no table row stands for.
 	foreign []workercall.Run
 	// expired is set once the runs were given up because the lease has lapsed.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -80,7 +80,8 @@
 	size := float64(max(1, w.Size))
 	score := float64(w.Spare) / size
 	if n.Kind == Lasting {
-		score = float64(w.Free.MilliCPU)/size + 0.2*float64(w.Spare)/size
+		// Lasting tasks are packed, so that other workers stay free of services for what would disturb them.
+		score = -float64(w.Free.MilliCPU) / size
 	}
 	score -= failurePenalty * w.FailureRate
 	if n.Kind == Filling {
