Learn pressures by comparing the tasks of one service

Tasks of one service share its load, so their difference at one time tells pressure from load. Paces now also rise again on workers whose services have gone.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -187,6 +187,9 @@
 	}
 	j.ended, j.outcome, j.endedAtMS = true, state, c.wall.UnixMilli()
 	c.touchJob(j)
+	for id := range j.groups {
+		c.pressures.Forget(jobrecord.GroupKey(id))
+	}
 	c.log.Info("job ended", zap.String("job", string(j.id)), zap.Stringer("state", state),
 		zap.Duration("after", c.now-j.arrived))
 }
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/pacing"
 	"cactuswall.example/cactuswall/internal/pressure"
@@ -36,26 +37,16 @@
 		if step.TargetTail == 0 || r.state != runRunning || r.percent < fullPace || r.tail <= 0 {
 			continue
 		}
-		reading := c.pressures.Read(step.Image, r.tail, shares, c.now)
-		if r.reading != nil {
-			if c.now-r.reading.At < sameFigure {
-				continue
-			}
-			c.pressures.Learn(step.Image, *r.reading, reading)
-		}
+		reading := c.pressures.Observe(pressure.Source{
+			Image: step.Image, Group: jobrecord.GroupKey(r.task.group.id), Task: r.task.id.Key(),
+		}, r.tail, shares, c.now)
 		r.reading = &reading
 	}
 }
 
-// sameFigure is the time within which two reports show the same figures.
-const sameFigure = 350 * time.Millisecond
-
 // paceWorker decides the paces of what fills on a worker.
 func (c *Cell) paceWorker(w *worker, orders *Orders) {
 	services := c.services(w)
-	if len(services) == 0 {
-		return
-	}
 	var runs []*run
 	var fillers []pacing.Filler
 	for _, r := range w.sortedRuns() {
@@ -84,7 +75,7 @@
 		step := r.task.group.step
 		if step.TargetTail > 0 && r.reading != nil && r.state == runRunning {
 			services = append(services, pacing.Service{
-				Image: step.Image, Utilization: r.reading.Utilization, Limit: c.pressures.Limit(step.Image, step.TargetTail),
+				Image: step.Image, Utilization: r.reading.Utilization, Own: r.reading.Own, Limit: c.pressures.Limit(step.Image, step.TargetTail),
 			})
 		}
 	}
@@ -95,15 +86,7 @@
 func (c *Cell) filler(w *worker, r *run) pacing.Filler {
 	size := float64(max(1, w.info.Capacity.MilliCPU))
 	full := float64(r.task.group.step.Request.MilliCPU) / size
-	pace := r.pace
-	if pace < 0 {
-		pace = fullPace
-	}
-	inUse := float64(r.milliCPU) / size
-	if c.now-r.began < settledFigure {
-		inUse = 0 // the services' figures do not show it either
-	}
-	return pacing.Filler{Image: r.task.group.step.Image, InUse: inUse, AtFull: full, Pace: r.pace}
+	return pacing.Filler{Image: r.task.group.step.Image, AtFull: full, Pace: r.pace}
 }
 
 // headroom is how much processor time, as a share of the worker's, a filling task of a step may use there before
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -15,7 +15,7 @@
 	// doubt is the part of a coefficient's deviation that is added to it.
 	doubt = 0.5
 	// matters is the least utilization that a task must press on a service to be slowed down for it.
-	matters = 0.008
+	matters = 0.015
 	// unsure is the deviation from which on a coefficient is taken for unknown.
 	unsure = 0.2
 	// raise bounds the rise of a pace in one step, in percent points; a fall is not bounded.
@@ -30,14 +30,14 @@
 type Service struct {
 	Image       string
 	Utilization float64 // as measured
+	Own         float64 // the part of it that the service's own load causes
 	Limit       float64 // at which the target is reached
 }
 
 // Filler is a filling task as pacing sees it.
 type Filler struct {
 	Image string
-	// InUse is the share of the worker's processor time that the task uses; AtFull what it would use at full speed.
-	InUse  float64
+	// AtFull is the share of the worker's processor time that the task would use at full speed.
 	AtFull float64
 	// Pace is the pace in force, in percent.
 	Pace int
@@ -67,18 +67,16 @@
 
 // limit lowers the wanted paces until a service stays under its limit.
 func limit(s *Service, fillers []Filler, wanted []float64, pressure Pressure) {
-	pressing, expected := 0.0, 0.0
+	expected := 0.0
 	weights := make([]float64, len(fillers))
 	unknown := false
 	for i := range fillers {
 		mean, deviation := pressure(s.Image, fillers[i].Image)
 		weights[i] = (mean + doubt*deviation) * fillers[i].AtFull
-		pressing += mean * fillers[i].InUse
 		expected += weights[i] * wanted[i] / Full
 		unknown = unknown || deviation > unsure
 	}
-	own := math.Max(0, s.Utilization-pressing)
-	allowed := math.Max(0, s.Limit*safety-own)
+	allowed := math.Max(0, s.Limit*safety-s.Own)
 	if expected > allowed {
 		factor := allowed / expected
 		for i := range fillers {
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -3,34 +3,43 @@
 //
 // A serving task's tail behaves like that of a queue: with t0 the tail of an idle service, tail = t0 / (1 - u), where
 // the utilization u is that of its own load plus what filling tasks press on it. A filling task of image f that
-// uses a share x of the worker's processor time adds p(s,f) x to the utilization of a service of image s. The
-// coefficients p(s,f) are learnt by a Kalman filter from changes between two reports, in which the service's own
-// load, which changes slowly, cancels out.
+// uses a share x of the worker's processor time adds p(s,f) x to the utilization of a service of image s.
+//
+// The tasks of one service share its load, so what they say at the same time on different workers differs by what
+// presses on each. The coefficients p(s,f) are learnt by a Kalman filter from these differences; for a task without
+// siblings, from the change between two of its own readings.
 package pressure
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
 const (
 	// priorMean and priorDeviation describe a pair of which nothing is known. Measured pairs press either hardly
-	// at all or between 0.4 and 1.2.
-	priorMean      = 0.25
+	// at all or between 0.5 and 1.6.
+	priorMean      = 0.2
 	priorDeviation = 0.4
-	// noise is the deviation of a change of utilization between two reports that filling tasks do not cause.
-	noise = 0.09
+	// noise is the deviation of a reading from what load and pressure explain. It is twice the measured one,
+	// since readings that follow each other err alike.
+	noise = 0.08
 	// idleShare is the tail of an idle service as a share of the lowest tail that was seen: the lowest load of
 	// a service is about a quarter.
 	idleShare = 0.75
 	// saturated is the utilization from which on the tail does not tell the utilization any more.
 	saturated = 0.93
-	// saturatedNoise replaces noise when one of the two readings is saturated.
+	// saturatedNoise replaces noise for readings that are saturated.
 	saturatedNoise = 0.25
-	// Readings closer together than shortest overlap; those further apart than longest say more about the load.
+	// Readings of one task closer together than shortest overlap; those further apart than longest say more about
+	// the load.
 	shortest = 350 * time.Millisecond
 	longest  = 1700 * time.Millisecond
-	// leastChange is the least change of a share of processor time that is learnt from.
+	// siblingAge is how old a sibling's reading may be to be compared with.
+	siblingAge = 1100 * time.Millisecond
+	// forgetAge is when the reading of a task that says nothing more is dropped.
+	forgetAge = 10 * time.Second
+	// leastChange is the least difference of a share of processor time that is learnt from.
 	leastChange = 0.005
 )
 
@@ -40,6 +49,8 @@
 // Learner holds what is known of all pairs of images.
 type Learner struct {
 	services map[string]*service
+	// newest is the newest reading of each task, by service group.
+	newest map[string]map[string]Reading
 }
 
 type service struct {
@@ -49,15 +60,130 @@
 	cov    [][]float64
 }
 
-// Reading is what one service said at one time.
+// Reading is what one task said at one time.
 type Reading struct {
 	At          time.Duration
 	Utilization float64
 	Shares      Shares
+	// Own is the part of the utilization that the service's own load is expected to cause.
+	Own float64
+}
+
+// Source names the task that a reading is of: tasks of one group serve the same users.
+type Source struct {
+	Image string
+	Group string
+	Task  string
 }
 
 // NewLearner returns a learner that knows nothing.
-func NewLearner() *Learner { return &Learner{services: make(map[string]*service)} }
+func NewLearner() *Learner {
+	return &Learner{services: make(map[string]*service), newest: make(map[string]map[string]Reading)}
+}
+
+// Observe takes in a task's tail and learns from it. It returns the reading, or the former one when the two overlap.
+func (l *Learner) Observe(from Source, tail time.Duration, shares Shares, at time.Duration) Reading {
+	group := l.newest[from.Group]
+	if group == nil {
+		group = make(map[string]Reading)
+		l.newest[from.Group] = group
+	}
+	before, known := group[from.Task]
+	if known && at-before.At < shortest {
+		return before
+	}
+	reading := l.Read(from.Image, tail, shares, at)
+	siblings := recent(group, from.Task, at)
+	switch {
+	case len(siblings) > 0:
+		l.compare(from.Image, reading, siblings)
+	case known:
+		l.Learn(from.Image, before, reading)
+	}
+	reading.Own = l.own(from.Image, reading, siblings)
+	group[from.Task] = reading
+	return reading
+}
+
+// recent returns the siblings' readings that can be compared, and drops those that are long out of date.
+func recent(group map[string]Reading, task string, at time.Duration) []Reading {
+	var siblings []Reading
+	names := make([]string, 0, len(group))
+	for name := range group {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		age := at - group[name].At
+		switch {
+		case age > forgetAge:
+			delete(group, name)
+		case name != task && age <= siblingAge:
+			siblings = append(siblings, group[name])
+		}
+	}
+	return siblings
+}
+
+// weights says how much each sibling tells of the service's load: little when much presses on it.
+func (s *service) weights(siblings []Reading) []float64 {
+	weights, total := make([]float64, len(siblings)), 0.0
+	for i, sibling := range siblings {
+		variance := noise * noise
+		for image, x := range sibling.Shares {
+			k := s.dimension(image)
+			variance += x * x * (s.cov[k][k] + s.mean[k]*s.mean[k]/4)
+		}
+		if sibling.Utilization >= saturated {
+			variance += 1
+		}
+		weights[i] = 1 / variance
+		total += weights[i]
+	}
+	for i := range weights {
+		weights[i] /= total
+	}
+	return weights
+}
+
+// compare learns from the difference between a reading and its siblings.
+func (l *Learner) compare(image string, reading Reading, siblings []Reading) {
+	s := l.service(image)
+	weights := s.weights(siblings)
+	others, observed, spread := Shares{}, reading.Utilization, 1.0
+	for i, sibling := range siblings {
+		observed -= weights[i] * sibling.Utilization
+		spread += weights[i] * weights[i]
+		for filler, x := range sibling.Shares {
+			others[filler] += weights[i] * x
+		}
+	}
+	deviation := noise
+	if reading.Utilization >= saturated {
+		deviation = saturatedNoise
+	}
+	if change, any := s.change(others, reading.Shares); any {
+		s.update(change, observed, deviation*math.Sqrt(spread))
+	}
+}
+
+// own estimates the utilization by the service's own load, from the task and its siblings.
+func (l *Learner) own(image string, reading Reading, siblings []Reading) float64 {
+	s := l.service(image)
+	all := append([]Reading{reading}, siblings...)
+	own := 0.0
+	for i, weight := range s.weights(all) {
+		pressed := 0.0
+		for filler, x := range all[i].Shares {
+			pressed += s.mean[s.dimension(filler)] * x
+		}
+		own += weight * math.Max(0, all[i].Utilization-pressed)
+	}
+	return own
+}
+
+// Forget drops the readings of a group that has ended.
+func (l *Learner) Forget(group string) { delete(l.newest, group) }
 
 func (l *Learner) service(image string) *service {
 	s := l.services[image]
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -43,6 +43,30 @@
 			So(quiet, ShouldBeLessThan, 0.15)
 		})
 	})
+	Convey("Tasks of one service on workers of which two have loud neighbours", t, func() {
+		w := &world{random: rand.New(rand.NewPCG(3, 4)), truth: map[string]float64{"loud": 0.9, "quiet": 0}}
+		l := NewLearner()
+		beside := []Shares{{}, {"loud": 0.1}, {"quiet": 0.2}, {"loud": 0.15, "quiet": 0.1}, {}}
+		var last Reading
+		for i := range 6 {
+			w.load = 0.4 + 0.05*float64(i)
+			for k, shares := range beside {
+				at := time.Duration(i)*800*time.Millisecond + time.Duration(k)*50*time.Millisecond
+				last = l.Observe(Source{Image: "s", Group: "job", Task: string(rune('a' + k))}, w.tail(shares), shares, at)
+			}
+		}
+		loud, loudDeviation := l.Pressure("s", "loud")
+		quiet, quietDeviation := l.Pressure("s", "quiet")
+		Convey("tell the images apart within five seconds", func() {
+			So(loud, ShouldBeBetween, 0.6, 1.2)
+			So(quiet, ShouldBeLessThan, 0.12)
+			So(loudDeviation, ShouldBeLessThan, 0.25)
+			So(quietDeviation, ShouldBeLessThan, 0.2)
+		})
+		Convey("and the load that they share is known", func() {
+			So(last.Own, ShouldBeBetween, w.load-0.08, w.load+0.08)
+		})
+	})
 	Convey("A pair that was never seen is taken for one that may press", t, func() {
 		mean, deviation := NewLearner().Pressure("s", "f")
 		So(mean, ShouldBeGreaterThan, 0)
