Pace by how long a service has been over its target

The longer a service is over its target, the less the model counts: press nothing, then fill nothing, within half of the allowed time.

--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -41,9 +41,26 @@
 			Image: step.Image, Group: jobrecord.GroupKey(r.task.group.id), Task: r.task.id.Key(),
 		}, r.tail, shares, c.now)
 		r.reading = &reading
+		switch {
+		case r.tail < step.TargetTail:
+			r.over = 0
+		case r.over == 0:
+			r.over = c.now
+		}
 	}
 }
 
+// overFor is how long a service has been over its target, as a share of the time for which it may be.
+func (c *Cell) overFor(r *run) float64 {
+	if r.over == 0 || c.settings.Harm == 0 {
+		return 0
+	}
+	return float64(c.now-r.over+figureAge) / float64(c.settings.Harm)
+}
+
+// figureAge is how much earlier than its report a figure may have passed its target.
+const figureAge = 400 * time.Millisecond
+
 // paceWorker decides the paces of what fills on a worker.
 func (c *Cell) paceWorker(w *worker, orders *Orders) {
 	services := c.services(w)
@@ -75,7 +92,7 @@
 		step := r.task.group.step
 		if step.TargetTail > 0 && r.reading != nil && r.state == runRunning {
 			services = append(services, pacing.Service{
-				Image: step.Image, Utilization: r.reading.Utilization, Own: r.reading.Own, Limit: c.pressures.Limit(step.Image, step.TargetTail),
+				Image: step.Image, Utilization: r.reading.Utilization, Own: r.reading.Own, OverFor: c.overFor(r), Limit: c.pressures.Limit(step.Image, step.TargetTail),
 			})
 		}
 	}
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -50,6 +50,8 @@
 	milliCPU int
 	// reading is the newest reading of a serving run.
 	reading *pressure.Reading
+	// over is since when a serving run is over its target; 0 while it is not.
+	over time.Duration
 }
 
 type stopReason string
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -24,6 +24,12 @@
 	least = 12
 	// lowest is the pace below which a task does not fall while all services are under their limits.
 	lowest = 10
+	// While a service stays over its target the model is wrong, and time decides: from these shares of the time
+	// for which it may be over on, what is expected to press works at half, then not at all, then nothing fills.
+	// Figures are up to a second old and an order takes a tenth, so the last share leaves half of the time.
+	overHalf    = 0.12
+	overPress   = 0.3
+	overAnybody = 0.45
 )
 
 // Service is a serving task as pacing sees it.
@@ -32,6 +38,8 @@
 	Utilization float64 // as measured
 	Own         float64 // the part of it that the service's own load causes
 	Limit       float64 // at which the target is reached
+	// OverFor is how long the service has been over its target, as a share of the time for which it may be.
+	OverFor float64
 }
 
 // Filler is a filling task as pacing sees it.
@@ -77,6 +85,17 @@
 		unknown = unknown || deviation > unsure
 	}
 	allowed := math.Max(0, s.Limit*safety-s.Own)
+	switch {
+	case s.OverFor >= overAnybody:
+		for i := range wanted {
+			wanted[i] = 0
+		}
+		return
+	case s.OverFor >= overPress:
+		allowed = 0
+	case s.OverFor >= overHalf:
+		allowed /= 2
+	}
 	if expected > allowed {
 		factor := allowed / expected
 		for i := range fillers {
--- a/internal/pacing/pacing_test.go
+++ b/internal/pacing/pacing_test.go
@@ -32,6 +32,18 @@
 		s := []Service{{Image: "s", Utilization: 0.99, Own: 0.98, Limit: 0.83}}
 		So(Paces(s, []Filler{{Image: "loud", AtFull: 0.2, Pace: 5}}, known), ShouldResemble, []int{0})
 	})
+	Convey("A service that stays over its target against the model", t, func() {
+		s := []Service{{Image: "s", Utilization: 0.9, Own: 0.3, Limit: 0.83}}
+		expect := func(share float64, paces ...int) {
+			s[0].OverFor = share
+			So(Paces(s, []Filler{loud, quiet}, known), ShouldResemble, paces)
+		}
+		Convey("first stops what presses on it and then all that fills", func() {
+			expect(0.05, Full, Full)
+			expect(0.35, 0, Full)
+			expect(0.5, 0, 0)
+		})
+	})
 	Convey("A pace rises in steps", t, func() {
 		s := []Service{{Image: "s", Utilization: 0.3, Own: 0.3, Limit: 0.83}}
 		So(Paces(s, []Filler{{Image: "quiet", AtFull: 0.2, Pace: 10}}, known), ShouldResemble, []int{10 + raise})
