--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -5,6 +5,7 @@
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/pressure"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
@@ -75,6 +76,13 @@
 			return
 		}
 		c.loadGroup(j, id, record, r)
+	case r.Key == jobrecord.PressuresKey:
+		var snapshot pressure.Snapshot
+		if err := jobrecord.Decode(r.Value, &snapshot); err != nil {
+			c.unreadable(r, err)
+			return
+		}
+		c.pressures.Restore(snapshot)
 	default:
 		c.unreadable(r, nil)
 	}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -30,6 +30,8 @@
 	repeatStart = 150 * time.Millisecond
 	// maxStarts is how often the same start is sent before the run is stopped.
 	maxStarts = 3
+	// keepEvery is between two records of what was learnt: a new owner has lost that much at most.
+	keepEvery = 3 * time.Second
 )
 
 // HoldOrder asks a worker for a report.
@@ -101,6 +103,7 @@
 		round.jobs = append(round.jobs, j)
 		round.add(c, jobrecord.OutcomeKey(j.id), &jobrecord.Outcome{State: j.outcome, AtMS: j.endedAtMS})
 	}
+	c.keepPressures(round)
 	for _, key := range c.deletions {
 		round.Records = append(round.Records, store.Record{Key: key})
 	}
@@ -123,6 +126,16 @@
 	r.Records = append(r.Records, store.Record{Key: key, Value: encoded})
 }
 
+// keepPressures adds what was learnt to a round that stores something anyway, at times.
+func (c *Cell) keepPressures(round *Round) {
+	if len(round.Records) == 0 || c.now-c.kept < keepEvery {
+		return
+	}
+	c.kept = c.now
+	snapshot := c.pressures.Snapshot()
+	round.add(c, jobrecord.PressuresKey, &snapshot)
+}
+
 // Stored takes in that a round's records are stored and returns its starts.
 func (c *Cell) Stored(round *Round) []StartOrder {
 	for w, seen := range round.ends {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -9,6 +9,7 @@
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/placement"
 	"cactuswall.example/cactuswall/internal/quarantine"
+	"cactuswall.example/cactuswall/internal/urgency"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -59,7 +60,11 @@
 			groups = append(groups, g)
 		}
 	}
-	sort.SliceStable(groups, func(i, j int) bool { return c.moreUrgent(groups[i], groups[j]) })
+	items := make(map[*group]*urgency.Item, len(groups))
+	for _, g := range groups {
+		items[g] = c.urgency(g)
+	}
+	sort.SliceStable(groups, func(i, j int) bool { return urgency.Before(items[groups[i]], items[groups[j]]) })
 	return groups
 }
 
@@ -72,27 +77,29 @@
 	return false
 }
 
-// moreUrgent orders by priority, lasting tasks first, then by the slack to the job's objective.
-func (c *Cell) moreUrgent(a, b *group) bool {
-	pa, pb := a.job.record.Priority, b.job.record.Priority
-	if pa != pb {
-		return pa < pb
+// urgency describes a waiting group for the order of waiting.
+func (c *Cell) urgency(g *group) *urgency.Item {
+	j := g.job
+	whole, work := time.Duration(0), 0.0
+	for step, chain := range j.chain {
+		whole = max(whole, chain)
+		work += float64(j.record.Spec.Steps[step].Count) * float64(j.record.Spec.Steps[step].Request.MilliCPU) *
+			j.record.Spec.Steps[step].Estimate.Seconds()
 	}
-	if a.step.Lasting != b.step.Lasting {
-		return a.step.Lasting
+	return &urgency.Item{
+		Priority: j.record.Priority, Lasting: g.step.Lasting, Age: c.age(g), Remaining: j.chain[g.id.Step],
+		Objective: time.Duration(float64(whole)*j.record.Stretch) + time.Duration(j.record.LatencyMS)*time.Millisecond,
+		Work:      work,
 	}
-	return c.slack(a) < c.slack(b)
 }
 
-// slack is the time that a group may still wait within its job's objective.
-func (c *Cell) slack(g *group) time.Duration {
-	j := g.job
-	whole := time.Duration(0)
-	for _, chain := range j.chain {
-		whole = max(whole, chain)
+// age is the time since a job arrived, or since an occurrence was due. It counts what passed under former owners.
+func (c *Cell) age(g *group) time.Duration {
+	began := time.UnixMilli(g.job.record.ReceivedMS)
+	if due := g.job.record.Spec.Due(g.id.Occurrence); due.After(began) {
+		began = due
 	}
-	objective := time.Duration(float64(whole)*j.record.Stretch) + time.Duration(j.record.LatencyMS)*time.Millisecond
-	return j.arrived + objective - c.now - j.chain[g.id.Step]
+	return max(0, c.wall.Sub(began))
 }
 
 // floor makes the view of the workers that may be given work.
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -81,8 +81,12 @@
 	cancelPrefix  = "c/"
 	outcomePrefix = "j/"
 	groupPrefix   = "g/"
+	learntPrefix  = "l/"
 )
 
+// PressuresKey is the key of what owners have learnt of pairs of images.
+const PressuresKey = learntPrefix + "pressures"
+
 // JobKey is the key of an accepted job.
 func JobKey(id jobs.ID) string { return jobPrefix + string(id) }
 
@@ -107,6 +111,8 @@
 	KindCancel
 	KindOutcome
 	KindGroup
+	// KindLearnt is no job's: what owners have learnt.
+	KindLearnt
 )
 
 // ParseKey tells what is stored under a key and of which job. For progress the group is whole; for all other kinds
@@ -125,6 +131,8 @@
 		return KindOutcome, jobs.GroupID{Job: jobs.ID(rest)}
 	case groupPrefix:
 		return parseGroup(rest)
+	case learntPrefix:
+		return KindLearnt, jobs.GroupID{}
 	}
 	return KindUnknown, jobs.GroupID{}
 }
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -108,12 +108,7 @@
 // recent returns the siblings' readings that can be compared, and drops those that are long out of date.
 func recent(group map[string]Reading, task string, at time.Duration) []Reading {
 	var siblings []Reading
-	names := make([]string, 0, len(group))
-	for name := range group {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range sortedKeys(group) {
 		age := at - group[name].At
 		switch {
 		case age > forgetAge:
@@ -302,3 +297,63 @@
 	}
 	return s.mean[i], math.Sqrt(math.Max(0, s.cov[i][i]))
 }
+
+// Pair is what is known of one pair of images, in the form in which it is kept.
+type Pair struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Service, Filler string
+	Mean, Deviation float64
+}
+
+// Snapshot is what is known of all pairs, in the form in which it is kept.
+type Snapshot struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Lowest is the lowest tail of each service's image, in milliseconds.
+	Lowest map[string]float64
+	Pairs  []Pair
+}
+
+// maxPairs bounds a snapshot, which is one record of the store.
+const maxPairs = 2000
+
+// Snapshot returns what is known, without the correlations of pairs.
+func (l *Learner) Snapshot() Snapshot {
+	snapshot := Snapshot{Lowest: make(map[string]float64)}
+	for _, image := range sortedKeys(l.services) {
+		s := l.services[image]
+		if !math.IsInf(s.lowest, 1) {
+			snapshot.Lowest[image] = s.lowest
+		}
+		for _, filler := range sortedKeys(s.index) {
+			if len(snapshot.Pairs) < maxPairs {
+				mean, deviation := l.Pressure(image, filler)
+				snapshot.Pairs = append(snapshot.Pairs, Pair{Service: image, Filler: filler, Mean: mean, Deviation: deviation})
+			}
+		}
+	}
+	return snapshot
+}
+
+// Restore takes in a snapshot of a former owner.
+func (l *Learner) Restore(snapshot Snapshot) {
+	for image, lowest := range snapshot.Lowest {
+		l.service(image).lowest = lowest
+	}
+	for _, pair := range snapshot.Pairs {
+		s := l.service(pair.Service)
+		i := s.dimension(pair.Filler)
+		s.mean[i] = pair.Mean
+		s.cov[i][i] = pair.Deviation * pair.Deviation
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -63,6 +63,14 @@
 			So(loudDeviation, ShouldBeLessThan, 0.25)
 			So(quietDeviation, ShouldBeLessThan, 0.2)
 		})
+		Convey("and a learner that takes over a snapshot knows the same", func() {
+			other := NewLearner()
+			other.Restore(l.Snapshot())
+			mean, deviation := other.Pressure("s", "loud")
+			So(mean, ShouldEqual, loud)
+			So(deviation, ShouldAlmostEqual, loudDeviation, 1e-9)
+			So(other.Limit("s", 150*time.Millisecond), ShouldEqual, l.Limit("s", 150*time.Millisecond))
+		})
 		Convey("and the load that they share is known", func() {
 			So(last.Own, ShouldBeBetween, w.load-0.08, w.load+0.08)
 		})
