Let services that mind the same images share workers

Cause: learnt matrices of both sites fall into two clusters of services that mind different images; mixed on one worker they leave no image harmless there. A task whose siblings share its worker now learns from changes again.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -222,6 +222,9 @@
 	g := t.group
 	service := c.serviceOf(g.job)
 	need := placement.Need{Kind: kindOfStep(g.step), Room: g.step.Room(), Use: useOf(g.step), Rack: g.step.DataRack, Avoid: t.avoid}
+	if g.step.TargetTail > 0 {
+		need.Mismatch = func(i int) float64 { return c.mismatch(f.rows[i], g.step.Image) }
+	}
 	here := c.groupOn(g)
 	return placement.Best(f.views, need, func(i int) bool {
 		w := f.rows[i]
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -126,6 +126,18 @@
 	return headroom
 }
 
+// mismatch tells how differently a service of an image and the services on a worker mind what fills.
+func (c *Cell) mismatch(w *worker, image string) float64 {
+	total, count := 0.0, 0
+	for _, r := range w.runs {
+		if serving := r.task.group.step; serving.TargetTail > 0 {
+			total += c.pressures.Dissimilarity(image, serving.Image)
+			count++
+		}
+	}
+	return total / float64(max(1, count))
+}
+
 // coming is the utilization that filling runs will press on a service which its newest figure does not show yet.
 func (c *Cell) coming(w *worker, service string) float64 {
 	coming := 0.0
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -44,6 +44,8 @@
 	Rack string
 	// Avoid is the worker where the task failed last.
 	Avoid string
+	// Mismatch tells how badly a lasting task and the services on a worker go together, 0 to 1; nil for not at all.
+	Mismatch func(i int) float64
 }
 
 const (
@@ -53,6 +55,9 @@
 	avoidPenalty = 1e5
 	// failurePenalty weighs recent failures: a worker that fails half of its runs is as good as full.
 	failurePenalty = 2.0
+	// mismatchPenalty makes an empty worker better than one whose services mind other images, as long as there is one:
+	// services that mind the same images leave all other images harmless on their worker.
+	mismatchPenalty = 3.0
 	// fillShare is the least share of its processor time that a filling task must find unused.
 	fillShare = 0.7
 )
@@ -66,6 +71,9 @@
 			continue
 		}
 		score := score(w, n)
+		if n.Mismatch != nil {
+			score -= mismatchPenalty * n.Mismatch(i)
+		}
 		if best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
@@ -80,7 +88,7 @@
 	size := float64(max(1, w.Size))
 	score := float64(w.Spare) / size
 	if n.Kind == Lasting {
-		// Lasting tasks are packed, so that other workers stay free of services for what would disturb them.
+		// Lasting tasks are packed, so that other workers stay free for services that mind other images.
 		score = -float64(w.Free.MilliCPU) / size
 	}
 	score -= failurePenalty * w.FailureRate
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -94,10 +94,7 @@
 	}
 	reading := l.Read(from.Image, tail, shares, at)
 	siblings := recent(group, from.Task, at)
-	switch {
-	case len(siblings) > 0:
-		l.compare(from.Image, reading, siblings)
-	case known:
+	if !l.compare(from.Image, reading, siblings) && known {
 		l.Learn(from.Image, before, reading)
 	}
 	reading.Own = l.own(from.Image, reading, siblings)
@@ -141,8 +138,12 @@
 	return weights
 }
 
-// compare learns from the difference between a reading and its siblings.
-func (l *Learner) compare(image string, reading Reading, siblings []Reading) {
+// compare learns from the difference between a reading and its siblings. It tells whether there was any: siblings on
+// the same worker have the same neighbours.
+func (l *Learner) compare(image string, reading Reading, siblings []Reading) bool {
+	if len(siblings) == 0 {
+		return false
+	}
 	s := l.service(image)
 	weights := s.weights(siblings)
 	others, observed, spread := Shares{}, reading.Utilization, 1.0
@@ -157,9 +158,11 @@
 	if reading.Utilization >= saturated {
 		deviation = saturatedNoise
 	}
-	if change, any := s.change(others, reading.Shares); any {
+	change, any := s.change(others, reading.Shares)
+	if any {
 		s.update(change, observed, deviation*math.Sqrt(spread))
 	}
+	return any
 }
 
 // own estimates the utilization by the service's own load, from the task and its siblings.
@@ -298,6 +301,42 @@
 	return s.mean[i], math.Sqrt(math.Max(0, s.cov[i][i]))
 }
 
+// unknownDifference is taken for the difference of two services towards an image that one of them was never seen beside.
+const unknownDifference = 0.4
+
+// Dissimilarity tells how differently two services mind what fills beside them: 0 for services that mind the same images
+// alike, about 1 for opposite ones.
+func (l *Learner) Dissimilarity(a, b string) float64 {
+	if a == b {
+		return 0
+	}
+	fillers := make(map[string]bool)
+	for _, s := range []*service{l.services[a], l.services[b]} {
+		if s != nil {
+			for filler := range s.index {
+				fillers[filler] = true
+			}
+		}
+	}
+	if len(fillers) == 0 {
+		return unknownDifference
+	}
+	total := 0.0
+	for _, filler := range sortedKeys(fillers) {
+		x, dx := l.Pressure(a, filler)
+		y, dy := l.Pressure(b, filler)
+		if dx > knownDeviation || dy > knownDeviation {
+			total += unknownDifference
+			continue
+		}
+		total += math.Min(1, math.Abs(x-y))
+	}
+	return total / float64(len(fillers))
+}
+
+// knownDeviation is the deviation up to which a coefficient counts as known.
+const knownDeviation = 0.25
+
 // Pair is what is known of one pair of images, in the form in which it is kept.
 type Pair struct {
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/pressure/pressure_test.go
+++ b/internal/pressure/pressure_test.go
@@ -75,6 +75,22 @@
 			So(last.Own, ShouldBeBetween, w.load-0.08, w.load+0.08)
 		})
 	})
+	Convey("Tasks of one service on one worker, whose neighbours change", t, func() {
+		w := &world{random: rand.New(rand.NewPCG(5, 6)), truth: map[string]float64{"loud": 0.9, "quiet": 0}, load: 0.45}
+		l := NewLearner()
+		for i := range 40 {
+			shares := Shares{"loud": 0.15 * float64(w.random.IntN(3)), "quiet": 0.2 * float64(w.random.IntN(3))}
+			for _, task := range []string{"a", "b", "c"} {
+				l.Observe(Source{Image: "s", Group: "job", Task: task}, w.tail(shares), shares, time.Duration(i)*800*time.Millisecond)
+			}
+		}
+		loud, _ := l.Pressure("s", "loud")
+		quiet, _ := l.Pressure("s", "quiet")
+		Convey("teach what presses too", func() {
+			So(loud, ShouldBeGreaterThan, 0.6)
+			So(quiet, ShouldBeLessThan, 0.15)
+		})
+	})
 	Convey("A pair that was never seen is taken for one that may press", t, func() {
 		mean, deviation := NewLearner().Pressure("s", "f")
 		So(mean, ShouldBeGreaterThan, 0)
