--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -69,6 +69,9 @@
 // At sets the time for the calls that follow.
 func (c *Cell) At(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
 
+// SetSettings puts changed bounds in force.
+func (c *Cell) SetSettings(s Settings) { c.settings = s }
+
 // SetConfig puts a configuration in force.
 func (c *Cell) SetConfig(config *queue.Config) {
 	c.config = config
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -94,7 +94,6 @@
 	peers    *peers
 	// stopping is set once the process was asked to stop.
 	stopping atomic.Bool
-	stopped  chan struct{}
 	// storeSeen is when the store last answered, in nanoseconds of boottime.
 	storeSeen atomic.Int64
 
@@ -102,7 +101,8 @@
 	mu   sync.Mutex
 	view *claim.View
 
-	owner atomic.Pointer[owner]
+	owner  atomic.Pointer[owner]
+	bounds atomic.Pointer[cell.Settings]
 }
 
 // Partitions of the only cell.
@@ -115,12 +115,14 @@
 // New returns a node. holder names this process and no other one before or after.
 func New(s Settings, p Platform, holder string, log *zap.Logger) *Node {
 	set := metrics.NewSet()
-	return &Node{
+	n := &Node{
 		settings: s, platform: p, log: log.With(zap.String("node", s.Node)), holder: holder,
 		config: queue.NewInForce(), metrics: set, counts: cell.NewCounts(set),
 		accepts: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
-		peers:   newPeers(), view: claim.NewView(holder, s.Node, s.Rank), stopped: make(chan struct{}),
+		peers:   newPeers(), view: claim.NewView(holder, s.Node, s.Rank),
 	}
+	n.bounds.Store(&s.Cell)
+	return n
 }
 
 // Run runs the node until ctx ends, hands over and returns.
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -72,7 +72,7 @@
 	return &owner{
 		node: n, epoch: epoch, log: log, events: make(chan func(), eventQueue), claimed: now,
 		lanes: newLanes(), done: make(chan struct{}),
-		cell: cell.New(n.settings.Cell, epoch, now+claim.Forgotten(n.settings.Cell.MaxHold), log, n.counts),
+		cell: cell.New(*n.bounds.Load(), epoch, now+claim.Forgotten(n.bounds.Load().MaxHold), log, n.counts),
 	}
 }
 
@@ -335,6 +335,7 @@
 				o.cell.Workers(entries)
 			}
 			o.cell.SetConfig(config)
+			o.cell.SetSettings(*o.node.bounds.Load())
 		})
 		sleep(ctx, workersPause)
 	}
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -1,12 +1,15 @@
 package daemoncmd
 
 import (
+	"bytes"
 	"context"
 	"hash/fnv"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -41,18 +44,19 @@
 			if err != nil {
 				return exitcode.Usage(err)
 			}
-			settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+			path := os.Getenv(platform.SettingsVariable)
+			settings, err := platform.LoadSettings(path)
 			if err != nil {
 				return trace.Wrap(err)
 			}
-			return runOnPlatform(c.Context(), settings, parsed)
+			return runOnPlatform(c.Context(), path, settings, parsed)
 		},
 	}
 	command.Flags().StringVar(&level, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
 	return command
 }
 
-func runOnPlatform(ctx context.Context, s *platform.Settings, level zapcore.Level) error {
+func runOnPlatform(ctx context.Context, path string, s *platform.Settings, level zapcore.Level) error {
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) << 20 * memoryPercent / 100)
 	sink := logsink.New(os.Stdout)
 	sinkContext, endSink := context.WithCancel(context.WithoutCancel(ctx))
@@ -71,9 +75,48 @@
 		Documents: platform.Documents(),
 		Wire:      platform.Wire(),
 	}, s.Node+"-"+uuid.NewString()[:8], sink.Logger(level))
+	go watchSettings(ctx, path, node)
 	return node.Run(ctx)
 }
 
+// settingsPeriod is between two looks at the settings file, which may change without a signal.
+const settingsPeriod = time.Second
+
+// watchSettings has the node take in a changed settings file, on SIGHUP and by looking at it.
+func watchSettings(ctx context.Context, path string, node *cellnode.Node) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	known, _ := os.ReadFile(path) // it was read a moment ago; if it is gone now, its return is a change
+	for {
+		cause := "signal"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+			cause = "file"
+		}
+		content, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(content, known) && cause == "file" {
+			continue
+		}
+		if err != nil {
+			node.ReloadFailed(cause, err)
+			continue
+		}
+		known = content
+		settings, err := platform.ParseSettings(bytes.NewReader(content))
+		if err != nil {
+			node.ReloadFailed(cause, err)
+			continue
+		}
+		node.Reload(cause, nodeSettings(settings))
+	}
+}
+
 func nodeSettings(s *platform.Settings) cellnode.Settings {
 	return cellnode.Settings{
 		Node: s.Node, Rank: rankOf(s.Node),
