--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -36,6 +36,7 @@
 	// early holds cancellations of jobs that are not known yet.
 	early   map[jobs.ID]bool
 	workers map[string]*worker
+	sorted  []*worker // by ID; nil after a change
 	health  *quarantine.Table
 	// pressures is what is known of the disturbance of services.
 	pressures *pressure.Learner
@@ -88,6 +89,7 @@
 		id: id, record: record, groups: make(map[jobs.GroupID]*group),
 		chain: chains(&record.Spec), arrived: c.now,
 	}
+	j.size()
 	c.jobs[id] = j
 	if c.early[id] {
 		delete(c.early, id)
@@ -113,6 +115,17 @@
 	return chain
 }
 
+// size works out the job's objective and its work.
+func (j *job) size() {
+	whole := time.Duration(0)
+	for step, chain := range j.chain {
+		whole = max(whole, chain)
+		s := &j.record.Spec.Steps[step]
+		j.work += float64(s.Count) * float64(s.Request.MilliCPU) * s.Estimate.Seconds()
+	}
+	j.objective = time.Duration(float64(whole)*j.record.Stretch) + time.Duration(j.record.LatencyMS)*time.Millisecond
+}
+
 // openOccurrences makes the groups of the occurrences that are due.
 func (c *Cell) openOccurrences(j *job) {
 	for j.opened < j.record.Spec.Occurrences() {
@@ -334,12 +347,19 @@
 	return pending
 }
 
-// sortedWorkers returns the workers in the order of their IDs.
+// sortedWorkers returns the workers in the order of their IDs. The slice is kept until a worker comes or goes.
 func (c *Cell) sortedWorkers() []*worker {
-	workers := make([]*worker, 0, len(c.workers))
-	for _, w := range c.workers {
-		workers = append(workers, w)
+	if c.sorted == nil {
+		c.sorted = make([]*worker, 0, len(c.workers))
+		for _, w := range c.workers {
+			c.sorted = append(c.sorted, w)
+		}
+		sort.Slice(c.sorted, func(i, j int) bool { return c.sorted[i].info.ID < c.sorted[j].info.ID })
 	}
-	sort.Slice(workers, func(i, j int) bool { return workers[i].info.ID < workers[j].info.ID })
-	return workers
+	return c.sorted
+}
+
+func (c *Cell) forgetWorker(w *worker) {
+	delete(c.workers, w.info.ID)
+	c.sorted = nil
 }
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -171,6 +171,7 @@
 	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run)}
 	w.lapsed = c.forgotten
 	c.workers[info.ID] = w
+	c.sorted = nil
 	return w
 }
 
@@ -220,7 +221,7 @@
 	c.log.Info("worker gone from the list", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)),
 		zap.Duration("lapsed_in", w.lapsed-c.now))
 	if len(w.runs) == 0 {
-		delete(c.workers, w.info.ID)
+		c.forgetWorker(w)
 	}
 }
 
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -269,7 +270,7 @@
 		orders.Stops = append(orders.Stops, StopOrder{To: w.target(), Run: foreign, Token: c.token})
 	}
 	w.foreign = nil
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.unsettledRuns() {
 		switch {
 		case r.stop && !r.stopping && r.state != runPlaced && (r.stopSent == 0 || c.now-r.stopSent >= repeatStop):
 			orders.Stops = append(orders.Stops, c.stopOrder(r))
@@ -279,6 +280,18 @@
 	}
 }
 
+// unsettledRuns returns the runs that are to be stopped or whose start is in doubt, in the order of their tasks.
+func (w *worker) unsettledRuns() []*run {
+	var unsettled []*run
+	for _, r := range w.runs {
+		if r.stop || r.state == runUncertain {
+			unsettled = append(unsettled, r)
+		}
+	}
+	sort.Slice(unsettled, func(i, j int) bool { return lessTask(unsettled[i], unsettled[j]) })
+	return unsettled
+}
+
 func (c *Cell) stopOrder(r *run) StopOrder {
 	if r.stopSent == 0 {
 		c.counts.stopped(string(r.why))
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -26,7 +26,21 @@
 type floor struct {
 	rows  []*worker
 	views []placement.Worker
-	byID  map[string]int
+	// headroom is what filling tasks of an image may use on each worker, as a share of its processor time. It is worked
+	// out when an image is first asked for.
+	headroom map[string][]float64
+	// hopeless are the needs for which no worker was found.
+	hopeless map[needKey]placement.Need
+}
+
+// needKey is what two tasks have in common for which the same workers suit.
+type needKey struct {
+	kind    placement.Kind
+	service string
+	image   string
+	label   string
+	rack    string
+	bounded bool // by a number of tasks on one worker
 }
 
 // place finds workers for waiting tasks, most urgent step first.
@@ -80,16 +94,9 @@
 // urgency describes a waiting group for the order of waiting.
 func (c *Cell) urgency(g *group) *urgency.Item {
 	j := g.job
-	whole, work := time.Duration(0), 0.0
-	for step, chain := range j.chain {
-		whole = max(whole, chain)
-		work += float64(j.record.Spec.Steps[step].Count) * float64(j.record.Spec.Steps[step].Request.MilliCPU) *
-			j.record.Spec.Steps[step].Estimate.Seconds()
-	}
 	return &urgency.Item{
 		Priority: j.record.Priority, Lasting: g.step.Lasting, Age: c.age(g), Remaining: j.chain[g.id.Step],
-		Objective: time.Duration(float64(whole)*j.record.Stretch) + time.Duration(j.record.LatencyMS)*time.Millisecond,
-		Work:      work,
+		Objective: j.objective, Work: j.work,
 	}
 }
 
@@ -104,7 +111,7 @@
 
 // floor makes the view of the workers that may be given work.
 func (c *Cell) floor() *floor {
-	f := &floor{byID: make(map[string]int)}
+	f := &floor{headroom: make(map[string][]float64), hopeless: make(map[needKey]placement.Need)}
 	for _, w := range c.sortedWorkers() {
 		if !c.usable(w) {
 			continue
@@ -113,7 +120,6 @@
 		if state == quarantine.Quarantined {
 			continue
 		}
-		f.byID[w.info.ID] = len(f.rows)
 		f.rows = append(f.rows, w)
 		f.views = append(f.views, placement.Worker{
 			ID: w.info.ID, Rack: w.info.Rack, Domain: w.info.Domain, Free: w.info.Capacity.Minus(w.used),
@@ -222,11 +228,18 @@
 	g := t.group
 	service := c.serviceOf(g.job)
 	need := placement.Need{Kind: kindOfStep(g.step), Room: g.step.Room(), Use: useOf(g.step), Rack: g.step.DataRack, Avoid: t.avoid}
+	key := needKey{
+		kind: need.Kind, service: service, image: g.step.Image, label: g.step.RequiredLabel, rack: g.step.DataRack,
+		bounded: g.step.MaxPerWorker > 0,
+	}
+	if failed, known := f.hopeless[key]; known && failed.Use <= need.Use && need.Room.Holds(failed.Room) {
+		return -1
+	}
 	if g.step.TargetTail > 0 {
 		need.Mismatch = func(i int) float64 { return c.mismatch(f.rows[i], g.step.Image) }
 	}
 	here := c.groupOn(g)
-	return placement.Best(f.views, need, func(i int) bool {
+	i := placement.Best(f.views, need, func(i int) bool {
 		w := f.rows[i]
 		if w.info.Service != service || g.step.RequiredLabel != "" && !hasLabel(w, g.step.RequiredLabel) {
 			return false
@@ -234,8 +247,12 @@
 		if g.step.MaxPerWorker > 0 && here[w]+pending[i] >= g.step.MaxPerWorker {
 			return false
 		}
-		return !g.step.Fills || c.mayFill(w, g.step)
+		return !g.step.Fills || c.mayFill(f, i, g.step)
 	})
+	if i < 0 && !key.bounded {
+		f.hopeless[key] = need
+	}
+	return i
 }
 
 // groupOn counts the group's runs on each worker, if that is bounded.
@@ -292,6 +309,9 @@
 func (c *Cell) take(f *floor, g *group, i int) {
 	f.views[i].Free = f.views[i].Free.Minus(g.step.Room())
 	f.views[i].Spare -= useOf(g.step)
+	if g.step.Fills {
+		c.pressOn(f, i, g.step)
+	}
 }
 
 // assign makes a run of a task on a worker.
--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,10 +28,7 @@
 	c.relocated = c.now
 	var f *floor
 	for _, w := range c.sortedWorkers() {
-		for _, r := range w.sortedRuns() {
-			if !c.crawls(r) {
-				continue
-			}
+		for _, r := range w.crawling(c) {
 			if f == nil {
 				f = c.floor()
 			}
@@ -39,6 +37,17 @@
 	}
 }
 
+func (w *worker) crawling(c *Cell) []*run {
+	var crawling []*run
+	for _, r := range w.runs {
+		if c.crawls(r) {
+			crawling = append(crawling, r)
+		}
+	}
+	sort.Slice(crawling, func(i, j int) bool { return lessTask(crawling[i], crawling[j]) })
+	return crawling
+}
+
 // crawls tells whether a run is slowed down for long and may be moved.
 func (c *Cell) crawls(r *run) bool {
 	step := r.task.group.step
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -250,7 +250,7 @@
 			}
 		}
 		if !w.listed && len(w.runs) == 0 {
-			delete(c.workers, w.info.ID)
+			c.forgetWorker(w)
 		}
 	}
 }
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -112,17 +112,16 @@
 	return pacing.Filler{Image: r.task.group.step.Image, AtFull: full, Pace: r.pace}
 }
 
-// headroom is how much processor time, as a share of the worker's, a filling task of a step may use there before
-// a service comes near its limit.
-func (c *Cell) headroom(w *worker, step *jobs.Step) float64 {
+// headroom is how much processor time, as a share of the worker's, a filling task of an image may use there before a
+// service comes near its limit.
+func (c *Cell) headroom(w *worker, image string) float64 {
 	headroom := 1.0
 	for _, r := range w.runs {
 		serving := r.task.group.step
 		if serving.TargetTail == 0 || r.reading == nil {
 			continue
 		}
-		mean, deviation := c.pressures.Pressure(serving.Image, step.Image)
-		p := mean + boldness*deviation
+		p := c.expectedPressure(serving.Image, image)
 		if p <= 0 {
 			continue
 		}
@@ -132,6 +131,12 @@
 	return headroom
 }
 
+// expectedPressure is the coefficient of a pair that placing counts with.
+func (c *Cell) expectedPressure(service, filler string) float64 {
+	mean, deviation := c.pressures.Pressure(service, filler)
+	return mean + boldness*deviation
+}
+
 // mismatch tells how differently a service of an image and the services on a worker mind what fills.
 func (c *Cell) mismatch(w *worker, image string) float64 {
 	total, count := 0.0, 0
@@ -158,7 +163,34 @@
 }
 
 // mayFill tells whether a filling task may be placed on a worker without harm to the services there.
-func (c *Cell) mayFill(w *worker, step *jobs.Step) bool {
-	use := float64(step.Request.MilliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
-	return c.headroom(w, step) >= use*leastPace
+func (c *Cell) mayFill(f *floor, i int, step *jobs.Step) bool {
+	known := f.headroom[step.Image]
+	if known == nil {
+		known = make([]float64, len(f.rows))
+		for k, w := range f.rows {
+			known[k] = c.headroom(w, step.Image)
+		}
+		f.headroom[step.Image] = known
+	}
+	return known[i] >= f.share(i, step)*leastPace
+}
+
+// share is the processor time that a task of a step uses on a worker, as a share of the worker's.
+func (f *floor) share(i int, step *jobs.Step) float64 {
+	return float64(step.Request.MilliCPU) / float64(max(1, f.rows[i].info.Capacity.MilliCPU))
+}
+
+// pressOn takes a filling task that is to run on a worker out of what other filling tasks may use there. Images that
+// press on different services are not told apart, which errs on the careful side for one plan.
+func (c *Cell) pressOn(f *floor, i int, step *jobs.Step) {
+	pressing := 0.0
+	for _, r := range f.rows[i].runs {
+		if serving := r.task.group.step; serving.TargetTail > 0 {
+			mean, _ := c.pressures.Pressure(serving.Image, step.Image)
+			pressing = max(pressing, mean)
+		}
+	}
+	for _, headroom := range f.headroom {
+		headroom[i] -= min(1, pressing) * f.share(i, step)
+	}
 }
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -113,7 +113,10 @@
 	record jobrecord.Job
 	groups map[jobs.GroupID]*group
 	// chain is the estimated time of the longest chain from each step on.
-	chain     []time.Duration
+	chain []time.Duration
+	// objective is the time in which the job should be done, work the processor time that it was said to need.
+	objective time.Duration
+	work      float64
 	cancelled bool
 	outcome   jobs.State
 	ended     bool
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -62,6 +62,8 @@
 	// The rest belongs to the owner's goroutine.
 	storing bool
 	fenced  bool
+	flushed time.Time // when the tables were looked at last
+	took    time.Duration
 	stop    context.CancelFunc
 	done    chan struct{}
 }
@@ -189,13 +191,32 @@
 		if !o.node.mayHold(o.epoch) {
 			return errClaimEnded
 		}
+		if !o.rest(ctx) {
+			return ctx.Err()
+		}
 		o.mu.Lock()
+		began := time.Now()
 		wait := o.flush(ctx)
+		o.flushed, o.took = time.Now(), time.Since(began)
 		o.mu.Unlock()
 		timer.Reset(wait)
 	}
 }
 
+// rest waits until the next look at the tables is due, so that what arrives together is dealt with together.
+func (o *owner) rest(ctx context.Context) bool {
+	pause := max(flushPause, min(flushRest*o.took, longestRest)) - time.Since(o.flushed)
+	if pause <= 0 {
+		return true
+	}
+	sleep(ctx, pause)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cell.At(boottime.Now(), time.Now())
+	o.drain()
+	return ctx.Err() == nil
+}
+
 func (o *owner) drain() {
 	for {
 		select {
@@ -211,6 +232,11 @@
 	// longestWait bounds the time without a look at the tables.
 	longestWait  = 200 * time.Millisecond
 	shortestWait = 2 * time.Millisecond
+	// flushPause is the least time between two looks at the tables. On a slow machine it is flushRest times what the
+	// last look took, and longestRest at the most.
+	flushPause  = 4 * time.Millisecond
+	flushRest   = 2
+	longestRest = 25 * time.Millisecond
 )
 
 // flush sends the orders that are due and stores what was decided.
