--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,85 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/store"
+)
+
+func record(r Record, offset store.Offset) []store.Record {
+	value, err := r.Encode()
+	if err != nil {
+		panic(err)
+	}
+	return []store.Record{{Key: Key, Value: value, Offset: offset}}
+}
+
+func TestView(t *testing.T) {
+	other := Record{Holder: "b-1", Node: "b", Address: "b:1", Epoch: 4}
+	Convey("A candidate that reads the renewals of another owner", t, func() {
+		v := NewView("a-1", "a", 0)
+		v.Observe(record(other, 0), 1, 0)
+		Convey("claims when they have stopped for a lease", func() {
+			So(v.ShouldClaim(Lease-time.Millisecond), ShouldBeFalse)
+			So(v.ShouldClaim(Lease), ShouldBeTrue)
+			So(v.Next("a", "a:1").Epoch, ShouldEqual, 5)
+		})
+		Convey("claims at once after a release", func() {
+			released := other
+			released.Released = true
+			v.Observe(record(released, 1), 2, time.Second)
+			So(v.ShouldClaim(time.Second), ShouldBeTrue)
+		})
+		Convey("does not claim while the store is out of reach, nor before the owner could renew after that", func() {
+			v.OutOfContact()
+			So(v.ShouldClaim(time.Minute), ShouldBeFalse)
+			v.Observe(nil, 1, time.Minute)
+			So(v.ShouldClaim(time.Minute), ShouldBeFalse)
+			So(v.ShouldClaim(time.Minute+AfterContact), ShouldBeTrue)
+		})
+		Convey("passes over an older epoch and what cannot be read", func() {
+			So(v.Observe(record(Record{Holder: "c", Epoch: 3}, 1), 2, time.Second), ShouldEqual, 0)
+			So(v.Observe([]store.Record{{Key: Key, Value: []byte("?"), Offset: 2}}, 3, time.Second), ShouldEqual, 1)
+			newest, _ := v.Newest()
+			So(newest.Epoch, ShouldEqual, 4)
+		})
+		Convey("waits for its turn by rank", func() {
+			second := NewView("c-1", "c", 2)
+			second.Observe(record(other, 0), 1, 0)
+			So(second.ShouldClaim(Lease), ShouldBeFalse)
+			So(second.ShouldClaim(Lease+2*rankDelay), ShouldBeTrue)
+		})
+	})
+	Convey("A process claims at once what the former process of its node held", t, func() {
+		v := NewView("b-2", "b", 7)
+		v.Observe(record(other, 0), 1, 0)
+		So(v.ShouldClaim(0), ShouldBeTrue)
+	})
+	Convey("An owner", t, func() {
+		v := NewView("a-1", "a", 0)
+		v.Observe(nil, 0, 0)
+		r := v.Next("a", "a:1")
+		v.Accepted(r, store.Appended{End: 1}, 10*time.Second, 10*time.Second+200*time.Millisecond)
+		Convey("may decide for a lease from when it sent its record, and hold for longer", func() {
+			So(v.MayDecide(10*time.Second+Lease-1), ShouldBeTrue)
+			So(v.MayDecide(10*time.Second+Lease), ShouldBeFalse)
+			So(v.MayHold(10*time.Second+HoldWithoutStore-1), ShouldBeTrue)
+			So(v.MayHold(10*time.Second+HoldWithoutStore), ShouldBeFalse)
+		})
+		Convey("renews in time", func() {
+			So(v.RenewalDue(10*time.Second), ShouldBeFalse)
+			So(v.RenewalDue(10*time.Second+RenewEvery), ShouldBeTrue)
+		})
+		Convey("stops when it reads another's claim", func() {
+			v.Observe(record(Record{Holder: "c-1", Epoch: 9}, 1), 2, 11*time.Second)
+			So(v.Owns(), ShouldBeFalse)
+			So(v.MayHold(11*time.Second), ShouldBeFalse)
+		})
+	})
+	Convey("A new owner waits longer than any lease that a former owner can have extended", t, func() {
+		So(Forgotten(6*time.Second), ShouldBeGreaterThanOrEqualTo, HoldWithoutStore-Lease+6*time.Second*102/100)
+	})
+}
