Release the claim on every planned stop

Found by TestPlannedStopHandsOver: the goroutine that ends the owner gave the claim up before the stop could release it, so that others waited for the lease (2.5 s). A stopping node now keeps its claim, does not renew it, and releases it, repeatedly if need be.

--- a/internal/cellnode/authority.go
+++ b/internal/cellnode/authority.go
@@ -110,7 +110,7 @@
 		next := n.view.Next(n.settings.Node, n.settings.PeerAddress)
 		n.mu.Unlock()
 		switch {
-		case due:
+		case due && !n.stopping.Load(): // a stopping node releases its claim instead
 			n.putClaim(ctx, newest)
 		case should && !n.stopping.Load() && n.config.Get() != nil:
 			if n.putClaim(ctx, next) {
@@ -157,7 +157,7 @@
 		err := o.run(ctx)
 		n.owner.CompareAndSwap(o, nil)
 		n.mu.Lock()
-		if newest, _ := n.view.Newest(); newest.Epoch == r.Epoch {
+		if newest, _ := n.view.Newest(); newest.Epoch == r.Epoch && !n.stopping.Load() {
 			n.view.Lose()
 		}
 		n.mu.Unlock()
--- /dev/null
+++ b/internal/cellnode/node_test.go
@@ -0,0 +1,434 @@
+package cellnode
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/cell"
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/queue"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// memoryStore is a keyed log store in memory.
+type memoryStore struct {
+	mu     sync.Mutex
+	topics map[string][]store.Record
+	epochs map[string]int64
+	grown  chan struct{}
+	down   bool
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{topics: make(map[string][]store.Record), epochs: make(map[string]int64), grown: make(chan struct{})}
+}
+
+func (m *memoryStore) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memoryStore) Append(_ context.Context, a store.Append) (store.Appended, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return store.Appended{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
+	}
+	topic := a.Partition.Topic
+	end := store.Offset(len(m.topics[topic]))
+	if a.AsOf != nil && *a.AsOf != end {
+		return store.Appended{}, verdict.New(verdict.NotRun, store.ReasonConflict, nil)
+	}
+	if a.Producer != nil {
+		if a.Producer.Epoch < m.epochs[topic+a.Producer.Name] {
+			return store.Appended{}, verdict.New(verdict.NotRun, store.ReasonFenced, nil)
+		}
+		m.epochs[topic+a.Producer.Name] = a.Producer.Epoch
+	}
+	for i, r := range a.Records {
+		r.Offset = end + store.Offset(i)
+		m.topics[topic] = append(m.topics[topic], r)
+	}
+	close(m.grown)
+	m.grown = make(chan struct{})
+	return store.Appended{First: end, End: store.Offset(len(m.topics[topic]))}, nil
+}
+
+func (m *memoryStore) Read(ctx context.Context, p store.Partition, from store.Offset, wait time.Duration) (store.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		records, grown, down := m.topics[p.Topic], m.grown, m.down
+		m.mu.Unlock()
+		if down {
+			return store.Page{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
+		}
+		end := store.Offset(len(records))
+		if from < end {
+			return store.Page{Records: records[from:], Next: end, End: end}, nil
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return store.Page{Next: from, End: end}, nil
+		case <-ctx.Done():
+			return store.Page{}, verdict.New(verdict.MayHaveRun, store.ReasonNoAnswer, ctx.Err())
+		}
+	}
+}
+
+func (m *memoryStore) List(_ context.Context, p store.Partition, _ string) (store.Listing, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return store.Listing{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
+	}
+	newest := make(map[string]store.Record)
+	for _, r := range m.topics[p.Topic] {
+		newest[r.Key] = r
+	}
+	listing := store.Listing{End: store.Offset(len(m.topics[p.Topic]))}
+	for _, r := range newest {
+		listing.Records = append(listing.Records, r)
+	}
+	sort.Slice(listing.Records, func(i, j int) bool { return listing.Records[i].Key < listing.Records[j].Key })
+	return listing, nil
+}
+
+// memoryWorker runs tasks for a time and then lists their ends.
+type memoryWorker struct {
+	mu      sync.Mutex
+	began   time.Time
+	token   int64
+	running map[workercall.Run]time.Time
+	ended   []workercall.End
+	starts  map[jobs.TaskID]int
+}
+
+const taskTime = 300 * time.Millisecond
+
+func newMemoryWorker() *memoryWorker {
+	return &memoryWorker{began: time.Now(), running: make(map[workercall.Run]time.Time), starts: make(map[jobs.TaskID]int)}
+}
+
+func (m *memoryWorker) fence(token int64) error {
+	if token < m.token {
+		return verdict.New(verdict.NotRun, workercall.ReasonFenced, nil)
+	}
+	m.token = token
+	return nil
+}
+
+func (m *memoryWorker) Start(_ context.Context, _ workercall.Target, s workercall.Start) (workercall.Answer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	answer := workercall.Answer{Clock: time.Since(m.began), Born: 1}
+	if err := m.fence(s.Token); err != nil {
+		return answer, err
+	}
+	if _, there := m.running[s.Run]; !there {
+		m.starts[s.Task]++
+		m.running[s.Run] = time.Now()
+	}
+	return answer, nil
+}
+
+func (m *memoryWorker) Stop(_ context.Context, _ workercall.Target, run workercall.Run, token int64) (workercall.Answer, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.fence(token); err != nil {
+		return workercall.Answer{}, err
+	}
+	if _, there := m.running[run]; there {
+		m.end(run, workercall.Stopped)
+	}
+	return workercall.Answer{Clock: time.Since(m.began), Born: 1}, nil
+}
+
+func (m *memoryWorker) Pace(context.Context, workercall.Target, workercall.Run, int, int64) (workercall.Answer, error) {
+	return workercall.Answer{}, nil
+}
+
+func (m *memoryWorker) end(run workercall.Run, how workercall.How) {
+	delete(m.running, run)
+	m.ended = append(m.ended, workercall.End{Sequence: int64(len(m.ended) + 1), Run: run, How: how})
+}
+
+func (m *memoryWorker) Hold(ctx context.Context, _ workercall.Target, h workercall.Hold) (workercall.Report, error) {
+	for deadline := time.Now().Add(h.Wait); ; sleep(ctx, 10*time.Millisecond) {
+		report, err := m.report(h)
+		if err != nil || len(report.Ended) > 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return report, err
+		}
+	}
+}
+
+func (m *memoryWorker) report(h workercall.Hold) (workercall.Report, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.fence(h.Token); err != nil {
+		return workercall.Report{}, err
+	}
+	for run, began := range m.running {
+		if time.Since(began) > taskTime {
+			m.end(run, workercall.Done)
+		}
+	}
+	report := workercall.Report{Clock: time.Since(m.began), Born: 1}
+	for run := range m.running {
+		report.Running = append(report.Running, workercall.Running{Run: run, Percent: 50})
+	}
+	for _, e := range m.ended {
+		if e.Sequence > h.Acknowledged {
+			report.Ended = append(report.Ended, e)
+		}
+	}
+	return report, nil
+}
+
+// deployment is some nodes on loopback with a store and a worker in memory.
+type deployment struct {
+	t      *testing.T
+	store  *memoryStore
+	worker *memoryWorker
+	nodes  []*running
+}
+
+type running struct {
+	node   *Node
+	cancel context.CancelFunc
+	done   chan error
+}
+
+const testID = "00000000000000"
+
+func testWire() Wire {
+	return Wire{
+		ParseJobID: func(text string) (jobs.ID, error) {
+			if len(text) != 16 {
+				return "", fmt.Errorf("no ID: %q", text)
+			}
+			return jobs.ID(text), nil
+		},
+		DecodeJob: func(body []byte) (*jobs.Spec, error) {
+			if len(body) == 0 {
+				return nil, fmt.Errorf("no body")
+			}
+			step := jobs.Step{Count: 2, Request: jobs.Resources{MilliCPU: 100}, Estimate: taskTime}
+			return &jobs.Spec{Payload: string(body), Steps: []jobs.Step{step, {Count: 1, Estimate: taskTime, After: []int{0}}}}, nil
+		},
+		EncodeState:   func(state jobs.State) []byte { return []byte(state.String()) },
+		EncodePending: func(count int) []byte { return []byte(fmt.Sprint(count)) },
+		ReadyPath:     "/ready", DeadlineHeader: "Deadline-Ms",
+	}
+}
+
+func deploy(t *testing.T, nodes int) *deployment {
+	d := &deployment{t: t, store: newMemoryStore(), worker: newMemoryWorker()}
+	d.store.topics["config"] = []store.Record{{Key: "config", Value: []byte("1")}}
+	d.store.topics["workers"] = []store.Record{{Key: "w", Value: []byte("w")}}
+	for i := range nodes {
+		d.start(i)
+	}
+	t.Cleanup(func() {
+		for _, n := range d.nodes {
+			n.cancel()
+		}
+		for _, n := range d.nodes {
+			<-n.done
+		}
+	})
+	return d
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (d *deployment) start(rank int) {
+	documents := Documents{
+		Config: store.Partition{Topic: "config"}, ConfigKey: "config", Workers: store.Partition{Topic: "workers"},
+		DecodeConfig: func([]byte) (*queue.Config, error) {
+			return &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, Stretch: 2}},
+				Services: []queue.Service{{Name: "s"}}, Limits: queue.Limits{BodyBytes: 100}}, nil
+		},
+		DecodeWorker: func(id string, _ []byte) (workercall.Worker, error) {
+			return workercall.Worker{ID: id, Service: "s", Address: "w:1", Domain: "d", Born: 1,
+				Capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 64000}}, nil
+		},
+	}
+	name := fmt.Sprintf("n%d", rank)
+	node := New(Settings{
+		Node: name, Rank: rank, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
+		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, Grace: 6 * time.Second,
+		Cell: cell.Settings{MaxHold: 6 * time.Second, Stop: 200 * time.Millisecond, KeepStatus: time.Minute, FarFactor: 1.5, Harm: 4 * time.Second},
+	}, Platform{Store: d.store, Workers: d.worker, Documents: documents, Wire: testWire()}, name+"-1", zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{node: node, cancel: cancel, done: make(chan error, 1)}
+	go func() { r.done <- node.Run(ctx) }()
+	d.nodes = append(d.nodes, r)
+}
+
+// ask sends a request to a node and returns the status and the body; 0 when there was no answer.
+func (d *deployment) ask(node int, method, path, body string) (int, string) {
+	url := "http://" + d.nodes[node].node.settings.CallerAddress + path
+	req, err := http.NewRequest(method, url, bytes.NewBufferString(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	content, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(content)
+}
+
+// eventually waits until a request is answered as wanted.
+func (d *deployment) eventually(limit time.Duration, node int, method, path, body string, status int, answer string) {
+	d.t.Helper()
+	var lastStatus int
+	var last string
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		lastStatus, last = d.ask(node, method, path, body)
+		if lastStatus == status && (answer == "" || last == answer) {
+			return
+		}
+	}
+	d.t.Fatalf("%s %s at node %d: %d %q, want %d %q", method, path, node, lastStatus, last, status, answer)
+}
+
+func (d *deployment) owner() int {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for i, n := range d.nodes {
+			if o := n.node.owner.Load(); o != nil && n.node.mayDecide(o.epoch) {
+				return i
+			}
+		}
+	}
+	d.t.Fatal("no node owns the cell")
+	return -1
+}
+
+func TestJobFromEndToEnd(t *testing.T) {
+	d := deploy(t, 2)
+	owner := d.owner()
+	id := testID + "01"
+	d.eventually(2*time.Second, 1-owner, http.MethodPost, "/q/"+id, "spec", http.StatusOK, "")
+	d.eventually(5*time.Second, 1-owner, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+	d.eventually(time.Second, owner, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+	d.eventually(2*time.Second, 1-owner, http.MethodGet, "/q/", "", http.StatusOK, "0")
+	for task, starts := range d.worker.starts {
+		if starts != 1 {
+			t.Errorf("%v was started %d times", task, starts)
+		}
+	}
+}
+
+func TestRequestsThatCannotBeServed(t *testing.T) {
+	d := deploy(t, 1)
+	d.owner()
+	for _, c := range []struct {
+		name, method, path, body string
+		status                   int
+	}{
+		{"no such queue", http.MethodPost, "/other/" + testID + "02", "x", http.StatusNotFound},
+		{"no ID", http.MethodPost, "/q/short", "x", http.StatusNotFound},
+		{"no body", http.MethodPost, "/q/" + testID + "02", "", http.StatusBadRequest},
+		{"too large", http.MethodPost, "/q/" + testID + "02", string(make([]byte, 101)), http.StatusRequestEntityTooLarge},
+		{"no such method", http.MethodPut, "/q/" + testID + "02", "x", http.StatusMethodNotAllowed},
+	} {
+		if status, _ := d.ask(0, c.method, c.path, c.body); status != c.status {
+			t.Errorf("%s: %d, want %d", c.name, status, c.status)
+		}
+	}
+	d.eventually(time.Second, 0, http.MethodGet, "/q/"+testID+"09", "", http.StatusGone, "")
+	d.eventually(time.Second, 0, http.MethodDelete, "/q/"+testID+"09", "", http.StatusGone, "")
+}
+
+func TestStoreDownIsRefusedAtOnce(t *testing.T) {
+	d := deploy(t, 1)
+	d.owner()
+	d.store.setDown(true)
+	began := time.Now()
+	if status, _ := d.ask(0, http.MethodPost, "/q/"+testID+"03", "x"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", status)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the refusal took %v", took)
+	}
+	d.store.setDown(false)
+	d.eventually(3*time.Second, 0, http.MethodGet, "/q/"+testID+"03", "", http.StatusGone, "") // it never runs
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	d := deploy(t, 2)
+	owner := d.owner()
+	for i := range 5 {
+		d.eventually(2*time.Second, 1-owner, http.MethodPost, fmt.Sprintf("/q/%s1%d", testID, i), "spec", http.StatusOK, "")
+	}
+	began := time.Now()
+	d.nodes[owner].cancel()
+	for d.nodes[1-owner].node.owner.Load() == nil {
+		if time.Since(began) > time.Second {
+			t.Fatal("the cell was not handed over within a second")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	// The leaving node still answers on connections that come to it.
+	d.eventually(time.Second, owner, http.MethodGet, "/q/"+testID+"10", "", http.StatusOK, "")
+	for i := range 5 {
+		d.eventually(5*time.Second, 1-owner, http.MethodGet, fmt.Sprintf("/q/%s1%d", testID, i), "", http.StatusOK, "completed")
+	}
+	for task, starts := range d.worker.starts {
+		if starts != 1 {
+			t.Errorf("%v was started %d times", task, starts)
+		}
+	}
+}
+
+func TestReadiness(t *testing.T) {
+	d := deploy(t, 1)
+	d.owner()
+	ready := func() int {
+		resp, err := http.Get("http://" + d.nodes[0].node.settings.ReadyAddress + "/ready")
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	if status := ready(); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	d.store.setDown(true)
+	for end := time.Now().Add(4 * time.Second); ready() == http.StatusOK; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a node without the store says that it is ready")
+		}
+	}
+}
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -27,7 +27,9 @@
 	// exitBefore is left of the time between the request to stop and the kill.
 	exitBefore = 900 * time.Millisecond
 	// handOver bounds the handing over of the cell.
-	handOver = time.Second
+	handOver = 1500 * time.Millisecond
+	// releasePause is between two tries to release the claim.
+	releasePause = 50 * time.Millisecond
 )
 
 // server is one listening server.
@@ -129,16 +131,22 @@
 	limited, cancel := context.WithTimeout(ctx, handOver)
 	defer cancel()
 	o.quiesce(limited)
-	n.mu.Lock()
-	newest, _ := n.view.Newest()
-	owns := n.view.Owns()
-	n.mu.Unlock()
-	if !owns || newest.Epoch != o.epoch {
-		return
+	for limited.Err() == nil {
+		n.mu.Lock()
+		newest, _ := n.view.Newest()
+		owns := n.view.Owns()
+		n.mu.Unlock()
+		if !owns || newest.Epoch != o.epoch {
+			return
+		}
+		newest.Released = true
+		if n.putClaim(limited, newest) {
+			n.log.Info("cell handed over", zap.Int64("epoch", o.epoch))
+			return
+		}
+		sleep(limited, releasePause)
 	}
-	newest.Released = true
-	released := n.putClaim(limited, newest)
-	n.log.Info("cell handed over", zap.Int64("epoch", o.epoch), zap.Bool("released", released))
+	n.log.Warn("cell not handed over", zap.Int64("epoch", o.epoch))
 }
 
 // quiesce ends the owner and waits until its goroutines have ended.
