Store by way of the owner where a node cannot reach the store

The record goes to the owner after 150 ms without an answer, or at once after a refusal; stored twice it counts once.

--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -27,6 +27,9 @@
 	defaultDeadline = 3 * time.Second
 	// deadlineMargin is left of a caller's time for the answer to travel.
 	deadlineMargin = 150 * time.Millisecond
+	// detourAfter is how long the store may take before the owner is asked to store a record as well: some ten times
+	// what an append takes on calm days, and less than a caller's objective.
+	detourAfter = 150 * time.Millisecond
 	// askPause is between two questions to an owner that does not answer.
 	askPause = 100 * time.Millisecond
 	// maxAsking bounds the time for which a question is tried: a planned change of owner is over by then.
@@ -48,6 +51,7 @@
 	reasonNoOwner     = verdict.Reason("no_owner")
 	reasonNotStored   = verdict.Reason("not_stored")
 	reasonStoreUnsure = verdict.Reason("store_unsure")
+	reasonDetour      = verdict.Reason("owner_did_not_store")
 )
 
 // gateway answers callers.
@@ -187,8 +191,66 @@
 	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
 		return refusal(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
-	_, err = g.node.accepts.Append(ctx, []store.Record{{Key: jobrecord.JobKey(id), Value: value}})
-	return g.stored(err)
+	return g.stored(g.store(ctx, store.Record{Key: jobrecord.JobKey(id), Value: value}))
+}
+
+// store stores a record of the jobs topic, by way of the owner where the store does not answer this node. A record that
+// is stored twice counts once. The error is nil when either way succeeded, and says "not run" only when both did.
+func (g gateway) store(ctx context.Context, r store.Record) error {
+	results := make(chan error, 2)
+	go func() {
+		_, err := g.node.accepts.Append(ctx, []store.Record{r})
+		results <- err
+	}()
+	timer := time.NewTimer(detourAfter)
+	defer timer.Stop()
+	var own error
+	ways := 1
+	select {
+	case own = <-results:
+		if own == nil {
+			return nil
+		}
+		ways--
+	case <-timer.C:
+	}
+	address := g.node.ownerAddress()
+	if address == "" {
+		if ways == 0 {
+			return own
+		}
+		return <-results
+	}
+	ways++
+	go func() { results <- g.detour(ctx, address, r) }()
+	worst := own
+	for range ways {
+		err := <-results
+		if err == nil {
+			return nil
+		}
+		if worst == nil || verdict.Of(err) != verdict.NotRun {
+			worst = err
+		}
+	}
+	return worst
+}
+
+// detour asks the owner to store a record.
+func (g gateway) detour(ctx context.Context, address string, r store.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, peerLimit)
+	defer cancel()
+	reply, err := g.node.peers.owner(address).Accept(ctx, &cellrpc.AcceptRequest{Key: r.Key, Value: r.Value})
+	g.node.log.Info("record sent by way of the owner", zap.String("key", r.Key), zap.String("owner", address),
+		zap.Bool("stored", err == nil && reply.Stored), zap.Error(err))
+	var dial *net.OpError
+	switch {
+	case err == nil && reply.Stored:
+		return nil
+	case err == nil && reply.Refused, errors.As(err, &dial) && dial.Op == "dial":
+		return verdict.New(verdict.NotRun, reasonDetour, err)
+	}
+	return verdict.New(verdict.MayHaveRun, reasonDetour, err)
 }
 
 // stored is the answer to a caller whose record was to be stored.
@@ -208,8 +270,7 @@
 	if _, known, ok := g.ask(ctx, id, 0); ok && !known {
 		return refusal(http.StatusGone, reasonNoJob)
 	}
-	_, err := g.node.accepts.Append(ctx, []store.Record{{Key: jobrecord.CancelKey(id), Value: []byte{1}}})
-	return g.stored(err)
+	return g.stored(g.store(ctx, store.Record{Key: jobrecord.CancelKey(id), Value: []byte{1}}))
 }
 
 // status tells a job's state.
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/queue"
@@ -385,6 +387,34 @@
 	d.eventually(3*time.Second, 0, http.MethodGet, "/q/"+testID+"03", "", http.StatusGone, "") // it never runs
 }
 
+// cutStore is a store that one node cannot reach.
+type cutStore struct {
+	Store
+	cut atomic.Bool
+}
+
+func (c *cutStore) Append(ctx context.Context, a store.Append) (store.Appended, error) {
+	if c.cut.Load() {
+		return store.Appended{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
+	}
+	return c.Store.Append(ctx, a)
+}
+
+func TestNodeCutOffFromTheStoreAcceptsByWayOfTheOwner(t *testing.T) {
+	d := deploy(t, 2)
+	owner := d.owner()
+	cut := &cutStore{Store: d.store}
+	other := d.nodes[1-owner].node
+	other.accepts = appender.New(cut, jobsPartition, "cut", 1, 1<<20)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = other.accepts.Run(ctx) }() // ends with the context
+	cut.cut.Store(true)
+	id := testID + "04"
+	d.eventually(2*time.Second, 1-owner, http.MethodPost, "/q/"+id, "spec", http.StatusOK, "")
+	d.eventually(5*time.Second, 1-owner, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+}
+
 func TestPlannedStopHandsOver(t *testing.T) {
 	d := deploy(t, 2)
 	owner := d.owner()
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -8,9 +8,13 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
 )
 
 const (
@@ -79,3 +83,18 @@
 	}
 	return &cellrpc.PendingReply{Owner: true, Count: int64(count)}, nil
 }
+
+// Accept implements cellrpc.Cell. Any node that reaches the store can do it.
+func (s cellServer) Accept(ctx context.Context, r *cellrpc.AcceptRequest) (*cellrpc.AcceptReply, error) {
+	kind, _ := jobrecord.ParseKey(r.Key)
+	if kind != jobrecord.KindJob && kind != jobrecord.KindCancel || len(r.Value) > s.node.settings.MaxRecordBytes {
+		return nil, twirp.InvalidArgumentError("key", "names neither a job nor a cancellation")
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerLimit)
+	defer cancel()
+	_, err := s.node.accepts.Append(ctx, []store.Record{{Key: r.Key, Value: r.Value}})
+	if err != nil {
+		s.node.log.Info("record of another node not stored", zap.String("key", r.Key), zap.Error(err))
+	}
+	return &cellrpc.AcceptReply{Stored: err == nil, Refused: err != nil && verdict.Of(err) == verdict.NotRun}, nil
+}
--- a/internal/cellrpc/cell.twirp.go
+++ b/internal/cellrpc/cell.twirp.go
@@ -38,6 +38,9 @@
 
 	// Pending returns how many accepted jobs of a queue have not begun.
 	Pending(context.Context, *PendingRequest) (*PendingReply, error)
+
+	// Accept stores a job or a cancellation for a node that cannot reach the store.
+	Accept(context.Context, *AcceptRequest) (*AcceptReply, error)
 }
 
 // ====================
@@ -46,7 +49,7 @@
 
 type cellProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -74,9 +77,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.cell", "Cell")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Status",
 		serviceURL + "Pending",
+		serviceURL + "Accept",
 	}
 
 	return &cellProtobufClient{
@@ -179,13 +183,59 @@
 	return out, nil
 }
 
+func (c *cellProtobufClient) Accept(ctx context.Context, in *AcceptRequest) (*AcceptReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Accept")
+	caller := c.callAccept
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AcceptRequest) (*AcceptReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcceptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcceptRequest) when calling interceptor")
+					}
+					return c.callAccept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcceptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcceptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callAccept(ctx context.Context, in *AcceptRequest) (*AcceptReply, error) {
+	out := new(AcceptReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Cell JSON Client
 // ================
 
 type cellJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -213,9 +263,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.cell", "Cell")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Status",
 		serviceURL + "Pending",
+		serviceURL + "Accept",
 	}
 
 	return &cellJSONClient{
@@ -318,6 +369,52 @@
 	return out, nil
 }
 
+func (c *cellJSONClient) Accept(ctx context.Context, in *AcceptRequest) (*AcceptReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Accept")
+	caller := c.callAccept
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AcceptRequest) (*AcceptReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcceptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcceptRequest) when calling interceptor")
+					}
+					return c.callAccept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcceptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcceptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callAccept(ctx context.Context, in *AcceptRequest) (*AcceptReply, error) {
+	out := new(AcceptReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Cell Server Handler
 // ===================
@@ -421,6 +518,9 @@
 	case "Pending":
 		s.servePending(ctx, resp, req)
 		return
+	case "Accept":
+		s.serveAccept(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -788,6 +888,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *cellServer) serveAccept(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAcceptJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAcceptProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveAcceptJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Accept")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AcceptRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Accept
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AcceptRequest) (*AcceptReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcceptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcceptRequest) when calling interceptor")
+					}
+					return s.Cell.Accept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcceptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcceptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AcceptReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcceptReply and nil error while calling Accept. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveAcceptProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Accept")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AcceptRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Accept
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AcceptRequest) (*AcceptReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AcceptRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AcceptRequest) when calling interceptor")
+					}
+					return s.Cell.Accept(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AcceptReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AcceptReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AcceptReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AcceptReply and nil error while calling Accept. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *cellServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1369,23 +1649,27 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 275 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x3f, 0x4f, 0xc3, 0x30,
-	0x10, 0xc5, 0x15, 0xd2, 0x14, 0x38, 0xfe, 0xca, 0xea, 0x10, 0x95, 0x7f, 0x21, 0x03, 0xca, 0x94,
-	0x20, 0xd8, 0x18, 0x41, 0x42, 0x62, 0x43, 0x66, 0x63, 0x73, 0xcd, 0x09, 0x0a, 0x87, 0xed, 0x26,
-	0xb6, 0x42, 0x3f, 0x0a, 0xdf, 0x16, 0x39, 0x6e, 0x81, 0x16, 0x95, 0xc9, 0x7e, 0xbf, 0x7b, 0xd2,
-	0xbd, 0xbb, 0x83, 0x83, 0xb1, 0xb2, 0x58, 0x2b, 0x41, 0x95, 0x44, 0xa2, 0xda, 0xc8, 0xee, 0x2d,
-	0x4d, 0xad, 0xad, 0x66, 0x7b, 0x52, 0x48, 0xeb, 0x9a, 0x56, 0x10, 0x95, 0x1e, 0xe7, 0xa7, 0xb0,
-	0xf3, 0x60, 0x85, 0x75, 0x0d, 0xc7, 0x89, 0xc3, 0xc6, 0xb2, 0x7d, 0x88, 0x5f, 0xf5, 0x28, 0x8d,
-	0xb2, 0xa8, 0xd8, 0xe4, 0xfe, 0x9b, 0x23, 0x6c, 0xcd, 0x2d, 0x86, 0xa6, 0x6c, 0x00, 0x89, 0x6e,
-	0x15, 0xd6, 0x9d, 0x65, 0x83, 0x07, 0xe1, 0xe9, 0x9b, 0xd2, 0xad, 0x4a, 0xd7, 0x02, 0xed, 0x84,
-	0xa7, 0x8d, 0x15, 0x16, 0xd3, 0x38, 0x8b, 0x8a, 0x84, 0x07, 0xe1, 0x29, 0x1a, 0x2d, 0x5f, 0xd2,
-	0x5e, 0x16, 0x15, 0x31, 0x0f, 0x22, 0x3f, 0x83, 0xdd, 0x7b, 0x54, 0x4f, 0x63, 0xf5, 0x3c, 0x8f,
-	0x32, 0x80, 0x64, 0xe2, 0xd0, 0xe1, 0x2c, 0x4c, 0x10, 0xf9, 0x15, 0x6c, 0x7f, 0xfb, 0xfe, 0xcd,
-	0x23, 0xb5, 0x53, 0xb6, 0xcb, 0x13, 0xf3, 0x20, 0x2e, 0x3e, 0x23, 0xe8, 0xdd, 0x20, 0x11, 0xbb,
-	0x85, 0x7e, 0x98, 0x89, 0x1d, 0x97, 0x4b, 0x2b, 0x29, 0x17, 0xf6, 0x31, 0x3c, 0x5c, 0x59, 0xf7,
-	0xcd, 0xef, 0x60, 0x7d, 0x16, 0x86, 0x9d, 0xfc, 0x31, 0x2e, 0x8e, 0x33, 0x3c, 0x5a, 0x6d, 0x30,
-	0x34, 0xbd, 0x3e, 0x7f, 0xfc, 0x5d, 0xc7, 0x0f, 0xf1, 0x6e, 0x08, 0xab, 0x1f, 0x54, 0x2d, 0xdf,
-	0x75, 0xd4, 0xef, 0x6e, 0x7a, 0xf9, 0x15, 0x00, 0x00, 0xff, 0xff, 0x24, 0xa3, 0x2b, 0xa2, 0xf2,
-	0x01, 0x00, 0x00,
+	// 346 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcf, 0x4f, 0xc2, 0x30,
+	0x1c, 0xc5, 0x33, 0x07, 0x43, 0xbf, 0x80, 0x9a, 0x85, 0x98, 0x05, 0x7f, 0xe1, 0x0e, 0x86, 0xd3,
+	0x30, 0x7a, 0x30, 0xf1, 0x62, 0xd4, 0x84, 0xc4, 0x9b, 0xa9, 0x37, 0x6f, 0xa5, 0x7c, 0x55, 0xa4,
+	0xb6, 0x63, 0x6b, 0x45, 0xfe, 0x5c, 0xff, 0x13, 0xd3, 0x76, 0x53, 0x40, 0xf0, 0xb4, 0x7d, 0x5e,
+	0x5f, 0xdb, 0xd7, 0xd7, 0xc2, 0xfe, 0x48, 0x28, 0xcc, 0x04, 0xe5, 0x3d, 0x86, 0x9c, 0x67, 0x29,
+	0xb3, 0xdf, 0x24, 0xcd, 0xa4, 0x92, 0xe1, 0x0e, 0xa3, 0x4c, 0xe9, 0x7c, 0x4a, 0x39, 0x4f, 0x8c,
+	0x1c, 0x9f, 0x40, 0xf3, 0x51, 0x51, 0xa5, 0x73, 0x82, 0x13, 0x8d, 0xb9, 0x0a, 0x77, 0xc1, 0x7f,
+	0x93, 0x83, 0xc8, 0xeb, 0x78, 0xdd, 0x2d, 0x62, 0x7e, 0x63, 0x84, 0x7a, 0x69, 0x49, 0xf9, 0x2c,
+	0x6c, 0x41, 0x55, 0x4e, 0x05, 0x66, 0xd6, 0xb2, 0x49, 0x1c, 0x18, 0x75, 0x2c, 0xe4, 0x54, 0x44,
+	0x1b, 0x4e, 0xb5, 0x60, 0xd4, 0x5c, 0x51, 0x85, 0x91, 0xdf, 0xf1, 0xba, 0x55, 0xe2, 0xc0, 0xa8,
+	0x98, 0x4a, 0xf6, 0x1a, 0x55, 0x3a, 0x5e, 0xd7, 0x27, 0x0e, 0xe2, 0x53, 0xd8, 0x7e, 0x40, 0x31,
+	0x1c, 0x89, 0x97, 0x32, 0x4a, 0x0b, 0xaa, 0x13, 0x8d, 0x1a, 0x8b, 0x30, 0x0e, 0xe2, 0x2b, 0x68,
+	0xfc, 0xf8, 0xfe, 0xcd, 0xc3, 0xa4, 0x16, 0xca, 0xe6, 0xf1, 0x89, 0x83, 0xf8, 0x12, 0x9a, 0x37,
+	0x8c, 0x61, 0xaa, 0xe6, 0x4e, 0x3b, 0xc6, 0x59, 0x79, 0xda, 0x31, 0xda, 0xe5, 0x3e, 0x28, 0xd7,
+	0x68, 0x27, 0x36, 0x88, 0x83, 0xf8, 0x1a, 0xea, 0xe5, 0x44, 0xb3, 0xe7, 0x1e, 0x04, 0xb9, 0x92,
+	0x19, 0x0e, 0x8b, 0x4d, 0x0b, 0x0a, 0x23, 0xa8, 0x65, 0xf8, 0xac, 0x73, 0x1c, 0x16, 0x3d, 0x94,
+	0x78, 0xfe, 0xe5, 0x41, 0xe5, 0x0e, 0x39, 0x0f, 0xfb, 0x10, 0xb8, 0x36, 0xc3, 0xa3, 0x64, 0xe9,
+	0x32, 0x92, 0x85, 0x9b, 0x68, 0x1f, 0xac, 0x1d, 0x37, 0x11, 0xee, 0xa1, 0x56, 0xd4, 0x10, 0x1e,
+	0xff, 0x31, 0x2e, 0x16, 0xd9, 0x3e, 0x5c, 0x6f, 0x30, 0x4b, 0xf5, 0x21, 0x70, 0x87, 0x5b, 0x11,
+	0x69, 0xa1, 0xae, 0x15, 0x91, 0xe6, 0x5a, 0xb9, 0x3d, 0x7b, 0x9a, 0x1f, 0xc6, 0x4f, 0xfa, 0x9e,
+	0x72, 0xec, 0xfd, 0x4a, 0xbd, 0xe5, 0x97, 0x39, 0x08, 0xec, 0xab, 0xbc, 0xf8, 0x0e, 0x00, 0x00,
+	0xff, 0xff, 0x40, 0xcf, 0xe3, 0xbe, 0xb4, 0x02, 0x00, 0x00,
 }
