Refuse at once while the store is in doubt, with a Retry-After as long as it has been away

Nothing is sent to a store that has not answered for 0.7 s and failed since, so the refusal is true at once.

--- a/internal/cellnode/authority.go
+++ b/internal/cellnode/authority.go
@@ -188,7 +188,9 @@
 	}
 }
 
+// storeFailed notes a call that the store did not answer or refused.
 func (n *Node) storeFailed(what string, err error) {
+	n.storeFailedAt.Store(int64(boottime.Now()))
 	if silent := time.Duration(int64(boottime.Now()) - n.storeSeen.Load()); silent > storeSilent {
 		n.log.Warn("store out of reach", zap.String("call", what), zap.Duration("silent", silent),
 			zap.String("reason", string(verdict.ReasonOf(err))))
@@ -198,6 +200,16 @@
 // storeSilent is the time without an answer after which the store counts as out of reach: longer than a read waits.
 const storeSilent = claimReadWait + claimCallLimit
 
+// storeDoubtful is the time without an answer after which, if a call has failed meanwhile, nothing new is sent to the store
+// on a caller's behalf.
+const storeDoubtful = 700 * time.Millisecond
+
+// storeInDoubt tells whether an append would probably fail now.
+func (n *Node) storeInDoubt() bool {
+	seen := n.storeSeen.Load()
+	return n.storeFailedAt.Load() > seen && time.Duration(int64(boottime.Now())-seen) > storeDoubtful
+}
+
 func (n *Node) storeReachable() bool {
 	return time.Duration(int64(boottime.Now())-n.storeSeen.Load()) <= storeSilent
 }
--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -30,12 +31,17 @@
 	// detourAfter is how long the store may take before the owner is asked to store a record as well: some ten times
 	// what an append takes on calm days, and less than a caller's objective.
 	detourAfter = 150 * time.Millisecond
+	// maxStoring is how long a record may take to be stored: an append that has no answer is repeated, but a caller is not
+	// kept to the end of its time.
+	maxStoring = 2 * time.Second
 	// askPause is between two questions to an owner that does not answer.
 	askPause = 100 * time.Millisecond
 	// maxAsking bounds the time for which a question is tried: a planned change of owner is over by then.
 	maxAsking = 1500 * time.Millisecond
-	// retryAfterStore is when a caller may come back who was refused because the store is out of reach.
-	retryAfterStore = 2 * time.Second
+	// A caller who was refused because the store is away may come back after as long as the store has been away
+	// already: a short outage is over soon, and a long one is not asked at in vain several times.
+	shortestRetryAfter = time.Second
+	longestRetryAfter  = 5 * time.Second
 	// retryAfterOwner is when a caller may come back whose question found no owner: about a take-over's time.
 	retryAfterOwner = time.Second
 )
@@ -51,6 +57,7 @@
 	reasonNoOwner     = verdict.Reason("no_owner")
 	reasonNotStored   = verdict.Reason("not_stored")
 	reasonStoreUnsure = verdict.Reason("store_unsure")
+	reasonStoreAway   = verdict.Reason("store_away")
 	reasonDetour      = verdict.Reason("owner_did_not_store")
 )
 
@@ -197,11 +204,10 @@
 // store stores a record of the jobs topic, by way of the owner where the store does not answer this node. A record that
 // is stored twice counts once. The error is nil when either way succeeded, and says "not run" only when both did.
 func (g gateway) store(ctx context.Context, r store.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, maxStoring)
+	defer cancel()
 	results := make(chan error, 2)
-	go func() {
-		_, err := g.node.accepts.Append(ctx, []store.Record{r})
-		results <- err
-	}()
+	go func() { results <- g.node.storeRecord(ctx, r) }()
 	timer := time.NewTimer(detourAfter)
 	defer timer.Stop()
 	var own error
@@ -236,6 +242,19 @@
 	return worst
 }
 
+// storeRecord stores a record of the jobs topic. While the store is in doubt nothing is sent, so that the caller can be
+// told at once that nothing has run.
+func (n *Node) storeRecord(ctx context.Context, r store.Record) error {
+	if n.storeInDoubt() {
+		return verdict.New(verdict.NotRun, reasonStoreAway, nil)
+	}
+	_, err := n.accepts.Append(ctx, []store.Record{r})
+	if err == nil {
+		n.storeAnswered()
+	}
+	return err
+}
+
 // detour asks the owner to store a record.
 func (g gateway) detour(ctx context.Context, address string, r store.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
@@ -256,15 +275,20 @@
 // stored is the answer to a caller whose record was to be stored.
 func (g gateway) stored(err error) answer {
 	if err == nil {
-		g.node.storeAnswered()
 		return answer{status: http.StatusOK}
 	}
 	if verdict.Of(err) == verdict.NotRun {
-		return answer{status: http.StatusServiceUnavailable, reason: reasonNotStored, retryAfter: retryAfterStore}
+		return answer{status: http.StatusServiceUnavailable, reason: reasonNotStored, retryAfter: g.node.storeRetryAfter()}
 	}
 	return answer{status: http.StatusGatewayTimeout, reason: reasonStoreUnsure}
 }
 
+// storeRetryAfter is when a caller may come back whose record the store did not take.
+func (n *Node) storeRetryAfter() time.Duration {
+	away := time.Duration(int64(boottime.Now()) - n.storeSeen.Load())
+	return min(longestRetryAfter, max(shortestRetryAfter, away))
+}
+
 // cancel stores the cancellation of a job.
 func (g gateway) cancel(ctx context.Context, id jobs.ID) answer {
 	if _, known, ok := g.ask(ctx, id, 0); ok && !known {
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -96,6 +96,8 @@
 	stopping atomic.Bool
 	// storeSeen is when the store last answered, in nanoseconds of boottime.
 	storeSeen atomic.Int64
+	// storeFailedAt is when a call to it failed last, on the same clock.
+	storeFailedAt atomic.Int64
 
 	// mu guards the view of the claim.
 	mu   sync.Mutex
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -92,7 +92,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
-	_, err := s.node.accepts.Append(ctx, []store.Record{{Key: r.Key, Value: r.Value}})
+	err := s.node.storeRecord(ctx, store.Record{Key: r.Key, Value: r.Value})
 	if err != nil {
 		s.node.log.Info("record of another node not stored", zap.String("key", r.Key), zap.Error(err))
 	}
