--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -5,6 +5,7 @@
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/pressure"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/workercall"
@@ -16,7 +17,7 @@
 	switch {
 	case kind == jobrecord.KindJob && len(r.Value) > 0:
 		var record jobrecord.Job
-		if err := jobrecord.Decode(r.Value, &record); err != nil {
+		if err := packed.Decode(r.Value, &record); err != nil {
 			c.unreadable(r, err)
 			return
 		}
@@ -64,21 +65,21 @@
 	switch {
 	case kind == jobrecord.KindOutcome && j != nil:
 		var outcome jobrecord.Outcome
-		if err := jobrecord.Decode(r.Value, &outcome); err != nil {
+		if err := packed.Decode(r.Value, &outcome); err != nil {
 			c.unreadable(r, err)
 			return
 		}
 		j.ended, j.visible, j.outcome, j.endedAtMS = true, true, outcome.State, outcome.AtMS
 	case kind == jobrecord.KindGroup && j != nil:
 		var record jobrecord.Group
-		if err := jobrecord.Decode(r.Value, &record); err != nil {
+		if err := packed.Decode(r.Value, &record); err != nil {
 			c.unreadable(r, err)
 			return
 		}
 		c.loadGroup(j, id, record, r)
 	case r.Key == jobrecord.PressuresKey:
 		var snapshot pressure.Snapshot
-		if err := jobrecord.Decode(r.Value, &snapshot); err != nil {
+		if err := packed.Decode(r.Value, &snapshot); err != nil {
 			c.unreadable(r, err)
 			return
 		}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -8,6 +8,7 @@
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
 	"cactuswall.example/cactuswall/internal/workercall"
@@ -120,7 +121,7 @@
 }
 
 func (r *Round) add(c *Cell, key string, record any) {
-	encoded, err := jobrecord.Encode(record)
+	encoded, err := packed.Encode(record)
 	if err != nil {
 		c.log.Error("record could not be encoded", zap.String("key", key), zap.Error(err))
 		return
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -127,8 +127,6 @@
 	arrived   time.Duration
 	// opened is the number of occurrences that have groups.
 	opened int
-	// doneOccurrences counts finished occurrences.
-	doneOccurrences int
 }
 
 // live tells whether tasks of the job may still be started.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -12,6 +12,7 @@
 	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/queue"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -194,7 +195,7 @@
 // submit accepts a job.
 func (w *world) submit(id jobs.ID, spec jobs.Spec) {
 	w.specs[id] = spec
-	value, err := jobrecord.Encode(&jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, Stretch: 2, ReceivedMS: w.wall().UnixMilli(), Spec: spec})
+	value, err := packed.Encode(&jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, Stretch: 2, ReceivedMS: w.wall().UnixMilli(), Spec: spec})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/cellnode/authority.go
+++ b/internal/cellnode/authority.go
@@ -8,6 +8,7 @@
 
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/claim"
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
@@ -122,7 +123,7 @@
 
 // putClaim appends a claim, a renewal or a release and tells whether it was accepted.
 func (n *Node) putClaim(ctx context.Context, r claim.Record) bool {
-	value, err := r.Encode()
+	value, err := packed.Encode(&r)
 	if err != nil {
 		n.log.Error("claim could not be encoded", zap.Error(err))
 		return false
@@ -180,18 +181,21 @@
 	return newest.Epoch == epoch && n.view.MayHold(boottime.Now())
 }
 
+// storeAnswered notes a call that the store served.
 func (n *Node) storeAnswered() {
 	now := int64(boottime.Now())
 	before := n.storeSeen.Swap(now)
-	if before != 0 && time.Duration(now-before) > storeSilent {
+	if n.storeLost.CompareAndSwap(true, false) {
 		n.log.Info("store regained", zap.Duration("silent", time.Duration(now-before)))
 	}
 }
 
 // storeFailed notes a call that the store did not answer or refused.
 func (n *Node) storeFailed(what string, err error) {
-	n.storeFailedAt.Store(int64(boottime.Now()))
-	if silent := time.Duration(int64(boottime.Now()) - n.storeSeen.Load()); silent > storeSilent {
+	now := int64(boottime.Now())
+	n.storeFailedAt.Store(now)
+	silent := time.Duration(now - n.storeSeen.Load())
+	if silent > storeSilent && n.storeLost.CompareAndSwap(false, true) {
 		n.log.Warn("store out of reach", zap.String("call", what), zap.Duration("silent", silent),
 			zap.String("reason", string(verdict.ReasonOf(err))))
 	}
--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -16,6 +16,7 @@
 	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/queue"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -191,7 +192,7 @@
 		g.node.log.Info("job not readable", zap.String("job", string(id)), zap.Error(err))
 		return refusal(http.StatusBadRequest, reasonBadRequest)
 	}
-	value, err := jobrecord.Encode(&jobrecord.Job{
+	value, err := packed.Encode(&jobrecord.Job{
 		Queue: q.Name, Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		Stretch: q.Stretch, LatencyMS: q.Latency.Milliseconds(), ReceivedMS: received, Spec: *spec,
 	})
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -98,6 +98,8 @@
 	storeSeen atomic.Int64
 	// storeFailedAt is when a call to it failed last, on the same clock.
 	storeFailedAt atomic.Int64
+	// storeLost is set while the store counts as out of reach.
+	storeLost atomic.Bool
 
 	// mu guards the view of the claim.
 	mu   sync.Mutex
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -251,7 +251,9 @@
 			n.cancel()
 		}
 		for _, n := range d.nodes {
-			<-n.done
+			if err := <-n.done; err != nil {
+				t.Error(err)
+			}
 		}
 	})
 	return d
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -5,9 +5,7 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
-
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/store"
 )
 
@@ -32,8 +30,6 @@
 
 // Record is what is stored under Key.
 type Record struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Holder names the process, not only the node: a restarted process holds nothing.
 	Holder string
 	Node   string
@@ -43,19 +39,6 @@
 	Released bool
 }
 
-// Encode returns the stored form.
-func (r *Record) Encode() ([]byte, error) {
-	encoded, err := msgpack.Marshal(r)
-	return encoded, trace.Wrap(err)
-}
-
-// Decode reads the stored form.
-func Decode(value []byte) (Record, error) {
-	var r Record
-	err := msgpack.Unmarshal(value, &r)
-	return r, trace.Wrap(err)
-}
-
 // View is what one process knows of the claim on a cell. Times are those of a clock that counts suspension.
 type View struct {
 	holder string
@@ -100,8 +83,8 @@
 		if record.Key != Key || record.Offset < v.end {
 			continue
 		}
-		r, err := Decode(record.Value)
-		if err != nil {
+		var r Record
+		if err := packed.Decode(record.Value, &r); err != nil {
 			unreadable++
 			continue
 		}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -6,11 +6,12 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"cactuswall.example/cactuswall/internal/packed"
 	"cactuswall.example/cactuswall/internal/store"
 )
 
 func record(r Record, offset store.Offset) []store.Record {
-	value, err := r.Encode()
+	value, err := packed.Encode(&r)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -1,14 +1,11 @@
 // Package jobrecord holds the stored forms of jobs and of their progress, and the keys they are stored under.
-// The records are msgpack arrays, so a field can only be added at the end of its record.
+// Package packed encodes them.
 package jobrecord
 
 import (
 	"strconv"
 	"strings"
 
-	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"cactuswall.example/cactuswall/internal/jobs"
 )
 
@@ -21,8 +18,6 @@
 
 // Job is an accepted job, with what its queue said when it was accepted.
 type Job struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Queue    string
 	Service  string
 	Priority int
@@ -37,16 +32,12 @@
 
 // Outcome is the end of a job.
 type Outcome struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	State jobs.State
 	AtMS  int64 // Unix milliseconds
 }
 
 // Group is the progress of the tasks of one step in one occurrence.
 type Group struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// NextRun is the number that the next run of a member of a gang gets.
 	NextRun int
 	Tasks   []Task
@@ -54,8 +45,6 @@
 
 // Task is the progress of one task.
 type Task struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Done bool
 	// Failures counts the runs that ended as failed.
 	Failures   int
@@ -67,8 +56,6 @@
 
 // Run is a start of a task that may be running on a worker.
 type Run struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Number int
 	Worker string
 	// Born is the life of the worker that the run was started in, in Unix milliseconds; 0 when it is not known.
@@ -149,14 +136,3 @@
 	}
 	return KindGroup, jobs.GroupID{Job: jobs.ID(parts[0]), Occurrence: occurrence, Step: step}
 }
-
-// Encode returns the stored form of a record.
-func Encode(record any) ([]byte, error) {
-	encoded, err := msgpack.Marshal(record)
-	return encoded, trace.Wrap(err)
-}
-
-// Decode reads the stored form into record.
-func Decode(value []byte, record any) error {
-	return trace.Wrap(msgpack.Unmarshal(value, record))
-}
--- a/internal/pressure/pressure.go
+++ b/internal/pressure/pressure.go
@@ -339,16 +339,12 @@
 
 // Pair is what is known of one pair of images, in the form in which it is kept.
 type Pair struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Service, Filler string
 	Mean, Deviation float64
 }
 
 // Snapshot is what is known of all pairs, in the form in which it is kept.
 type Snapshot struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Lowest is the lowest tail of each service's image, in milliseconds.
 	Lowest map[string]float64
 	Pairs  []Pair
--- a/internal/workercall/workercall.go
+++ b/internal/workercall/workercall.go
@@ -28,7 +28,7 @@
 	Sequence int64
 }
 
-// Address of one life of a worker.
+// Target is the address of one life of a worker.
 type Target struct {
 	ID      string
 	Address string
