--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -15,7 +15,7 @@
 const (
 	// loadRise is the rise of a service's utilization for which placing leaves room: its load swings while a
 	// filling task of some seconds runs.
-	loadRise = 0.08
+	loadRise = 0.03
 	// settled is how long a run must have worked for its figure to show its processor time.
 	settledFigure = 700 * time.Millisecond
 	// leastPace is the pace at which a filling task must at least be able to run where it is placed.
