--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -17,10 +17,8 @@
 // Settings are the bounds that a cell keeps.
 type Settings struct {
 	MaxHold    time.Duration // longest lease that workers grant
-	Stop       time.Duration // longest time that a stop takes
 	KeepStatus time.Duration // how long ended jobs are kept
-	FarFactor  float64
-	Harm       time.Duration
+	Harm       time.Duration // for how long a service may be over its target on end
 }
 
 // Cell is the state of one cell while this process owns it. It is used by one goroutine at a time.
@@ -42,7 +40,7 @@
 	pressures *pressure.Learner
 	kept      time.Duration // when it was stored last
 	relocated time.Duration // when crawling runs were looked for last
-	// claimed is when the process claimed the cell, forgotten when leases of a former owner have lapsed everywhere.
+	// forgotten is when leases that former owners extended have lapsed everywhere.
 	forgotten time.Duration
 	// waiting is set when a task may be waiting for room.
 	waiting bool
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -64,8 +64,6 @@
 	stopUnknown   stopReason = "run_not_known"
 	stopGang      stopReason = "gang_incomplete"
 	stopCrawling  stopReason = "crawling"
-	stopPreempted stopReason = "preempted"
-	stopLeaving   stopReason = "worker_leaving"
 	stopFailedJob stopReason = "job_failed"
 )
 
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -69,7 +69,6 @@
 	MaxRecordBytes int
 	MaxCallBytes   int
 	Grace          time.Duration // between the request to stop and the kill
-	Heartbeat      time.Duration // of the workers' entries
 	Cell           cell.Settings
 }
 
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -284,7 +284,7 @@
 	node := New(Settings{
 		Node: name, Rank: rank, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
 		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, Grace: 6 * time.Second,
-		Cell: cell.Settings{MaxHold: 6 * time.Second, Stop: 200 * time.Millisecond, KeepStatus: time.Minute, FarFactor: 1.5, Harm: 4 * time.Second},
+		Cell: cell.Settings{MaxHold: 6 * time.Second, KeepStatus: time.Minute, Harm: 4 * time.Second},
 	}, Platform{Store: d.store, Workers: d.worker, Documents: documents, Wire: testWire()}, name+"-1", zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{node: node, cancel: cancel, done: make(chan error, 1)}
--- a/internal/daemoncmd/check_settings.go
+++ b/internal/daemoncmd/check_settings.go
@@ -5,14 +5,19 @@
 
 	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/settings"
+	"cactuswall.example/cactuswall/platform"
 )
 
 func newCheckSettingsCommand() *cobra.Command {
-	return &cobra.Command{
+	var onPlatform bool
+	command := &cobra.Command{
 		Use:   "check-settings FILE",
 		Short: "Check a settings file and report every problem",
 		Args:  exitcode.Arguments(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error {
+			if onPlatform {
+				return checkPlatformSettings(c, args[0])
+			}
 			s, err := settings.Load(args[0])
 			if err != nil {
 				return err
@@ -21,4 +26,15 @@
 			return nil
 		},
 	}
+	command.Flags().BoolVar(&onPlatform, "platform", false, "the file is one that the users' platform gives to a process")
+	return command
+}
+
+func checkPlatformSettings(c *cobra.Command, path string) error {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return exitcode.Usage(err)
+	}
+	c.Printf("%s: valid settings of the platform for node %s in failure domain %s\n", path, s.Node, s.FailureDomain)
+	return nil
 }
--- a/internal/daemoncmd/daemoncmd_test.go
+++ b/internal/daemoncmd/daemoncmd_test.go
@@ -22,6 +22,16 @@
 
 func TestCheckSettings(t *testing.T) {
 	const example = "../../examples/settings-arwyddion.jsonc"
+	Convey("check-settings --platform", t, func() {
+		Convey("names every fault of a settings file of the platform", func() {
+			file := filepath.Join(t.TempDir(), "node.conf")
+			So(os.WriteFile(file, []byte("node-name=n\norders=pigeon\n"), 0o600), ShouldBeNil)
+			code, _, message := run("check-settings", "--platform", file)
+			So(code, ShouldEqual, exitcode.Invalid)
+			So(message, ShouldContainSubstring, "orders is unknown")
+			So(message, ShouldContainSubstring, "platform.address is missing")
+		})
+	})
 	Convey("check-settings", t, func() {
 		Convey("names the node of a valid file", func() {
 			code, out, _ := run("check-settings", example)
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -27,12 +27,16 @@
 const (
 	// memoryPercent is the share of the memory limit at which the garbage collector works harder.
 	memoryPercent = 40
+	// keepLonger is added to the time for which the state of an ended job must be told: late copies of its request are
+	// still recognised then.
+	keepLonger = time.Minute
 	// ranks is the number of turns in which nodes claim.
 	ranks = 8
 )
 
 func newPlatformCommand() *cobra.Command {
 	var level string
+	var metricsPort int
 	command := &cobra.Command{
 		Use:   "platform",
 		Short: "Run a node on the users' platform until SIGTERM",
@@ -49,14 +53,15 @@
 			if err != nil {
 				return trace.Wrap(err)
 			}
-			return runOnPlatform(c.Context(), path, settings, parsed)
+			return runOnPlatform(c.Context(), path, settings, metricsPort, parsed)
 		},
 	}
 	command.Flags().StringVar(&level, "log-level", "info", "lowest level that is logged: debug, info, warn or error")
+	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port on which metrics are served, 0 for none")
 	return command
 }
 
-func runOnPlatform(ctx context.Context, path string, s *platform.Settings, level zapcore.Level) error {
+func runOnPlatform(ctx context.Context, path string, s *platform.Settings, metricsPort int, level zapcore.Level) error {
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) << 20 * memoryPercent / 100)
 	sink := logsink.New(os.Stdout)
 	sinkContext, endSink := context.WithCancel(context.WithoutCancel(ctx))
@@ -69,13 +74,19 @@
 		endSink()
 		<-flushed
 	}()
-	node := cellnode.New(nodeSettings(s), cellnode.Platform{
-		Store:     platform.NewStore(s.Store.Address),
-		Workers:   platform.NewWorkers(),
+	store, workers := platform.NewStore(s.Store.Address), platform.NewWorkers()
+	node := cellnode.New(nodeSettings(s, metricsPort), cellnode.Platform{
+		Store:     store,
+		Workers:   workers,
 		Documents: platform.Documents(),
 		Wire:      platform.Wire(),
 	}, s.Node+"-"+uuid.NewString()[:8], sink.Logger(level))
-	go watchSettings(ctx, path, node)
+	store.Observe, workers.Observe = node.ObserveCalls("store"), node.ObserveCalls("worker")
+	node.WatchLog(sink)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go watchSettings(ctx, hangups, path, metricsPort, node)
 	return node.Run(ctx)
 }
 
@@ -83,10 +94,7 @@
 const settingsPeriod = time.Second
 
 // watchSettings has the node take in a changed settings file, on SIGHUP and by looking at it.
-func watchSettings(ctx context.Context, path string, node *cellnode.Node) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, hangups <-chan os.Signal, path string, metricsPort int, node *cellnode.Node) {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	known, _ := os.ReadFile(path) // it was read a moment ago; if it is gone now, its return is a change
@@ -113,30 +121,29 @@
 			node.ReloadFailed(cause, err)
 			continue
 		}
-		node.Reload(cause, nodeSettings(settings))
+		node.Reload(cause, nodeSettings(settings, metricsPort))
 	}
 }
 
-func nodeSettings(s *platform.Settings) cellnode.Settings {
+func nodeSettings(s *platform.Settings, metricsPort int) cellnode.Settings {
 	return cellnode.Settings{
 		Node: s.Node, Rank: rankOf(s.Node),
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
 		PeerAddress:    net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
-		MetricsAddress: metricsAddress(s),
+		MetricsAddress: metricsAddress(s.IP, metricsPort),
 		MaxRecordBytes: s.Store.RecordBytes, MaxCallBytes: s.Store.CallBytes,
-		Grace: s.Bounds.Grace, Heartbeat: s.Heartbeat,
+		Grace: s.Bounds.Grace,
 		Cell: cell.Settings{
-			MaxHold: s.Bounds.MaxHold, Stop: s.Bounds.Stop, KeepStatus: s.Bounds.KeepStatus + time.Minute,
-			FarFactor: s.Bounds.FarFactor, Harm: s.Bounds.Harm,
+			MaxHold: s.Bounds.MaxHold, KeepStatus: s.Bounds.KeepStatus + keepLonger, Harm: s.Bounds.Harm,
 		},
 	}
 }
 
-func metricsAddress(s *platform.Settings) string {
-	if s.MetricsPort == 0 {
+func metricsAddress(ip string, port int) string {
+	if port == 0 {
 		return ""
 	}
-	return net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort))
+	return net.JoinHostPort(ip, strconv.Itoa(port))
 }
 
 // rankOf spreads nodes over the turns in which they claim.
