Move lasting tasks away from workers that leave

Cause (incident inc-a51a): lasting tasks on workers that were emptied were away until their lease had lapsed, 8 s after the worker had gone; a worker's entry may vanish for other reasons, so its end alone proves nothing.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -100,6 +100,38 @@
 	})
 }
 
+func TestLeavingWorker(t *testing.T) {
+	Convey("Lasting tasks move away from a worker that leaves, before it is gone", t, func() {
+		w := newWorld(7, 3)
+		w.claim()
+		spec := batch(6)
+		spec.Steps[0].Lasting = true
+		w.submit("j", spec)
+		w.run(time.Second)
+		for _, s := range w.sortedWorkers() {
+			if len(s.running) > 0 {
+				s.info.Draining = true
+				w.run(2 * time.Second)
+				So(s.running, ShouldBeEmpty)
+				break
+			}
+		}
+		So(w.running(), ShouldEqual, 6)
+		So(w.faults, ShouldBeEmpty)
+	})
+	Convey("They stay while there is no room elsewhere", t, func() {
+		w := newWorld(8, 2)
+		w.claim()
+		spec := batch(16)
+		spec.Steps[0].Lasting = true
+		w.submit("j", spec)
+		w.run(2 * time.Second)
+		w.workers["w0"].info.Draining = true
+		w.run(2 * time.Second)
+		So(len(w.workers["w0"].running), ShouldEqual, 8)
+	})
+}
+
 func (w *world) running() int {
 	running := 0
 	for _, s := range w.workers {
--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -20,7 +20,8 @@
 	lostPercent = 25
 )
 
-// relocate stops filling runs that crawl beside a service and would run at full speed on another worker.
+// relocate stops filling runs that crawl beside a service and would run at full speed on another worker, and lasting
+// runs on workers that leave, as long as there is room elsewhere.
 func (c *Cell) relocate() {
 	if c.now-c.relocated < relocateEvery {
 		return
@@ -28,7 +29,7 @@
 	c.relocated = c.now
 	var f *floor
 	for _, w := range c.sortedWorkers() {
-		for _, r := range w.crawling(c) {
+		for _, r := range w.movable(c) {
 			if f == nil {
 				f = c.floor()
 			}
@@ -37,15 +38,23 @@
 	}
 }
 
-func (w *worker) crawling(c *Cell) []*run {
-	var crawling []*run
+// movable returns the runs that would be better off elsewhere, in the order of their tasks.
+func (w *worker) movable(c *Cell) []*run {
+	var movable []*run
 	for _, r := range w.runs {
-		if c.crawls(r) {
-			crawling = append(crawling, r)
+		if c.crawls(r) || c.mustLeave(r) {
+			movable = append(movable, r)
 		}
 	}
-	sort.Slice(crawling, func(i, j int) bool { return lessTask(crawling[i], crawling[j]) })
-	return crawling
+	sort.Slice(movable, func(i, j int) bool { return lessTask(movable[i], movable[j]) })
+	return movable
+}
+
+// mustLeave tells whether a run lasts and its worker leaves. When the worker is gone its entry may only be late, so
+// without the move the task would be away until the lease has lapsed.
+func (c *Cell) mustLeave(r *run) bool {
+	step := r.task.group.step
+	return r.worker.info.Draining && step.Lasting && !step.Gang && !r.stop && r.state == runRunning && r.task.group.job.live()
 }
 
 // crawls tells whether a run is slowed down for long and may be moved.
@@ -67,8 +76,14 @@
 		return
 	}
 	c.take(f, t.group, i)
-	t.moves++
+	if !t.group.step.Lasting {
+		t.moves++
+	}
 	c.log.Info("run is moved", taskField(t.id), zap.Int("run", r.number), zap.String("worker", r.worker.info.ID),
 		zap.Int("pace", r.pace), zap.Int("percent", r.percent), zap.String("to", f.rows[i].info.ID))
-	c.stopRun(r, stopCrawling)
+	why := stopCrawling
+	if r.worker.info.Draining {
+		why = stopLeaving
+	}
+	c.stopRun(r, why)
 }
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -64,6 +64,7 @@
 	stopUnknown   stopReason = "run_not_known"
 	stopGang      stopReason = "gang_incomplete"
 	stopCrawling  stopReason = "crawling"
+	stopLeaving   stopReason = "worker_leaves"
 	stopFailedJob stopReason = "job_failed"
 )
 
