--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -109,6 +109,30 @@
 	})
 }
 
+func TestLogPage(t *testing.T) {
+	Convey("LOGS.md names every message of the platform's node, and no other", t, func() {
+		var text strings.Builder
+		for _, pattern := range []string{"../internal/cell/*.go", "../internal/cellnode/*.go"} {
+			files, err := filepath.Glob(pattern)
+			So(err, ShouldBeNil)
+			for _, file := range files {
+				if !strings.HasSuffix(file, "_test.go") {
+					text.WriteString(read(t, file))
+				}
+			}
+		}
+		messages := find(`log\.(?:Info|Warn|Error)\("([^"]+)"`, text.String())
+		page := read(t, "LOGS.md")
+		_, table, _ := strings.Cut(page, "| --- | --- | --- |")
+		var named []string
+		for _, row := range regexp.MustCompile("(?m)^\\| ([^|]+) \\|").FindAllStringSubmatch(table, -1) {
+			named = append(named, find("`([^`]+)`", row[1])...)
+		}
+		slices.Sort(named)
+		So(slices.Compact(named), ShouldResemble, messages)
+	})
+}
+
 func TestRefusalsPage(t *testing.T) {
 	Convey("refusals.md lists every reason of a refusal, a retry and a rejection, and no other", t, func() {
 		text := sources(t)
