--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -12,8 +12,6 @@
 
 	"go.uber.org/zap"
 
-	"cactuswall.example/cactuswall/internal/boottime"
-	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/packed"
@@ -202,94 +200,6 @@
 	return g.stored(g.store(ctx, store.Record{Key: jobrecord.JobKey(id), Value: value}))
 }
 
-// store stores a record of the jobs topic, by way of the owner where the store does not answer this node. A record that
-// is stored twice counts once. The error is nil when either way succeeded, and says "not run" only when both did.
-func (g gateway) store(ctx context.Context, r store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, maxStoring)
-	defer cancel()
-	results := make(chan error, 2)
-	go func() { results <- g.node.storeRecord(ctx, r) }()
-	timer := time.NewTimer(detourAfter)
-	defer timer.Stop()
-	var own error
-	ways := 1
-	select {
-	case own = <-results:
-		if own == nil {
-			return nil
-		}
-		ways--
-	case <-timer.C:
-	}
-	address := g.node.ownerAddress()
-	if address == "" {
-		if ways == 0 {
-			return own
-		}
-		return <-results
-	}
-	ways++
-	go func() { results <- g.detour(ctx, address, r) }()
-	worst := own
-	for range ways {
-		err := <-results
-		if err == nil {
-			return nil
-		}
-		if worst == nil || verdict.Of(err) != verdict.NotRun {
-			worst = err
-		}
-	}
-	return worst
-}
-
-// storeRecord stores a record of the jobs topic. While the store is in doubt nothing is sent, so that the caller can be
-// told at once that nothing has run.
-func (n *Node) storeRecord(ctx context.Context, r store.Record) error {
-	if n.storeInDoubt() {
-		return verdict.New(verdict.NotRun, reasonStoreAway, nil)
-	}
-	_, err := n.accepts.Append(ctx, []store.Record{r})
-	if err == nil {
-		n.storeAnswered()
-	}
-	return err
-}
-
-// detour asks the owner to store a record.
-func (g gateway) detour(ctx context.Context, address string, r store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, peerLimit)
-	defer cancel()
-	reply, err := g.node.peers.owner(address).Accept(ctx, &cellrpc.AcceptRequest{Key: r.Key, Value: r.Value})
-	g.node.log.Info("record sent by way of the owner", zap.String("key", r.Key), zap.String("owner", address),
-		zap.Bool("stored", err == nil && reply.Stored), zap.Error(err))
-	var dial *net.OpError
-	switch {
-	case err == nil && reply.Stored:
-		return nil
-	case err == nil && reply.Refused, errors.As(err, &dial) && dial.Op == "dial":
-		return verdict.New(verdict.NotRun, reasonDetour, err)
-	}
-	return verdict.New(verdict.MayHaveRun, reasonDetour, err)
-}
-
-// stored is the answer to a caller whose record was to be stored.
-func (g gateway) stored(err error) answer {
-	if err == nil {
-		return answer{status: http.StatusOK}
-	}
-	if verdict.Of(err) == verdict.NotRun {
-		return answer{status: http.StatusServiceUnavailable, reason: reasonNotStored, retryAfter: g.node.storeRetryAfter()}
-	}
-	return answer{status: http.StatusGatewayTimeout, reason: reasonStoreUnsure}
-}
-
-// storeRetryAfter is when a caller may come back whose record the store did not take.
-func (n *Node) storeRetryAfter() time.Duration {
-	away := time.Duration(int64(boottime.Now()) - n.storeSeen.Load())
-	return min(longestRetryAfter, max(shortestRetryAfter, away))
-}
-
 // cancel stores the cancellation of a job.
 func (g gateway) cancel(ctx context.Context, id jobs.ID) answer {
 	if _, known, ok := g.ask(ctx, id, 0); ok && !known {
@@ -310,49 +220,6 @@
 	return answer{status: http.StatusOK, body: g.node.platform.Wire.EncodeState(state)}
 }
 
-// ask asks the owner for a job's state, for as long as patience if it does not answer.
-func (g gateway) ask(ctx context.Context, id jobs.ID, patience time.Duration) (state jobs.State, known, ok bool) {
-	began := time.Now()
-	for {
-		if state, known, ok = g.askOnce(ctx, id); ok {
-			return state, known, true
-		}
-		if time.Since(began)+askPause > patience || ctx.Err() != nil {
-			return 0, false, false
-		}
-		sleep(ctx, askPause)
-	}
-}
-
-func (g gateway) askOnce(ctx context.Context, id jobs.ID) (state jobs.State, known, ok bool) {
-	if o := g.node.owner.Load(); o != nil {
-		return o.status(id)
-	}
-	address := g.node.ownerAddress()
-	if address == "" {
-		return 0, false, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerLimit)
-	defer cancel()
-	reply, err := g.node.peers.owner(address).Status(ctx, &cellrpc.StatusRequest{Job: string(id)})
-	if err != nil || !reply.Owner {
-		g.node.log.Info("owner did not answer", zap.String("job", string(id)), zap.String("owner", address), zap.Error(err))
-		return 0, false, false
-	}
-	return jobs.State(reply.State), reply.Known, true
-}
-
-// ownerAddress is where the owner answers, or empty when none is known.
-func (n *Node) ownerAddress() string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	newest, ok := n.view.Newest()
-	if !ok || newest.Released || newest.Holder == n.holder {
-		return ""
-	}
-	return newest.Address
-}
-
 // pending tells how many accepted jobs of a queue have not begun.
 func (g gateway) pending(ctx context.Context, q *queue.Queue) answer {
 	count, ok := g.countPending(ctx, q.Name)
@@ -361,31 +228,3 @@
 	}
 	return answer{status: http.StatusOK, body: g.node.platform.Wire.EncodePending(count)}
 }
-
-func (g gateway) countPending(ctx context.Context, name string) (int, bool) {
-	if o := g.node.owner.Load(); o != nil {
-		return o.pending(name)
-	}
-	p := g.node.peers
-	p.mu.Lock()
-	known, found := p.pending[name]
-	p.mu.Unlock()
-	if found && time.Since(known.at) < pendingAge {
-		return known.count, true
-	}
-	address := g.node.ownerAddress()
-	if address == "" {
-		return 0, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerLimit)
-	defer cancel()
-	asked := time.Now()
-	reply, err := p.owner(address).Pending(ctx, &cellrpc.PendingRequest{Queue: name})
-	if err != nil || !reply.Owner {
-		return 0, false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pending[name] = pendingCount{count: int(reply.Count), at: asked}
-	return int(reply.Count), true
-}
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sort"
 	"sync"
 	"time"
 
@@ -96,71 +95,6 @@
 	return group.Wait()
 }
 
-// load shuts out former owners and reads what they stored.
-func (o *owner) load(ctx context.Context) (jobsEnd store.Offset, workers *workerList, err error) {
-	var raised store.Appended
-	err = o.retry(ctx, "raise epoch", func() (err error) {
-		raised, err = appender.Raise(ctx, o.node.platform.Store, progressPartition, progressProducer, o.epoch)
-		return err
-	})
-	if err != nil {
-		return 0, nil, err
-	}
-	o.progress = appender.New(o.node.platform.Store, progressPartition, progressProducer, o.epoch, o.node.settings.MaxCallBytes)
-	var progress, accepted []store.Record
-	err = o.retry(ctx, "read progress", func() (err error) {
-		var end store.Offset
-		progress, end, err = listAll(ctx, o.node.platform.Store, progressPartition)
-		if err == nil && end < raised.End {
-			return trace.CompareFailed("the list of progress ends at %d, before %d", end, raised.End)
-		}
-		return err
-	})
-	if err != nil {
-		return 0, nil, err
-	}
-	err = o.retry(ctx, "read jobs", func() (err error) {
-		accepted, jobsEnd, err = listAll(ctx, o.node.platform.Store, jobsPartition)
-		return err
-	})
-	if err != nil {
-		return 0, nil, err
-	}
-	workers = newWorkerList(o.node)
-	if err = o.retry(ctx, "read workers", func() error { return workers.read(ctx) }); err != nil {
-		return 0, nil, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.cell.At(boottime.Now(), time.Now())
-	o.cell.SetConfig(o.node.config.Get())
-	o.cell.Workers(workers.list())
-	o.cell.Load(accepted, progress)
-	o.loaded, o.jobsRead = true, boottime.Now()
-	o.log.Info("state taken over", zap.Int("job_records", len(accepted)), zap.Int("progress_records", len(progress)),
-		zap.Int("workers", len(workers.list())), zap.Int64("progress_end", int64(raised.End)),
-		zap.Duration("took", boottime.Now()-o.claimed))
-	return jobsEnd, workers, nil
-}
-
-// retry repeats a step of taking over while the claim stands.
-func (o *owner) retry(ctx context.Context, what string, step func() error) error {
-	for {
-		err := step()
-		if err == nil {
-			return nil
-		}
-		if store.Is(err, store.ReasonFenced) {
-			return errFenced
-		}
-		o.log.Info("take-over delayed", zap.String("step", what), zap.Error(err))
-		sleep(ctx, loadPause)
-		if ctx.Err() != nil || !o.node.mayHold(o.epoch) {
-			return errClaimEnded
-		}
-	}
-}
-
 // post hands something to the owner's goroutine.
 func (o *owner) post(ctx context.Context, event func()) {
 	select {
@@ -186,6 +120,7 @@
 			return ctx.Err()
 		}
 		if o.fenced {
+			o.node.counts.Fenced.Inc()
 			return errFenced
 		}
 		if !o.node.mayHold(o.epoch) {
@@ -348,26 +283,6 @@
 	return ctx.Err()
 }
 
-// followWorkers takes in the workers' entries and new configurations.
-func (o *owner) followWorkers(ctx context.Context, list *workerList) error {
-	for ctx.Err() == nil {
-		err := list.read(ctx)
-		if err != nil {
-			o.node.storeFailed("read workers", err)
-		}
-		entries, config := list.list(), o.node.config.Get()
-		o.post(ctx, func() {
-			if err == nil {
-				o.cell.Workers(entries)
-			}
-			o.cell.SetConfig(config)
-			o.cell.SetSettings(*o.node.bounds.Load())
-		})
-		sleep(ctx, workersPause)
-	}
-	return ctx.Err()
-}
-
 // status answers a question about a job; ok is false while the owner cannot tell.
 func (o *owner) status(id jobs.ID) (state jobs.State, known, ok bool) {
 	o.mu.Lock()
@@ -394,67 +309,3 @@
 	}
 	return o.cell.Pending()[queue], true
 }
-
-// workerList keeps the workers' entries.
-type workerList struct {
-	node     *Node
-	follower follower
-	entries  map[string]workercall.Worker
-}
-
-func newWorkerList(n *Node) *workerList {
-	return &workerList{
-		node:     n,
-		follower: follower{store: n.platform.Store, partition: n.platform.Documents.Workers},
-		entries:  make(map[string]workercall.Worker),
-	}
-}
-
-// read takes in what was written since the last read.
-func (l *workerList) read(ctx context.Context) error {
-	for {
-		relisted := !l.follower.listed
-		records, err := l.follower.next(ctx)
-		if err != nil {
-			return err
-		}
-		if relisted {
-			clear(l.entries)
-		}
-		for _, r := range records {
-			l.take(r)
-		}
-		if l.follower.listed {
-			return nil
-		}
-	}
-}
-
-func (l *workerList) take(r store.Record) {
-	if r.Key == "" {
-		return
-	}
-	if len(r.Value) == 0 {
-		delete(l.entries, r.Key)
-		return
-	}
-	w, err := l.node.platform.Documents.DecodeWorker(r.Key, r.Value)
-	if err != nil {
-		l.node.counts.Unreadable.Inc()
-		l.node.log.Info("worker's entry passed over", zap.String("worker", r.Key), zap.Error(err))
-		return
-	}
-	if old, known := l.entries[r.Key]; known && old.Born == w.Born && w.Sequence < old.Sequence {
-		return
-	}
-	l.entries[r.Key] = w
-}
-
-func (l *workerList) list() []workercall.Worker {
-	list := make([]workercall.Worker, 0, len(l.entries))
-	for _, w := range l.entries {
-		list = append(list, w)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	return list
-}
--- /dev/null
+++ b/internal/cellnode/workerlist.go
@@ -0,0 +1,95 @@
+package cellnode
+
+import (
+	"context"
+	"sort"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// followWorkers takes in the workers' entries and new configurations.
+func (o *owner) followWorkers(ctx context.Context, list *workerList) error {
+	for ctx.Err() == nil {
+		err := list.read(ctx)
+		if err != nil {
+			o.node.storeFailed("read workers", err)
+		}
+		entries, config := list.list(), o.node.config.Get()
+		o.post(ctx, func() {
+			if err == nil {
+				o.cell.Workers(entries)
+			}
+			o.cell.SetConfig(config)
+			o.cell.SetSettings(*o.node.bounds.Load())
+		})
+		sleep(ctx, workersPause)
+	}
+	return ctx.Err()
+}
+
+// workerList keeps the workers' entries.
+type workerList struct {
+	node     *Node
+	follower follower
+	entries  map[string]workercall.Worker
+}
+
+func newWorkerList(n *Node) *workerList {
+	return &workerList{
+		node:     n,
+		follower: follower{store: n.platform.Store, partition: n.platform.Documents.Workers},
+		entries:  make(map[string]workercall.Worker),
+	}
+}
+
+// read takes in what was written since the last read.
+func (l *workerList) read(ctx context.Context) error {
+	for {
+		relisted := !l.follower.listed
+		records, err := l.follower.next(ctx)
+		if err != nil {
+			return err
+		}
+		if relisted {
+			clear(l.entries)
+		}
+		for _, r := range records {
+			l.take(r)
+		}
+		if l.follower.listed {
+			return nil
+		}
+	}
+}
+
+func (l *workerList) take(r store.Record) {
+	if r.Key == "" {
+		return
+	}
+	if len(r.Value) == 0 {
+		delete(l.entries, r.Key)
+		return
+	}
+	w, err := l.node.platform.Documents.DecodeWorker(r.Key, r.Value)
+	if err != nil {
+		l.node.counts.Unreadable.Inc()
+		l.node.log.Info("worker's entry passed over", zap.String("worker", r.Key), zap.Error(err))
+		return
+	}
+	if old, known := l.entries[r.Key]; known && old.Born == w.Born && w.Sequence < old.Sequence {
+		return
+	}
+	l.entries[r.Key] = w
+}
+
+func (l *workerList) list() []workercall.Worker {
+	list := make([]workercall.Worker, 0, len(l.entries))
+	for _, w := range l.entries {
+		list = append(list, w)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
