--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -125,7 +125,7 @@
 		page := read(t, "LOGS.md")
 		_, table, _ := strings.Cut(page, "| --- | --- | --- |")
 		var named []string
-		for _, row := range regexp.MustCompile("(?m)^\\| ([^|]+) \\|").FindAllStringSubmatch(table, -1) {
+		for _, row := range regexp.MustCompile(`(?m)^\| ([^|]+) \|`).FindAllStringSubmatch(table, -1) {
 			named = append(named, find("`([^`]+)`", row[1])...)
 		}
 		slices.Sort(named)
