Count leases of a former owner from when it was heard of, not from the claim

The former owner had stopped renewing leases long before: 5 s after its last renewal, or with its release, or with its process.

--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -141,7 +141,7 @@
 	w.epoch++
 	o := &simOwner{token: w.epoch, lease: w.now + time.Hour, hold: w.now + time.Hour}
 	o.cell = New(Settings{MaxHold: maxHold, KeepStatus: time.Hour, Harm: 4 * time.Second},
-		o.token, w.now+claim.Forgotten(maxHold), zap.NewNop(), NewCounts(metrics.NewSet()))
+		o.token, claim.LapsedBy(w.now+claim.HoldWithoutStore-claim.Lease, maxHold), zap.NewNop(), NewCounts(metrics.NewSet()))
 	o.cell.At(w.now, w.wall())
 	o.cell.SetConfig(w.config)
 	o.cell.Workers(w.list())
--- a/internal/cellnode/authority.go
+++ b/internal/cellnode/authority.go
@@ -109,13 +109,14 @@
 		due, should := n.view.RenewalDue(now), n.view.ShouldClaim(now)
 		newest, _ := n.view.Newest()
 		next := n.view.Next(n.settings.Node, n.settings.PeerAddress)
+		leasesEnd := n.view.LeasesEnd(n.bounds.Load().MaxHold, now)
 		n.mu.Unlock()
 		switch {
 		case due && !n.stopping.Load(): // a stopping node releases its claim instead
 			n.putClaim(ctx, newest)
 		case should && !n.stopping.Load() && n.config.Get() != nil:
 			if n.putClaim(ctx, next) {
-				n.becomeOwner(ctx, next)
+				n.becomeOwner(ctx, next, leasesEnd)
 			}
 		}
 	}
@@ -149,10 +150,10 @@
 	return true
 }
 
-// becomeOwner starts to own the cell under an accepted claim.
-func (n *Node) becomeOwner(ctx context.Context, r claim.Record) {
-	n.log.Info("owner", zap.Int64("epoch", r.Epoch))
-	o := newOwner(n, r.Epoch)
+// becomeOwner starts to own the cell under an accepted claim. leasesEnd is when leases of former owners have lapsed.
+func (n *Node) becomeOwner(ctx context.Context, r claim.Record, leasesEnd time.Duration) {
+	n.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()))
+	o := newOwner(n, r.Epoch, leasesEnd)
 	n.owner.Store(o)
 	go func() {
 		err := o.run(ctx)
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -13,7 +13,6 @@
 	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cell"
-	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -67,13 +66,13 @@
 	done    chan struct{}
 }
 
-func newOwner(n *Node, epoch int64) *owner {
+func newOwner(n *Node, epoch int64, leasesEnd time.Duration) *owner {
 	log := n.log.With(zap.Int64("epoch", epoch))
 	now := boottime.Now()
 	return &owner{
 		node: n, epoch: epoch, log: log, events: make(chan func(), eventQueue), claimed: now,
 		lanes: newLanes(), done: make(chan struct{}),
-		cell: cell.New(*n.bounds.Load(), epoch, now+claim.Forgotten(n.bounds.Load().MaxHold), log, n.counts),
+		cell: cell.New(*n.bounds.Load(), epoch, leasesEnd, log, n.counts),
 	}
 }
 
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -156,10 +156,23 @@
 // RenewalDue tells whether a renewal should be sent.
 func (v *View) RenewalDue(now time.Duration) bool { return v.owns && now >= v.renewed+RenewEvery }
 
-// Forgotten is how long after its claim a new owner must wait before it starts again what may run on a worker
-// that it has not reached: the former owner may have renewed that worker's lease until then.
-func Forgotten(longestLease time.Duration) time.Duration {
-	return HoldWithoutStore - Lease + longestLease + longestLease*clockErrorPercent/100 + orderDelay
+// LeasesEnd is when the leases that former owners renewed on workers have lapsed everywhere, also on workers that a new
+// owner does not reach. It is to be asked before the claim is accepted.
+func (v *View) LeasesEnd(longest, now time.Duration) time.Duration {
+	switch {
+	case !v.known:
+		return now
+	case v.newest.Released:
+		return LapsedBy(v.seen, longest)
+	case v.newest.Node == v.node && v.newest.Holder != v.holder:
+		return LapsedBy(now, longest)
+	}
+	return LapsedBy(v.seen+HoldWithoutStore, longest)
+}
+
+// LapsedBy is when the leases of an owner that renewed them until stopped have lapsed at the latest.
+func LapsedBy(stopped, longest time.Duration) time.Duration {
+	return stopped + longest + longest*clockErrorPercent/100 + orderDelay
 }
 
 const (
