Probe quarantined workers within seconds, and say why a step waits

Ruled out: the order of waiting, which had the task first, by the new line that counts workers by reason. Change: probes are a setting of the table (2 s to 30 s on the platform, as before elsewhere), failures before the probe do not put it off, a probing worker gets one task that has more than one attempt left, and a lasting run at work counts as a good end.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -56,12 +56,16 @@
 	wall        time.Time
 }
 
+// probes are short: the troubles of the platform's workers pass within seconds, and a worker that is not tried stays
+// empty while tasks wait.
+var probes = quarantine.Probes{First: 2 * time.Second, Longest: 30 * time.Second}
+
 // New returns the cell of a new owner with a token. forgotten is when all leases of former owners have lapsed.
 func New(s Settings, token int64, forgotten time.Duration, log *zap.Logger, counts *Counts) *Cell {
 	return &Cell{
 		settings: s, token: token, forgotten: forgotten, log: log, counts: counts,
 		jobs: make(map[jobs.ID]*job), early: make(map[jobs.ID]bool), workers: make(map[string]*worker),
-		health: quarantine.NewTable(), pressures: pressure.NewLearner(),
+		health: quarantine.NewTable(probes), pressures: pressure.NewLearner(),
 	}
 }
 
@@ -98,7 +102,20 @@
 		c.scheduled = append(c.scheduled, j)
 	}
 	c.log.Info("job taken in", zap.String("job", string(id)), zap.String("queue", record.Queue),
-		zap.Int("steps", len(record.Spec.Steps)), zap.Int64("received_ms", record.ReceivedMS), zap.Int("occurrences", record.Spec.Times))
+		zap.Int("steps", len(record.Spec.Steps)), zap.Strings("needs", summaries(&record.Spec)),
+		zap.Int64("received_ms", record.ReceivedMS), zap.Int("occurrences", record.Spec.Times))
+}
+
+// loggedSteps bounds the steps that are described in a log line; most jobs have fewer.
+const loggedSteps = 6
+
+// summaries describes the first steps of a job for logs.
+func summaries(s *jobs.Spec) []string {
+	described := make([]string, 0, min(loggedSteps, len(s.Steps)))
+	for i := range s.Steps[:min(loggedSteps, len(s.Steps))] {
+		described = append(described, s.Steps[i].Summary())
+	}
+	return described
 }
 
 // chains returns the estimated time of the longest chain from each step on.
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -195,7 +195,7 @@
 	w := c.workers[info.ID]
 	if w == nil {
 		c.log.Info("worker listed", zap.String("worker", info.ID), zap.String("domain", info.Domain),
-			zap.String("rack", info.Rack), zap.Int64("born", info.Born))
+			zap.String("rack", info.Rack), zap.Strings("labels", info.Labels), zap.Int64("born", info.Born))
 		c.addWorker(info)
 		c.waiting = true
 		return
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -173,6 +173,7 @@
 		}
 		i := c.choose(f, t, nil)
 		if i < 0 {
+			c.explainWaiting(f, t)
 			return placed, false
 		}
 		c.assign(f, t, i, t.lastRun+1)
@@ -196,6 +197,7 @@
 	for _, t := range g.tasks {
 		i := c.choose(f, t, inGroup)
 		if i < 0 {
+			c.explainWaiting(f, t)
 			copy(f.views, saved)
 			return 0, false
 		}
@@ -247,6 +249,9 @@
 		if g.step.MaxPerWorker > 0 && here[w]+pending[i] >= g.step.MaxPerWorker {
 			return false
 		}
+		if f.views[i].Probing && (len(w.runs) > 0 || !c.maySpareRun(t)) {
+			return false
+		}
 		return !g.step.Fills || c.mayFill(f, i, g.step)
 	})
 	if i < 0 && !key.bounded {
@@ -255,6 +260,12 @@
 	return i
 }
 
+// maySpareRun tells whether a task may be tried on a worker that has failed others: it must have more than one attempt
+// left.
+func (c *Cell) maySpareRun(t *task) bool {
+	return !t.group.step.Gang && (t.group.step.Lasting || t.failures+1 < c.maxAttempts(t.group.job))
+}
+
 // groupOn counts the group's runs on each worker, if that is bounded.
 func (c *Cell) groupOn(g *group) map[*worker]int {
 	if g.step.MaxPerWorker == 0 {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/verdict"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
@@ -17,6 +18,8 @@
 	leaseSlack = 200 * time.Millisecond
 	// slowClockPercent covers workers' clocks, which may be 2% slow, and half a percent of our own.
 	slowClockPercent = 3
+	// fullPercent is the share of its work at which a lasting task serves.
+	fullPercent = 100
 	// refusedPause keeps new starts from a worker that refused one.
 	refusedPause = 400 * time.Millisecond
 	// unhealthyPause keeps new starts from a worker that refuses all.
@@ -123,12 +126,27 @@
 		c.nowRunning(r)
 	}
 	r.percent, r.tail, r.milliCPU = running.Percent, running.Tail, running.MilliCPU
+	c.proveWorker(r)
 	if running.Checkpoint != "" && running.Checkpoint != r.task.checkpoint {
 		// The checkpoint is stored with the next change of the group; until then a new owner reads it here.
 		r.task.checkpoint = running.Checkpoint
 	}
 }
 
+// provenAfter is how long a lasting task must have been at work for its worker to be trusted again: workers that fail what
+// they start do so within a second.
+const provenAfter = 2 * time.Second
+
+// proveWorker takes a lasting run at work for a good end: it has none of its own.
+func (c *Cell) proveWorker(r *run) {
+	id := r.worker.info.ID
+	if r.task.group.step.Lasting && r.percent >= fullPercent && c.now-r.began >= provenAfter &&
+		c.health.State(id, c.wall) != quarantine.Trusted {
+		c.health.Succeeded(id, kindOf(r.task.group))
+		c.log.Info("worker trusted again", zap.String("worker", id), taskField(r.task.id))
+	}
+}
+
 func (c *Cell) nowRunning(r *run) {
 	r.state, r.since = runRunning, c.now
 	if r.began == 0 {
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -102,6 +102,8 @@
 	readyAt time.Duration
 	started bool // a task of it was started
 	dirty   bool // its record must be written
+	// explained is how long a task had waited when the log last said why.
+	explained time.Duration
 	// lastEnd is when the last task of the steps before ended, for the figure of the step change.
 	lastEnd time.Duration
 }
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -79,6 +79,7 @@
 	acked   int64
 	closed  map[jobs.TaskID]int // highest run that was stopped or ended
 	up      bool
+	bad     bool // fails whatever it starts
 	cut     map[*simOwner]bool
 }
 
@@ -412,11 +413,19 @@
 		}
 	}
 	for task, r := range s.running {
-		report.Running = append(report.Running, workercall.Running{Run: workercall.Run{Task: task, Number: r.number}, Percent: 50})
+		report.Running = append(report.Running, workercall.Running{Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r)})
 	}
 	return report, nil
 }
 
+// percent is what the worker lists of a run's progress; lasting tasks are at work at once.
+func (s *simWorker) percent(r *simRun) int {
+	if r.step.Lasting {
+		return fullPercent
+	}
+	return 50
+}
+
 func (s *simWorker) start(order workercall.Start) (workercall.Answer, error) {
 	answer := workercall.Answer{Clock: s.clock(), Born: s.info.Born}
 	if err := s.fence(order.Token); err != nil {
@@ -480,6 +489,8 @@
 		switch {
 		case lapsed:
 			s.end(task, workercall.Lapsed)
+		case s.bad:
+			s.end(task, workercall.Failed)
 		case s.world.now >= r.ends && !r.step.Lasting:
 			how := workercall.Done
 			if s.world.random.Float64() < s.world.failRate {
--- /dev/null
+++ b/internal/jobs/summary.go
@@ -0,0 +1,31 @@
+package jobs
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Summary describes a step in a few words, for logs: how many tasks, what each asks for, and what binds where and when
+// they may run.
+func (s *Step) Summary() string {
+	words := []string{fmt.Sprintf("%dx %dm %dMB", s.Count, s.Request.MilliCPU, s.Request.MemoryMB)}
+	if s.Request.GPU > 0 {
+		words = append(words, fmt.Sprintf("%dgpu", s.Request.GPU))
+	}
+	for _, property := range []struct {
+		set  bool
+		word string
+	}{
+		{s.Gang, "gang"}, {s.Lasting, "lasting"}, {s.Fills, "fills"}, {s.Speculative, "speculative"},
+		{s.SavesProgress, "saves"}, {s.RackSensitive, "rack-sensitive"},
+		{s.RequiredLabel != "", "label=" + s.RequiredLabel}, {s.DataRack != "", "data=" + s.DataRack},
+		{s.Image != "", "image=" + s.Image}, {s.MaxPerWorker > 0, fmt.Sprintf("per-worker=%d", s.MaxPerWorker)},
+		{s.HasUnavailable, fmt.Sprintf("away=%d", s.MaxUnavailable)}, {s.TargetTail > 0, "tail=" + s.TargetTail.String()},
+		{s.Estimate > 0, "est=" + s.Estimate.String()},
+	} {
+		if property.set {
+			words = append(words, property.word)
+		}
+	}
+	return strings.Join(words, " ")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -126,7 +126,7 @@
 		slowdowns:      interference.NewModel(),
 		baselines:      interference.NewBaselines(),
 		pressure:       interference.NewController(),
-		outcomes:       quarantine.NewTable(),
+		outcomes:       quarantine.NewTable(quarantine.SlowProbes),
 		promises:       promise.NewBook(set),
 		evicting:       make(map[string]platform.RunID),
 		forgets:        make(map[*worker.Worker][]platform.RunID),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,15 +12,21 @@
 	suspectAfter = 3
 	// faultyOn is the number of workers on which a kind must fail, without a success, to be at fault.
 	faultyOn = 3
-	// firstProbe is the time to the first probe; it doubles with each failed probe.
-	firstProbe = 30 * time.Second
-	maxProbe   = 30 * time.Minute
 	// maxPart is the part of the workers that may be quarantined at once, one at least.
 	maxPart = 10
 	// rateWeight is the weight of the newest attempt in the failure rate.
 	rateWeight = 0.2
 )
 
+// Probes says when quarantined workers are tried again.
+type Probes struct {
+	// First is the time to the first probe. It doubles with each failed probe, up to Longest.
+	First, Longest time.Duration
+}
+
+// SlowProbes suit VMs whose troubles last until somebody sees to them.
+var SlowProbes = Probes{First: 30 * time.Second, Longest: 30 * time.Minute}
+
 // State says how a worker is trusted.
 type State int
 
@@ -53,6 +59,7 @@
 
 // Table holds the outcomes of a failure domain. Its methods are not safe for concurrent use.
 type Table struct {
+	probes      Probes
 	workers     map[string]*worker
 	kinds       map[string]*kind
 	excused     map[string]int
@@ -61,8 +68,8 @@
 }
 
 // NewTable returns a table that trusts every worker.
-func NewTable() *Table {
-	return &Table{workers: make(map[string]*worker), kinds: make(map[string]*kind), excused: make(map[string]int)}
+func NewTable(probes Probes) *Table {
+	return &Table{probes: probes, workers: make(map[string]*worker), kinds: make(map[string]*kind), excused: make(map[string]int)}
 }
 
 // SetFleet sets the number of workers, which bounds the quarantine.
@@ -88,7 +95,9 @@
 	w.rate += rateWeight * (1 - w.rate)
 	if !w.probeAt.IsZero() {
 		t.excused[taskID]++
-		w.quarantine(now)
+		if !now.Before(w.probeAt) {
+			w.quarantine(now, t.probes)
+		}
 		return false
 	}
 	k := t.kind(kindName)
@@ -102,7 +111,7 @@
 		return false
 	}
 	t.quarantined++
-	w.quarantine(now)
+	w.quarantine(now, t.probes)
 	for name := range w.failed {
 		delete(t.kind(name).failedOn, workerID)
 	}
@@ -204,7 +213,7 @@
 }
 
 // quarantine sets the time of the next probe.
-func (w *worker) quarantine(now time.Time) {
-	w.backOff = min(max(2*w.backOff, firstProbe), maxProbe)
+func (w *worker) quarantine(now time.Time, probes Probes) {
+	w.backOff = min(max(2*w.backOff, probes.First), probes.Longest)
 	w.probeAt = now.Add(w.backOff)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -16,7 +16,7 @@
 func TestBlame(t *testing.T) {
 	now := time.Unix(1000, 0)
 	Convey("Given a fleet of 20 workers", t, func() {
-		q := NewTable()
+		q := NewTable(SlowProbes)
 		q.SetFleet(20)
 		Convey("a worker that fails several kinds in a row is quarantined, probed and trusted again", func() {
 			q.Failed("w", "a/0", "a", now)
@@ -24,15 +24,21 @@
 			So(q.State("w", now), ShouldEqual, Trusted)
 			So(q.Failed("w", "a/1", "a", now), ShouldBeTrue)
 			So(q.State("w", now), ShouldEqual, Quarantined)
-			later := now.Add(firstProbe)
+			later := now.Add(SlowProbes.First)
 			So(q.State("w", later), ShouldEqual, Probing)
 			q.Failed("w", "c/0", "c", later)
-			So(q.State("w", later.Add(firstProbe)), ShouldEqual, Quarantined)
+			So(q.State("w", later.Add(SlowProbes.First)), ShouldEqual, Quarantined)
 			So(q.Excused("c/0"), ShouldEqual, 1)
 			q.Succeeded("w", "a")
 			So(q.State("w", later), ShouldEqual, Trusted)
 			So(q.Quarantined(), ShouldEqual, 0)
 		})
+		Convey("tasks that were there already and fail too do not put off the first probe", func() {
+			for i, kind := range []string{"a", "b", "a", "b", "a", "c", "b"} {
+				q.Failed("w", fmt.Sprintf("%s/%d", kind, i), kind, now)
+			}
+			So(q.State("w", now.Add(SlowProbes.First)), ShouldEqual, Probing)
+		})
 		Convey("kinds that fail everywhere are at fault, and no worker is quarantined for them", func() {
 			for i := range 24 {
 				kind := fmt.Sprintf("bad%d", i/4%2)
@@ -54,7 +60,7 @@
 // TestBoundedShare checks that never more than the stated part of the fleet is quarantined.
 func TestBoundedShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := NewTable()
+		q := NewTable(SlowProbes)
 		fleet := rapid.IntRange(1, 40).Draw(t, "fleet")
 		q.SetFleet(fleet)
 		now := time.Unix(1000, 0)
