Keep the first record of a job, and delete jobs before their progress

Cause 1: a copy of a request that another node accepts replaced the job's record in the keyed topic, so a new owner took the job for younger than it is. Each process now stores jobs under keys of its own, the one with the lowest offset counts, and a node answers a copy of what it stored itself without storing it again. Cause 2, found while reading: the deletions of jobs that ended long ago went to the topic of progress, jobs never left theirs, and a take-over after status_s would have run each of them again. Jobs and cancellations are now deleted first, in their own topic, then the progress; progress without its job is deleted by the next owner.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -81,14 +81,15 @@
 	c.waiting = true
 }
 
-// AddJob takes in an accepted job. The first one of an ID wins; later copies change nothing.
-func (c *Cell) AddJob(id jobs.ID, record jobrecord.Job) {
-	if _, known := c.jobs[id]; known {
+// AddJob takes in an accepted job that is stored under a key. The first one of an ID wins; later copies change nothing.
+func (c *Cell) AddJob(id jobs.ID, key string, record jobrecord.Job) {
+	if j := c.jobs[id]; j != nil {
 		c.counts.DuplicateJobs.Inc()
+		j.addKey(key)
 		return
 	}
 	j := &job{
-		id: id, record: record, groups: make(map[jobs.GroupID]*group),
+		id: id, record: record, keys: []string{key}, groups: make(map[jobs.GroupID]*group),
 		chain: chains(&record.Spec), arrived: c.now,
 	}
 	j.size()
@@ -289,7 +290,6 @@
 func (c *Cell) Tick() {
 	c.openDue()
 	c.expireWorkers()
-	c.forgetJobs()
 	if c.retry != 0 && c.now >= c.retry {
 		c.retry, c.waiting = 0, true
 	}
@@ -309,20 +309,6 @@
 	c.scheduled = kept
 }
 
-// forgetJobs drops ended jobs whose state need not be told any more.
-func (c *Cell) forgetJobs() {
-	for id, j := range c.jobs {
-		if !j.ended || !j.visible || c.wall.UnixMilli()-j.endedAtMS < c.settings.KeepStatus.Milliseconds() || j.running() {
-			continue
-		}
-		c.deletions = append(c.deletions, jobrecord.JobKey(id), jobrecord.OutcomeKey(id), jobrecord.CancelKey(id))
-		for group := range j.groups {
-			c.deletions = append(c.deletions, jobrecord.GroupKey(group))
-		}
-		delete(c.jobs, id)
-	}
-}
-
 // running tells whether a run of the job may still be on a worker.
 func (j *job) running() bool {
 	for _, g := range j.groups {
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"sort"
+
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
@@ -21,7 +23,7 @@
 			c.unreadable(r, err)
 			return
 		}
-		c.AddJob(id.Job, record)
+		c.AddJob(id.Job, r.Key, record)
 	case kind == jobrecord.KindCancel && len(r.Value) > 0:
 		c.Cancel(id.Job)
 	case kind == jobrecord.KindUnknown:
@@ -37,6 +39,7 @@
 // Load takes in everything that former owners stored. Ends are taken in before cancellations, so that a job that
 // ended first stays so.
 func (c *Cell) Load(jobRecords, progress []store.Record) {
+	sort.SliceStable(jobRecords, func(i, j int) bool { return jobRecords[i].Offset < jobRecords[j].Offset })
 	for _, r := range jobRecords {
 		if kind, _ := jobrecord.ParseKey(r.Key); kind == jobrecord.KindJob {
 			c.Apply(r)
@@ -77,6 +80,9 @@
 			return
 		}
 		c.loadGroup(j, id, record, r)
+	case (kind == jobrecord.KindOutcome || kind == jobrecord.KindGroup) && j == nil:
+		// The job's own records go first, so a former owner was deleting it.
+		c.deletions = append(c.deletions, r.Key)
 	case r.Key == jobrecord.PressuresKey:
 		var snapshot pressure.Snapshot
 		if err := packed.Decode(r.Value, &snapshot); err != nil {
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -112,6 +112,8 @@
 type job struct {
 	id     jobs.ID
 	record jobrecord.Job
+	// keys are those under which copies of the job are stored.
+	keys   []string
 	groups map[jobs.GroupID]*group
 	// chain is the estimated time of the longest chain from each step on.
 	chain []time.Duration
@@ -128,6 +130,8 @@
 	arrived   time.Duration
 	// opened is the number of occurrences that have groups.
 	opened int
+	// forgetting is set while its records are being deleted.
+	forgetting bool
 }
 
 // live tells whether tasks of the job may still be started.
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -52,6 +52,10 @@
 	storeTime time.Duration
 	listLag   time.Duration
 	entries   []entries
+	// keepStatus is how long owners remember ended jobs.
+	keepStatus time.Duration
+	// writer is the node that accepts jobs.
+	writer string
 }
 
 // entries is the list of workers at a time.
@@ -104,7 +108,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 7)), records: make(map[string]store.Record), workers: make(map[string]*simWorker),
 		specs: make(map[jobs.ID]jobs.Spec), done: make(map[jobs.TaskID]bool), noted: make(map[jobs.TaskID]bool),
-		failed: make(map[jobs.TaskID]int), starts: make(map[jobs.TaskID]int), runTime: 800 * time.Millisecond, now: time.Hour, storeTime: 10 * time.Millisecond,
+		failed: make(map[jobs.TaskID]int), starts: make(map[jobs.TaskID]int), runTime: 800 * time.Millisecond, now: time.Hour, storeTime: 10 * time.Millisecond, keepStatus: time.Hour,
 		config: &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "s"}}, Services: []queue.Service{{Name: "s", GuardsRoom: true}}},
 	}
 	queue.NewInForce().Put(w.config)
@@ -141,7 +145,7 @@
 	}
 	w.epoch++
 	o := &simOwner{token: w.epoch, lease: w.now + time.Hour, hold: w.now + time.Hour}
-	o.cell = New(Settings{MaxHold: maxHold, KeepStatus: time.Hour, Harm: 4 * time.Second},
+	o.cell = New(Settings{MaxHold: maxHold, KeepStatus: w.keepStatus, Harm: 4 * time.Second},
 		o.token, claim.LapsedBy(w.now+claim.HoldWithoutStore-claim.Lease, maxHold), zap.NewNop(), NewCounts(metrics.NewSet()))
 	o.cell.At(w.now, w.wall())
 	o.cell.SetConfig(w.config)
@@ -150,11 +154,43 @@
 	for _, key := range sortedKeysOf(w.records) {
 		progress = append(progress, w.records[key])
 	}
-	o.cell.Load(w.jobLog, progress)
+	o.cell.Load(w.newestJobs(), progress)
 	w.owner = o
 	return o
 }
 
+// newestJobs is what the keyed topic of jobs lists: the newest record of each key, by key, without the deleted ones.
+func (w *world) newestJobs() []store.Record {
+	newest := make(map[string]store.Record)
+	for _, r := range w.jobLog {
+		newest[r.Key] = r
+	}
+	var list []store.Record
+	for _, key := range sortedKeysOf(newest) {
+		if len(newest[key].Value) > 0 {
+			list = append(list, newest[key])
+		}
+	}
+	return list
+}
+
+// forget deletes what an owner need not remember any more.
+func (w *world) forget(o *simOwner) {
+	expired := o.cell.Expire()
+	if len(expired.Records) == 0 {
+		return
+	}
+	for _, r := range expired.Records {
+		r.Offset = store.Offset(len(w.jobLog))
+		w.jobLog = append(w.jobLog, r)
+	}
+	w.after(w.storeTime, func() {
+		if !o.gone && !o.frozen {
+			o.cell.Forgotten(expired)
+		}
+	})
+}
+
 func sortedKeysOf(m map[string]store.Record) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
@@ -200,7 +236,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.append(store.Record{Key: jobrecord.JobKey(id), Value: value, Offset: store.Offset(len(w.jobLog))})
+	w.append(store.Record{Key: jobrecord.JobKey(id, w.writer), Value: value, Offset: store.Offset(len(w.jobLog))})
 }
 
 func (w *world) cancel(id jobs.ID) {
@@ -288,6 +324,9 @@
 	if decide && !o.storing {
 		w.storeRound(o)
 	}
+	if decide {
+		w.forget(o)
+	}
 }
 
 func (w *world) lost(o *simOwner, fenced bool) {
@@ -309,6 +348,10 @@
 			return
 		}
 		for _, r := range round.Records {
+			if len(r.Value) == 0 {
+				delete(w.records, r.Key)
+				continue
+			}
 			w.records[r.Key] = r
 		}
 		if o.frozen || o.gone {
--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -57,7 +57,9 @@
 	reasonNotStored   = verdict.Reason("not_stored")
 	reasonStoreUnsure = verdict.Reason("store_unsure")
 	reasonStoreAway   = verdict.Reason("store_away")
-	reasonDetour      = verdict.Reason("owner_did_not_store")
+	// reasonCopy is no refusal: the request was accepted before.
+	reasonCopy   = verdict.Reason("accepted_before")
+	reasonDetour = verdict.Reason("owner_did_not_store")
 )
 
 // gateway answers callers.
@@ -197,7 +199,14 @@
 	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
 		return refusal(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
-	return g.stored(g.store(ctx, store.Record{Key: jobrecord.JobKey(id), Value: value}))
+	if g.node.accepted.has(id) {
+		return answer{status: http.StatusOK, reason: reasonCopy}
+	}
+	err = g.store(ctx, store.Record{Key: jobrecord.JobKey(id, g.node.writer), Value: value})
+	if err == nil {
+		g.node.accepted.add(id)
+	}
+	return g.stored(err)
 }
 
 // cancel stores the cancellation of a job.
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
@@ -16,6 +18,7 @@
 	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/claim"
+	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/queue"
 	"cactuswall.example/cactuswall/internal/store"
@@ -89,7 +92,10 @@
 	config   *queue.InForce
 	metrics  *metrics.Set
 	counts   *cell.Counts
+	// writer tells the keys of this process's records from those of all others.
+	writer   string
 	accepts  *appender.Appender
+	accepted *acceptedJobs
 	peers    *peers
 	// stopping is set once the process was asked to stop.
 	stopping atomic.Bool
@@ -110,9 +116,9 @@
 
 // Partitions of the only cell.
 var (
-	claimsPartition   = store.Partition{Topic: "keyed.lead"}
-	jobsPartition     = store.Partition{Topic: "keyed.jobs"}
-	progressPartition = store.Partition{Topic: "keyed.progress"}
+	claimsPartition   = store.Partition{Topic: jobrecord.ClaimsTopic}
+	jobsPartition     = store.Partition{Topic: jobrecord.JobsTopic}
+	progressPartition = store.Partition{Topic: jobrecord.ProgressTopic}
 )
 
 // New returns a node. holder names this process and no other one before or after.
@@ -120,6 +126,7 @@
 	set := metrics.NewSet()
 	n := &Node{
 		settings: s, platform: p, log: log.With(zap.String("node", s.Node)), holder: holder,
+		writer: strconv.FormatUint(xxhash.Sum64String(holder), 36), accepted: newAcceptedJobs(),
 		config: queue.NewInForce(), metrics: set, counts: cell.NewCounts(set),
 		accepts: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
 		peers:   newPeers(), view: claim.NewView(holder, s.Node, s.Rank),
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -59,11 +59,13 @@
 
 	// The rest belongs to the owner's goroutine.
 	storing bool
-	fenced  bool
-	flushed time.Time // when the tables were looked at last
-	took    time.Duration
-	stop    context.CancelFunc
-	done    chan struct{}
+	// forgetAt is when jobs that ended long ago are looked for next.
+	forgetAt time.Duration
+	fenced   bool
+	flushed  time.Time // when the tables were looked at last
+	took     time.Duration
+	stop     context.CancelFunc
+	done     chan struct{}
 }
 
 func newOwner(n *Node, epoch int64, leasesEnd time.Duration) *owner {
@@ -171,6 +173,8 @@
 	flushPause  = 4 * time.Millisecond
 	flushRest   = 2
 	longestRest = 25 * time.Millisecond
+	// forgetEvery is between two looks for jobs that ended long ago.
+	forgetEvery = time.Second
 )
 
 // flush sends the orders that are due and stores what was decided.
@@ -183,6 +187,10 @@
 	if decide && !o.storing {
 		o.store(ctx, o.cell.Plan())
 	}
+	if decide && now >= o.forgetAt {
+		o.forgetAt = now + forgetEvery
+		o.forget(ctx)
+	}
 	return min(longestWait, max(shortestWait, o.cell.Next()-now))
 }
 
@@ -202,6 +210,25 @@
 	}()
 }
 
+// forget deletes jobs whose state need not be told any more.
+func (o *owner) forget(ctx context.Context) {
+	expired := o.cell.Expire()
+	if len(expired.Records) == 0 {
+		return
+	}
+	go func() {
+		_, err := o.node.accepts.Append(ctx, expired.Records)
+		o.post(ctx, func() {
+			if err != nil {
+				o.log.Info("ended jobs not deleted", zap.Int("records", len(expired.Records)), zap.Error(err))
+				o.cell.Keep(expired)
+				return
+			}
+			o.cell.Forgotten(expired)
+		})
+	}()
+}
+
 func (o *owner) stored(ctx context.Context, round *cell.Round, err error) {
 	o.storing = false
 	switch {
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -74,8 +74,9 @@
 // PressuresKey is the key of what owners have learnt of pairs of images.
 const PressuresKey = learntPrefix + "pressures"
 
-// JobKey is the key of an accepted job.
-func JobKey(id jobs.ID) string { return jobPrefix + string(id) }
+// JobKey is the key under which a writer stores a job that it has accepted. Writers have keys of their own, so that
+// a copy of a request that another node accepts later does not replace the first record.
+func JobKey(id jobs.ID, writer string) string { return jobPrefix + string(id) + "/" + writer }
 
 // CancelKey is the key of a job's cancellation.
 func CancelKey(id jobs.ID) string { return cancelPrefix + string(id) }
@@ -111,7 +112,8 @@
 	rest := key[len(jobPrefix):]
 	switch key[:len(jobPrefix)] {
 	case jobPrefix:
-		return KindJob, jobs.GroupID{Job: jobs.ID(rest)}
+		id, _, _ := strings.Cut(rest, "/")
+		return KindJob, jobs.GroupID{Job: jobs.ID(id)}
 	case cancelPrefix:
 		return KindCancel, jobs.GroupID{Job: jobs.ID(rest)}
 	case outcomePrefix:
