Do not own the cell again under an epoch that was given up

Found from the logs: 'owner no more', then 'store regained' by the same node, then no line of any owner. Change: the view remembers the epoch that was lost. A renewal under it does not own, and the node claims at once under the next epoch, counting its own former leases in full. Test: a case of TestView that failed first.

--- a/internal/cellnode/authority.go
+++ b/internal/cellnode/authority.go
@@ -159,8 +159,8 @@
 		err := o.run(ctx)
 		n.owner.CompareAndSwap(o, nil)
 		n.mu.Lock()
-		if newest, _ := n.view.Newest(); newest.Epoch == r.Epoch && !n.stopping.Load() {
-			n.view.Lose()
+		if !n.stopping.Load() { // a stopping node releases the claim
+			n.view.Lose(r.Epoch)
 		}
 		n.mu.Unlock()
 		n.log.Info("owner no more", zap.Int64("epoch", r.Epoch), zap.Error(err))
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -57,6 +57,8 @@
 	// renewed is when the newest accepted record of this process was sent.
 	renewed time.Duration
 	owns    bool
+	// lost is the newest epoch that this process owned and acts for no more.
+	lost int64
 }
 
 // NewView returns the view of a process that has read nothing. Lower ranks claim earlier.
@@ -118,6 +120,9 @@
 	if v.newest.Released {
 		return now >= v.seen+v.turn()
 	}
+	if v.gaveUp() {
+		return now >= v.contact+v.turn()
+	}
 	if v.newest.Node == v.node && v.newest.Holder != v.holder {
 		// A node has one process, so the former process of this node has ended.
 		return now >= v.seen
@@ -136,13 +141,24 @@
 func (v *View) Accepted(r Record, a store.Appended, sent, now time.Duration) {
 	v.take(r, now)
 	v.end = max(v.end, a.End)
-	v.owns = !r.Released
+	// A renewal may be accepted after its owner has given up: nobody acts under that epoch any more.
+	v.owns = !r.Released && r.Epoch > v.lost
 	v.renewed = sent
 	v.inContact = true
 }
 
-// Lose ends this process's ownership.
-func (v *View) Lose() { v.owns = false }
+// Lose ends this process's ownership under an epoch.
+func (v *View) Lose(epoch int64) {
+	v.lost = max(v.lost, epoch)
+	if v.newest.Holder == v.holder && v.newest.Epoch <= v.lost {
+		v.owns = false
+	}
+}
+
+// gaveUp tells whether the newest claim is this process's own and it acts under it no more.
+func (v *View) gaveUp() bool {
+	return v.newest.Holder == v.holder && !v.newest.Released && v.newest.Epoch <= v.lost
+}
 
 // Owns tells whether this process's claim stands as far as it knows.
 func (v *View) Owns() bool { return v.owns }
@@ -164,7 +180,7 @@
 		return now
 	case v.newest.Released:
 		return LapsedBy(v.seen, longest)
-	case v.newest.Node == v.node && v.newest.Holder != v.holder:
+	case v.gaveUp(), v.newest.Node == v.node && v.newest.Holder != v.holder:
 		return LapsedBy(now, longest)
 	}
 	return LapsedBy(v.seen+HoldWithoutStore, longest)
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -80,6 +80,32 @@
 			So(v.MayHold(11*time.Second), ShouldBeFalse)
 		})
 	})
+	Convey("An owner whose store was away too long has given up when a renewal is accepted after all", t, func() {
+		v := NewView("a-1", "a", 2)
+		v.Observe(nil, 0, 0)
+		r := v.Next("a", "a:1")
+		v.Accepted(r, store.Appended{End: 1}, 10*time.Second, 10*time.Second)
+		v.Lose(r.Epoch)
+		late := 15 * time.Second
+		v.Accepted(r, store.Appended{End: 2}, late-50*time.Millisecond, late)
+		Convey("it does not own the cell again under that epoch, so it renews no more", func() {
+			So(v.Owns(), ShouldBeFalse)
+			So(v.MayHold(late), ShouldBeFalse)
+			So(v.RenewalDue(late+time.Hour), ShouldBeFalse)
+		})
+		Convey("it claims under the next epoch at once, and counts its own former leases in full", func() {
+			So(v.ShouldClaim(late), ShouldBeTrue)
+			So(v.LeasesEnd(6*time.Second, late), ShouldBeGreaterThanOrEqualTo, late+6*time.Second)
+			next := v.Next("a", "a:1")
+			So(next.Epoch, ShouldEqual, r.Epoch+1)
+			v.Accepted(next, store.Appended{End: 3}, late, late)
+			So(v.Owns(), ShouldBeTrue)
+		})
+		Convey("another node's claim that comes first stands", func() {
+			v.Observe(record(Record{Holder: "c-1", Node: "c", Epoch: 9}, 2), 3, late)
+			So(v.ShouldClaim(late), ShouldBeFalse)
+		})
+	})
 	Convey("A new owner waits longer than any lease that a former owner can have extended", t, func() {
 		const longest = 6 * time.Second
 		const slowest = longest * 102 / 100
