--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -32,6 +32,8 @@
 		return true
 	case workercall.ReasonOtherLife:
 		c.otherLife(w)
+	case workercall.ReasonWithdrawn:
+		c.withdrawn(r)
 	case workercall.ReasonOld:
 		r.state, r.since, r.settled = runUncertain, c.now, true
 		w.nextHold = min(w.nextHold, c.now)
@@ -41,6 +43,27 @@
 	return false
 }
 
+// Wanted tells whether a start is still to be sent: orders wait behind others to the same worker, and a start that goes
+// out late could follow the end of the task or of its job.
+func (c *Cell) Wanted(order StartOrder) bool {
+	w := c.workers[order.To.ID]
+	if w == nil {
+		return false
+	}
+	r := w.runs[order.Start.Run]
+	return r != nil && r.state == runSent && !r.stop
+}
+
+// withdrawn deals with a start that was not sent.
+func (c *Cell) withdrawn(r *run) {
+	if r.doubt {
+		r.state, r.since = runUncertain, c.now
+		return
+	}
+	c.dropRun(r)
+	c.breakGang(r.task.group, r.number)
+}
+
 // refused deals with a start that was not taken or had no answer.
 func (c *Cell) refused(r *run, reason verdict.Reason, v verdict.Verdict) {
 	w := r.worker
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -20,6 +20,7 @@
 	exclusionSilent     = "silent"
 	exclusionLeaving    = "leaving"
 	exclusionRefusing   = "refusing"
+	exclusionStanding   = "stands_still"
 	exclusionQuarantine = "quarantined"
 	exclusionService    = "other_service"
 	exclusionLabel      = "label"
@@ -72,6 +73,8 @@
 		return exclusionLeaving
 	case c.now < w.refusing:
 		return exclusionRefusing
+	case c.now < w.standsUntil:
+		return exclusionStanding
 	case c.health.State(w.info.ID, c.wall) == quarantine.Quarantined:
 		return exclusionQuarantine
 	case i < 0:
--- a/internal/cell/world_test.go
+++ b/internal/cell/world_test.go
@@ -84,11 +84,13 @@
 	closed  map[jobs.TaskID]int // highest run that was stopped or ended
 	up      bool
 	bad     bool // fails whatever it starts
+	stands  bool // what runs there makes no progress
 	cut     map[*simOwner]bool
 }
 
 type simRun struct {
 	number int
+	began  time.Duration
 	ends   time.Duration
 	step   jobs.Step
 }
@@ -466,7 +468,10 @@
 	if r.step.Lasting {
 		return fullPercent
 	}
-	return 50
+	if r.ends <= r.began {
+		return fullPercent
+	}
+	return int(fullPercent * min(s.world.now-r.began, r.ends-r.began) / (r.ends - r.began))
 }
 
 func (s *simWorker) start(order workercall.Start) (workercall.Answer, error) {
@@ -495,7 +500,7 @@
 		return answer, s.refuse(workercall.ReasonNoRoom)
 	}
 	s.world.started(s, order.Task)
-	s.running[order.Task] = &simRun{number: order.Number, step: step, ends: s.world.now + s.world.runTime/2 +
+	s.running[order.Task] = &simRun{number: order.Number, step: step, began: s.world.now, ends: s.world.now + s.world.runTime/2 +
 		time.Duration(s.world.random.Int64N(int64(s.world.runTime)))}
 	return answer, nil
 }
@@ -529,6 +534,9 @@
 	lapsed := s.clock() >= s.until
 	for _, task := range s.sortedTasks() {
 		r := s.running[task]
+		if s.stands {
+			r.began, r.ends = r.began+worldTick, r.ends+worldTick
+		}
 		switch {
 		case lapsed:
 			s.end(task, workercall.Lapsed)
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -281,12 +281,26 @@
 func (o *owner) sendStarts(ctx context.Context, starts []cell.StartOrder) {
 	for _, order := range starts {
 		o.lanes.send(ctx, order.To.ID, func() {
-			answer, err := o.node.platform.Workers.Start(ctx, order.To, order.Start)
+			var answer workercall.Answer
+			var err error = errWithdrawn
+			if o.wanted(order) {
+				answer, err = o.node.platform.Workers.Start(ctx, order.To, order.Start)
+			}
 			o.post(ctx, func() { o.fenced = o.cell.Started(order, answer, err) || o.fenced })
 		})
 	}
 }
 
+// errWithdrawn is the outcome of a start that was not sent, because meanwhile the run was to be stopped.
+var errWithdrawn = verdict.New(verdict.NotRun, workercall.ReasonWithdrawn, nil)
+
+// wanted tells whether a start that waited behind other orders to its worker is still to be sent.
+func (o *owner) wanted(order cell.StartOrder) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.cell.Wanted(order)
+}
+
 // followJobs takes in jobs and cancellations as they are stored.
 func (o *owner) followJobs(ctx context.Context, from store.Offset) error {
 	f := &follower{store: o.node.platform.Store, partition: jobsPartition, wait: jobsReadWait, listed: true, from: from}
--- a/internal/workercall/workercall.go
+++ b/internal/workercall/workercall.go
@@ -147,6 +147,8 @@
 	ReasonUnreachable = verdict.Reason("worker_unreachable")
 	// ReasonNoAnswer: the order may have been carried out, or may be later.
 	ReasonNoAnswer = verdict.Reason("worker_no_answer")
+	// ReasonWithdrawn: the order was not sent, since it was not wanted any more.
+	ReasonWithdrawn = verdict.Reason("order_withdrawn")
 	// ReasonUnexpected: the answer is not one that workers are known to give.
 	ReasonUnexpected = verdict.Reason("worker_unexpected_answer")
 )
