Keep the progress of a job whose record cannot be read

Cause, found on reading the diff: progress without its job is deleted at a take-over, and a job whose record this version cannot read counted as gone. Test: TestUnreadableJob, which fails with the old condition. Also: whether a task may be tried on a worker that has failed others belongs to what two tasks must have in common to find the same workers.

--- a/internal/cell/forget_test.go
+++ b/internal/cell/forget_test.go
@@ -69,3 +69,17 @@
 		So(w.records, ShouldNotContainKey, jobrecord.OutcomeKey("j"))
 	})
 }
+
+func TestUnreadableJob(t *testing.T) {
+	Convey("The progress of a job that this version cannot read is kept for one that can", t, func() {
+		w := newWorld(24, 1)
+		w.claim()
+		w.runTime = time.Minute
+		w.submit("j", batch(1))
+		w.run(time.Second)
+		w.jobLog[0].Value = []byte("of a later version")
+		w.claim()
+		w.run(10 * time.Second)
+		So(w.records, ShouldContainKey, jobrecord.GroupKey(jobs.GroupID{Job: "j"}))
+	})
+}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -40,13 +40,15 @@
 // ended first stays so.
 func (c *Cell) Load(jobRecords, progress []store.Record) {
 	sort.SliceStable(jobRecords, func(i, j int) bool { return jobRecords[i].Offset < jobRecords[j].Offset })
+	listed := make(map[jobs.ID]bool)
 	for _, r := range jobRecords {
-		if kind, _ := jobrecord.ParseKey(r.Key); kind == jobrecord.KindJob {
+		if kind, id := jobrecord.ParseKey(r.Key); kind == jobrecord.KindJob {
+			listed[id.Job] = true
 			c.Apply(r)
 		}
 	}
 	for _, r := range progress {
-		c.loadProgress(r)
+		c.loadProgress(r, listed)
 	}
 	for _, r := range jobRecords {
 		if kind, _ := jobrecord.ParseKey(r.Key); kind != jobrecord.KindJob {
@@ -59,7 +61,8 @@
 	c.dropEnded()
 }
 
-func (c *Cell) loadProgress(r store.Record) {
+// loadProgress takes in a record of progress. listed are the jobs with a record, readable or not.
+func (c *Cell) loadProgress(r store.Record, listed map[jobs.ID]bool) {
 	if len(r.Value) == 0 {
 		return
 	}
@@ -80,7 +83,7 @@
 			return
 		}
 		c.loadGroup(j, id, record, r)
-	case (kind == jobrecord.KindOutcome || kind == jobrecord.KindGroup) && j == nil:
+	case (kind == jobrecord.KindOutcome || kind == jobrecord.KindGroup) && !listed[id.Job]:
 		// The job's own records go first, so a former owner was deleting it.
 		c.deletions = append(c.deletions, r.Key)
 	case r.Key == jobrecord.PressuresKey:
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -41,6 +41,7 @@
 	label   string
 	rack    string
 	bounded bool // by a number of tasks on one worker
+	spare   bool // may be tried on a worker that has failed others
 }
 
 // place finds workers for waiting tasks, most urgent step first.
@@ -232,7 +233,7 @@
 	need := placement.Need{Kind: kindOfStep(g.step), Room: g.step.Room(), Use: useOf(g.step), Rack: g.step.DataRack, Avoid: t.avoid}
 	key := needKey{
 		kind: need.Kind, service: service, image: g.step.Image, label: g.step.RequiredLabel, rack: g.step.DataRack,
-		bounded: g.step.MaxPerWorker > 0,
+		bounded: g.step.MaxPerWorker > 0, spare: c.maySpareRun(t),
 	}
 	if failed, known := f.hopeless[key]; known && failed.Use <= need.Use && need.Room.Holds(failed.Room) {
 		return -1
