Trust a worker again only for runs that were placed to try it

And a worker with any run was never probed. Change: runs know whether they are probes; one probe at a time, whatever else runs there. Test: TestPassingWorkerFault with a lasting task on each worker failed in both ways first.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -250,7 +250,7 @@
 		if g.step.MaxPerWorker > 0 && here[w]+pending[i] >= g.step.MaxPerWorker {
 			return false
 		}
-		if f.views[i].Probing && (len(w.runs) > 0 || !c.maySpareRun(t)) {
+		if f.views[i].Probing && (w.probed() || !c.maySpareRun(t)) {
 			return false
 		}
 		return !g.step.Fills || c.mayFill(f, i, g.step)
@@ -261,6 +261,16 @@
 	return i
 }
 
+// probed tells whether the worker is being tried by a run already.
+func (w *worker) probed() bool {
+	for _, r := range w.runs {
+		if r.probe {
+			return true
+		}
+	}
+	return false
+}
+
 // maySpareRun tells whether a task may be tried on a worker that has failed others: it must have more than one attempt
 // left.
 func (c *Cell) maySpareRun(t *task) bool {
@@ -330,7 +340,8 @@
 func (c *Cell) assign(f *floor, t *task, i, number int) {
 	w := f.rows[i]
 	c.take(f, t.group, i)
-	r := &run{task: t, number: number, worker: w, born: w.info.Born, state: runPlaced, since: c.now, pace: fullPace}
+	r := &run{task: t, number: number, worker: w, born: w.info.Born, state: runPlaced, since: c.now, pace: fullPace,
+		probe: f.views[i].Probing}
 	t.runs = append(t.runs, r)
 	t.lastRun = number
 	w.runs[workercall.Run{Task: t.id, Number: number}] = r
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -137,10 +137,11 @@
 // they start do so within a second.
 const provenAfter = 2 * time.Second
 
-// proveWorker takes a lasting run at work for a good end: it has none of its own.
+// proveWorker takes a lasting run at work for a good end, since it has none of its own. Runs that were there before the
+// worker failed others prove nothing.
 func (c *Cell) proveWorker(r *run) {
 	id := r.worker.info.ID
-	if r.task.group.step.Lasting && r.percent >= fullPercent && c.now-r.began >= provenAfter &&
+	if r.probe && r.task.group.step.Lasting && r.percent >= fullPercent && c.now-r.began >= provenAfter &&
 		c.health.State(id, c.wall) != quarantine.Trusted {
 		c.health.Succeeded(id, kindOf(r.task.group))
 		c.log.Info("worker trusted again", zap.String("worker", id), taskField(r.task.id))
--- a/internal/cell/tables.go
+++ b/internal/cell/tables.go
@@ -39,6 +39,8 @@
 	// doubt is set while an unanswered start may still be carried out; settled once none can be any more.
 	doubt, settled bool
 	attempts       int // starts sent for this run
+	// probe is set when the run was placed to try a worker that had failed others.
+	probe bool
 	// stop is set once the run is to be stopped; why says for what.
 	stop     bool
 	why      stopReason
