--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -80,6 +80,32 @@
 			So(v.MayHold(11*time.Second), ShouldBeFalse)
 		})
 	})
+	Convey("A new owner waits longer than any lease that a former owner can have extended", t, func() {
+		const longest = 6 * time.Second
+		const slowest = longest * 102 / 100
+		v := NewView("a-1", "a", 0)
+		v.Observe(record(other, 0), 1, 10*time.Second)
+		Convey("who fell silent: it may have renewed leases until its own time without the store was over", func() {
+			So(v.LeasesEnd(longest, 13*time.Second), ShouldBeGreaterThanOrEqualTo, 10*time.Second+HoldWithoutStore+slowest)
+			Convey("and no longer, also when the store was away for everybody meanwhile", func() {
+				So(v.LeasesEnd(longest, 20*time.Second), ShouldBeLessThan, 22*time.Second)
+			})
+		})
+		Convey("who released the cell: it renewed nothing after that", func() {
+			released := other
+			released.Released = true
+			v.Observe(record(released, 1), 2, 12*time.Second)
+			So(v.LeasesEnd(longest, 12*time.Second), ShouldBeBetween, 12*time.Second+slowest, 19*time.Second)
+		})
+		Convey("who was the former process of the same node: it has ended by now", func() {
+			restarted := NewView("b-2", "b", 0)
+			restarted.Observe(record(other, 0), 1, 10*time.Second)
+			So(restarted.LeasesEnd(longest, 11*time.Second), ShouldBeGreaterThanOrEqualTo, 11*time.Second+slowest)
+		})
+	})
+}
+
+func TestGivenUpClaim(t *testing.T) {
 	Convey("An owner whose store was away too long has given up when a renewal is accepted after all", t, func() {
 		v := NewView("a-1", "a", 2)
 		v.Observe(nil, 0, 0)
@@ -106,27 +132,4 @@
 			So(v.ShouldClaim(late), ShouldBeFalse)
 		})
 	})
-	Convey("A new owner waits longer than any lease that a former owner can have extended", t, func() {
-		const longest = 6 * time.Second
-		const slowest = longest * 102 / 100
-		v := NewView("a-1", "a", 0)
-		v.Observe(record(other, 0), 1, 10*time.Second)
-		Convey("who fell silent: it may have renewed leases until its own time without the store was over", func() {
-			So(v.LeasesEnd(longest, 13*time.Second), ShouldBeGreaterThanOrEqualTo, 10*time.Second+HoldWithoutStore+slowest)
-			Convey("and no longer, also when the store was away for everybody meanwhile", func() {
-				So(v.LeasesEnd(longest, 20*time.Second), ShouldBeLessThan, 22*time.Second)
-			})
-		})
-		Convey("who released the cell: it renewed nothing after that", func() {
-			released := other
-			released.Released = true
-			v.Observe(record(released, 1), 2, 12*time.Second)
-			So(v.LeasesEnd(longest, 12*time.Second), ShouldBeBetween, 12*time.Second+slowest, 19*time.Second)
-		})
-		Convey("who was the former process of the same node: it has ended by now", func() {
-			restarted := NewView("b-2", "b", 0)
-			restarted.Observe(record(other, 0), 1, 10*time.Second)
-			So(restarted.LeasesEnd(longest, 11*time.Second), ShouldBeGreaterThanOrEqualTo, 11*time.Second+slowest)
-		})
-	})
 }
