Reproduce the starved owner in the simulation (known red)

The simulation of a cell can charge an owner processor time for each order that it sends, each answer that it reads and each iteration of its loop. Without a processor cost the simulation is unchanged.

--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -61,6 +61,9 @@
 	statusRetention time.Duration
 	// submitNode is the name of the node that stores new jobs.
 	submitNode string
+	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
+	// receives and on each iteration of its loop; 0: none.
+	processorCost time.Duration
 }
 
 // workerList is what the store listed as workers at one time.
@@ -110,6 +113,7 @@
 	renewsUntil  time.Duration // until when it may renew leases
 	suspended    bool
 	ended        bool
+	processor    simProcessor
 }
 
 // newSimulation returns a simulation with the given number of workers, each of 4 cores, and without an owner.
@@ -284,7 +288,7 @@
 		}
 		for _, o := range append(append([]*simOwner(nil), sim.formerOwners...), sim.owner) {
 			if o != nil && !o.suspended && !o.ended {
-				sim.runOwner(o)
+				sim.scheduleOwner(o)
 			}
 		}
 	}
@@ -322,15 +326,13 @@
 	decide := sim.now < o.decidesUntil
 	orders := o.cell.TakeOrders(decide)
 	for _, order := range orders.Renewals {
+		if sim.processorCost > 0 {
+			sim.renewWithProcessor(o, order)
+			continue
+		}
 		sim.call(o, order.To, func(s *simWorker) func() {
 			report, err := s.renew(order.Request)
-			return func() {
-				if err != nil {
-					sim.endIfFenced(o, o.cell.RenewFailed(order.To.ID, err))
-					return
-				}
-				o.cell.RenewAnswered(order.To.ID, report, order.CreatedAt)
-			}
+			return func() { sim.renewalAnswered(o, order, report, err) }
 		}, func(err error) { o.cell.RenewFailed(order.To.ID, err) })
 	}
 	sim.sendStarts(o, orders.Starts)
@@ -400,6 +402,10 @@
 // call delivers an order to a worker and its answer to the owner, with random losses and delays. do carries out the
 // order and returns the function that delivers the answer; failed is called instead if no answer arrives.
 func (sim *simulation) call(o *simOwner, to workercall.Target, do func(*simWorker) func(), failed func(error)) {
+	if sim.processorCost > 0 {
+		sim.callWithProcessor(o, to, do, failed)
+		return
+	}
 	deliver := func(f func()) {
 		if !o.ended && !o.suspended {
 			o.cell.SetTime(sim.now, sim.wall())
