Do not count a lease as expired before its first run is started

Callers would see: a task that lasts is away for good (LOST) after its worker vanished right after the start. Cause: the lease of an idle worker lies in the past. If the owner's loop ran between the placement of a run and its start order, expireLeases marked the lease as expired although there was nothing to abandon, and wrote 'lease on a worker has lapsed'. The mark stays until the next report, so if none comes, the runs are never abandoned. Fix: the mark is set only when runs with a start order are abandoned; a start order extends the lease.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -277,16 +277,8 @@
 // removes unlisted workers without runs.
 func (c *Cell) expireLeases() {
 	for _, w := range c.sortedWorkers() {
-		if len(w.runs) > 0 && !w.leaseExpired && c.now >= w.leaseExpiresBy &&
-			(w.tokenAccepted || c.now >= c.formerLeasesEnd) {
-			w.leaseExpired = true
-			c.log.Warn("lease on a worker has lapsed", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)),
-				zap.Duration("last_report_age", c.now-w.lastReport))
-			for _, r := range w.sortedRuns() {
-				if r.state != runPlaced {
-					c.abandonRun(r, "lease_lapsed")
-				}
-			}
+		if !w.leaseExpired && c.now >= w.leaseExpiresBy && (w.tokenAccepted || c.now >= c.formerLeasesEnd) {
+			c.expireLease(w)
 		}
 		if !w.listed && len(w.runs) == 0 {
 			c.removeWorker(w)
@@ -294,6 +286,26 @@
 	}
 }
 
+// expireLease abandons the runs on a worker whose lease has expired. Runs without a start order are not affected: their
+// orders will extend the lease.
+func (c *Cell) expireLease(w *worker) {
+	var expired []*run
+	for _, r := range w.sortedRuns() {
+		if r.state != runPlaced {
+			expired = append(expired, r)
+		}
+	}
+	if len(expired) == 0 {
+		return
+	}
+	w.leaseExpired = true
+	c.log.Warn("lease on a worker has lapsed", zap.String("worker", w.info.ID), zap.Int("runs", len(expired)),
+		zap.Duration("last_report_age", c.now-w.lastReport))
+	for _, r := range expired {
+		c.abandonRun(r, "lease_lapsed")
+	}
+}
+
 // logMeasurements logs, at debug level, the CPU use and latency that a worker reports for its tasks. The lines serve to
 // analyze how tasks on the same worker slow each other down.
 func (c *Cell) logMeasurements(w *worker) {
