Keep a run whose start order is in transit when its worker restarts

Callers would see: a task in two places (TWICE). Cause: a start order could reach the next incarnation of a worker, which has the same ID, just before the owner learned of the restart. The owner abandoned the run ('new_life') and started the task elsewhere, while the new incarnation ran it. Fix: a run whose start order is not answered stays with the worker as in doubt, until the answer, a report of the new incarnation or the end of the longest lease that the order could have given. An answer from another incarnation abandons it.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -34,6 +34,9 @@
 		return true
 	case workercall.ReasonWorkerRestarted:
 		c.handleOtherIncarnation(w)
+		if w.runs[order.Start.Run] == r {
+			c.abandonRun(r, "new_life")
+		}
 	case workercall.ReasonWithdrawn:
 		c.startWithdrawn(r)
 	case workercall.ReasonStaleRun:
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -252,15 +253,22 @@
 	}
 }
 
-// handleNewIncarnation abandons all runs on a worker that has restarted and resets the worker's state. seenBy says for
-// the log how the restart was noticed: by an entry in the store, a report or a refusal.
+// handleNewIncarnation abandons all runs on a worker that has restarted and resets the worker's state. A run whose start
+// order is not answered stays, since the new incarnation may carry out the order. seenBy says for the log how the restart
+// was noticed: by an entry in the store, a report or a refusal.
 func (c *Cell) handleNewIncarnation(w *worker, seenBy string) {
 	c.log.Info("worker restarted", zap.String("worker", w.info.ID), zap.String("seen_by", seenBy), zap.Int("runs", len(w.runs)))
+	leaseExpiresBy := max(c.now, c.formerLeasesEnd)
 	for _, r := range w.sortedRuns() {
+		if r.state == runStartSent {
+			r.incarnation, r.startInDoubt = 0, true
+			leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, c.settings.MaxLease))
+			continue
+		}
 		c.abandonRun(r, "new_life")
 	}
 	w.tokenAccepted, w.clockKnown, w.dead, w.failingSince = false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.grantedUntil, w.nextRenewal = 0, 0, 0, c.now
-	w.leaseExpiresBy = max(c.now, c.formerLeasesEnd)
+	w.leaseExpiresBy = leaseExpiresBy
 	w.info.Draining = false
 }
