Logs, metrics and trace tell waiting for the owner from waiting for room

A task that waited for the owner's turn left no line, a line that named room did not say how old the reports were, and nothing said how late the owner is. cactuswall trace said 'for free resources' in all cases.

Change: - cellnode: 'owner late' and 'owner on time again', once each, from one-second means of the scheduling latency of the Go runtime, the event delay and the loop delay; metrics cactuswall_owner_* for these, flushes, rounds and backlog. - cell: 'step waiting for its turn' when the round has reached its limit of starts, at most 8 a round; report ages and round time in 'step waiting for resources'; histogram of the wait by reason (room, turn, backoff, none). - joblog: the sentence names the late owner, old reports, or the turn. Waits of tasks that have not started count too. A line of an owner that was late long before the job is kept while the owner is still late.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -55,6 +55,7 @@
 	scheduledJobs []*job        // jobs with occurrences that are not due yet
 	now           time.Duration // current reading of the local clock, set by SetTime
 	wall          time.Time     // current wall time, set by SetTime
+	roundTime     time.Duration // set by SetRoundTime
 }
 
 // probeBackoff holds the time from the quarantine of a worker to its first probe and the longest time between two
@@ -76,6 +77,10 @@
 // during system suspend, wall the wall time.
 func (c *Cell) SetTime(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
 
+// SetRoundTime sets how long it takes from the Plan of a round until the owner handles the result of storing it. It is
+// logged with waiting tasks.
+func (c *Cell) SetRoundTime(d time.Duration) { c.roundTime = d }
+
 // SetSettings replaces the settings. They apply from the next call on.
 func (c *Cell) SetSettings(s Settings) { c.settings = s }
 
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -20,6 +20,8 @@
 	StepDelay *metrics.Histogram
 	// PlacementWait is the time from when a task became ready, or its last run was removed, to its placement.
 	PlacementWait *metrics.Histogram
+	// waits are parts of PlacementWait, by waitReason.
+	waits [waitReasons]*metrics.Histogram
 	// StartLatency is the time from the creation of a start order to the worker's answer that the task runs.
 	StartLatency *metrics.Histogram
 }
@@ -34,6 +36,7 @@
 		UnknownRuns:       set.NewCounter("cactuswall_cell_foreign_runs_total"),
 		StepDelay:         set.NewHistogram("cactuswall_cell_step_change_seconds"),
 		PlacementWait:     set.NewHistogram("cactuswall_cell_waiting_seconds"),
+		waits:             newWaitHistograms(set),
 		StartLatency:      set.NewHistogram("cactuswall_cell_starting_seconds"),
 	}
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -58,14 +58,15 @@
 	}
 	v := c.newPlacementView()
 	placed, unplaced := 0, false
-	for _, g := range groups {
-		if placed >= maxStartsPerRound {
-			unplaced = true
-			break
-		}
+	for i, g := range groups {
 		count, all := c.placeGroup(v, g)
 		placed += count
 		unplaced = unplaced || !all
+		if placed >= maxStartsPerRound {
+			unplaced = unplaced || i+1 < len(groups)
+			c.waitForTurn(groups, i)
+			break
+		}
 	}
 	if unplaced {
 		c.scheduleRetry(c.now + placementRetryInterval)
@@ -171,15 +172,19 @@
 	if g.step.Gang {
 		return c.placeGang(v, g)
 	}
-	all = true
+	postponed := waitNone
 	for _, t := range g.tasks {
 		if !t.needsRun() {
 			continue
 		}
-		if c.now < t.notBefore || placed >= maxStartsPerRound {
-			all = false
+		if c.now < t.notBefore {
+			postponed = waitBackoff
 			continue
 		}
+		if placed >= maxStartsPerRound {
+			postponed = waitTurn
+			break
+		}
 		i := c.chooseWorker(v, t, nil)
 		if i < 0 {
 			c.logWaiting(v, t)
@@ -188,7 +193,8 @@
 		c.assign(v, t, i, t.lastRunNumber+1)
 		placed++
 	}
-	return placed, all
+	g.waitReason = postponed
+	return placed, postponed == waitNone
 }
 
 // placeGang places all tasks of a gang or none. The results are those of placeGroup.
@@ -196,6 +202,7 @@
 	number := g.nextGangRun
 	for _, t := range g.tasks {
 		if !t.needsRun() || c.now < t.notBefore {
+			g.waitReason = waitBackoff
 			return 0, false
 		}
 		number = max(number, t.lastRunNumber+1)
@@ -220,7 +227,7 @@
 		t.checkpoint = checkpoint
 		c.assign(v, t, chosen[k], number)
 	}
-	g.nextGangRun = number + 1
+	g.nextGangRun, g.waitReason = number+1, waitNone
 	return len(g.tasks), true
 }
 
@@ -364,7 +371,7 @@
 	w.runs[workercall.Run{Task: t.id, Number: number}] = r
 	w.reserved = w.reserved.Add(t.group.step.Requested())
 	c.pendingStarts = append(c.pendingStarts, r)
-	c.metrics.PlacementWait.Update((c.now - t.waitingSince).Seconds())
+	c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
 	c.markGroupDirty(t.group)
 	c.log.Debug("placed", taskField(t.id), zap.Int("run", number), zap.String("worker", w.info.ID))
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -113,6 +113,8 @@
 	dirty   bool // its record has to be stored
 	// lastLoggedWait is how long a task had waited when the reason was last logged.
 	lastLoggedWait time.Duration
+	// waitReason is why tasks of the group were last not placed; waitNone once all were.
+	waitReason waitReason
 	// finishedAt is when the last task of the group was done, if this owner saw it; it is used for Metrics.StepDelay.
 	finishedAt time.Duration
 }
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -1,8 +1,11 @@
 package cell
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -41,20 +44,146 @@
 	return nil
 }
 
-// logWaiting logs why a task of a group has to wait, at doubling intervals.
-func (c *Cell) logWaiting(v *placementView, t *task) {
+// waitReason is why a task was not placed in a round.
+type waitReason int
+
+const (
+	waitNone    waitReason = iota // it was placed in the first round after it became ready
+	waitRoom                      // no worker was found for it or for an earlier task of its group
+	waitTurn                      // the round had reached maxStartsPerRound
+	waitBackoff                   // it failed, and the time until its next attempt had not passed
+	waitReasons                   // number of reasons
+)
+
+// newWaitHistograms registers the histograms of the time to placement by the last reason of the wait.
+func newWaitHistograms(set *metrics.Set) (waits [waitReasons]*metrics.Histogram) {
+	for reason, name := range []string{"none", "room", "turn", "backoff"} {
+		waits[reason] = set.NewHistogram(fmt.Sprintf("cactuswall_cell_waiting_reason_seconds{reason=%q}", name))
+	}
+	return waits
+}
+
+// observeWait records the time until the placement of a task.
+func (c *Metrics) observeWait(reason waitReason, waited time.Duration) {
+	c.PlacementWait.Update(waited.Seconds())
+	c.waits[reason].Update(waited.Seconds())
+}
+
+// Workload is the number of things that an owner handles.
+type Workload struct {
+	WaitingTasks int // tasks that are ready and have no run
+	Runs         int
+	Workers      int
+}
+
+// Workload counts the cell's waiting tasks, runs and workers. It visits all unfinished tasks.
+func (c *Cell) Workload() Workload {
+	load := Workload{Workers: len(c.workers)}
+	for _, w := range c.workers {
+		load.Runs += len(w.runs)
+	}
+	for _, g := range c.openGroups {
+		if g.ready && g.job.live() {
+			load.WaitingTasks += g.waitingTasks()
+		}
+	}
+	return load
+}
+
+// waitingTasks returns the number of tasks to be placed.
+func (g *group) waitingTasks() int {
+	count := 0
+	for _, t := range g.tasks {
+		if t.needsRun() {
+			count++
+		}
+	}
+	return count
+}
+
+// waitLogDue returns how long a task has waited. due is true if that has to be logged, which is noted for the group.
+func (c *Cell) waitLogDue(t *task) (waited time.Duration, due bool) {
 	g := t.group
-	waited := c.now - max(t.waitingSince, g.readyAt)
+	waited = c.now - max(t.waitingSince, g.readyAt)
 	if waited < max(firstWaitLog, 2*g.lastLoggedWait) {
-		return
+		return waited, false
 	}
 	g.lastLoggedWait = waited
+	return waited, true
+}
+
+// logWaiting logs, at doubling intervals, why no worker was found for a task, and how old the reports are from which the
+// resources in use on full workers are known.
+func (c *Cell) logWaiting(v *placementView, t *task) {
+	t.group.waitReason = waitRoom
+	waited, due := c.waitLogDue(t)
+	if !due {
+		return
+	}
 	counts := make(exclusions)
+	var ages []time.Duration
 	for _, w := range c.sortedWorkers() {
-		counts[c.exclusionReason(v, w, t)]++
+		reason := c.exclusionReason(v, w, t)
+		counts[reason]++
+		if reason == exclusionResources {
+			ages = append(ages, c.now-w.lastReport)
+		}
+	}
+	fields := []zap.Field{taskField(t.id), zap.Duration("waited", waited), zap.String("needs", t.group.step.Summary()),
+		zap.Object("workers", counts), zap.Duration("round_time", c.roundTime)}
+	if len(ages) > 0 {
+		slices.Sort(ages)
+		fields = append(fields, zap.Duration("report_age_median", ages[len(ages)/2]), zap.Duration("report_age_oldest", ages[len(ages)-1]))
+	}
+	c.log.Info("step waiting for resources", fields...)
+}
+
+// maxTurnLines is the maximum number of lines that waitForTurn logs for one round.
+const maxTurnLines = 8
+
+// waitForTurn records that the tasks of the groups from index first on wait because the round has placed as many tasks
+// as it may. For some of them it logs this, at doubling intervals.
+func (c *Cell) waitForTurn(groups []*group, first int) {
+	lines := 0
+	for i, g := range groups[first:] {
+		t := g.firstToStart(c.now)
+		if t == nil || i == 0 && g.waitReason != waitTurn {
+			continue // all tasks were placed, or wait for another reason
+		}
+		g.waitReason = waitTurn
+		if lines < maxTurnLines && c.logTurn(groups, first+i, t) {
+			lines++
+		}
+	}
+}
+
+// firstToStart returns the group's first task that may be placed at the given time, or nil.
+func (g *group) firstToStart(now time.Duration) *task {
+	for _, t := range g.tasks {
+		if t.needsRun() && now >= t.notBefore {
+			return t
+		}
+	}
+	return nil
+}
+
+// logTurn logs, at doubling intervals, that a task of the group with index i waits for a later round. It reports whether
+// it has logged a line.
+func (c *Cell) logTurn(groups []*group, i int, t *task) bool {
+	waited, due := c.waitLogDue(t)
+	if !due {
+		return false
+	}
+	before, total := 0, 0
+	for k, g := range groups {
+		if k == i {
+			before = total
+		}
+		total += g.waitingTasks()
 	}
-	c.log.Info("step waiting for resources", taskField(t.id), zap.Duration("waited", waited), zap.String("needs", g.step.Summary()),
-		zap.Object("workers", counts))
+	c.log.Info("step waiting for its turn", taskField(t.id), zap.Duration("waited", waited), zap.Int("position", before+1),
+		zap.Int("waiting_tasks", total), zap.Duration("round_time", c.roundTime))
+	return true
 }
 
 // exclusionReason returns why a worker was not chosen for a task. If several reasons apply, it returns the first in the
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -97,6 +97,8 @@
 	config   *queue.ActiveConfig
 	metrics  *metrics.Set
 	counts   *cell.Metrics
+	// ownerMetrics are shared by the owners of this process.
+	ownerMetrics *ownerMetrics
 	// writerID is part of the keys of job records and distinguishes those of this process from all others.
 	writerID     string
 	jobsAppender *appender.Appender
@@ -138,6 +140,7 @@
 		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
 		peers:        newPeers(), view: claim.NewView(holder, s.Node, s.Rank),
 	}
+	n.ownerMetrics = newOwnerMetrics(set, n.owner.Load)
 	n.cellSettings.Store(&s.Cell)
 	return n
 }
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -40,16 +41,24 @@
 	errFenced     = errors.New("fenced by a newer owner, or the outcome of storing progress is unknown")
 )
 
+// event is a function that the goroutine of runEventLoop runs, and when it was posted.
+type event struct {
+	postedAt time.Time
+	run      func()
+}
+
 // owner schedules the jobs of the cell under one claim. Its points in time of type time.Duration are on the clock of
 // package boottime.
 type owner struct {
 	node        *Node
 	epoch       int64
 	log         *zap.Logger
-	events      chan func()
+	events      chan event
 	progress    *appender.Appender
 	orderQueues *orderQueues
 	claimedAt   time.Duration
+	// startsInFlight is the number of start orders that are queued or not answered yet.
+	startsInFlight atomic.Int64
 
 	// mu protects cell, loaded and jobsReadAt, which queries read concurrently with runEventLoop.
 	mu     sync.Mutex
@@ -58,7 +67,7 @@
 	// jobsReadAt is when the latest successful read of the jobs topic returned.
 	jobsReadAt time.Duration
 
-	// The fields from storing to lastFlushDuration are used only by the goroutine of runEventLoop.
+	// The fields from storing to lateness are used only by the goroutine of runEventLoop.
 	storing bool // an append of progress records is in flight
 	// nextExpiry is when deleteExpired runs next.
 	nextExpiry time.Duration
@@ -67,6 +76,7 @@
 	fenced            bool
 	lastFlush         time.Time // when the last flush ended
 	lastFlushDuration time.Duration
+	lateness          lateness
 
 	stop context.CancelFunc // stops run
 	done chan struct{}      // closed when run has returned
@@ -76,9 +86,10 @@
 	log := n.log.With(zap.Int64("epoch", epoch))
 	now := boottime.Now()
 	return &owner{
-		node: n, epoch: epoch, log: log, events: make(chan func(), eventQueueSize), claimedAt: now,
+		node: n, epoch: epoch, log: log, events: make(chan event, eventQueueSize), claimedAt: now,
 		orderQueues: newOrderQueues(), done: make(chan struct{}),
-		cell: cell.New(*n.cellSettings.Load(), epoch, leasesEnd, log, n.counts),
+		cell:     cell.New(*n.cellSettings.Load(), epoch, leasesEnd, log, n.counts),
+		lateness: lateness{metrics: n.ownerMetrics, log: log, sched: newSchedLatency().next},
 	}
 }
 
@@ -101,9 +112,9 @@
 }
 
 // post queues an event to be run by the goroutine of runEventLoop.
-func (o *owner) post(ctx context.Context, event func()) {
+func (o *owner) post(ctx context.Context, run func()) {
 	select {
-	case o.events <- event:
+	case o.events <- event{postedAt: time.Now(), run: run}:
 	case <-ctx.Done():
 	}
 }
@@ -112,12 +123,18 @@
 func (o *owner) runEventLoop(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	timerDue := time.Now()
+	o.lateness.begin(timerDue)
 	for {
+		due := timerDue
 		select {
-		case event := <-o.events:
+		case e := <-o.events:
+			if e.postedAt.Before(due) {
+				due = e.postedAt
+			}
 			o.mu.Lock()
 			o.cell.SetTime(boottime.Now(), time.Now())
-			event()
+			o.runEvent(e)
 			o.drainEvents()
 			o.mu.Unlock()
 		case <-timer.C:
@@ -134,19 +151,40 @@
 		if !o.waitForNextFlush(ctx) {
 			return ctx.Err()
 		}
-		o.mu.Lock()
-		start := time.Now()
-		wait := o.flush(ctx)
-		o.lastFlush, o.lastFlushDuration = time.Now(), time.Since(start)
-		o.mu.Unlock()
+		wait := o.measuredFlush(ctx, due)
 		timer.Reset(wait)
+		timerDue = o.lastFlush.Add(wait)
 	}
 }
 
+// measuredFlush calls flush and records when it was due and how long it took. due is when the event or the end of the
+// wait that led to the flush occurred.
+func (o *owner) measuredFlush(ctx context.Context, due time.Time) (wait time.Duration) {
+	if earliest := o.nextFlush(); due.Before(earliest) {
+		due = earliest
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	start := time.Now()
+	wait = o.flush(ctx)
+	o.lastFlush = time.Now()
+	o.lastFlushDuration = o.lastFlush.Sub(start)
+	o.lateness.flushed(due, start, o.lastFlush)
+	if o.lateness.windowEnded(o.lastFlush) {
+		o.cell.SetRoundTime(o.lateness.endWindow(o.lastFlush, o.cell.Workload()))
+	}
+	return wait
+}
+
+// nextFlush returns the earliest time of the next flush.
+func (o *owner) nextFlush() time.Time {
+	return o.lastFlush.Add(max(minFlushInterval, min(flushDurationFactor*o.lastFlushDuration, maxAdaptiveInterval)))
+}
+
 // waitForNextFlush waits until the next flush is due, so that events that arrive together are handled in one flush. It
 // returns false if ctx has ended.
 func (o *owner) waitForNextFlush(ctx context.Context) bool {
-	delay := max(minFlushInterval, min(flushDurationFactor*o.lastFlushDuration, maxAdaptiveInterval)) - time.Since(o.lastFlush)
+	delay := time.Until(o.nextFlush())
 	if delay <= 0 {
 		return true
 	}
@@ -162,14 +200,19 @@
 func (o *owner) drainEvents() {
 	for {
 		select {
-		case event := <-o.events:
-			event()
+		case e := <-o.events:
+			o.runEvent(e)
 		default:
 			return
 		}
 	}
 }
 
+func (o *owner) runEvent(e event) {
+	o.lateness.eventRuns(e.postedAt)
+	e.run()
+}
+
 const (
 	// maxFlushWait and minFlushWait limit the time until the next flush if no event arrives.
 	maxFlushWait = 200 * time.Millisecond
@@ -212,9 +255,13 @@
 		return
 	}
 	o.storing = true
+	o.lateness.roundBegan = time.Now()
 	go func() {
 		_, err := o.progress.Append(ctx, round.Records)
-		o.post(ctx, func() { o.roundStored(ctx, round, err) })
+		o.post(ctx, func() {
+			o.lateness.roundStored()
+			o.roundStored(ctx, round, err)
+		})
 	}()
 }
 
@@ -294,6 +341,7 @@
 
 // sendStarts queues start orders. When an order's turn comes, it is sent only if the cell still needs it.
 func (o *owner) sendStarts(ctx context.Context, starts []cell.StartOrder) {
+	o.startsInFlight.Add(int64(len(starts)))
 	for _, order := range starts {
 		o.orderQueues.send(ctx, order.To.ID, func() {
 			var answer workercall.Reply
@@ -301,6 +349,7 @@
 			if o.startStillNeeded(order) {
 				answer, err = o.node.platform.Workers.Start(ctx, order.To, order.Start)
 			}
+			o.startsInFlight.Add(-1)
 			o.post(ctx, func() { o.fenced = o.cell.StartAnswered(order, answer, err) || o.fenced })
 		})
 	}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -55,6 +55,7 @@
 var contextMessages = map[string]bool{
 	"owner": true, "state taken over": true, "owner no more": true, "cell handed over": true, "claim lost": true,
 	"store out of reach": true, "store regained": true, "worker quarantined": true, "lease on a worker has lapsed": true,
+	messageLate: true, messageOnTime: true,
 }
 
 // Read returns the timeline of a job. Lines may be out of order, truncated, or not log lines at all.
@@ -155,7 +156,8 @@
 	return Event{At: time.UnixMicro(int64(ms * 1000)), Node: node, Message: message, Fields: fields}, hasTime && hasMessage
 }
 
-// mergeContext adds the context lines within contextWindow of the job's own lines, and sorts all events by time.
+// mergeContext adds the context lines within contextWindow of the job's own lines, and an earlier line of an owner that
+// was late and still was at the beginning of that time. It sorts all events by time.
 func (t *Timeline) mergeContext(context []Event) {
 	if len(t.Events) == 0 {
 		return
@@ -169,19 +171,28 @@
 			lastOwn = e.At
 		}
 	}
+	sort.SliceStable(context, func(i, j int) bool { return context[i].At.Before(context[j].At) })
+	var late latePeriods
 	for _, e := range context {
-		if e.At.After(firstOwn.Add(-contextWindow)) && e.At.Before(lastOwn.Add(contextWindow)) {
+		switch {
+		case !e.At.After(firstOwn.Add(-contextWindow)):
+			late.add(e)
+		case e.At.Before(lastOwn.Add(contextWindow)):
 			t.Events = append(t.Events, e)
 		}
 	}
+	if open := late.open(); open != nil {
+		t.Events = append(t.Events, open.line)
+	}
 	sort.SliceStable(t.Events, func(i, j int) bool { return t.Events[i].At.Before(t.Events[j].At) })
 }
 
 // summarize returns a one-sentence summary of the outcome of the job and its likely causes.
 func summarize(events []Event) string {
 	var reasons []string
-	outcome, lastErrorResponse, longestWaitMS, failedRuns, ownerChanges := "", "", 0.0, 0, 0
-	for _, e := range events {
+	outcome, lastErrorResponse, failedRuns, ownerChanges := "", "", 0, 0
+	var longest *Event
+	for i, e := range events {
 		switch e.Message {
 		case "job ended":
 			outcome, _ = e.Fields["state"].(string)
@@ -189,9 +200,9 @@
 			if status, _ := e.Fields["status"].(float64); status >= 400 {
 				lastErrorResponse = fmt.Sprintf("%v to %v (%v)", status, e.Fields["method"], e.Fields["reason"])
 			}
-		case "start":
-			if ms, _ := e.Fields["waited"].(float64); ms > longestWaitMS {
-				longestWaitMS = ms
+		case "start", messageRoom, messageTurn:
+			if longest == nil || e.duration("waited") > longest.duration("waited") {
+				longest = &events[i]
 			}
 		case "run ended":
 			if e.Fields["how"] == "failed" {
@@ -204,8 +215,8 @@
 	if failedRuns > 0 {
 		reasons = append(reasons, fmt.Sprintf("failed runs: %d", failedRuns))
 	}
-	if wait := time.Duration(longestWaitMS) * time.Millisecond; wait >= notableWait {
-		reasons = append(reasons, fmt.Sprintf("a task waited %v for free resources", wait))
+	if longest != nil && longest.duration("waited") >= notableWait {
+		reasons = append(reasons, fmt.Sprintf("a task waited %v %s", longest.duration("waited"), waitCause(events, longest)))
 	}
 	if ownerChanges > 0 {
 		reasons = append(reasons, fmt.Sprintf("changes of owner: %d", ownerChanges))
