Claim the cell by processor capacity first, then by rank

Cause: a hash of the name alone decided which node claims first, so a node of 0.11 of a core came to own cells whose owner needs 0.45. Its next process claimed at once after a restart, whatever its size.

A candidate whose capacity (limits.cpu-share times limits.cores) is at most two thirds of the largest known one now waits one second longer, which is more than the ranks of large nodes differ by. Each claim is appended together with a record cell-details that holds the capacity of the owner and the largest known one, so the next election knows what to compare with: cells whose nodes are alike have no extra delay after the first claim, and about one second before it if their nodes have less than 0.47 of a core. The fields are not part of claim.Record because earlier builds reject records with more fields than they know; they ignore the additional key.

The next process of a small owner writes a release of the claim, under which nobody acts any more, and then waits like everyone else. Others still claim only after a release or after LeaseDuration, and WorkerLeasesExpireBy counts from the reading of that release, which is later than the exit of the previous process. A small node does the same with a claim that it has abandoned. A record derived from the view is now appended with the end of the topic that the view had at that moment, so that a renewal cannot follow a release that was accepted in between.

--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -86,7 +86,8 @@
 	}
 	latest, _ := n.view.Latest()
 	if latest.Epoch != before.Epoch || latest.Released != before.Released {
-		n.log.Info("claim changed", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch), zap.Bool("released", latest.Released))
+		n.log.Info("claim changed", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch), zap.Bool("released", latest.Released),
+			zap.Int64("capacity", n.view.Details().Capacity), zap.String("successor", n.view.Details().Successor))
 	}
 	if owned && !n.view.Owns() {
 		n.log.Warn("claim lost", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch))
@@ -110,56 +111,94 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		now := boottime.Now()
-		n.mu.Lock()
-		renewalDue, shouldClaim := n.view.RenewalDue(now), n.view.ShouldClaim(now)
-		latest, _ := n.view.Latest()
-		nextClaim := n.view.NextClaim(n.settings.Node, n.settings.PeerAddress)
-		leasesEnd := n.view.WorkerLeasesExpireBy(n.cellSettings.Load().MaxLease, now)
-		n.mu.Unlock()
-		switch {
-		case renewalDue && !n.stopping.Load(): // a stopping node releases its claim instead
-			n.writeClaim(ctx, latest)
-		case shouldClaim && !n.stopping.Load() && n.config.Get() != nil:
-			if n.writeClaim(ctx, nextClaim) {
-				n.startOwner(ctx, nextClaim, leasesEnd)
-			}
+		if !n.stopping.Load() { // a stopping node releases its claim instead
+			n.claimOnce(ctx)
 		}
 	}
 }
 
-// writeClaim appends a claim, a renewal or a release and reports whether it was accepted.
-func (n *Node) writeClaim(ctx context.Context, r claim.Record) bool {
-	value, err := recordcodec.Encode(&r)
-	if err != nil {
-		n.log.Error("failed to encode claim", zap.Error(err))
-		return false
-	}
+// claimOnce writes the claim, renewal or release that is due now, if any.
+func (n *Node) claimOnce(ctx context.Context) {
+	now := boottime.Now()
 	n.mu.Lock()
+	renewalDue, shouldRelease, shouldClaim := n.view.RenewalDue(now), n.view.ShouldRelease(), n.view.ShouldClaim(now)
+	latest, _ := n.view.Latest()
+	nextClaim := n.view.NextClaim(n.settings.Node, n.settings.PeerAddress)
+	nextDetails := n.view.NextDetails()
+	leasesEnd := n.view.WorkerLeasesExpireBy(n.cellSettings.Load().MaxLease, now)
 	end := n.view.End()
 	n.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, claimCallTimeout)
-	defer cancel()
+	switch {
+	case renewalDue:
+		n.writeClaim(ctx, latest, nil, end)
+	case shouldRelease:
+		latest.Released = true
+		if n.writeClaim(ctx, latest, nil, end) {
+			n.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", n.settings.Capacity))
+		}
+	case shouldClaim && n.config.Get() != nil:
+		if n.writeClaim(ctx, nextClaim, &nextDetails, end) {
+			n.startOwner(ctx, nextClaim, leasesEnd)
+		}
+	}
+}
+
+// writeClaim appends a claim, a renewal or a release, with its details unless they are nil, and reports whether it was
+// accepted. end is the end of the topic up to which the records had been read from which r was derived.
+func (n *Node) writeClaim(ctx context.Context, r claim.Record, details *claim.Details, end store.Offset) bool {
+	var entries []claimEntry
+	if details != nil {
+		entries = append(entries, claimEntry{claim.DetailsKey, details})
+	}
+	entries = append(entries, claimEntry{claim.Key, &r})
 	sent := boottime.Now()
-	appended, err := n.platform.Store.Append(callCtx, store.AppendRequest{
-		Partition: claimsPartition, Records: []store.Record{{Key: claim.Key, Value: value}}, ExpectedEnd: &end,
-	})
-	if err != nil {
-		n.log.Info("claim not written", zap.Int64("epoch", r.Epoch), zap.Int64("as_of", int64(end)),
-			zap.String("reason", string(verdict.ReasonOf(err))), zap.Stringer("verdict", verdict.Of(err)))
+	appended, ok := n.appendToClaims(ctx, entries, r.Epoch, end)
+	if !ok {
 		return false
 	}
-	n.recordStoreSuccess()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if details != nil {
+		n.view.ApplyDetails(*details)
+	}
 	n.view.Accepted(r, appended, sent, boottime.Now())
 	return true
 }
 
+// claimEntry is a key of the claim topic and the value to be stored under it.
+type claimEntry struct {
+	key   string
+	value any
+}
+
+// appendToClaims appends entries to the claim topic if it still ends at the given offset.
+func (n *Node) appendToClaims(ctx context.Context, entries []claimEntry, epoch int64, end store.Offset) (store.AppendResult, bool) {
+	records := make([]store.Record, len(entries))
+	for i, entry := range entries {
+		value, err := recordcodec.Encode(entry.value)
+		if err != nil {
+			n.log.Error("failed to encode claim", zap.String("key", entry.key), zap.Error(err))
+			return store.AppendResult{}, false
+		}
+		records[i] = store.Record{Key: entry.key, Value: value}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, claimCallTimeout)
+	defer cancel()
+	appended, err := n.platform.Store.Append(callCtx, store.AppendRequest{Partition: claimsPartition, Records: records, ExpectedEnd: &end})
+	if err != nil {
+		n.log.Info("claim not written", zap.Int64("epoch", epoch), zap.Int64("as_of", int64(end)),
+			zap.String("reason", string(verdict.ReasonOf(err))), zap.Stringer("verdict", verdict.Of(err)))
+		return store.AppendResult{}, false
+	}
+	n.recordStoreSuccess()
+	return appended, true
+}
+
 // startOwner starts the owner of the cell under an accepted claim. leasesEnd is the time, on the clock of package
 // boottime, by which all leases on workers that previous owners renewed have expired.
 func (n *Node) startOwner(ctx context.Context, r claim.Record, leasesEnd time.Duration) {
-	n.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()))
+	n.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()),
+		zap.Int64("capacity", n.settings.Capacity))
 	o := newOwner(n, r.Epoch, leasesEnd)
 	n.owner.Store(o)
 	go func() {
--- /dev/null
+++ b/internal/cellnode/election_test.go
@@ -0,0 +1,148 @@
+package cellnode
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/claim"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// platformLink passes the calls of one process on until the process is killed.
+type platformLink struct {
+	Store
+	Workers
+	killed atomic.Bool
+}
+
+var errKilled = verdict.New(verdict.NotRun, store.ReasonNoAnswer, nil)
+
+func (l *platformLink) Append(ctx context.Context, a store.AppendRequest) (store.AppendResult, error) {
+	if l.killed.Load() {
+		return store.AppendResult{}, errKilled
+	}
+	return l.Store.Append(ctx, a)
+}
+
+func (l *platformLink) Read(ctx context.Context, p store.Partition, from store.Offset, wait time.Duration) (store.Page, error) {
+	if l.killed.Load() {
+		return store.Page{}, errKilled
+	}
+	return l.Store.Read(ctx, p, from, wait)
+}
+
+func (l *platformLink) Start(ctx context.Context, to workercall.Target, s workercall.Start) (workercall.Reply, error) {
+	if l.killed.Load() {
+		return workercall.Reply{}, errKilled
+	}
+	return l.Workers.Start(ctx, to, s)
+}
+
+func (l *platformLink) Renew(ctx context.Context, to workercall.Target, r workercall.RenewRequest) (workercall.Report, error) {
+	if l.killed.Load() {
+		return workercall.Report{}, errKilled
+	}
+	return l.Workers.Renew(ctx, to, r)
+}
+
+// killAll ends all processes without a release of the claim.
+func (d *testCluster) killAll() {
+	for _, n := range d.nodes {
+		n.link.killed.Store(true)
+	}
+	for _, n := range d.nodes {
+		n.cancel()
+	}
+}
+
+// ownerAmong returns the name of the owner's node if one of the processes from the given index on owns the cell.
+func (d *testCluster) ownerAmong(from int) (name string, found bool) {
+	for _, n := range d.nodes[from:] {
+		if o := n.node.owner.Load(); o != nil && n.node.mayDecide(o.epoch) {
+			return n.node.settings.Node, true
+		}
+	}
+	return "", false
+}
+
+// waitForOwnerAmong waits until one of the processes from the given index on owns the cell, and returns the name of its
+// node and the time that it took.
+func (d *testCluster) waitForOwnerAmong(from int, timeout time.Duration) (name string, took time.Duration) {
+	d.t.Helper()
+	start := time.Now()
+	for time.Since(start) < timeout {
+		if name, found := d.ownerAmong(from); found {
+			return name, time.Since(start)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	d.t.Fatalf("no process from %d on owns the cell after %v", from, timeout)
+	return "", 0
+}
+
+const (
+	smallCapacity = 110
+	largeCapacity = 800
+)
+
+// The node with the lowest rank owned the cell although it had 0.11 of a core.
+func TestLargeNodeClaimsNewCellBeforeSmallNodes(t *testing.T) {
+	d := newTestCluster(t, 0)
+	d.startProcess(testProcess{name: "small-1", rank: 0, capacity: smallCapacity})
+	d.startProcess(testProcess{name: "large", rank: 7, capacity: largeCapacity})
+	d.startProcess(testProcess{name: "small-2", rank: 1, capacity: smallCapacity})
+	if name, _ := d.waitForOwnerAmong(0, 3*time.Second); name != "large" {
+		t.Errorf("%s owns the cell, want the large node", name)
+	}
+}
+
+// After a restart of all processes, the next process of a small owner claimed at once.
+func TestLargeNodeOwnsCellAfterRestartOfAllAlthoughSmallNodeOwnedIt(t *testing.T) {
+	d := newTestCluster(t, 0)
+	d.startProcess(testProcess{name: "large", rank: 1, capacity: largeCapacity})
+	d.waitForOwnerAmong(0, 3*time.Second)
+	d.startProcess(testProcess{name: "small", rank: 0, capacity: smallCapacity})
+	d.nodes[0].cancel()
+	d.waitForOwnerAmong(1, 3*time.Second)
+	d.killAll()
+	restarted := len(d.nodes)
+	d.startProcess(testProcess{name: "small", processNumber: 2, rank: 0, capacity: smallCapacity})
+	d.startProcess(testProcess{name: "large", processNumber: 2, rank: 1, capacity: largeCapacity})
+	name, took := d.waitForOwnerAmong(restarted, 5*time.Second)
+	if name != "large" {
+		t.Errorf("%s owns the cell, want the large node", name)
+	}
+	if took >= claim.LeaseDuration {
+		t.Errorf("the cell had no owner for %v, want less than the lease of the claim", took)
+	}
+}
+
+// A delay by capacity must not leave the cell without an owner when all large nodes are gone.
+func TestSmallNodeOwnsCellSoonWhenLargeNodesAreGone(t *testing.T) {
+	d := newTestCluster(t, 0)
+	d.startProcess(testProcess{name: "large", rank: 0, capacity: largeCapacity})
+	d.waitForOwnerAmong(0, 3*time.Second)
+	d.startProcess(testProcess{name: "small", rank: 0, capacity: smallCapacity})
+	d.nodes[0].cancel()
+	if _, took := d.waitForOwnerAmong(1, 5*time.Second); took > 2*time.Second {
+		t.Errorf("the small node owned the cell after %v, want about 1s after the release", took)
+	}
+}
+
+// A cell without large nodes must not wait for any: its owner restarts as soon as it did before ranks by capacity.
+func TestRestartedSmallOwnerClaimsAtOnceWhenNoLargerNodeIsKnown(t *testing.T) {
+	d := newTestCluster(t, 0)
+	d.startProcess(testProcess{name: "a", rank: 7, capacity: smallCapacity})
+	d.waitForOwnerAmong(0, 4*time.Second)
+	d.killAll()
+	d.startProcess(testProcess{name: "b", rank: 0, capacity: smallCapacity})
+	d.startProcess(testProcess{name: "a", processNumber: 2, rank: 7, capacity: smallCapacity})
+	name, took := d.waitForOwnerAmong(1, 4*time.Second)
+	if name != "a" || took > 700*time.Millisecond {
+		t.Errorf("%s owns the cell after %v, want the next process of a at once", name, took)
+	}
+}
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -27,8 +27,8 @@
 	Omitted() int64
 }
 
-// RegisterLogMetrics registers gauges for the log lines that were not written, for whether this node owns the cell, and
-// for the epoch of the latest claim. It must be called at most once.
+// RegisterLogMetrics registers gauges for the log lines that were not written, for whether this node owns the cell, for
+// the epoch of the latest claim, and for the processor capacity of its owner in cores. It must be called at most once.
 func (n *Node) RegisterLogMetrics(log LogCounts) {
 	n.metrics.NewGauge(`cactuswall_log_lines_dropped`, func() float64 { return float64(log.Dropped()) })
 	n.metrics.NewGauge(`cactuswall_log_lines_sampled`, func() float64 { return float64(log.Omitted()) })
@@ -39,6 +39,11 @@
 		return 1
 	})
 	n.metrics.NewGauge(`cactuswall_claim_epoch`, func() float64 { return float64(n.latestClaim().Epoch) })
+	n.metrics.NewGauge(`cactuswall_owner_capacity`, func() float64 {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return float64(n.view.Details().Capacity) / 1000
+	})
 }
 
 func (n *Node) latestClaim() claim.Record {
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -68,7 +68,8 @@
 // Settings are the settings of a node. The addresses have the form host:port.
 type Settings struct {
 	Node           string // name of the node
-	Rank           int    // a node with a lower rank claims the cell earlier
+	Rank           int    // of nodes of similar capacity, one with a lower rank claims the cell earlier
+	Capacity       int64  // processor capacity in thousandths of a core, 0: unknown
 	CallerAddress  string
 	ReadyAddress   string
 	PeerAddress    string
@@ -139,6 +140,7 @@
 		peers:        newPeers(), view: claim.NewView(holder, s.Node, s.Rank),
 	}
 	n.cellSettings.Store(&s.Cell)
+	n.view.SetCapacity(s.Capacity)
 	return n
 }
 
@@ -146,7 +148,7 @@
 // the node cannot start or fails before ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("start", zap.String("holder", n.holder), zap.Int("rank", n.settings.Rank),
-		zap.String("callers", n.settings.CallerAddress), zap.String("peers", n.settings.PeerAddress))
+		zap.Int64("capacity", n.settings.Capacity), zap.String("callers", n.settings.CallerAddress), zap.String("peers", n.settings.PeerAddress))
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	servers, err := n.listen()
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -212,10 +212,19 @@
 
 type runningNode struct {
 	node   *Node
+	link   *platformLink
 	cancel context.CancelFunc
 	done   chan error
 }
 
+// testProcess describes a process of a node. processNumber distinguishes the processes of one node.
+type testProcess struct {
+	name          string
+	processNumber int
+	rank          int
+	capacity      int64 // in thousandths of a core
+}
+
 // testIDPrefix followed by two characters is a valid job ID, which has 16 characters.
 const testIDPrefix = "00000000000000"
 
@@ -270,6 +279,10 @@
 }
 
 func (d *testCluster) startNode(rank int) {
+	d.startProcess(testProcess{name: fmt.Sprintf("n%d", rank), processNumber: 1, rank: rank})
+}
+
+func (d *testCluster) startProcess(p testProcess) {
 	topics := Topics{
 		Config: store.Partition{Topic: "config"}, ConfigKey: "config", Workers: store.Partition{Topic: "workers"},
 		DecodeConfig: func([]byte) (*queue.Config, error) {
@@ -281,14 +294,14 @@
 				Capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 64000}}, nil
 		},
 	}
-	name := fmt.Sprintf("n%d", rank)
+	link := &platformLink{Store: d.store, Workers: d.worker}
 	node := New(Settings{
-		Node: name, Rank: rank, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
+		Node: p.name, Rank: p.rank, Capacity: p.capacity, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
 		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, StopGracePeriod: 6 * time.Second,
 		Cell: cell.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Minute, MaxOverTarget: 4 * time.Second},
-	}, Platform{Store: d.store, Workers: d.worker, Topics: topics, CallerCodec: testWire()}, name+"-1", zap.NewNop())
+	}, Platform{Store: link, Workers: link, Topics: topics, CallerCodec: testWire()}, fmt.Sprintf("%s-%d", p.name, p.processNumber), zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &runningNode{node: node, cancel: cancel, done: make(chan error, 1)}
+	r := &runningNode{node: node, link: link, cancel: cancel, done: make(chan error, 1)}
 	go func() { r.done <- node.Run(ctx) }()
 	d.nodes = append(d.nodes, r)
 }
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -141,13 +141,13 @@
 	for handOverCtx.Err() == nil {
 		n.mu.Lock()
 		latest, _ := n.view.Latest()
-		owns := n.view.Owns()
+		owns, end := n.view.Owns(), n.view.End()
 		n.mu.Unlock()
 		if !owns || latest.Epoch != o.epoch {
 			return
 		}
 		latest.Released = true
-		if n.writeClaim(handOverCtx, latest) {
+		if n.writeClaim(handOverCtx, latest, nil, end) {
 			n.log.Info("cell handed over", zap.Int64("epoch", o.epoch))
 			return
 		}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -63,6 +63,12 @@
 	owns      bool
 	// abandonedEpoch is the latest epoch under which this process was the owner and no longer acts.
 	abandonedEpoch int64
+
+	// capacity is the processor capacity of this node, and largest the largest known one of the cell, both in thousandths
+	// of a core; 0 means unknown.
+	capacity, largest int64
+	// details are the latest details read. They may belong to an earlier epoch than latest.
+	details Details
 }
 
 // NewView returns the view of a process that has not read any records yet. Processes with lower ranks claim earlier.
@@ -79,27 +85,43 @@
 // Age returns the time since the latest record was read.
 func (v *View) Age(now time.Duration) time.Duration { return now - v.latestReadAt }
 
-// Observe processes the records of a successful read up to end. Records with other keys than the claim's are ignored. It
-// returns the number of records that could not be decoded.
+// Observe processes the records of a successful read up to end. Records with unknown keys are ignored. It returns the
+// number of records that could not be decoded.
 func (v *View) Observe(records []store.Record, end store.Offset, now time.Duration) (unreadable int) {
 	if !v.reachable {
 		v.reachable, v.reachableSince = true, now
 	}
 	for _, record := range records {
-		if record.Key != Key || record.Offset < v.readEnd {
+		if record.Offset < v.readEnd {
 			continue
 		}
-		var r Record
-		if err := recordcodec.Decode(record.Value, &r); err != nil {
+		if err := v.observeRecord(record, now); err != nil {
 			unreadable++
-			continue
 		}
-		v.applyRecord(r, now)
 	}
 	v.readEnd = max(v.readEnd, end)
 	return unreadable
 }
 
+// observeRecord decodes and processes one record.
+func (v *View) observeRecord(record store.Record, now time.Duration) error {
+	switch record.Key {
+	case Key:
+		var r Record
+		if err := recordcodec.Decode(record.Value, &r); err != nil {
+			return err
+		}
+		v.applyRecord(r, now)
+	case DetailsKey:
+		var d Details
+		if err := recordcodec.Decode(record.Value, &d); err != nil {
+			return err
+		}
+		v.ApplyDetails(d)
+	}
+	return nil
+}
+
 // applyRecord makes r the latest record unless its epoch is older. The claim of another process ends the ownership of
 // this one.
 func (v *View) applyRecord(r Record, now time.Duration) {
@@ -117,7 +139,8 @@
 
 // ShouldClaim reports whether this process should claim the cell now: it does not own the cell, the store is reachable,
 // and there is no claim or the latest one has ended. A claim has ended if it was released, if this process abandoned
-// it, if an earlier process of this node held it, or if it has not been renewed for LeaseDuration.
+// it, if an earlier process of this node held it, or if it has not been renewed for LeaseDuration. While ShouldRelease
+// reports true, the claim is released first.
 func (v *View) ShouldClaim(now time.Duration) bool {
 	if v.owns || !v.reachable {
 		return false
@@ -126,20 +149,20 @@
 		return now >= v.reachableSince+v.claimDelay()
 	}
 	if v.latest.Released {
-		return now >= v.latestReadAt+v.claimDelay()
+		return now >= v.latestReadAt+v.releasedDelay()
+	}
+	if v.ShouldRelease() {
+		return false
 	}
 	if v.abandonedOwnClaim() {
 		return now >= v.reachableSince+v.claimDelay()
 	}
-	if v.latest.Node == v.node && v.latest.Holder != v.holder {
-		// A node runs a single process, so the previous process of this node has exited.
+	if v.heldByPreviousProcess() {
 		return now >= v.latestReadAt
 	}
 	return now >= max(v.latestReadAt+LeaseDuration, v.reachableSince+ReconnectDelay)+v.claimDelay()
 }
 
-func (v *View) claimDelay() time.Duration { return time.Duration(v.rank) * delayPerRank }
-
 // NextClaim returns the record with which this process would claim the cell under the next epoch.
 func (v *View) NextClaim(node, address string) Record {
 	return Record{Holder: v.holder, Node: node, Address: address, Epoch: v.latest.Epoch + 1}
@@ -191,7 +214,7 @@
 		return now
 	case v.latest.Released:
 		return LeasesExpiredBy(v.latestReadAt, maxLease)
-	case v.abandonedOwnClaim(), v.latest.Node == v.node && v.latest.Holder != v.holder:
+	case v.abandonedOwnClaim(), v.heldByPreviousProcess():
 		return LeasesExpiredBy(now, maxLease)
 	}
 	return LeasesExpiredBy(v.latestReadAt+WorkerRenewalGrace, maxLease)
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"hash/fnv"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -30,8 +31,8 @@
 	// statusMargin is added to the time for which the state of an ended job must be available, so that late
 	// duplicates of its request are still recognised.
 	statusMargin = time.Minute
-	// rankCount is the number of ranks. Each node has a rank from 0 to rankCount-1, which several nodes may share. A
-	// node with a lower rank claims the cell earlier (see cellnode.Settings).
+	// rankCount is the number of ranks. Each node has a rank from 0 to rankCount-1, which several nodes may share. Of
+	// nodes of similar processor capacity, one with a lower rank claims the cell earlier (see cellnode.Settings).
 	rankCount = 8
 )
 
@@ -132,7 +133,7 @@
 // nodeSettings converts the settings of the platform to those of the node.
 func nodeSettings(s *platform.Settings, metricsPort int) cellnode.Settings {
 	return cellnode.Settings{
-		Node: s.Node, Rank: rankOf(s.Node),
+		Node: s.Node, Rank: rankOf(s.Node), Capacity: int64(math.Round(s.Limits.Capacity() * 1000)),
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
 		PeerAddress:    net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 		MetricsAddress: metricsAddress(s.IP, metricsPort),
