Node tests listen on loopback addresses of their own

One of three runs of TestSmallOwnerHandsCellOverOnceToLargeNodeThatJoins failed because a node could not listen on its metrics address. The tests choose a free port, close it and let the node listen on it later. Until then a connection from 127.0.0.1 can take the port; tests that send many requests make that likely. Each address now has an IP address of its own in 127.1.0.0/16, which connections don't use as their source (ip route get: src 127.0.0.1).

--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -269,8 +269,14 @@
 	return d
 }
 
+// loopbackAddresses is the number of addresses that freeAddress has returned.
+var loopbackAddresses atomic.Int32
+
+// freeAddress returns a free port on a loopback address of its own, since connections from 127.0.0.1 could take a port
+// of that address before the node listens on it.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	number := loopbackAddresses.Add(1)
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", number/250, 1+number%250))
 	if err != nil {
 		t.Fatal(err)
 	}
