Set the owner's stop function before the owner is published

A request to stop that arrives right after a claim could end the process with a nil pointer, or read the function while run wrote it. The race detector saw the latter in TestLargeNodeOwnsCellAfterRestartOfAllAlthoughSmallNodeOwnedIt: run set the function after startOwner had stored the owner in Node.owner. startOwner now sets it first.

TestOwnerCanBeStoppedAsSoonAsItIsPublished ended with a nil pointer before.

--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -200,6 +200,7 @@
 	n.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()),
 		zap.Int64("capacity", n.settings.Capacity))
 	o := newOwner(n, r.Epoch, leasesEnd)
+	ctx, o.stop = context.WithCancel(ctx)
 	n.owner.Store(o)
 	go func() {
 		err := o.run(ctx)
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -68,7 +68,7 @@
 	lastFlush         time.Time // when the last flush ended
 	lastFlushDuration time.Duration
 
-	stop context.CancelFunc // stops run
+	stop context.CancelFunc // stops run; set before the owner is published in Node.owner
 	done chan struct{}      // closed when run has returned
 }
 
@@ -82,12 +82,11 @@
 	}
 }
 
-// run loads the state of the cell and then schedules jobs until the claim ends, the owner is fenced or parent ends.
-func (o *owner) run(parent context.Context) error {
+// run loads the state of the cell and then schedules jobs until the claim ends, the owner is fenced or ctx, which stop
+// cancels, ends.
+func (o *owner) run(ctx context.Context) error {
 	defer close(o.done)
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	o.stop = cancel
+	defer o.stop()
 	jobsEnd, workers, err := o.load(ctx)
 	if err != nil {
 		return trace.Wrap(err)
