Small owners hand the cell over to a clearly larger node

A node that is ready and has read the claim of an owner with at most two thirds of its capacity for 3 s now appends a record cell-request to the claims topic, on the condition that it has read all of it. The owner's watcher reads it. The owner refuses while it is stopping, has claimed less than 6 s ago or has not loaded its state; otherwise it stops its run, and releases the claim with details that name the successor. The successor claims at once, the others 0.4 s after their usual delays, and the former owner a second after that, so that a cell whose successor is gone has an owner soon.

It does not flap: each hand-over raises the capacity by half or more, nodes of unknown or similar capacity never ask, and nothing is appended while no larger node exists. The release follows the end of run, as with a stop; calls in flight are covered as there, by the fencing token and the wait for leases. If the release fails, the claim is abandoned, so that no claim is renewed without an owner.

Tests that fail without requests: TestLargeNodeRequestsCellOfSmallOwner, TestSmallOwnerHandsCellOverOnceToLargeNodeThatJoins. The latter also fails if the end of run abandons the claim during a hand-over, and TestCellGetsOwnerAgainAfterFailedHandOver if a failed hand-over does not abandon it.

--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -117,17 +117,23 @@
 	}
 }
 
-// claimOnce writes the claim, renewal or release that is due now, if any.
+// claimOnce writes the claim, renewal, release or request that is due now, if any, and answers a request.
 func (n *Node) claimOnce(ctx context.Context) {
 	now := boottime.Now()
 	n.mu.Lock()
 	renewalDue, shouldRelease, shouldClaim := n.view.RenewalDue(now), n.view.ShouldRelease(), n.view.ShouldClaim(now)
+	shouldRequest := n.view.ShouldRequest(now)
+	request, requested := n.view.TakeRequest()
+	nextRequest := n.view.NextRequest()
 	latest, _ := n.view.Latest()
 	nextClaim := n.view.NextClaim(n.settings.Node, n.settings.PeerAddress)
 	nextDetails := n.view.NextDetails()
 	leasesEnd := n.view.WorkerLeasesExpireBy(n.cellSettings.Load().MaxLease, now)
 	end := n.view.End()
 	n.mu.Unlock()
+	if requested {
+		go n.answerRequest(ctx, request)
+	}
 	switch {
 	case renewalDue:
 		n.writeClaim(ctx, latest, nil, end)
@@ -140,6 +146,8 @@
 		if n.writeClaim(ctx, nextClaim, &nextDetails, end) {
 			n.startOwner(ctx, nextClaim, leasesEnd)
 		}
+	case shouldRequest && n.ready():
+		n.requestCell(ctx, nextRequest, latest.Node, end)
 	}
 }
 
@@ -205,11 +213,7 @@
 	go func() {
 		err := o.run(ctx)
 		n.owner.CompareAndSwap(o, nil)
-		n.mu.Lock()
-		if !n.stopping.Load() { // a stopping node releases the claim
-			n.view.Abandon(r.Epoch)
-		}
-		n.mu.Unlock()
+		n.ownerStopped(o)
 		n.log.Info("owner no more", zap.Int64("epoch", r.Epoch), zap.Error(err))
 	}()
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -112,9 +112,11 @@
 	// storeUnreachable is set when an outage of the store is logged, and cleared by the next successful call.
 	storeUnreachable atomic.Bool
 
-	// mu protects view.
+	// mu protects view and handingOver.
 	mu   sync.Mutex
 	view *claim.View
+	// handingOver is the owner that is being stopped on request of another node, or nil.
+	handingOver *owner
 
 	// owner is nil while this node does not own the cell.
 	owner atomic.Pointer[owner]
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -120,7 +120,7 @@
 	stopRequested := boottime.Now()
 	n.stopping.Store(true)
 	n.log.Info("stop requested", zap.Duration("grace", n.settings.StopGracePeriod))
-	n.handOver(workCtx)
+	n.handOver(workCtx, n.owner.Load(), "")
 	sleep(workCtx, idleCloseDelay-(boottime.Now()-stopRequested))
 	shutdownCtx, cancel := context.WithTimeout(workCtx, n.settings.StopGracePeriod-exitMargin-(boottime.Now()-stopRequested))
 	defer cancel()
@@ -129,9 +129,9 @@
 	return nil
 }
 
-// handOver stops the owner and releases the claim, so that another node can claim the cell immediately.
-func (n *Node) handOver(ctx context.Context) {
-	o := n.owner.Load()
+// handOver stops the owner, unless it is nil, and releases the claim, so that the successor can claim the cell
+// immediately. If successor is empty, any node can.
+func (n *Node) handOver(ctx context.Context, o *owner, successor string) {
 	if o == nil {
 		return
 	}
@@ -142,13 +142,14 @@
 		n.mu.Lock()
 		latest, _ := n.view.Latest()
 		owns, end := n.view.Owns(), n.view.End()
+		details := n.view.ReleaseDetails(successor)
 		n.mu.Unlock()
 		if !owns || latest.Epoch != o.epoch {
 			return
 		}
 		latest.Released = true
-		if n.writeClaim(handOverCtx, latest, nil, end) {
-			n.log.Info("cell handed over", zap.Int64("epoch", o.epoch))
+		if n.writeClaim(handOverCtx, latest, &details, end) {
+			n.log.Info("cell handed over", zap.Int64("epoch", o.epoch), zap.String("successor", successor))
 			return
 		}
 		sleep(handOverCtx, releaseRetryDelay)
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -69,6 +69,12 @@
 	capacity, largest int64
 	// details are the latest details read. They may belong to an earlier epoch than latest.
 	details Details
+	// epochReadAt is when a record with the epoch of latest was first read.
+	epochReadAt time.Duration
+	// request is the latest request for the cell, read at requestReadAt. requestTaken is set once TakeRequest returned it.
+	request       Request
+	requestReadAt time.Duration
+	requestTaken  bool
 }
 
 // NewView returns the view of a process that has not read any records yet. Processes with lower ranks claim earlier.
@@ -118,6 +124,12 @@
 			return err
 		}
 		v.ApplyDetails(d)
+	case RequestKey:
+		var r Request
+		if err := recordcodec.Decode(record.Value, &r); err != nil {
+			return err
+		}
+		v.applyRequest(r, now)
 	}
 	return nil
 }
@@ -128,6 +140,9 @@
 	if v.hasLatest && r.Epoch < v.latest.Epoch {
 		return
 	}
+	if !v.hasLatest || r.Epoch != v.latest.Epoch {
+		v.epochReadAt = now
+	}
 	v.latest, v.hasLatest, v.latestReadAt = r, true, now
 	if r.Holder != v.holder {
 		v.owns = false
