--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -68,7 +68,8 @@
 // Settings are the settings of a node. The addresses have the form host:port.
 type Settings struct {
 	Node           string // name of the node
-	Rank           int    // a node with a lower rank claims the cell earlier
+	Rank           int    // of nodes of similar capacity, one with a lower rank claims the cell earlier
+	Capacity       int64  // processor capacity in thousandths of a core, 0: unknown
 	CallerAddress  string
 	ReadyAddress   string
 	PeerAddress    string
@@ -113,9 +114,11 @@
 	// storeUnreachable is set when an outage of the store is logged, and cleared by the next successful call.
 	storeUnreachable atomic.Bool
 
-	// mu protects view.
+	// mu protects view and handingOver.
 	mu   sync.Mutex
 	view *claim.View
+	// handingOver is the owner that is being stopped on request of another node, or nil.
+	handingOver *owner
 
 	// owner is nil while this node does not own the cell.
 	owner atomic.Pointer[owner]
@@ -142,6 +145,7 @@
 	}
 	n.ownerMetrics = newOwnerMetrics(set, n.owner.Load)
 	n.cellSettings.Store(&s.Cell)
+	n.view.SetCapacity(s.Capacity)
 	return n
 }
 
@@ -149,7 +153,7 @@
 // the node cannot start or fails before ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("start", zap.String("holder", n.holder), zap.Int("rank", n.settings.Rank),
-		zap.String("callers", n.settings.CallerAddress), zap.String("peers", n.settings.PeerAddress))
+		zap.Int64("capacity", n.settings.Capacity), zap.String("callers", n.settings.CallerAddress), zap.String("peers", n.settings.PeerAddress))
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	servers, err := n.listen()
