Cell: keep the expected CPU and the unresolved runs of a worker up to date

Each flush walked all runs of all workers for those to be stopped or started again, and each placement round for their CPU use. Runs are now added to and removed from a worker in one place, which keeps the sum of the expected CPU, and a worker's runs are only walked while one of them may be unresolved. TestIndexesMatchState compares both to the runs at each step of random simulations.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -37,7 +37,8 @@
 	case workercall.ReasonWithdrawn:
 		c.startWithdrawn(r)
 	case workercall.ReasonStaleRun:
-		r.state, r.stateSince, r.startRuledOut = runUncertain, c.now, true
+		r.setState(runUncertain, c.now)
+		r.startRuledOut = true
 		w.nextRenewal = min(w.nextRenewal, c.now)
 	default:
 		c.startFailed(r, reason, verdict.Of(err))
@@ -61,7 +62,7 @@
 // the run may still take effect, the run becomes uncertain; otherwise it is removed.
 func (c *Cell) startWithdrawn(r *run) {
 	if r.startInDoubt {
-		r.state, r.stateSince = runUncertain, c.now
+		r.setState(runUncertain, c.now)
 		return
 	}
 	c.removeRun(r)
@@ -75,7 +76,7 @@
 	w := r.worker
 	if v != verdict.NotRun {
 		r.startInDoubt = true
-		r.state, r.stateSince = runUncertain, c.now
+		r.setState(runUncertain, c.now)
 		w.nextRenewal = min(w.nextRenewal, c.now)
 		return
 	}
@@ -86,7 +87,7 @@
 	w.refusingUntil = c.now + backoff
 	c.scheduleRetry(w.refusingUntil)
 	if r.startInDoubt {
-		r.state, r.stateSince = runUncertain, c.now
+		r.setState(runUncertain, c.now)
 		c.stopRun(r, stopRunUnknown)
 		return
 	}
@@ -118,7 +119,7 @@
 	case r != nil:
 		r.startRuledOut = true
 		if r.state != runRunning {
-			r.state, r.stateSince = runUncertain, c.now
+			r.setState(runUncertain, c.now)
 		}
 		w.nextRenewal = min(w.nextRenewal, c.now)
 	}
@@ -135,7 +136,7 @@
 	c.log.Info("pace order failed", taskField(order.Run.Task), zap.String("worker", order.To.ID), zap.String("reason", string(reason)))
 	if w := c.workers[order.To.ID]; w != nil {
 		if r := w.runs[order.Run]; r != nil {
-			r.pace = unknownPace
+			r.setPace(unknownPace)
 		}
 	}
 	return reason == workercall.ReasonFenced
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -11,7 +11,6 @@
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/queue"
-	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 // Settings are the configurable limits of a cell.
@@ -255,6 +254,7 @@
 		return
 	}
 	r.stopRequested, r.stopReason = true, reason
+	r.worker.mayHaveUnresolved = true
 	if r.state == runPlaced {
 		c.removeRun(r)
 	}
@@ -264,19 +264,7 @@
 // done, it waits for placement again.
 func (c *Cell) removeRun(r *run) {
 	t := r.task
-	for i, other := range t.runs {
-		if other == r {
-			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			break
-		}
-	}
-	if r.worker != nil {
-		key := workercall.Run{Task: t.id, Number: r.number}
-		if r.worker.runs[key] == r {
-			delete(r.worker.runs, key)
-			r.worker.reserved = r.worker.reserved.Sub(t.group.step.Requested())
-		}
-	}
+	r.worker.deleteRun(r)
 	if !t.done && len(t.runs) == 0 {
 		t.waitingSince = c.now
 	}
--- /dev/null
+++ b/internal/cell/index_test.go
@@ -0,0 +1,107 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/jobs"
+)
+
+// TestIndexesMatchState compares, at each step of random simulations with faults, takeovers and cancellations, what the
+// cell keeps up to date with each change to what a computation from scratch returns.
+func TestIndexesMatchState(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(seed, 4)
+			sim.delayRate, sim.lossRate, sim.failRate = 0.03, 0.03, 0.1
+			sim.statusRetention = 3 * time.Second
+			sim.takeOver()
+			for step := range 3000 {
+				sim.disturb(step)
+				sim.run(simTick)
+				for _, o := range append([]*simOwner{sim.owner}, sim.formerOwners...) {
+					checkIndexes(t, o.cell)
+				}
+				if t.Failed() {
+					t.Fatalf("step %d, time %v", step, sim.now)
+				}
+			}
+		})
+	}
+}
+
+// disturb submits jobs of all kinds and, at random, cancels one, restarts a worker or replaces the owner.
+func (sim *simulation) disturb(step int) {
+	if step%20 == 0 && step < 2000 {
+		sim.submit(jobs.ID(fmt.Sprintf("%016x", step+1)), sim.randomSpec())
+	}
+	switch n := sim.random.IntN(4000); {
+	case n < 20:
+		sim.cancel(jobs.ID(fmt.Sprintf("%016x", step/20*20-200+1)))
+	case n < 26:
+		sim.restartWorker(fmt.Sprintf("w%d", sim.random.IntN(4)))
+	case n < 30:
+		worker := sim.workers[fmt.Sprintf("w%d", sim.random.IntN(4))]
+		worker.failsTasks = !worker.failsTasks
+	case n < 34:
+		worker := sim.workers[fmt.Sprintf("w%d", sim.random.IntN(4))]
+		worker.info.Draining = !worker.info.Draining
+	case n < 38:
+		worker := sim.workers[fmt.Sprintf("w%d", sim.random.IntN(4))]
+		worker.up = !worker.up
+	case n < 40:
+		sim.takeOver()
+	}
+}
+
+func (sim *simulation) randomSpec() jobs.Spec {
+	step := jobs.Step{
+		Count: 1 + sim.random.IntN(5), Estimate: time.Second, Image: fmt.Sprint("i", sim.random.IntN(3)),
+		Request: jobs.Resources{MilliCPU: 500 * (1 + sim.random.IntN(3)), MemoryMB: 500},
+	}
+	switch sim.random.IntN(8) {
+	case 0:
+		step.Gang = true
+	case 1:
+		step.LongRunning, step.Count = true, 1
+		step.TargetTailLatency = 20 * time.Millisecond
+	case 2, 3:
+		step.BestEffort = true
+	case 4:
+		step.MaxPerWorker = 1
+	}
+	spec := jobs.Spec{Steps: []jobs.Step{step}}
+	if sim.random.IntN(2) == 0 {
+		second := jobs.Step{Count: 2, Request: jobs.Resources{MilliCPU: 1000, MemoryMB: 500}, Estimate: time.Second, DependsOn: []int{0}}
+		spec.Steps = append(spec.Steps, second)
+	}
+	if sim.random.IntN(6) == 0 && !step.LongRunning {
+		spec.OccurrenceCount, spec.StartAt, spec.Interval = 3, sim.wall().Add(time.Second), 2*time.Second
+	}
+	return spec
+}
+
+func checkIndexes(t *testing.T, c *Cell) {
+	t.Helper()
+	for _, w := range c.workers {
+		checkWorkerRuns(t, w)
+	}
+}
+
+func checkWorkerRuns(t *testing.T, w *worker) {
+	t.Helper()
+	var reserved jobs.Resources
+	expectedCPU := 0
+	for _, r := range w.runs {
+		reserved = reserved.Add(r.task.group.step.Requested())
+		expectedCPU += r.expectedCPU()
+		if r.unresolved() && !w.mayHaveUnresolved {
+			t.Errorf("worker %s: run %v is unresolved, but mayHaveUnresolved is not set", w.info.ID, r.key())
+		}
+	}
+	if reserved != w.reserved || expectedCPU != w.expectedCPU {
+		t.Errorf("worker %s: reserved %v, expected CPU %d; the runs have %v, %d", w.info.ID, w.reserved, w.expectedCPU, reserved, expectedCPU)
+	}
+}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -138,9 +138,7 @@
 		task: t, number: stored.Number, worker: w, incarnation: stored.WorkerStartedAtMS, state: runUncertain, stateSince: c.now,
 		pace: fullPace,
 	}
-	t.runs = append(t.runs, r)
-	w.runs[workercall.Run{Task: t.id, Number: r.number}] = r
-	w.reserved = w.reserved.Add(t.group.step.Requested())
+	w.addRun(r)
 }
 
 // resumeJob marks the steps of a loaded job as ready if their dependencies are done. If the job has ended or was
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -76,7 +76,7 @@
 // run, its group and its job as started.
 func (c *Cell) startOrder(r *run) StartOrder {
 	w, g := r.worker, r.task.group
-	r.state, r.stateSince = runStartSent, c.now
+	r.setState(runStartSent, c.now)
 	r.attempts++
 	if !g.started {
 		g.started = true
@@ -174,12 +174,16 @@
 
 // unresolvedRuns returns the runs that are to be stopped or whose start is uncertain, sorted by task.
 func (w *worker) unresolvedRuns() []*run {
+	if !w.mayHaveUnresolved {
+		return nil
+	}
 	var unresolved []*run
 	for _, r := range w.runs {
-		if r.stopRequested || r.state == runUncertain {
+		if r.unresolved() {
 			unresolved = append(unresolved, r)
 		}
 	}
+	w.mayHaveUnresolved = len(unresolved) > 0
 	sort.Slice(unresolved, func(i, j int) bool { return lessRun(unresolved[i], unresolved[j]) })
 	return unresolved
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -10,7 +10,6 @@
 	"cactuswall.example/cactuswall/internal/placement"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/urgency"
-	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 const (
@@ -144,15 +143,6 @@
 		c.now >= w.refusingUntil && c.now-w.lastReport < idleRenewInterval+maxReportAge
 }
 
-// spareCPU returns the CPU, in milli-CPU, that the worker's runs are expected to leave unused.
-func (w *worker) spareCPU() int {
-	spare := w.info.Capacity.MilliCPU
-	for _, r := range w.runs {
-		spare -= r.expectedCPU()
-	}
-	return spare
-}
-
 // expectedCPU returns the CPU, in milli-CPU, that a run is expected to use.
 func (r *run) expectedCPU() int {
 	request := r.task.group.step.Request.MilliCPU
@@ -359,10 +349,8 @@
 		task: t, number: number, worker: w, incarnation: w.info.StartedAtMS, state: runPlaced, stateSince: c.now,
 		pace: fullPace, probe: v.candidates[i].Probing,
 	}
-	t.runs = append(t.runs, r)
 	t.lastRunNumber = number
-	w.runs[workercall.Run{Task: t.id, Number: number}] = r
-	w.reserved = w.reserved.Add(t.group.step.Requested())
+	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
 	c.metrics.PlacementWait.Update((c.now - t.waitingSince).Seconds())
 	c.markGroupDirty(t.group)
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -161,7 +161,7 @@
 
 // setRunning marks a run as running.
 func (c *Cell) setRunning(r *run) {
-	r.state, r.stateSince = runRunning, c.now
+	r.setState(runRunning, c.now)
 	if r.runningSince == 0 {
 		r.runningSince = c.now
 	}
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -84,7 +84,7 @@
 		}
 		c.log.Info("pace", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
 			zap.Int("percent", pace), zap.Int("before", r.pace), zap.Duration("report_age", c.now-w.lastReport))
-		r.pace = pace
+		r.setPace(pace)
 		switch {
 		case pace > slowPace:
 			r.slowSince = 0
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -159,6 +159,10 @@
 	dead     bool
 	runs     map[workercall.Run]*run
 	reserved jobs.Resources // requested by the tasks of all runs
+	// expectedCPU is the CPU that all runs are expected to use, in milli-CPU.
+	expectedCPU int
+	// mayHaveUnresolved is set if a run is unresolved; it may stay set when none is.
+	mayHaveUnresolved bool
 	// clock is the worker's clock as read at local time clockAt.
 	clock      time.Duration
 	clockAt    time.Duration
--- /dev/null
+++ b/internal/cell/worker_runs.go
@@ -0,0 +1,56 @@
+package cell
+
+import (
+	"time"
+
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// key returns the key of the run among the runs of its worker.
+func (r *run) key() workercall.Run { return workercall.Run{Task: r.task.id, Number: r.number} }
+
+// setState sets the state of a run from now on.
+func (r *run) setState(state runState, now time.Duration) {
+	r.state, r.stateSince = state, now
+	if state == runUncertain {
+		r.worker.mayHaveUnresolved = true
+	}
+}
+
+// setPace sets the ordered speed of a run on its worker, in percent of full speed.
+func (r *run) setPace(pace int) {
+	r.worker.expectedCPU -= r.expectedCPU()
+	r.pace = pace
+	r.worker.expectedCPU += r.expectedCPU()
+}
+
+// addRun adds a run to its worker and its task.
+func (w *worker) addRun(r *run) {
+	w.runs[r.key()] = r
+	w.reserved = w.reserved.Add(r.task.group.step.Requested())
+	w.expectedCPU += r.expectedCPU()
+	w.mayHaveUnresolved = w.mayHaveUnresolved || r.unresolved()
+	r.task.runs = append(r.task.runs, r)
+}
+
+// deleteRun removes a run from its worker and its task, and does nothing where it is missing.
+func (w *worker) deleteRun(r *run) {
+	t := r.task
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	if key := r.key(); w.runs[key] == r {
+		delete(w.runs, key)
+		w.reserved = w.reserved.Sub(t.group.step.Requested())
+		w.expectedCPU -= r.expectedCPU()
+	}
+}
+
+// unresolved reports whether the run is to be stopped or its start is uncertain.
+func (r *run) unresolved() bool { return r.stopRequested || r.state == runUncertain }
+
+// spareCPU returns the CPU, in milli-CPU, that the worker's runs are expected to leave unused.
+func (w *worker) spareCPU() int { return w.info.Capacity.MilliCPU - w.expectedCPU }
