Cell: keep the waiting groups instead of searching them each round

A placement round walked all tasks of all open groups, built an urgency item for each waiting group in a map and compared items that compute their class in each comparison. The cell now counts each group's tasks to start, keeps the waiting groups in the order of the round before, and computes each rank once per round. The order is the same: equally urgent groups follow in the order of their creation. TestIndexesMatchState compares the groups and their order to a walk through all groups.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -48,9 +48,12 @@
 	// dirtyGroups and dirtyJobs have changes that are not stored yet.
 	dirtyGroups   []*group
 	dirtyJobs     []*job
-	deletions     []string      // keys of progress records that the next round deletes
-	pendingStarts []*run        // placed runs that the next round stores, to be started then
-	openGroups    []*group      // groups with unfinished tasks, of jobs that have neither ended nor been cancelled
+	deletions     []string // keys of progress records that the next round deletes
+	pendingStarts []*run   // placed runs that the next round stores, to be started then
+	groupCount    int      // number of groups that were created
+	// waiting contains the ready groups with tasks to start, of jobs that may still run. It may contain others, which
+	// the next placement removes. It is in the order of the newest placement round.
+	waiting       []*group
 	scheduledJobs []*job        // jobs with occurrences that are not due yet
 	now           time.Duration // current reading of the local clock, set by SetTime
 	wall          time.Time     // current wall time, set by SetTime
@@ -171,12 +174,13 @@
 		return g
 	}
 	step := &j.record.Spec.Steps[id.Step]
-	g := &group{id: id, job: j, step: step, unfinished: step.Count, tasks: make([]*task, step.Count), nextGangRun: 1}
+	g := &group{id: id, job: j, step: step, unfinished: step.Count, toStart: step.Count, tasks: make([]*task, step.Count),
+		nextGangRun: 1, sequence: c.groupCount, receivedAt: receivedAt(j, id.Occurrence)}
+	c.groupCount++
 	for i := range g.tasks {
 		g.tasks[i] = &task{id: id.Task(i), group: g}
 	}
 	j.groups[id] = g
-	c.openGroups = append(c.openGroups, g)
 	return g
 }
 
@@ -191,6 +195,7 @@
 		for _, t := range g.tasks {
 			t.waitingSince = c.now
 		}
+		c.addWaiting(g)
 		c.needsPlacement = true
 	}
 }
@@ -268,6 +273,7 @@
 	if !t.done && len(t.runs) == 0 {
 		t.waitingSince = c.now
 	}
+	c.addWaiting(t.group)
 	c.needsPlacement = true
 	c.markGroupDirty(t.group)
 }
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
+	"sort"
 	"testing"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/urgency"
 )
 
 // TestIndexesMatchState compares, at each step of random simulations with faults, takeovers and cancellations, what the
@@ -22,7 +25,7 @@
 				sim.disturb(step)
 				sim.run(simTick)
 				for _, o := range append([]*simOwner{sim.owner}, sim.formerOwners...) {
-					checkIndexes(t, o.cell)
+					checkIndexes(t, o.cell, step%5 == 0)
 				}
 				if t.Failed() {
 					t.Fatalf("step %d, time %v", step, sim.now)
@@ -83,11 +86,50 @@
 	return spec
 }
 
-func checkIndexes(t *testing.T, c *Cell) {
+// checkIndexes checks the indexes of a cell. sorted is set if the order of the waiting groups is checked as well, which
+// has the cell sort them.
+func checkIndexes(t *testing.T, c *Cell, sorted bool) {
 	t.Helper()
 	for _, w := range c.workers {
 		checkWorkerRuns(t, w)
 	}
+	expected := expectedWaiting(t, c)
+	for _, g := range expected {
+		if !slices.Contains(c.waiting, g) {
+			t.Errorf("group %v is missing from the waiting groups", g.id)
+		}
+	}
+	if sorted && !slices.Equal(c.sortWaiting(), expected) {
+		t.Errorf("%d groups wait; %d were expected, or another order", len(c.waiting), len(expected))
+	}
+}
+
+// expectedWaiting returns the groups that a walk through all groups finds to be waiting, in the order of a stable sort of
+// the groups in the order of their creation. It checks the number of tasks to start of each group.
+func expectedWaiting(t *testing.T, c *Cell) (expected []*group) {
+	t.Helper()
+	for _, j := range c.jobs {
+		for _, g := range j.groups {
+			toStart := 0
+			for _, task := range g.tasks {
+				if task.needsRun() {
+					toStart++
+				}
+			}
+			if g.toStart != toStart {
+				t.Errorf("group %v: %d tasks to start, counted %d", g.id, g.toStart, toStart)
+			}
+			if g.ready && toStart > 0 && j.live() {
+				expected = append(expected, g)
+			}
+		}
+	}
+	sort.Slice(expected, func(i, j int) bool { return expected[i].sequence < expected[j].sequence })
+	sort.SliceStable(expected, func(i, j int) bool {
+		a, b := c.urgencyItem(expected[i]), c.urgencyItem(expected[j])
+		return urgency.Before(&a, &b)
+	})
+	return expected
 }
 
 func checkWorkerRuns(t *testing.T, w *worker) {
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -63,7 +63,6 @@
 	for _, j := range c.jobs {
 		c.resumeJob(j)
 	}
-	c.pruneOpenGroups()
 }
 
 // loadProgress loads a progress record. recorded contains the jobs that have a record, readable or not.
@@ -110,7 +109,7 @@
 		return
 	}
 	g := c.ensureGroup(j, id)
-	g.nextGangRun, g.unfinished = record.NextRun, 0
+	g.nextGangRun, g.unfinished, g.toStart = record.NextRun, 0, 0
 	for i := range record.Tasks {
 		stored := &record.Tasks[i]
 		t := g.tasks[i]
@@ -118,6 +117,9 @@
 		if !t.done {
 			g.unfinished++
 		}
+		if t.needsRun() {
+			g.toStart++
+		}
 		if t.lastRunNumber > 0 {
 			g.started, j.started = true, true
 		}
@@ -159,17 +161,6 @@
 	c.completeJobIfDone(j)
 }
 
-// pruneOpenGroups removes from openGroups the groups that are finished or whose job has ended or was cancelled.
-func (c *Cell) pruneOpenGroups() {
-	open := c.openGroups[:0]
-	for _, g := range c.openGroups {
-		if g.unfinished > 0 && g.job.live() {
-			open = append(open, g)
-		}
-	}
-	c.openGroups = open
-}
-
 // groupRecord returns the stored form of a group's progress.
 func groupRecord(g *group) *jobrecord.Group {
 	record := &jobrecord.Group{NextRun: g.nextGangRun, Tasks: make([]jobrecord.Task, len(g.tasks))}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,7 +8,6 @@
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/placement"
 	"cactuswall.example/cactuswall/internal/quarantine"
-	"cactuswall.example/cactuswall/internal/urgency"
 )
 
 const (
@@ -51,7 +49,7 @@
 
 // place chooses workers for waiting tasks, starting with the most urgent group.
 func (c *Cell) place() {
-	groups := c.waitingGroups()
+	groups := c.sortWaiting()
 	if len(groups) == 0 {
 		return
 	}
@@ -71,51 +69,6 @@
 	}
 }
 
-// waitingGroups returns the ready groups with tasks to start, of jobs that may still run, most urgent first.
-func (c *Cell) waitingGroups() []*group {
-	c.pruneOpenGroups()
-	var groups []*group
-	for _, g := range c.openGroups {
-		if g.ready && g.hasTaskToStart() {
-			groups = append(groups, g)
-		}
-	}
-	items := make(map[*group]*urgency.Item, len(groups))
-	for _, g := range groups {
-		items[g] = c.urgencyItem(g)
-	}
-	sort.SliceStable(groups, func(i, j int) bool { return urgency.Before(items[groups[i]], items[groups[j]]) })
-	return groups
-}
-
-func (g *group) hasTaskToStart() bool {
-	for _, t := range g.tasks {
-		if t.needsRun() {
-			return true
-		}
-	}
-	return false
-}
-
-// urgencyItem returns what the urgency package needs to order a waiting group.
-func (c *Cell) urgencyItem(g *group) *urgency.Item {
-	j := g.job
-	return &urgency.Item{
-		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
-		Objective: j.objective, JobCPU: j.work,
-	}
-}
-
-// age returns the time since the job was received or, if later, since the occurrence was due. It uses wall time, so
-// that it includes the time under former owners.
-func (c *Cell) age(g *group) time.Duration {
-	start := time.UnixMilli(g.job.record.ReceivedMS)
-	if due := g.job.record.Spec.DueAt(g.id.Occurrence); due.After(start) {
-		start = due
-	}
-	return max(0, c.wall.Sub(start))
-}
-
 // newPlacementView returns a view of the workers that accept tasks now.
 func (c *Cell) newPlacementView() *placementView {
 	v := &placementView{headroom: make(map[string][]float64), unplaceable: make(map[needKey]placement.Need)}
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -109,6 +109,9 @@
 	if t.done {
 		return
 	}
+	if t.needsRun() {
+		t.group.toStart--
+	}
 	t.done = true
 	t.group.unfinished--
 	c.markGroupDirty(t.group)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/urgency"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -98,11 +99,20 @@
 
 // group is the state of the tasks of one step in one occurrence of a job.
 type group struct {
-	id          jobs.GroupID
-	job         *job
-	step        *jobs.Step
-	tasks       []*task
-	unfinished  int // number of tasks that are not done
+	id         jobs.GroupID
+	job        *job
+	step       *jobs.Step
+	tasks      []*task
+	unfinished int // number of tasks that are not done
+	toStart    int // number of tasks for which needsRun holds
+	// sequence numbers the groups of the cell in the order of their creation.
+	sequence int
+	// waiting is set while the group is in Cell.waiting.
+	waiting bool
+	// rank is the group's rank in the placement round that runs now.
+	rank urgency.Rank
+	// receivedAt is when the job was received or, if later, when the occurrence was due, in wall time.
+	receivedAt  time.Time
 	nextGangRun int // run number of the next start of a gang
 	// lastFailedGangRun is the newest run number of a gang whose failure was counted.
 	lastFailedGangRun int
--- /dev/null
+++ b/internal/cell/waiting_groups.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/urgency"
+)
+
+// addWaiting adds a group to those that the next placement considers, unless it has no task that may start.
+func (c *Cell) addWaiting(g *group) {
+	if !g.waiting && g.mayStart() {
+		g.waiting = true
+		c.waiting = append(c.waiting, g)
+	}
+}
+
+// mayStart reports whether the group is ready and has tasks to start, and its job may still run.
+func (g *group) mayStart() bool { return g.ready && g.toStart > 0 && g.job.live() }
+
+// sortWaiting removes the groups without a task that may start from Cell.waiting, sorts the others by their urgency and,
+// among equally urgent ones, by their creation, and returns them. Most of them are in order from the round before.
+func (c *Cell) sortWaiting() []*group {
+	c.waiting = slices.DeleteFunc(c.waiting, func(g *group) bool {
+		g.waiting = g.mayStart()
+		return !g.waiting
+	})
+	for _, g := range c.waiting {
+		item := c.urgencyItem(g)
+		g.rank = item.Rank()
+	}
+	slices.SortFunc(c.waiting, func(a, b *group) int {
+		if order := urgency.Compare(&a.rank, &b.rank); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.sequence, b.sequence)
+	})
+	return c.waiting
+}
+
+// urgencyItem returns what the urgency package needs to order a waiting group.
+func (c *Cell) urgencyItem(g *group) urgency.Item {
+	j := g.job
+	return urgency.Item{
+		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
+		Objective: j.objective, JobCPU: j.work,
+	}
+}
+
+// age returns the time since the job was received or, if later, since the occurrence was due. It uses wall time, so
+// that it includes the time under former owners.
+func (c *Cell) age(g *group) time.Duration { return max(0, c.wall.Sub(g.receivedAt)) }
+
+// receivedAt returns when a job was received or, if later, when an occurrence was due.
+func receivedAt(j *job, occurrence int) time.Time {
+	received := time.UnixMilli(j.record.ReceivedMS)
+	if due := j.record.Spec.DueAt(occurrence); due.After(received) {
+		return due
+	}
+	return received
+}
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -30,7 +30,11 @@
 	w.reserved = w.reserved.Add(r.task.group.step.Requested())
 	w.expectedCPU += r.expectedCPU()
 	w.mayHaveUnresolved = w.mayHaveUnresolved || r.unresolved()
-	r.task.runs = append(r.task.runs, r)
+	t := r.task
+	if t.needsRun() {
+		t.group.toStart--
+	}
+	t.runs = append(t.runs, r)
 }
 
 // deleteRun removes a run from its worker and its task, and does nothing where it is missing.
@@ -39,6 +43,9 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			if t.needsRun() {
+				t.group.toStart++
+			}
 			break
 		}
 	}
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -4,6 +4,7 @@
 package urgency
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -58,29 +59,57 @@
 }
 
 // slack returns how long the item can still wait before its job misses its limit: the objective or, for a Late item,
-// lateFactor times the objective. It is negative if the estimated remaining time exceeds the time left.
-func (i *Item) slack() time.Duration {
+// lateFactor times the objective. It is negative if the estimated remaining time exceeds the time left. class is the
+// item's class.
+func (i *Item) slack(class Class) time.Duration {
 	limit := i.Objective
-	if i.Class() == Late {
+	if class == Late {
 		limit *= lateFactor
 	}
 	return limit - i.Age - i.Remaining
 }
 
-// Before reports whether a is served before b. The higher priority, which has the lower number, comes first even when
-// its job is late, since tasks of priority 0 may preempt those of other priorities.
-func Before(a, b *Item) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
-	}
-	if a.LongRunning != b.LongRunning {
-		return a.LongRunning
-	}
-	if x, y := a.Class(), b.Class(); x != y {
-		return x < y
+// Rank is the position of an item at one time, computed once for many comparisons.
+type Rank struct {
+	priority    int
+	longRunning bool
+	class       Class
+	work        float64       // Item.JobCPU of an Expired item, otherwise 0
+	slack       time.Duration // of an item that is not Expired, otherwise 0
+}
+
+// Rank returns the item's rank.
+func (i *Item) Rank() Rank {
+	r := Rank{priority: i.Priority, longRunning: i.LongRunning, class: i.Class()}
+	if r.class == Expired {
+		r.work = i.JobCPU
+	} else {
+		r.slack = i.slack(r.class)
 	}
-	if a.Class() == Expired {
-		return a.JobCPU < b.JobCPU
+	return r
+}
+
+// Compare returns a negative number if a is served before b, a positive one if b is served before a, and otherwise 0.
+// The higher priority, which has the lower number, comes first even when its job is late, since tasks of priority 0 may
+// preempt those of other priorities.
+func Compare(a, b *Rank) int {
+	switch {
+	case a.priority != b.priority:
+		return cmp.Compare(a.priority, b.priority)
+	case a.longRunning && !b.longRunning:
+		return -1
+	case b.longRunning && !a.longRunning:
+		return 1
+	case a.class != b.class:
+		return cmp.Compare(a.class, b.class)
+	case a.class == Expired:
+		return cmp.Compare(a.work, b.work)
 	}
-	return a.slack() < b.slack()
+	return cmp.Compare(a.slack, b.slack)
+}
+
+// Before reports whether a is served before b.
+func Before(a, b *Item) bool {
+	x, y := a.Rank(), b.Rank()
+	return Compare(&x, &y) < 0
 }
