Cell: count in one walk why workers were not chosen, for a few steps per round

The log line of a waiting step looked up each worker among the candidates, which is quadratic in the workers, and built the runs per worker anew for each. The walk is linear now, and a round writes at most 4 such lines; a step beyond that gets its line in a later round.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -33,6 +33,7 @@
 	// unplaceable holds, by constraints, the last need for which no worker was found. chooseWorker returns -1 at once
 	// for a task with the same constraints that needs at least as much.
 	unplaceable map[needKey]placement.Need
+	waitLogs    int // lines that logWaiting has written for this view
 }
 
 // needKey identifies tasks with the same constraints: apart from resources, the same workers are eligible for all of
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/quarantine"
 )
 
@@ -13,6 +14,9 @@
 // doubled, so that a step that waits for a day causes about 16 lines.
 const firstWaitLog = 2 * time.Second
 
+// maxWaitLogs is the maximum number of such lines per round. The other steps follow in later rounds.
+const maxWaitLogs = 4
+
 // Reasons why a worker was not chosen for a task. The values are log keys.
 const (
 	exclusionNotListed        = "not_listed"
@@ -45,27 +49,41 @@
 func (c *Cell) logWaiting(v *placementView, t *task) {
 	g := t.group
 	waited := c.now - max(t.waitingSince, g.readyAt)
-	if waited < max(firstWaitLog, 2*g.lastLoggedWait) {
+	if waited < max(firstWaitLog, 2*g.lastLoggedWait) || v.waitLogs >= maxWaitLogs {
 		return
 	}
 	g.lastLoggedWait = waited
+	v.waitLogs++
+	counts := c.countExclusions(v, t)
+	c.log.Info("step waiting for resources", taskField(t.id), zap.Duration("waited", waited), zap.String("needs", g.step.Summary()),
+		zap.Object("workers", counts))
+}
+
+// countExclusions counts the workers by the reason why they were not chosen for a task.
+func (c *Cell) countExclusions(v *placementView, t *task) exclusions {
 	counts := make(exclusions)
+	platformService, perWorker := c.platformServiceOf(t.group.job), c.runsPerWorker(t.group)
+	next := 0 // index of the next candidate; the candidates are in the order of the workers
 	for _, w := range c.sortedWorkers() {
-		counts[c.exclusionReason(v, w, t)]++
+		i := -1
+		if next < len(v.workers) && v.workers[next] == w {
+			i = next
+			next++
+		}
+		counts[c.exclusionReason(v, w, i, t.group.step, platformService, perWorker)]++
 	}
-	c.log.Info("step waiting for resources", taskField(t.id), zap.Duration("waited", waited), zap.String("needs", g.step.Summary()),
-		zap.Object("workers", counts))
+	return counts
 }
 
-// exclusionReason returns why a worker was not chosen for a task. If several reasons apply, it returns the first in the
-// order of its cases, which is enough for the log.
-func (c *Cell) exclusionReason(v *placementView, w *worker, t *task) string {
-	step := t.group.step
-	i := v.index(w)
+// exclusionReason returns why a worker was not chosen for a task of a step. If several reasons apply, it returns the
+// first in the order of its cases, which is enough for the log. i is the worker's index among the candidates, or -1 if
+// it does not accept tasks now; platformService is the platform service whose workers run the job's tasks, perWorker the
+// result of runsPerWorker.
+func (c *Cell) exclusionReason(v *placementView, w *worker, i int, step *jobs.Step, platformService string, perWorker map[*worker]int) string {
 	switch {
 	case !w.listed || w.dead:
 		return exclusionNotListed
-	case w.info.Service != c.platformServiceOf(t.group.job):
+	case w.info.Service != platformService:
 		return exclusionService
 	case !w.tokenAccepted || !w.clockKnown:
 		return exclusionTokenNotAccepted
@@ -81,7 +99,7 @@
 		return exclusionResources
 	case step.RequiredLabel != "" && !hasLabel(w, step.RequiredLabel):
 		return exclusionLabel
-	case step.MaxPerWorker > 0 && c.runsPerWorker(t.group)[w] >= step.MaxPerWorker:
+	case step.MaxPerWorker > 0 && perWorker[w] >= step.MaxPerWorker:
 		return exclusionMaxPerWorker
 	case step.BestEffort && !c.fitsBesideServices(v, i, step):
 		return exclusionServiceTargets
@@ -90,13 +108,3 @@
 	}
 	return exclusionOther
 }
-
-// index returns the index of a worker among the candidates, or -1 if it does not accept tasks now.
-func (v *placementView) index(w *worker) int {
-	for i, candidate := range v.workers {
-		if candidate == w {
-			return i
-		}
-	}
-	return -1
-}
