Cell: keep the services and the best-effort runs of a worker, compute headroom where it is needed

Each report sorted all runs of its worker three times, and each round computed the headroom of each best-effort image on all workers from all their runs. A worker now keeps its services and its best-effort runs in order, and the headroom on a worker is computed when a task is first considered there, or right before a placement there changes it, so that its value is the same as before.

--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -139,10 +139,20 @@
 	for _, r := range w.runs {
 		reserved = reserved.Add(r.task.group.step.Requested())
 		expectedCPU += r.expectedCPU()
+		if step := r.task.group.step; slices.Contains(w.services, r) != (step.TargetTailLatency > 0) || slices.Contains(w.bestEffort, r) != step.BestEffort {
+			t.Errorf("worker %s: run %v is wrongly in or missing from services or bestEffort", w.info.ID, r.key())
+		}
 		if r.unresolved() && !w.mayHaveUnresolved {
 			t.Errorf("worker %s: run %v is unresolved, but mayHaveUnresolved is not set", w.info.ID, r.key())
 		}
 	}
+	for _, runs := range [][]*run{w.services, w.bestEffort} {
+		for i, r := range runs {
+			if w.runs[r.key()] != r || i > 0 && !lessRun(runs[i-1], r) {
+				t.Errorf("worker %s: run %v is not on the worker, or out of order", w.info.ID, r.key())
+			}
+		}
+	}
 	if reserved != w.reserved || expectedCPU != w.expectedCPU {
 		t.Errorf("worker %s: reserved %v, expected CPU %d; the runs have %v, %d", w.info.ID, w.reserved, w.expectedCPU, reserved, expectedCPU)
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -28,7 +28,8 @@
 	workers    []*worker
 	candidates []placement.Worker
 	// headroom holds, by image and worker index, the share of the worker's CPU time that best-effort tasks of the image
-	// may use; see Cell.headroom. It is computed when an image is first needed.
+	// may use; see Cell.headroom. It is NaN until it is computed, see Cell.headroomAt. An image has a slice once it is
+	// needed; from then on reserve changes the headroom, computing it first.
 	headroom map[string][]float64
 	// unplaceable holds, by constraints, the last need for which no worker was found. chooseWorker returns -1 at once
 	// for a task with the same constraints that needs at least as much.
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,16 +30,19 @@
 // observeServices updates the learned interference coefficients from the latency of the services in a worker's report
 // and the CPU use of the best-effort tasks next to them.
 func (c *Cell) observeServices(w *worker) {
+	if len(w.services) == 0 {
+		return
+	}
 	shares := cpuinterference.CPUShares{}
-	for _, r := range w.runs {
-		if r.task.group.step.BestEffort && r.state == runRunning {
+	for _, r := range w.bestEffort {
+		if r.state == runRunning {
 			shares[r.task.group.step.Image] += float64(r.milliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
 		}
 	}
-	for _, r := range w.runs {
+	for _, r := range w.services {
 		step := r.task.group.step
 		// Below 100 percent of progress the service is not serving yet.
-		if step.TargetTailLatency == 0 || r.state != runRunning || r.progressPercent < fullPace || r.tailLatency <= 0 {
+		if r.state != runRunning || r.progressPercent < fullPace || r.tailLatency <= 0 {
 			continue
 		}
 		reading := c.interference.Observe(cpuinterference.Source{
@@ -68,16 +72,18 @@
 
 // paceWorker sets the pace of each best-effort run on a worker and adds orders for those that change.
 func (c *Cell) paceWorker(w *worker, orders *Orders) {
-	services := c.services(w)
 	var runs []*run
 	var bestEffortTasks []pacing.BestEffortTask
-	for _, r := range w.sortedRuns() {
-		if r.task.group.step.BestEffort && r.state == runRunning && !r.stopRequested {
+	for _, r := range w.bestEffort {
+		if r.state == runRunning && !r.stopRequested {
 			runs = append(runs, r)
 			bestEffortTasks = append(bestEffortTasks, c.bestEffortTask(w, r))
 		}
 	}
-	for i, pace := range pacing.Paces(services, bestEffortTasks, c.interference.Coefficient) {
+	if len(runs) == 0 {
+		return
+	}
+	for i, pace := range pacing.Paces(c.services(w), bestEffortTasks, c.interference.Coefficient) {
 		r := runs[i]
 		if pace == r.pace {
 			continue
@@ -100,9 +106,9 @@
 // services describes the services on a worker to the pacing package.
 func (c *Cell) services(w *worker) []pacing.Service {
 	var services []pacing.Service
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.services {
 		step := r.task.group.step
-		if step.TargetTailLatency > 0 && r.reading != nil && r.state == runRunning {
+		if r.reading != nil && r.state == runRunning {
 			services = append(services, pacing.Service{
 				Image: step.Image, Utilization: r.reading.Utilization, OwnLoad: r.reading.OwnLoad,
 				OverTargetShare: c.overTargetFraction(r), MaxUtilization: c.interference.UtilizationAt(step.Image, step.TargetTailLatency),
@@ -125,9 +131,9 @@
 // a service, including unmeasuredUtilization, is already within loadMargin of its limit.
 func (c *Cell) headroom(w *worker, image string) float64 {
 	headroom := 1.0
-	for _, r := range w.runs {
+	for _, r := range w.services {
 		service := r.task.group.step
-		if service.TargetTailLatency == 0 || r.reading == nil {
+		if r.reading == nil {
 			continue
 		}
 		p := c.expectedCoefficient(service.Image, image)
@@ -152,14 +158,11 @@
 // mismatch returns how differently a service of an image and the services on a worker react to best-effort tasks, from
 // 0 to 1.
 func (c *Cell) mismatch(w *worker, image string) float64 {
-	total, count := 0.0, 0
-	for _, r := range w.runs {
-		if service := r.task.group.step; service.TargetTailLatency > 0 {
-			total += c.interference.Dissimilarity(image, service.Image)
-			count++
-		}
+	total := 0.0
+	for _, r := range w.services {
+		total += c.interference.Dissimilarity(image, r.task.group.step.Image)
 	}
-	return total / float64(max(1, count))
+	return total / float64(max(1, len(w.services)))
 }
 
 // unmeasuredUtilization returns the utilization that best-effort runs are expected to add to a service and that its
@@ -167,8 +170,8 @@
 func (c *Cell) unmeasuredUtilization(w *worker, service string) float64 {
 	utilization := 0.0
 	capacity := float64(max(1, w.info.Capacity.MilliCPU))
-	for _, r := range w.runs {
-		if step := r.task.group.step; step.BestEffort && (r.state != runRunning || c.now-r.runningSince < minMeasuredRunTime) {
+	for _, r := range w.bestEffort {
+		if step := r.task.group.step; r.state != runRunning || c.now-r.runningSince < minMeasuredRunTime {
 			mean, _ := c.interference.Coefficient(service, step.Image)
 			utilization += mean * float64(step.Request.MilliCPU) / capacity
 		}
@@ -179,15 +182,24 @@
 // fitsBesideServices reports whether a best-effort task may be placed on a worker without pushing the services there
 // over their targets.
 func (c *Cell) fitsBesideServices(v *placementView, i int, step *jobs.Step) bool {
-	headroom := v.headroom[step.Image]
+	return c.headroomAt(v, i, step.Image) >= v.cpuShare(i, step)*minPlacementSpeed
+}
+
+// headroomAt returns the headroom of an image on the worker with index i. It computes the headroom when it is first
+// needed.
+func (c *Cell) headroomAt(v *placementView, i int, image string) float64 {
+	headroom := v.headroom[image]
 	if headroom == nil {
 		headroom = make([]float64, len(v.workers))
-		for k, w := range v.workers {
-			headroom[k] = c.headroom(w, step.Image)
+		for k := range headroom {
+			headroom[k] = math.NaN()
 		}
-		v.headroom[step.Image] = headroom
+		v.headroom[image] = headroom
+	}
+	if math.IsNaN(headroom[i]) {
+		headroom[i] = c.headroom(v.workers[i], image)
 	}
-	return headroom[i] >= v.cpuShare(i, step)*minPlacementSpeed
+	return headroom[i]
 }
 
 // cpuShare returns the CPU time that a task of a step requests, as a share of the worker's capacity.
@@ -200,13 +212,11 @@
 // underestimates the headroom of some images, but only in this view.
 func (c *Cell) reduceHeadroom(v *placementView, i int, step *jobs.Step) {
 	highest := 0.0
-	for _, r := range v.workers[i].runs {
-		if service := r.task.group.step; service.TargetTailLatency > 0 {
-			mean, _ := c.interference.Coefficient(service.Image, step.Image)
-			highest = max(highest, mean)
-		}
+	for _, r := range v.workers[i].services {
+		mean, _ := c.interference.Coefficient(r.task.group.step.Image, step.Image)
+		highest = max(highest, mean)
 	}
-	for _, headroom := range v.headroom {
-		headroom[i] -= min(1, highest) * v.cpuShare(i, step)
+	for image, headroom := range v.headroom {
+		headroom[i] = c.headroomAt(v, i, image) - min(1, highest)*v.cpuShare(i, step)
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -166,9 +166,12 @@
 	// tokenAccepted is set once this incarnation has accepted the owner's fencing token.
 	tokenAccepted bool
 	// dead is set once another incarnation has answered at the worker's address, so that this one has ended.
-	dead     bool
-	runs     map[workercall.Run]*run
-	reserved jobs.Resources // requested by the tasks of all runs
+	dead bool
+	runs map[workercall.Run]*run
+	// services and bestEffort are the runs of tasks with a latency target and of best-effort tasks, sorted by lessRun. A
+	// run may be in both.
+	services, bestEffort []*run
+	reserved             jobs.Resources // requested by the tasks of all runs
 	// expectedCPU is the CPU that all runs are expected to use, in milli-CPU.
 	expectedCPU int
 	// mayHaveUnresolved is set if a run is unresolved; it may stay set when none is.
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"slices"
+	"sort"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/workercall"
@@ -26,8 +28,15 @@
 
 // addRun adds a run to its worker and its task.
 func (w *worker) addRun(r *run) {
+	step := r.task.group.step
 	w.runs[r.key()] = r
-	w.reserved = w.reserved.Add(r.task.group.step.Requested())
+	if step.TargetTailLatency > 0 {
+		w.services = insertRun(w.services, r)
+	}
+	if step.BestEffort {
+		w.bestEffort = insertRun(w.bestEffort, r)
+	}
+	w.reserved = w.reserved.Add(step.Requested())
 	w.expectedCPU += r.expectedCPU()
 	w.mayHaveUnresolved = w.mayHaveUnresolved || r.unresolved()
 	t := r.task
@@ -51,11 +60,27 @@
 	}
 	if key := r.key(); w.runs[key] == r {
 		delete(w.runs, key)
+		w.services = withoutRun(w.services, r)
+		w.bestEffort = withoutRun(w.bestEffort, r)
 		w.reserved = w.reserved.Sub(t.group.step.Requested())
 		w.expectedCPU -= r.expectedCPU()
 	}
 }
 
+// insertRun inserts a run into runs that are sorted by lessRun.
+func insertRun(runs []*run, r *run) []*run {
+	i := sort.Search(len(runs), func(i int) bool { return lessRun(r, runs[i]) })
+	return slices.Insert(runs, i, r)
+}
+
+// withoutRun removes a run from a slice, if it is there, and keeps the order of the others.
+func withoutRun(runs []*run, r *run) []*run {
+	if i := slices.Index(runs, r); i >= 0 {
+		return slices.Delete(runs, i, i+1)
+	}
+	return runs
+}
+
 // unresolved reports whether the run is to be stopped or its start is uncertain.
 func (r *run) unresolved() bool { return r.stopRequested || r.state == runUncertain }
 
