Cell: use the memory of the placement view again, look for the best worker with fewer checks

Each round allocated a copy of all workers, with two look-ups in the quarantine table for each, and each task evaluated all constraints for all workers with room. The view now keeps its memory, a worker carries its failure rate, and Best checks the constraints only of workers that score higher than the best so far.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -37,7 +37,7 @@
 // benchWorld drives a cell as its owner does, with workers that answer each order at the next flush and a store that
 // stores each round by the next flush. It measures the time in the cell only.
 type benchWorld struct {
-	b         *testing.B
+	b         testing.TB
 	cell      *Cell
 	load      benchLoad
 	now       time.Duration
@@ -58,7 +58,7 @@
 	renewal *RenewOrder // waits for an end of a run
 }
 
-func newBenchWorld(b *testing.B, load benchLoad) *benchWorld {
+func newBenchWorld(b testing.TB, load benchLoad) *benchWorld {
 	config := &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "s"}},
 		Services: []queue.Service{{Name: "s", EnforcesCapacity: true}}}
 	queue.NewActiveConfig().Update(config)
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -91,7 +91,7 @@
 func checkIndexes(t *testing.T, c *Cell, sorted bool) {
 	t.Helper()
 	for _, w := range c.workers {
-		checkWorkerRuns(t, w)
+		checkWorkerRuns(t, c, w)
 	}
 	expected := expectedWaiting(t, c)
 	for _, g := range expected {
@@ -132,7 +132,7 @@
 	return expected
 }
 
-func checkWorkerRuns(t *testing.T, w *worker) {
+func checkWorkerRuns(t *testing.T, c *Cell, w *worker) {
 	t.Helper()
 	var reserved jobs.Resources
 	expectedCPU := 0
@@ -153,6 +153,9 @@
 			}
 		}
 	}
+	if rate := c.health.FailureRate(w.info.ID); rate != w.failureRate {
+		t.Errorf("worker %s: failure rate %v instead of %v", w.info.ID, w.failureRate, rate)
+	}
 	if reserved != w.reserved || expectedCPU != w.expectedCPU {
 		t.Errorf("worker %s: reserved %v, expected CPU %d; the runs have %v, %d", w.info.ID, w.reserved, w.expectedCPU, reserved, expectedCPU)
 	}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -181,7 +181,7 @@
 // lease is assumed to last until formerLeasesEnd.
 func (c *Cell) addWorker(info workercall.Worker) *worker {
 	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run)}
-	w.leaseExpiresBy = c.formerLeasesEnd
+	w.leaseExpiresBy, w.failureRate = c.formerLeasesEnd, c.health.FailureRate(info.ID)
 	c.workers[info.ID] = w
 	c.workersByID = nil
 	return w
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -7,7 +7,6 @@
 
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/placement"
-	"cactuswall.example/cactuswall/internal/quarantine"
 )
 
 const (
@@ -22,21 +21,6 @@
 	placementRetryInterval = 100 * time.Millisecond
 )
 
-// placementView is a snapshot of the workers that accept tasks. workers and candidates have the same indexes, and
-// reserve updates the candidates as tasks are placed.
-type placementView struct {
-	workers    []*worker
-	candidates []placement.Worker
-	// headroom holds, by image and worker index, the share of the worker's CPU time that best-effort tasks of the image
-	// may use; see Cell.headroom. It is NaN until it is computed, see Cell.headroomAt. An image has a slice once it is
-	// needed; from then on reserve changes the headroom, computing it first.
-	headroom map[string][]float64
-	// unplaceable holds, by constraints, the last need for which no worker was found. chooseWorker returns -1 at once
-	// for a task with the same constraints that needs at least as much.
-	unplaceable map[needKey]placement.Need
-	waitLogs    int // lines that logWaiting has written for this view
-}
-
 // needKey identifies tasks with the same constraints: apart from resources, the same workers are eligible for all of
 // them, unless limited is set.
 type needKey struct {
@@ -71,27 +55,6 @@
 	}
 }
 
-// newPlacementView returns a view of the workers that accept tasks now.
-func (c *Cell) newPlacementView() *placementView {
-	v := &placementView{headroom: make(map[string][]float64), unplaceable: make(map[needKey]placement.Need)}
-	for _, w := range c.sortedWorkers() {
-		if !c.acceptsTasks(w) {
-			continue
-		}
-		state := c.health.State(w.info.ID, c.wall)
-		if state == quarantine.Quarantined {
-			continue
-		}
-		v.workers = append(v.workers, w)
-		v.candidates = append(v.candidates, placement.Worker{
-			ID: w.info.ID, Rack: w.info.Rack, FailureDomain: w.info.FailureDomain, Free: w.info.Capacity.Sub(w.reserved),
-			SpareMilliCPU: w.spareCPU(), MilliCPU: w.info.Capacity.MilliCPU, Probing: state == quarantine.Probing,
-			FailureRate: c.health.FailureRate(w.info.ID),
-		})
-	}
-	return v
-}
-
 // acceptsTasks reports whether tasks may be placed on a worker now.
 func (c *Cell) acceptsTasks(w *worker) bool {
 	return w.listed && w.tokenAccepted && w.clockKnown && !w.dead && !w.info.Draining && w.failingSince == 0 &&
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -154,7 +154,7 @@
 	if r.probe && r.task.group.step.LongRunning && r.progressPercent >= servingPercent &&
 		c.now-r.runningSince >= probeSuccessTime &&
 		c.health.State(id, c.wall) != quarantine.Trusted {
-		c.health.RecordSuccess(id, failureKind(r.task.group))
+		c.recordSuccess(r)
 		c.log.Info("worker trusted again", zap.String("worker", id), taskField(r.task.id))
 	}
 }
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -85,7 +85,7 @@
 // long-running task is not marked as done, but waits for its next start.
 func (c *Cell) taskSucceeded(r *run, ran time.Duration) {
 	g := r.task.group
-	c.health.RecordSuccess(r.worker.info.ID, failureKind(g))
+	c.recordSuccess(r)
 	c.logRunTime(g, r, ran)
 	if g.step.LongRunning {
 		r.task.waitingSince = c.now
@@ -105,6 +105,13 @@
 	c.advanceStep(g)
 }
 
+// recordSuccess records the success of a run for the quarantine of its worker.
+func (c *Cell) recordSuccess(r *run) {
+	id := r.worker.info.ID
+	c.health.RecordSuccess(id, failureKind(r.task.group))
+	r.worker.failureRate = c.health.FailureRate(id)
+}
+
 func (c *Cell) markDone(t *task) {
 	if t.done {
 		return
@@ -146,6 +153,7 @@
 func (c *Cell) taskFailed(w *worker, r *run) {
 	t, g := r.task, r.task.group
 	quarantined := c.health.RecordFailure(w.info.ID, t.id.Key(), failureKind(g), c.wall)
+	w.failureRate = c.health.FailureRate(w.info.ID)
 	if quarantined {
 		c.log.Warn("worker quarantined", zap.String("worker", w.info.ID), zap.String("kind", failureKind(g)))
 	}
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -190,10 +190,7 @@
 func (c *Cell) headroomAt(v *placementView, i int, image string) float64 {
 	headroom := v.headroom[image]
 	if headroom == nil {
-		headroom = make([]float64, len(v.workers))
-		for k := range headroom {
-			headroom[k] = math.NaN()
-		}
+		headroom = v.newHeadroom()
 		v.headroom[image] = headroom
 	}
 	if math.IsNaN(headroom[i]) {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -174,6 +174,7 @@
 	reserved             jobs.Resources // requested by the tasks of all runs
 	// expectedCPU is the CPU that all runs are expected to use, in milli-CPU.
 	expectedCPU int
+	failureRate float64 // recent share of failed runs, from 0 to 1, as the quarantine table has it
 	// mayHaveUnresolved is set if a run is unresolved; it may stay set when none is.
 	mayHaveUnresolved bool
 	// clock is the worker's clock as read at local time clockAt.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -77,17 +77,21 @@
 	minBestEffortShare = 0.7
 )
 
-// Best returns the index in workers of the one with the highest score, or -1 if there is none. It considers only the
+// Best returns the index in workers of the one with the highest score, the first of several, or -1 if there is none. It considers only the
 // workers that have the free resources for the task, for a best-effort task also the spare CPU capacity, and for whose
-// index eligible returns true.
+// index eligible returns true. It does not call eligible for every worker.
 func Best(workers []Worker, n Need, eligible func(i int) bool) int {
 	best, bestScore := -1, 0.0
 	for i := range workers {
 		w := &workers[i]
-		if !w.Free.Contains(n.Requested) || n.Kind == BestEffort && !hasSpareCPU(w, n) || !eligible(i) {
+		if !w.Free.Contains(n.Requested) || n.Kind == BestEffort && !hasSpareCPU(w, &n) {
+			continue
+		}
+		// The mismatch only lowers the score, so that a worker that is no better without it needs no further look.
+		score := score(w, &n)
+		if best >= 0 && score <= bestScore || !eligible(i) {
 			continue
 		}
-		score := score(w, n)
 		if n.InterferenceMismatch != nil {
 			score -= mismatchPenalty * n.InterferenceMismatch(i)
 		}
@@ -99,12 +103,12 @@
 }
 
 // hasSpareCPU reports whether a best-effort task would get most of the CPU time that it is expected to use.
-func hasSpareCPU(w *Worker, n Need) bool {
+func hasSpareCPU(w *Worker, n *Need) bool {
 	return float64(w.SpareMilliCPU) >= minBestEffortShare*float64(n.ExpectedMilliCPU)
 }
 
 // score rates a worker for a task, without the mismatch penalty; higher is better.
-func score(w *Worker, n Need) float64 {
+func score(w *Worker, n *Need) float64 {
 	size := float64(max(1, w.MilliCPU))
 	score := float64(w.SpareMilliCPU) / size
 	if n.Kind == LongRunning {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -54,3 +55,43 @@
 		So(Best([]Worker{bad, worker("good", "r1", 4000, 3000)}, Need{Requested: request, ExpectedMilliCPU: 1000}, anyWorker), ShouldEqual, 1)
 	})
 }
+
+// TestBestIsFirstWithHighestScore compares Best to a search that looks at each worker in full.
+func TestBestIsFirstWithHighestScore(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 5000 {
+		workers := make([]Worker, 1+random.IntN(12))
+		fits, mismatch := make([]bool, len(workers)), make([]float64, len(workers))
+		for i := range workers {
+			free := 1000 * random.IntN(4)
+			workers[i] = Worker{ID: string(rune('a' + i)), Rack: string(rune('r' + random.IntN(2))), Free: jobs.Resources{MilliCPU: free},
+				SpareMilliCPU: free, MilliCPU: 4000, FailureRate: float64(random.IntN(2)) / 4}
+			fits[i], mismatch[i] = random.IntN(3) > 0, float64(random.IntN(3))/2
+		}
+		need := Need{Kind: Kind(random.IntN(3)), Requested: jobs.Resources{MilliCPU: 1000}, ExpectedMilliCPU: 1000,
+			AvoidWorker: string(rune('a' + random.IntN(12)))}
+		if random.IntN(2) == 0 {
+			need.DataRack = "r"
+		}
+		if need.Kind == LongRunning {
+			need.InterferenceMismatch = func(i int) float64 { return mismatch[i] }
+		}
+		expected, highest := -1, 0.0
+		for i := range workers {
+			w := &workers[i]
+			if !fits[i] || !w.Free.Contains(need.Requested) || need.Kind == BestEffort && !hasSpareCPU(w, &need) {
+				continue
+			}
+			value := score(w, &need)
+			if need.InterferenceMismatch != nil {
+				value -= mismatchPenalty * mismatch[i]
+			}
+			if expected < 0 || value > highest {
+				expected, highest = i, value
+			}
+		}
+		if best := Best(workers, need, func(i int) bool { return fits[i] }); best != expected {
+			t.Fatalf("best of %+v for %+v is %d instead of %d", workers, need, best, expected)
+		}
+	}
+}
