Cell: sort only the runs that a report misses, look for throttled runs among the best-effort ones

Each report put its runs into a map and sorted all known ones; each search for runs to relocate walked all runs of all workers. Runs now carry the number of the report that listed them, and only draining workers are searched in full.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -54,6 +54,7 @@
 	// waiting contains the ready groups with tasks to start, of jobs that may still run. It may contain others, which
 	// the next placement removes. It is in the order of the newest placement round.
 	waiting       []*group
+	reports       int64         // number of reports whose runs were compared to the known ones
 	view          placementView // memory of newPlacementView
 	scheduledJobs []*job        // jobs with occurrences that are not due yet
 	now           time.Duration // current reading of the local clock, set by SetTime
--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"sort"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,13 +41,16 @@
 
 // relocatableRuns returns the worker's runs that are relocated if another worker has room, sorted by task.
 func (w *worker) relocatableRuns(c *Cell) []*run {
+	candidates := w.bestEffort // the only ones that can be throttled
+	if w.info.Draining {
+		candidates = w.sortedRuns()
+	}
 	var runs []*run
-	for _, r := range w.runs {
+	for _, r := range candidates {
 		if c.throttledTooLong(r) || c.onDrainingWorker(r) {
 			runs = append(runs, r)
 		}
 	}
-	sort.Slice(runs, func(i, j int) bool { return lessRun(runs[i], runs[j]) })
 	return runs
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -95,11 +95,11 @@
 // created; a run whose state has changed since may be missing from the report. first is set for the first report of
 // this incarnation to this owner.
 func (c *Cell) reconcileRuns(w *worker, report workercall.Report, sent time.Duration, first bool) {
-	listed := make(map[workercall.Run]bool, len(report.Running))
+	c.reports++
 	for i := range report.Running {
 		running := &report.Running[i]
-		listed[running.Run] = true
 		if r := w.runs[running.Run]; r != nil {
+			r.listedIn = c.reports
 			c.confirmRunning(r, running)
 		} else {
 			c.handleUnknownRun(w, running)
@@ -108,10 +108,14 @@
 	if len(report.Ended) >= maxListedEnds {
 		return
 	}
-	for _, r := range w.sortedRuns() {
-		if listed[workercall.Run{Task: r.task.id, Number: r.number}] || r.stateSince > sent {
-			continue
+	var unlisted []*run
+	for _, r := range w.runs {
+		if r.listedIn != c.reports && r.stateSince <= sent {
+			unlisted = append(unlisted, r)
 		}
+	}
+	sort.Slice(unlisted, func(i, j int) bool { return lessRun(unlisted[i], unlisted[j]) })
+	for _, r := range unlisted {
 		c.handleUnlistedRun(r, first)
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -52,6 +52,7 @@
 	stopReason      stopReason
 	stopSentAt      time.Duration // when the newest stop order was sent; 0 for never
 	stopInFlight    bool          // a stop order is sent and not answered
+	listedIn        int64         // number, by Cell.reports, of the newest report that lists the run as running
 	progressPercent int           // as last reported; servingPercent for a long-running task that is serving
 	pace            int           // ordered speed, in percent of full speed
 	tailLatency     time.Duration // of a service task, as last reported
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -77,9 +77,9 @@
 	minBestEffortShare = 0.7
 )
 
-// Best returns the index in workers of the one with the highest score, the first of several, or -1 if there is none. It considers only the
-// workers that have the free resources for the task, for a best-effort task also the spare CPU capacity, and for whose
-// index eligible returns true. It does not call eligible for every worker.
+// Best returns the index in workers of the one with the highest score, the first of several, or -1 if there is none. It
+// considers only the workers that have the free resources for the task, for a best-effort task also the spare CPU
+// capacity, and for whose index eligible returns true. It does not call eligible for every worker.
 func Best(workers []Worker, n Need, eligible func(i int) bool) int {
 	best, bestScore := -1, 0.0
 	for i := range workers {
