Cell: find the workers for which something is due in a queue

Each flush walked all workers four times: for expired leases, due orders, ends to store and the time of the next flush. A queue now holds the workers by the times of their renewal and their lease's expiry, and lists those with something pending; whatever changes these fields touches the worker. TestIndexesMatchState compares the queue to walks through all workers. One case differs, without effect on a task: a worker without entry that loses its last run to the expiry of another worker's lease is removed at the next flush, never in the same one.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -22,7 +22,7 @@
 	if err == nil {
 		c.metrics.StartLatency.Update((c.now - r.stateSince).Seconds())
 		c.setRunning(r)
-		w.nextRenewal = min(w.nextRenewal, c.now)
+		w.renewBy(c.now)
 		return false
 	}
 	reason := verdict.ReasonOf(err)
@@ -39,7 +39,7 @@
 	case workercall.ReasonStaleRun:
 		r.setState(runUncertain, c.now)
 		r.startRuledOut = true
-		w.nextRenewal = min(w.nextRenewal, c.now)
+		w.renewBy(c.now)
 	default:
 		c.startFailed(r, reason, verdict.Of(err))
 	}
@@ -77,7 +77,7 @@
 	if v != verdict.NotRun {
 		r.startInDoubt = true
 		r.setState(runUncertain, c.now)
-		w.nextRenewal = min(w.nextRenewal, c.now)
+		w.renewBy(c.now)
 		return
 	}
 	backoff := refusedBackoff
@@ -121,7 +121,7 @@
 		if r.state != runRunning {
 			r.setState(runUncertain, c.now)
 		}
-		w.nextRenewal = min(w.nextRenewal, c.now)
+		w.renewBy(c.now)
 	}
 	return false
 }
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -54,7 +54,8 @@
 	// waiting contains the ready groups with tasks to start, of jobs that may still run. It may contain others, which
 	// the next placement removes. It is in the order of the newest placement round.
 	waiting       []*group
-	reports       int64         // number of reports whose runs were compared to the known ones
+	reports       int64 // number of reports whose runs were compared to the known ones
+	due           dueQueue
 	view          placementView // memory of newPlacementView
 	scheduledJobs []*job        // jobs with occurrences that are not due yet
 	now           time.Duration // current reading of the local clock, set by SetTime
@@ -262,6 +263,7 @@
 	}
 	r.stopRequested, r.stopReason = true, reason
 	r.worker.mayHaveUnresolved = true
+	r.worker.touch()
 	if r.state == runPlaced {
 		c.removeRun(r)
 	}
@@ -376,5 +378,7 @@
 
 func (c *Cell) removeWorker(w *worker) {
 	delete(c.workers, w.info.ID)
+	w.due.removed = true
+	w.touch()
 	c.workersByID = nil
 }
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -93,6 +94,7 @@
 	for _, w := range c.workers {
 		checkWorkerRuns(t, c, w)
 	}
+	checkDue(t, c)
 	expected := expectedWaiting(t, c)
 	for _, g := range expected {
 		if !slices.Contains(c.waiting, g) {
@@ -132,6 +134,45 @@
 	return expected
 }
 
+// checkDue compares the queue of due workers to a walk through all workers.
+func checkDue(t *testing.T, c *Cell) {
+	t.Helper()
+	next := c.now + idleRenewInterval
+	orders, leases, unstored := c.due.ordersDue(c.now), c.due.leasesDue(c.now), c.due.unstoredEnds()
+	unstoredCount := 0
+	for _, w := range c.sortedWorkers() {
+		if !w.renewalInFlight {
+			next = min(next, w.nextRenewal)
+		}
+		if len(w.runs) > 0 {
+			next = min(next, max(w.leaseExpiresBy, c.now+failedRenewInterval))
+		}
+		if w.hasUnstoredEnds() {
+			unstoredCount++
+		}
+		renewalDue := !w.renewalInFlight && c.now >= w.nextRenewal
+		if (renewalDue || len(w.unknownRuns) > 0 || len(w.unresolvedRuns()) > 0 || w.pacingPending) && !slices.Contains(orders, w) {
+			t.Errorf("worker %s: orders are due, but not found", w.info.ID)
+		}
+		if (len(w.runs) > 0 && c.now >= w.leaseExpiresBy || !w.listed && len(w.runs) == 0) && !slices.Contains(leases, w) {
+			t.Errorf("worker %s: the lease has expired, or it has to be removed, but is not found", w.info.ID)
+		}
+		if w.hasUnstoredEnds() != slices.Contains(unstored, w) {
+			t.Errorf("worker %s: ends unstored %v, found %v", w.info.ID, w.hasUnstoredEnds(), !w.hasUnstoredEnds())
+		}
+	}
+	if c.nextRetry != 0 {
+		next = min(next, c.nextRetry)
+	}
+	if len(unstored) != unstoredCount || c.NextDue() != next {
+		t.Errorf("next due %v instead of %v, %d workers with unstored ends instead of %d", c.NextDue(), next, len(unstored), unstoredCount)
+	}
+	byID := func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) }
+	if !slices.IsSortedFunc(orders, byID) || !slices.IsSortedFunc(leases, byID) {
+		t.Errorf("due workers are not sorted by ID")
+	}
+}
+
 func checkWorkerRuns(t *testing.T, c *Cell, w *worker) {
 	t.Helper()
 	var reserved jobs.Resources
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -134,7 +134,7 @@
 	w := c.workers[stored.Worker]
 	if w == nil {
 		w = c.addWorker(workercall.Worker{ID: stored.Worker, Service: t.group.job.record.Service})
-		w.listed = false
+		w.listed = false // addRun touches the worker
 	}
 	r := &run{
 		task: t, number: stored.Number, worker: w, incarnation: stored.WorkerStartedAtMS, state: runUncertain, stateSince: c.now,
@@ -180,7 +180,8 @@
 // addWorker adds a worker that has an entry in the store or to which a stored run refers. Until the worker reports, its
 // lease is assumed to last until formerLeasesEnd.
 func (c *Cell) addWorker(info workercall.Worker) *worker {
-	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run)}
+	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run), due: dueState{queue: &c.due}}
+	w.touch()
 	w.leaseExpiresBy, w.failureRate = c.formerLeasesEnd, c.health.FailureRate(info.ID)
 	c.workers[info.ID] = w
 	c.workersByID = nil
@@ -225,6 +226,7 @@
 	if w.info.Address != info.Address {
 		w.dead = false // the other incarnation answered at the former address
 	}
+	w.touch()
 	// An incarnation that was draining stays so, even if a later entry does not say so.
 	draining := w.info.Draining && info.StartedAtMS == w.info.StartedAtMS
 	w.info, w.listed = info, true
@@ -234,6 +236,7 @@
 // workerUnlisted handles a worker whose entry is no longer in the store.
 func (c *Cell) workerUnlisted(w *worker) {
 	w.listed = false
+	w.touch()
 	c.log.Info("worker no longer registered", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)),
 		zap.Duration("lapsed_in", w.leaseExpiresBy-c.now))
 	if len(w.runs) == 0 {
@@ -251,5 +254,6 @@
 	w.tokenAccepted, w.clockKnown, w.dead, w.failingSince = false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.grantedUntil, w.nextRenewal = 0, 0, 0, c.now
 	w.leaseExpiresBy = max(c.now, c.formerLeasesEnd)
+	w.touch()
 	w.info.Draining = false
 }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -110,7 +110,7 @@
 // cell, see package cellnode, allows decisions; if it is false, TakeOrders only returns renewal orders.
 func (c *Cell) TakeOrders(mayDecide bool) Orders {
 	var orders Orders
-	for _, w := range c.sortedWorkers() {
+	for _, w := range c.due.ordersDue(c.now) {
 		if w.info.Address == "" || w.dead && !w.listed {
 			continue
 		}
@@ -133,6 +133,7 @@
 func (c *Cell) renewOrder(w *worker) RenewOrder {
 	request := workercall.RenewRequest{Token: c.token, Acknowledged: w.lastEndStored}
 	w.renewalInFlight = true
+	w.touch()
 	if w.tokenAccepted && w.clockKnown && len(w.runs) > 0 && c.now-w.lastReport < maxReportAge {
 		request.LeaseExpiry = c.extendLease(w)
 		if w.lastEndSeen == w.lastEndStored {
@@ -142,6 +143,14 @@
 	return RenewOrder{To: w.target(), Request: request, CreatedAt: c.now}
 }
 
+// renewBy makes the worker's next renewal order due at a time, unless it is due earlier.
+func (w *worker) renewBy(at time.Duration) {
+	if at < w.nextRenewal {
+		w.nextRenewal = at
+		w.touch()
+	}
+}
+
 // renewInterval returns the time from a report to the next renewal order.
 func (c *Cell) renewInterval(w *worker) time.Duration {
 	switch {
@@ -212,14 +221,13 @@
 // due.
 func (c *Cell) NextDue() time.Duration {
 	next := c.now + idleRenewInterval
-	for _, w := range c.workers {
-		if !w.renewalInFlight {
-			next = min(next, w.nextRenewal)
-		}
-		if len(w.runs) > 0 {
-			// Runs may remain after the lease has expired, which must not make the next call due at once.
-			next = min(next, max(w.leaseExpiresBy, c.now+failedRenewInterval))
-		}
+	c.due.settle()
+	if renewal, any := c.due.renewals.first(); any {
+		next = min(next, renewal)
+	}
+	if expiry, any := c.due.leases.first(); any {
+		// Runs may remain after the lease has expired, which must not make the next call due at once.
+		next = min(next, max(expiry, c.now+failedRenewInterval))
 	}
 	if c.nextRetry != 0 {
 		next = min(next, c.nextRetry)
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -36,6 +36,7 @@
 		return
 	}
 	w.renewalInFlight = false
+	w.touch()
 	if report.StartedAtMS != 0 && w.info.StartedAtMS != 0 && report.StartedAtMS != w.info.StartedAtMS {
 		if report.StartedAtMS < w.info.StartedAtMS {
 			return // a delayed answer from an earlier incarnation
@@ -75,6 +76,7 @@
 
 // updateLeaseExpiry computes leaseExpiresBy, the latest local time at which the worker's lease has expired.
 func (w *worker) updateLeaseExpiry() {
+	w.touch()
 	remaining := max(0, w.grantedUntil-w.clock)
 	w.leaseExpiresBy = w.clockAt + remaining + remaining*clockErrorPercent/100 + leaseSlack
 }
@@ -198,6 +200,7 @@
 		return false
 	}
 	w.renewalInFlight = false
+	w.touch()
 	reason := verdict.ReasonOf(err)
 	switch reason {
 	case workercall.ReasonFenced:
@@ -218,6 +221,7 @@
 // handleOtherIncarnation handles an answer from a different incarnation than the one addressed, which has therefore
 // ended.
 func (c *Cell) handleOtherIncarnation(w *worker) {
+	w.touch()
 	if w.dead {
 		w.nextRenewal = c.now + idleRenewInterval
 		return
@@ -280,7 +284,7 @@
 // expireLeases abandons the runs on workers whose leases have expired, except for those without a start order, and
 // removes unlisted workers without runs.
 func (c *Cell) expireLeases() {
-	for _, w := range c.sortedWorkers() {
+	for _, w := range c.due.leasesDue(c.now) {
 		if len(w.runs) > 0 && !w.leaseExpired && c.now >= w.leaseExpiresBy &&
 			(w.tokenAccepted || c.now >= c.formerLeasesEnd) {
 			w.leaseExpired = true
@@ -292,7 +296,7 @@
 				}
 			}
 		}
-		if !w.listed && len(w.runs) == 0 {
+		if w.disposable() {
 			c.removeWorker(w)
 		}
 	}
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -34,7 +34,7 @@
 		c.place()
 	}
 	c.relocate()
-	round := &Round{starts: c.pendingStarts, endsSeen: make(map[*worker]int64)}
+	round := &Round{starts: c.pendingStarts}
 	c.pendingStarts = nil
 	for _, g := range c.dirtyGroups {
 		g.dirty = false
@@ -52,10 +52,11 @@
 	}
 	round.deletions = c.deletions
 	c.dirtyGroups, c.dirtyJobs, c.deletions = nil, nil, nil
-	for _, w := range c.workers {
-		if w.lastEndSeen > w.lastEndStored {
-			round.endsSeen[w] = w.lastEndSeen
+	for _, w := range c.due.unstoredEnds() {
+		if round.endsSeen == nil {
+			round.endsSeen = make(map[*worker]int64)
 		}
+		round.endsSeen[w] = w.lastEndSeen
 	}
 	return round
 }
@@ -86,7 +87,7 @@
 	for w, seen := range round.endsSeen {
 		// lastEndSeen is lower than seen if the worker has restarted since Plan.
 		w.lastEndStored = max(w.lastEndStored, min(seen, w.lastEndSeen))
-		w.nextRenewal = min(w.nextRenewal, c.now)
+		w.renewBy(c.now)
 	}
 	for _, j := range round.jobs {
 		j.endStored = true
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -201,6 +201,7 @@
 	pacingPending bool
 	// unknownRuns are runs that the worker reports but that this owner does not know; they are to be stopped.
 	unknownRuns []workercall.Run
+	due         dueState
 	// leaseExpired is set once the runs were abandoned because the lease had expired.
 	leaseExpired bool
 }
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -16,6 +16,7 @@
 	r.state, r.stateSince = state, now
 	if state == runUncertain {
 		r.worker.mayHaveUnresolved = true
+		r.worker.touch()
 	}
 }
 
@@ -28,6 +29,7 @@
 
 // addRun adds a run to its worker and its task.
 func (w *worker) addRun(r *run) {
+	w.touch()
 	step := r.task.group.step
 	w.runs[r.key()] = r
 	if step.TargetTailLatency > 0 {
@@ -59,6 +61,7 @@
 		}
 	}
 	if key := r.key(); w.runs[key] == r {
+		w.touch()
 		delete(w.runs, key)
 		w.services = withoutRun(w.services, r)
 		w.bestEffort = withoutRun(w.bestEffort, r)
