Cell: find expired jobs and due occurrences in order instead of walking all jobs

ExpireJobs walked all jobs once a second, and each flush all jobs with occurrences to come. Jobs whose outcome is stored are now in a tree by the time of their end, and the walk through scheduled jobs waits for the next due time. Expired jobs are returned oldest first; before, the order was random. TestIndexesMatchState checks both.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -273,3 +273,24 @@
 func BenchmarkFlushFull(b *testing.B) {
 	benchmarkFlush(b, benchLoad{waiting: 1700})
 }
+
+// BenchmarkExpireJobs measures a search for expired jobs among many ended ones of which none has expired.
+func BenchmarkExpireJobs(b *testing.B) {
+	const ended = 50_000
+	world := newBenchWorld(b, benchLoad{})
+	world.cell.settings.StatusRetention = time.Hour
+	spec := jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 1000, MemoryMB: 500}}}}
+	for range ended {
+		world.submit(spec)
+	}
+	for _, j := range world.cell.jobs {
+		world.cell.endJob(j, jobs.Completed)
+	}
+	world.cell.RoundStored(world.cell.Plan())
+	b.ResetTimer()
+	for range b.N {
+		if len(world.cell.ExpireJobs().Records) > 0 {
+			b.Fatal("a job has expired")
+		}
+	}
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/google/btree"
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/cpuinterference"
@@ -58,8 +59,11 @@
 	due           dueQueue
 	view          placementView // memory of newPlacementView
 	scheduledJobs []*job        // jobs with occurrences that are not due yet
-	now           time.Duration // current reading of the local clock, set by SetTime
-	wall          time.Time     // current wall time, set by SetTime
+	// nextOccurrence is at or before the wall time when the next occurrence of scheduledJobs is due.
+	nextOccurrence time.Time
+	endedJobs      *btree.BTreeG[*job] // jobs whose outcome is stored, by endedBefore
+	now            time.Duration       // current reading of the local clock, set by SetTime
+	wall           time.Time           // current wall time, set by SetTime
 }
 
 // probeBackoff holds the time from the quarantine of a worker to its first probe and the longest time between two
@@ -67,6 +71,9 @@
 // empty while tasks wait.
 var probeBackoff = quarantine.ProbeBackoff{First: 2 * time.Second, Max: 30 * time.Second}
 
+// endedJobsDegree is the degree of the tree of ended jobs.
+const endedJobsDegree = 32
+
 // New returns an empty cell for a new owner. token is the owner's fencing token, and formerLeasesEnd is when all leases
 // from former owners have expired.
 func New(s Settings, token int64, formerLeasesEnd time.Duration, log *zap.Logger, metrics *Metrics) *Cell {
@@ -74,6 +81,7 @@
 		settings: s, token: token, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
 		jobs: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
+		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
 	}
 }
 
@@ -112,6 +120,7 @@
 	c.createDueGroups(j)
 	if record.Spec.OccurrenceCount > 0 {
 		c.scheduledJobs = append(c.scheduledJobs, j)
+		c.nextOccurrence = time.Time{} // the next walk computes it
 	}
 	c.log.Info("job added", zap.String("job", string(id)), zap.String("queue", record.Queue),
 		zap.Int("steps", len(record.Spec.Steps)), zap.Strings("needs", stepSummaries(&record.Spec)),
@@ -308,8 +317,12 @@
 }
 
 // createAllDueGroups creates the task groups of all occurrences that have become due, and drops jobs without further
-// occurrences from scheduledJobs.
+// occurrences from scheduledJobs. Until the next occurrence is due, it does nothing.
 func (c *Cell) createAllDueGroups() {
+	if len(c.scheduledJobs) == 0 || c.wall.Before(c.nextOccurrence) {
+		return
+	}
+	c.nextOccurrence = time.Time{}
 	remaining := c.scheduledJobs[:0]
 	for _, j := range c.scheduledJobs {
 		if !j.live() {
@@ -318,8 +331,12 @@
 		c.createDueGroups(j)
 		if j.createdOccurrences < j.record.Spec.Occurrences() {
 			remaining = append(remaining, j)
+			if due := j.record.Spec.DueAt(j.createdOccurrences); c.nextOccurrence.IsZero() || due.Before(c.nextOccurrence) {
+				c.nextOccurrence = due
+			}
 		}
 	}
+	clear(c.scheduledJobs[len(remaining):])
 	c.scheduledJobs = remaining
 }
 
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -21,26 +21,43 @@
 }
 
 // ExpireJobs returns jobs that ended at least Settings.StatusRetention ago and have no runs. A job is returned again
-// only after a call of ExpiredNotDeleted.
+// only after a call of ExpiredNotDeleted. The jobs that ended first come first.
 func (c *Cell) ExpireJobs() *ExpiredJobs {
 	expired := &ExpiredJobs{}
-	for id, j := range c.jobs {
-		if len(expired.jobs) >= maxExpiredJobs {
-			break
+	c.endedJobs.Ascend(func(j *job) bool {
+		if len(expired.jobs) >= maxExpiredJobs || c.wall.UnixMilli()-j.endedAtMS < c.settings.StatusRetention.Milliseconds() {
+			return false
 		}
-		if j.deleting || !j.ended || !j.endStored ||
-			c.wall.UnixMilli()-j.endedAtMS < c.settings.StatusRetention.Milliseconds() || j.hasRuns() {
-			continue
+		if j.deleting || j.hasRuns() {
+			return true
 		}
 		j.deleting = true
-		expired.jobs = append(expired.jobs, id)
-		for _, key := range append([]string{jobrecord.CancelKey(id)}, j.recordKeys...) {
+		expired.jobs = append(expired.jobs, j.id)
+		for _, key := range append([]string{jobrecord.CancelKey(j.id)}, j.recordKeys...) {
 			expired.Records = append(expired.Records, store.Record{Key: key})
 		}
-	}
+		return true
+	})
 	return expired
 }
 
+// markEndStored marks the outcome of an ended job as stored.
+func (c *Cell) markEndStored(j *job) {
+	if j.endStored {
+		return
+	}
+	j.endStored = true
+	c.endedJobs.ReplaceOrInsert(j)
+}
+
+// endedBefore orders ended jobs by the time of their end and by ID.
+func endedBefore(a, b *job) bool {
+	if a.endedAtMS != b.endedAtMS {
+		return a.endedAtMS < b.endedAtMS
+	}
+	return a.id < b.id
+}
+
 // ExpiredDeleted is called once expired.Records are stored. It removes the jobs; their progress records are deleted
 // with the next round.
 func (c *Cell) ExpiredDeleted(expired *ExpiredJobs) {
@@ -54,6 +71,7 @@
 			c.deletions = append(c.deletions, jobrecord.GroupKey(group))
 		}
 		delete(c.jobs, id)
+		c.endedJobs.Delete(j)
 	}
 }
 
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -95,6 +95,7 @@
 		checkWorkerRuns(t, c, w)
 	}
 	checkDue(t, c)
+	checkJobs(t, c)
 	expected := expectedWaiting(t, c)
 	for _, g := range expected {
 		if !slices.Contains(c.waiting, g) {
@@ -173,6 +174,28 @@
 	}
 }
 
+// checkJobs checks the ended jobs and the time of the next occurrence.
+func checkJobs(t *testing.T, c *Cell) {
+	t.Helper()
+	endStored := 0
+	for _, j := range c.jobs {
+		if j.endStored {
+			endStored++
+			if !j.ended || !c.endedJobs.Has(j) {
+				t.Errorf("job %s is missing from the ended jobs", j.id)
+			}
+		}
+	}
+	if endStored != c.endedJobs.Len() {
+		t.Errorf("%d ended jobs instead of %d", c.endedJobs.Len(), endStored)
+	}
+	for _, j := range c.scheduledJobs {
+		if due := j.record.Spec.DueAt(j.createdOccurrences); j.live() && due.Before(c.nextOccurrence) {
+			t.Errorf("job %s is due at %v, the next occurrence at %v", j.id, due, c.nextOccurrence)
+		}
+	}
+}
+
 func checkWorkerRuns(t *testing.T, c *Cell, w *worker) {
 	t.Helper()
 	var reserved jobs.Resources
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -79,7 +79,8 @@
 			c.skipUnreadable(r, err)
 			return
 		}
-		j.ended, j.endStored, j.outcome, j.endedAtMS = true, true, outcome.State, outcome.AtMS
+		j.ended, j.outcome, j.endedAtMS = true, outcome.State, outcome.AtMS
+		c.markEndStored(j)
 	case kind == jobrecord.KindGroup && j != nil:
 		var record jobrecord.Group
 		if err := recordcodec.Decode(r.Value, &record); err != nil {
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -90,7 +90,7 @@
 		w.renewBy(c.now)
 	}
 	for _, j := range round.jobs {
-		j.endStored = true
+		c.markEndStored(j)
 	}
 	var starts []StartOrder
 	for _, r := range round.starts {
