--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -1,14 +1,13 @@
 package cell
 
 import (
-	"fmt"
-
 	"github.com/VictoriaMetrics/metrics"
 )
 
 // Metrics are the metrics of a node about the cells that it owns. Histograms are in seconds.
 type Metrics struct {
 	set           *metrics.Set
+	counters      counterCache
 	DuplicateJobs *metrics.Counter // job records whose job was already known
 	// FencedOwners counts the owners on this node that ended because a newer owner had fenced them or because it was
 	// unknown whether their progress was stored.
@@ -40,21 +39,21 @@
 
 // countFailedStart counts a start order that was refused, not answered or not sent, by reason.
 func (c *Metrics) countFailedStart(reason string) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("cactuswall_cell_starts_refused_total{reason=%q}", reason)).Inc()
+	c.counters.get(c.set, "cactuswall_cell_starts_refused_total", "reason", reason).Inc()
 }
 
 // countEndedRun counts the end of a run, by how it ended.
 func (c *Metrics) countEndedRun(how string) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("cactuswall_cell_runs_ended_total{how=%q}", how)).Inc()
+	c.counters.get(c.set, "cactuswall_cell_runs_ended_total", "how", how).Inc()
 }
 
 // countAbandonedRun counts a run that was abandoned, by reason.
 func (c *Metrics) countAbandonedRun(reason string) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("cactuswall_cell_runs_lost_total{reason=%q}", reason)).Inc()
+	c.counters.get(c.set, "cactuswall_cell_runs_lost_total", "reason", reason).Inc()
 }
 
 // countStop counts a run that was ordered to stop, by reason. A run that the owner does not know is counted,
 // as stopRunUnknown, with each stop order; any other run is counted once.
 func (c *Metrics) countStop(reason string) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("cactuswall_cell_stops_total{reason=%q}", reason)).Inc()
+	c.counters.get(c.set, "cactuswall_cell_stops_total", "reason", reason).Inc()
 }
