Cell: a worker to which no order can be sent does not make the next flush due

A worker known only from a stored run has no address, and one whose address another incarnation took over has none of its own. TakeOrders passes over both, but NextDue counted their renewal as due at once, so that the owner flushed every few milliseconds until their runs' leases had expired, as after each takeover. Flushes for other causes stay as they are.

--- a/internal/cell/due.go
+++ b/internal/cell/due.go
@@ -10,7 +10,7 @@
 // a worker that the queue depends on calls worker.touch; settle brings the queue up to date.
 type dueQueue struct {
 	touched []*worker
-	// renewals contains the workers without a renewal order in flight, by nextRenewal.
+	// renewals contains the renewable workers without a renewal order in flight, by nextRenewal.
 	renewals dueHeap
 	// leases contains the workers with runs, by leaseExpiresBy.
 	leases dueHeap
@@ -45,13 +45,17 @@
 // disposable reports whether the worker has neither an entry in the store nor runs.
 func (w *worker) disposable() bool { return !w.listed && len(w.runs) == 0 }
 
+// renewable reports whether orders can be sent to the worker: its address is known, and it has an entry in the store or no
+// other incarnation has answered at its address.
+func (w *worker) renewable() bool { return w.info.Address != "" && (!w.dead || w.listed) }
+
 func (w *worker) hasUnstoredEnds() bool { return w.lastEndSeen > w.lastEndStored }
 
 // settle brings the queue up to date with the workers that were touched.
 func (q *dueQueue) settle() {
 	for _, w := range q.touched {
 		w.due.touched = false
-		q.renewals.update(w, &w.due.renewalAt, w.nextRenewal, !w.renewalInFlight && !w.due.removed)
+		q.renewals.update(w, &w.due.renewalAt, w.nextRenewal, w.renewable() && !w.renewalInFlight && !w.due.removed)
 		q.leases.update(w, &w.due.leasesAt, w.leaseExpiresBy, len(w.runs) > 0 && !w.due.removed)
 		if !w.due.inPending && w.pending() && !w.due.removed {
 			w.due.inPending = true
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -111,7 +111,7 @@
 func (c *Cell) TakeOrders(mayDecide bool) Orders {
 	var orders Orders
 	for _, w := range c.due.ordersDue(c.now) {
-		if w.info.Address == "" || w.dead && !w.listed {
+		if !w.renewable() {
 			continue
 		}
 		if !w.renewalInFlight && c.now >= w.nextRenewal {
