--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/google/btree"
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/cpuinterference"
@@ -11,7 +12,6 @@
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/queue"
-	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 // Settings are the configurable limits of a cell.
@@ -49,13 +49,22 @@
 	// dirtyGroups and dirtyJobs have changes that are not stored yet.
 	dirtyGroups   []*group
 	dirtyJobs     []*job
-	deletions     []string      // keys of progress records that the next round deletes
-	pendingStarts []*run        // placed runs that the next round stores, to be started then
-	openGroups    []*group      // groups with unfinished tasks, of jobs that have neither ended nor been cancelled
+	deletions     []string // keys of progress records that the next round deletes
+	pendingStarts []*run   // placed runs that the next round stores, to be started then
+	groupCount    int      // number of groups that were created
+	// waiting contains the ready groups with tasks to start, of jobs that may still run. It may contain others, which
+	// the next placement removes. It is in the order of the newest placement round.
+	waiting       []*group
+	reports       int64 // number of reports whose runs were compared to the known ones
+	due           dueQueue
+	view          placementView // memory of newPlacementView
 	scheduledJobs []*job        // jobs with occurrences that are not due yet
-	now           time.Duration // current reading of the local clock, set by SetTime
-	wall          time.Time     // current wall time, set by SetTime
-	roundTime     time.Duration // set by SetRoundTime
+	// nextOccurrence is at or before the wall time when the next occurrence of scheduledJobs is due.
+	nextOccurrence time.Time
+	endedJobs      *btree.BTreeG[*job] // jobs whose outcome is stored, by endedBefore
+	now            time.Duration       // current reading of the local clock, set by SetTime
+	wall           time.Time           // current wall time, set by SetTime
+	roundTime      time.Duration       // set by SetRoundTime
 }
 
 // probeBackoff holds the time from the quarantine of a worker to its first probe and the longest time between two
@@ -63,6 +72,9 @@
 // empty while tasks wait.
 var probeBackoff = quarantine.ProbeBackoff{First: 2 * time.Second, Max: 30 * time.Second}
 
+// endedJobsDegree is the degree of the tree of ended jobs.
+const endedJobsDegree = 32
+
 // New returns an empty cell for a new owner. token is the owner's fencing token, and formerLeasesEnd is when all leases
 // from former owners have expired.
 func New(s Settings, token int64, formerLeasesEnd time.Duration, log *zap.Logger, metrics *Metrics) *Cell {
@@ -70,6 +82,7 @@
 		settings: s, token: token, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
 		jobs: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
+		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
 	}
 }
 
@@ -112,6 +125,7 @@
 	c.createDueGroups(j)
 	if record.Spec.OccurrenceCount > 0 {
 		c.scheduledJobs = append(c.scheduledJobs, j)
+		c.nextOccurrence = time.Time{} // the next walk computes it
 	}
 	c.log.Info("job added", zap.String("job", string(id)), zap.String("queue", record.Queue),
 		zap.Int("steps", len(record.Spec.Steps)), zap.Strings("needs", stepSummaries(&record.Spec)),
@@ -177,12 +191,13 @@
 		return g
 	}
 	step := &j.record.Spec.Steps[id.Step]
-	g := &group{id: id, job: j, step: step, unfinished: step.Count, tasks: make([]*task, step.Count), nextGangRun: 1}
+	g := &group{id: id, job: j, step: step, unfinished: step.Count, toStart: step.Count, tasks: make([]*task, step.Count),
+		nextGangRun: 1, sequence: c.groupCount, receivedAt: receivedAt(j, id.Occurrence)}
+	c.groupCount++
 	for i := range g.tasks {
 		g.tasks[i] = &task{id: id.Task(i), group: g}
 	}
 	j.groups[id] = g
-	c.openGroups = append(c.openGroups, g)
 	return g
 }
 
@@ -197,6 +212,7 @@
 		for _, t := range g.tasks {
 			t.waitingSince = c.now
 		}
+		c.addWaiting(g)
 		c.needsPlacement = true
 	}
 }
@@ -260,6 +276,8 @@
 		return
 	}
 	r.stopRequested, r.stopReason = true, reason
+	r.worker.mayHaveUnresolved = true
+	r.worker.touch()
 	if r.state == runPlaced {
 		c.removeRun(r)
 	}
@@ -269,22 +287,11 @@
 // done, it waits for placement again.
 func (c *Cell) removeRun(r *run) {
 	t := r.task
-	for i, other := range t.runs {
-		if other == r {
-			t.runs = append(t.runs[:i], t.runs[i+1:]...)
-			break
-		}
-	}
-	if r.worker != nil {
-		key := workercall.Run{Task: t.id, Number: r.number}
-		if r.worker.runs[key] == r {
-			delete(r.worker.runs, key)
-			r.worker.reserved = r.worker.reserved.Sub(t.group.step.Requested())
-		}
-	}
+	r.worker.deleteRun(r)
 	if !t.done && len(t.runs) == 0 {
 		t.waitingSince = c.now
 	}
+	c.addWaiting(t.group)
 	c.needsPlacement = true
 	c.markGroupDirty(t.group)
 }
@@ -315,8 +322,12 @@
 }
 
 // createAllDueGroups creates the task groups of all occurrences that have become due, and drops jobs without further
-// occurrences from scheduledJobs.
+// occurrences from scheduledJobs. Until the next occurrence is due, it does nothing.
 func (c *Cell) createAllDueGroups() {
+	if len(c.scheduledJobs) == 0 || c.wall.Before(c.nextOccurrence) {
+		return
+	}
+	c.nextOccurrence = time.Time{}
 	remaining := c.scheduledJobs[:0]
 	for _, j := range c.scheduledJobs {
 		if !j.live() {
@@ -325,8 +336,12 @@
 		c.createDueGroups(j)
 		if j.createdOccurrences < j.record.Spec.Occurrences() {
 			remaining = append(remaining, j)
+			if due := j.record.Spec.DueAt(j.createdOccurrences); c.nextOccurrence.IsZero() || due.Before(c.nextOccurrence) {
+				c.nextOccurrence = due
+			}
 		}
 	}
+	clear(c.scheduledJobs[len(remaining):])
 	c.scheduledJobs = remaining
 }
 
@@ -385,5 +400,7 @@
 
 func (c *Cell) removeWorker(w *worker) {
 	delete(c.workers, w.info.ID)
+	w.due.removed = true
+	w.touch()
 	c.workersByID = nil
 }
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -64,7 +64,6 @@
 	for _, j := range c.jobs {
 		c.resumeJob(j)
 	}
-	c.pruneOpenGroups()
 }
 
 // loadProgress loads a progress record. recorded contains the jobs that have a record, readable or not.
@@ -81,7 +80,8 @@
 			c.skipUnreadable(r, err)
 			return
 		}
-		j.ended, j.endStored, j.outcome, j.endedAtMS = true, true, outcome.State, outcome.AtMS
+		j.ended, j.outcome, j.endedAtMS = true, outcome.State, outcome.AtMS
+		c.markEndStored(j)
 	case kind == jobrecord.KindGroup && j != nil:
 		var record jobrecord.Group
 		if err := recordcodec.Decode(r.Value, &record); err != nil {
@@ -111,7 +111,7 @@
 		return
 	}
 	g := c.ensureGroup(j, id)
-	g.nextGangRun, g.unfinished = record.NextRun, 0
+	g.nextGangRun, g.unfinished, g.toStart = record.NextRun, 0, 0
 	for i := range record.Tasks {
 		stored := &record.Tasks[i]
 		t := g.tasks[i]
@@ -119,6 +119,9 @@
 		if !t.done {
 			g.unfinished++
 		}
+		if t.needsRun() {
+			g.toStart++
+		}
 		if t.lastRunNumber > 0 {
 			g.started, j.started = true, true
 		}
@@ -133,15 +136,13 @@
 	w := c.workers[stored.Worker]
 	if w == nil {
 		w = c.addWorker(workercall.Worker{ID: stored.Worker, Service: t.group.job.record.Service})
-		w.listed = false
+		w.listed = false // addRun touches the worker
 	}
 	r := &run{
 		task: t, number: stored.Number, worker: w, incarnation: stored.WorkerStartedAtMS, state: runUncertain, stateSince: c.now,
 		pace: fullPace,
 	}
-	t.runs = append(t.runs, r)
-	w.runs[workercall.Run{Task: t.id, Number: r.number}] = r
-	w.reserved = w.reserved.Add(t.group.step.Requested())
+	w.addRun(r)
 }
 
 // resumeJob marks the steps of a loaded job as ready if their dependencies are done. If the job has ended or was
@@ -162,17 +163,6 @@
 	c.completeJobIfDone(j)
 }
 
-// pruneOpenGroups removes from openGroups the groups that are finished or whose job has ended or was cancelled.
-func (c *Cell) pruneOpenGroups() {
-	open := c.openGroups[:0]
-	for _, g := range c.openGroups {
-		if g.unfinished > 0 && g.job.live() {
-			open = append(open, g)
-		}
-	}
-	c.openGroups = open
-}
-
 // groupRecord returns the stored form of a group's progress.
 func groupRecord(g *group) *jobrecord.Group {
 	record := &jobrecord.Group{NextRun: g.nextGangRun, Tasks: make([]jobrecord.Task, len(g.tasks))}
@@ -192,8 +182,9 @@
 // addWorker adds a worker that has an entry in the store or to which a stored run refers. Until the worker reports, its
 // lease is assumed to last until formerLeasesEnd.
 func (c *Cell) addWorker(info workercall.Worker) *worker {
-	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run)}
-	w.leaseExpiresBy = c.formerLeasesEnd
+	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run), due: dueState{queue: &c.due}}
+	w.touch()
+	w.leaseExpiresBy, w.failureRate = c.formerLeasesEnd, c.health.FailureRate(info.ID)
 	c.workers[info.ID] = w
 	c.workersByID = nil
 	return w
@@ -237,6 +228,7 @@
 	if w.info.Address != info.Address {
 		w.dead = false // the other incarnation answered at the former address
 	}
+	w.touch()
 	// An incarnation that was draining stays so, even if a later entry does not say so.
 	draining := w.info.Draining && info.StartedAtMS == w.info.StartedAtMS
 	w.info, w.listed = info, true
@@ -246,6 +238,7 @@
 // workerUnlisted handles a worker whose entry is no longer in the store.
 func (c *Cell) workerUnlisted(w *worker) {
 	w.listed = false
+	w.touch()
 	c.log.Info("worker no longer registered", zap.String("worker", w.info.ID), zap.Int("runs", len(w.runs)),
 		zap.Duration("lapsed_in", w.leaseExpiresBy-c.now))
 	if len(w.runs) == 0 {
@@ -270,5 +263,6 @@
 	w.tokenAccepted, w.clockKnown, w.dead, w.failingSince = false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.grantedUntil, w.nextRenewal = 0, 0, 0, c.now
 	w.leaseExpiresBy = leaseExpiresBy
+	w.touch()
 	w.info.Draining = false
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,16 +1,12 @@
 package cell
 
 import (
-	"sort"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/placement"
-	"cactuswall.example/cactuswall/internal/quarantine"
-	"cactuswall.example/cactuswall/internal/urgency"
-	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 const (
@@ -25,19 +21,6 @@
 	placementRetryInterval = 100 * time.Millisecond
 )
 
-// placementView is a snapshot of the workers that accept tasks. workers and candidates have the same indexes, and
-// reserve updates the candidates as tasks are placed.
-type placementView struct {
-	workers    []*worker
-	candidates []placement.Worker
-	// headroom holds, by image and worker index, the share of the worker's CPU time that best-effort tasks of the image
-	// may use; see Cell.headroom. It is computed when an image is first needed.
-	headroom map[string][]float64
-	// unplaceable holds, by constraints, the last need for which no worker was found. chooseWorker returns -1 at once
-	// for a task with the same constraints that needs at least as much.
-	unplaceable map[needKey]placement.Need
-}
-
 // needKey identifies tasks with the same constraints: apart from resources, the same workers are eligible for all of
 // them, unless limited is set.
 type needKey struct {
@@ -52,7 +35,7 @@
 
 // place chooses workers for waiting tasks, starting with the most urgent group.
 func (c *Cell) place() {
-	groups := c.waitingGroups()
+	groups := c.sortWaiting()
 	if len(groups) == 0 {
 		return
 	}
@@ -73,87 +56,12 @@
 	}
 }
 
-// waitingGroups returns the ready groups with tasks to start, of jobs that may still run, most urgent first.
-func (c *Cell) waitingGroups() []*group {
-	c.pruneOpenGroups()
-	var groups []*group
-	for _, g := range c.openGroups {
-		if g.ready && g.hasTaskToStart() {
-			groups = append(groups, g)
-		}
-	}
-	items := make(map[*group]*urgency.Item, len(groups))
-	for _, g := range groups {
-		items[g] = c.urgencyItem(g)
-	}
-	sort.SliceStable(groups, func(i, j int) bool { return urgency.Before(items[groups[i]], items[groups[j]]) })
-	return groups
-}
-
-func (g *group) hasTaskToStart() bool {
-	for _, t := range g.tasks {
-		if t.needsRun() {
-			return true
-		}
-	}
-	return false
-}
-
-// urgencyItem returns what the urgency package needs to order a waiting group.
-func (c *Cell) urgencyItem(g *group) *urgency.Item {
-	j := g.job
-	return &urgency.Item{
-		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
-		Objective: j.objective, JobCPU: j.work,
-	}
-}
-
-// age returns the time since the job was received or, if later, since the occurrence was due. It uses wall time, so
-// that it includes the time under former owners.
-func (c *Cell) age(g *group) time.Duration {
-	start := time.UnixMilli(g.job.record.ReceivedMS)
-	if due := g.job.record.Spec.DueAt(g.id.Occurrence); due.After(start) {
-		start = due
-	}
-	return max(0, c.wall.Sub(start))
-}
-
-// newPlacementView returns a view of the workers that accept tasks now.
-func (c *Cell) newPlacementView() *placementView {
-	v := &placementView{headroom: make(map[string][]float64), unplaceable: make(map[needKey]placement.Need)}
-	for _, w := range c.sortedWorkers() {
-		if !c.acceptsTasks(w) {
-			continue
-		}
-		state := c.health.State(w.info.ID, c.wall)
-		if state == quarantine.Quarantined {
-			continue
-		}
-		v.workers = append(v.workers, w)
-		v.candidates = append(v.candidates, placement.Worker{
-			ID: w.info.ID, Rack: w.info.Rack, FailureDomain: w.info.FailureDomain, Free: w.info.Capacity.Sub(w.reserved),
-			SpareMilliCPU: w.spareCPU(), MilliCPU: w.info.Capacity.MilliCPU, Probing: state == quarantine.Probing,
-			FailureRate: c.health.FailureRate(w.info.ID),
-		})
-	}
-	return v
-}
-
 // acceptsTasks reports whether tasks may be placed on a worker now.
 func (c *Cell) acceptsTasks(w *worker) bool {
 	return w.listed && w.tokenAccepted && w.clockKnown && !w.dead && !w.info.Draining && w.failingSince == 0 &&
 		c.now >= w.refusingUntil && c.now-w.lastReport < idleRenewInterval+maxReportAge
 }
 
-// spareCPU returns the CPU, in milli-CPU, that the worker's runs are expected to leave unused.
-func (w *worker) spareCPU() int {
-	spare := w.info.Capacity.MilliCPU
-	for _, r := range w.runs {
-		spare -= r.expectedCPU()
-	}
-	return spare
-}
-
 // expectedCPU returns the CPU, in milli-CPU, that a run is expected to use.
 func (r *run) expectedCPU() int {
 	request := r.task.group.step.Request.MilliCPU
@@ -366,10 +274,8 @@
 		task: t, number: number, worker: w, incarnation: w.info.StartedAtMS, state: runPlaced, stateSince: c.now,
 		pace: fullPace, probe: v.candidates[i].Probing,
 	}
-	t.runs = append(t.runs, r)
 	t.lastRunNumber = number
-	w.runs[workercall.Run{Task: t.id, Number: number}] = r
-	w.reserved = w.reserved.Add(t.group.step.Requested())
+	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
 	c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
 	c.markGroupDirty(t.group)
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -36,6 +36,7 @@
 		return
 	}
 	w.renewalInFlight = false
+	w.touch()
 	if report.StartedAtMS != 0 && w.info.StartedAtMS != 0 && report.StartedAtMS != w.info.StartedAtMS {
 		if report.StartedAtMS < w.info.StartedAtMS {
 			return // a delayed answer from an earlier incarnation
@@ -75,6 +76,7 @@
 
 // updateLeaseExpiry computes leaseExpiresBy, the latest local time at which the worker's lease has expired.
 func (w *worker) updateLeaseExpiry() {
+	w.touch()
 	remaining := max(0, w.grantedUntil-w.clock)
 	w.leaseExpiresBy = w.clockAt + remaining + remaining*clockErrorPercent/100 + leaseSlack
 }
@@ -95,11 +97,11 @@
 // created; a run whose state has changed since may be missing from the report. first is set for the first report of
 // this incarnation to this owner.
 func (c *Cell) reconcileRuns(w *worker, report workercall.Report, sent time.Duration, first bool) {
-	listed := make(map[workercall.Run]bool, len(report.Running))
+	c.reports++
 	for i := range report.Running {
 		running := &report.Running[i]
-		listed[running.Run] = true
 		if r := w.runs[running.Run]; r != nil {
+			r.listedIn = c.reports
 			c.confirmRunning(r, running)
 		} else {
 			c.handleUnknownRun(w, running)
@@ -108,10 +110,14 @@
 	if len(report.Ended) >= maxListedEnds {
 		return
 	}
-	for _, r := range w.sortedRuns() {
-		if listed[workercall.Run{Task: r.task.id, Number: r.number}] || r.stateSince > sent {
-			continue
+	var unlisted []*run
+	for _, r := range w.runs {
+		if r.listedIn != c.reports && r.stateSince <= sent {
+			unlisted = append(unlisted, r)
 		}
+	}
+	sort.Slice(unlisted, func(i, j int) bool { return lessRun(unlisted[i], unlisted[j]) })
+	for _, r := range unlisted {
 		c.handleUnlistedRun(r, first)
 	}
 }
@@ -154,14 +160,14 @@
 	if r.probe && r.task.group.step.LongRunning && r.progressPercent >= servingPercent &&
 		c.now-r.runningSince >= probeSuccessTime &&
 		c.health.State(id, c.wall) != quarantine.Trusted {
-		c.health.RecordSuccess(id, failureKind(r.task.group))
+		c.recordSuccess(r)
 		c.log.Info("worker trusted again", zap.String("worker", id), taskField(r.task.id))
 	}
 }
 
 // setRunning marks a run as running.
 func (c *Cell) setRunning(r *run) {
-	r.state, r.stateSince = runRunning, c.now
+	r.setState(runRunning, c.now)
 	if r.runningSince == 0 {
 		r.runningSince = c.now
 	}
@@ -194,6 +200,7 @@
 		return false
 	}
 	w.renewalInFlight = false
+	w.touch()
 	reason := verdict.ReasonOf(err)
 	switch reason {
 	case workercall.ReasonFenced:
@@ -214,6 +221,7 @@
 // handleOtherIncarnation handles an answer from a different incarnation than the one addressed, which has therefore
 // ended.
 func (c *Cell) handleOtherIncarnation(w *worker) {
+	w.touch()
 	if w.dead {
 		w.nextRenewal = c.now + idleRenewInterval
 		return
@@ -276,11 +284,11 @@
 // expireLeases abandons the runs on workers whose leases have expired, except for those without a start order, and
 // removes unlisted workers without runs.
 func (c *Cell) expireLeases() {
-	for _, w := range c.sortedWorkers() {
+	for _, w := range c.due.leasesDue(c.now) {
 		if !w.leaseExpired && c.now >= w.leaseExpiresBy && (w.tokenAccepted || c.now >= c.formerLeasesEnd) {
 			c.expireLease(w)
 		}
-		if !w.listed && len(w.runs) == 0 {
+		if w.disposable() {
 			c.removeWorker(w)
 		}
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/urgency"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -51,6 +52,7 @@
 	stopReason      stopReason
 	stopSentAt      time.Duration // when the newest stop order was sent; 0 for never
 	stopInFlight    bool          // a stop order is sent and not answered
+	listedIn        int64         // number, by Cell.reports, of the newest report that lists the run as running
 	progressPercent int           // as last reported; servingPercent for a long-running task that is serving
 	pace            int           // ordered speed, in percent of full speed
 	tailLatency     time.Duration // of a service task, as last reported
@@ -98,11 +100,20 @@
 
 // group is the state of the tasks of one step in one occurrence of a job.
 type group struct {
-	id          jobs.GroupID
-	job         *job
-	step        *jobs.Step
-	tasks       []*task
-	unfinished  int // number of tasks that are not done
+	id         jobs.GroupID
+	job        *job
+	step       *jobs.Step
+	tasks      []*task
+	unfinished int // number of tasks that are not done
+	toStart    int // number of tasks for which needsRun holds
+	// sequence numbers the groups of the cell in the order of their creation.
+	sequence int
+	// waiting is set while the group is in Cell.waiting.
+	waiting bool
+	// rank is the group's rank in the placement round that runs now.
+	rank urgency.Rank
+	// receivedAt is when the job was received or, if later, when the occurrence was due, in wall time.
+	receivedAt  time.Time
 	nextGangRun int // run number of the next start of a gang
 	// lastFailedGangRun is the newest run number of a gang whose failure was counted.
 	lastFailedGangRun int
@@ -158,9 +169,17 @@
 	// tokenAccepted is set once this incarnation has accepted the owner's fencing token.
 	tokenAccepted bool
 	// dead is set once another incarnation has answered at the worker's address, so that this one has ended.
-	dead     bool
-	runs     map[workercall.Run]*run
-	reserved jobs.Resources // requested by the tasks of all runs
+	dead bool
+	runs map[workercall.Run]*run
+	// services and bestEffort are the runs of tasks with a latency target and of best-effort tasks, sorted by lessRun. A
+	// run may be in both.
+	services, bestEffort []*run
+	reserved             jobs.Resources // requested by the tasks of all runs
+	// expectedCPU is the CPU that all runs are expected to use, in milli-CPU.
+	expectedCPU int
+	failureRate float64 // recent share of failed runs, from 0 to 1, as the quarantine table has it
+	// mayHaveUnresolved is set if a run is unresolved; it may stay set when none is.
+	mayHaveUnresolved bool
 	// clock is the worker's clock as read at local time clockAt.
 	clock      time.Duration
 	clockAt    time.Duration
@@ -184,6 +203,7 @@
 	pacingPending bool
 	// unknownRuns are runs that the worker reports but that this owner does not know; they are to be stopped.
 	unknownRuns []workercall.Run
+	due         dueState
 	// leaseExpired is set once the runs were abandoned because the lease had expired.
 	leaseExpired bool
 }
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/quarantine"
 )
 
@@ -16,6 +17,9 @@
 // doubled, so that a step that waits for a day causes about 16 lines.
 const firstWaitLog = 2 * time.Second
 
+// maxWaitLogs is the maximum number of such lines per round. The other steps follow in later rounds.
+const maxWaitLogs = 4
+
 // Reasons why a worker was not chosen for a task. The values are log keys.
 const (
 	exclusionNotListed        = "not_listed"
@@ -76,31 +80,20 @@
 	Workers      int
 }
 
-// Workload counts the cell's waiting tasks, runs and workers. It visits all unfinished tasks.
+// Workload counts the cell's waiting tasks, runs and workers.
 func (c *Cell) Workload() Workload {
 	load := Workload{Workers: len(c.workers)}
 	for _, w := range c.workers {
 		load.Runs += len(w.runs)
 	}
-	for _, g := range c.openGroups {
-		if g.ready && g.job.live() {
-			load.WaitingTasks += g.waitingTasks()
+	for _, g := range c.waiting {
+		if g.mayStart() {
+			load.WaitingTasks += g.toStart
 		}
 	}
 	return load
 }
 
-// waitingTasks returns the number of tasks to be placed.
-func (g *group) waitingTasks() int {
-	count := 0
-	for _, t := range g.tasks {
-		if t.needsRun() {
-			count++
-		}
-	}
-	return count
-}
-
 // waitLogDue returns how long a task has waited. due is true if that has to be logged, which is noted for the group.
 func (c *Cell) waitLogDue(t *task) (waited time.Duration, due bool) {
 	g := t.group
@@ -116,19 +109,15 @@
 // resources in use on full workers are known.
 func (c *Cell) logWaiting(v *placementView, t *task) {
 	t.group.waitReason = waitRoom
+	if v.waitLogs >= maxWaitLogs {
+		return
+	}
 	waited, due := c.waitLogDue(t)
 	if !due {
 		return
 	}
-	counts := make(exclusions)
-	var ages []time.Duration
-	for _, w := range c.sortedWorkers() {
-		reason := c.exclusionReason(v, w, t)
-		counts[reason]++
-		if reason == exclusionResources {
-			ages = append(ages, c.now-w.lastReport)
-		}
-	}
+	v.waitLogs++
+	counts, ages := c.countExclusions(v, t)
 	fields := []zap.Field{taskField(t.id), zap.Duration("waited", waited), zap.String("needs", t.group.step.Summary()),
 		zap.Object("workers", counts), zap.Duration("round_time", c.roundTime)}
 	if len(ages) > 0 {
@@ -179,22 +168,43 @@
 		if k == i {
 			before = total
 		}
-		total += g.waitingTasks()
+		total += g.toStart
 	}
 	c.log.Info("step waiting for its turn", taskField(t.id), zap.Duration("waited", waited), zap.Int("position", before+1),
 		zap.Int("waiting_tasks", total), zap.Duration("round_time", c.roundTime))
 	return true
 }
 
-// exclusionReason returns why a worker was not chosen for a task. If several reasons apply, it returns the first in the
-// order of its cases, which is enough for the log.
-func (c *Cell) exclusionReason(v *placementView, w *worker, t *task) string {
-	step := t.group.step
-	i := v.index(w)
+// countExclusions counts the workers by the reason why they were not chosen for a task. ages are the ages of the newest
+// reports of the workers without enough free resources.
+func (c *Cell) countExclusions(v *placementView, t *task) (counts exclusions, ages []time.Duration) {
+	counts = make(exclusions)
+	platformService, perWorker := c.platformServiceOf(t.group.job), c.runsPerWorker(t.group)
+	next := 0 // index of the next candidate; the candidates are in the order of the workers
+	for _, w := range c.sortedWorkers() {
+		i := -1
+		if next < len(v.workers) && v.workers[next] == w {
+			i = next
+			next++
+		}
+		reason := c.exclusionReason(v, w, i, t.group.step, platformService, perWorker)
+		counts[reason]++
+		if reason == exclusionResources {
+			ages = append(ages, c.now-w.lastReport)
+		}
+	}
+	return counts, ages
+}
+
+// exclusionReason returns why a worker was not chosen for a task of a step. If several reasons apply, it returns the
+// first in the order of its cases, which is enough for the log. i is the worker's index among the candidates, or -1 if
+// it does not accept tasks now; platformService is the platform service whose workers run the job's tasks, perWorker the
+// result of runsPerWorker.
+func (c *Cell) exclusionReason(v *placementView, w *worker, i int, step *jobs.Step, platformService string, perWorker map[*worker]int) string {
 	switch {
 	case !w.listed || w.dead:
 		return exclusionNotListed
-	case w.info.Service != c.platformServiceOf(t.group.job):
+	case w.info.Service != platformService:
 		return exclusionService
 	case !w.tokenAccepted || !w.clockKnown:
 		return exclusionTokenNotAccepted
@@ -210,7 +220,7 @@
 		return exclusionResources
 	case step.RequiredLabel != "" && !hasLabel(w, step.RequiredLabel):
 		return exclusionLabel
-	case step.MaxPerWorker > 0 && c.runsPerWorker(t.group)[w] >= step.MaxPerWorker:
+	case step.MaxPerWorker > 0 && perWorker[w] >= step.MaxPerWorker:
 		return exclusionMaxPerWorker
 	case step.BestEffort && !c.fitsBesideServices(v, i, step):
 		return exclusionServiceTargets
@@ -219,13 +229,3 @@
 	}
 	return exclusionOther
 }
-
-// index returns the index of a worker among the candidates, or -1 if it does not accept tasks now.
-func (v *placementView) index(w *worker) int {
-	for i, candidate := range v.workers {
-		if candidate == w {
-			return i
-		}
-	}
-	return -1
-}
