recordcodec: reuse the encoder and the buffer

Cause: each encoding allocated an encoder and grew a buffer step by step. Change: msgpack's pool of encoders and a pool of buffers; the result is a copy of its exact size. The bytes stay the same.

--- a/internal/recordcodec/recordcodec.go
+++ b/internal/recordcodec/recordcodec.go
@@ -4,20 +4,35 @@
 
 import (
 	"bytes"
+	"sync"
 
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// maxPooledBytes is the size of the largest buffer that is kept for reuse.
+const maxPooledBytes = 64 << 10
+
+// buffers holds the buffers in which records are encoded.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // Encode returns the msgpack encoding of a record.
 func Encode(record any) ([]byte, error) {
-	var buffer bytes.Buffer
-	encoder := msgpack.NewEncoder(&buffer)
+	buffer := buffers.Get().(*bytes.Buffer)
+	encoder := msgpack.GetEncoder()
+	defer func() {
+		msgpack.PutEncoder(encoder)
+		if buffer.Cap() <= maxPooledBytes {
+			buffers.Put(buffer)
+		}
+	}()
+	buffer.Reset()
+	encoder.Reset(buffer)
 	encoder.UseArrayEncodedStructs(true)
 	if err := encoder.Encode(record); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return buffer.Bytes(), nil
+	return bytes.Clone(buffer.Bytes()), nil
 }
 
 // Decode decodes value into record, which must be a pointer.
--- /dev/null
+++ b/internal/recordcodec/recordcodec_test.go
@@ -0,0 +1,104 @@
+package recordcodec
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+)
+
+// encodeAlone encodes a record with an encoder and a buffer of its own.
+func encodeAlone(t testing.TB, record any) []byte {
+	t.Helper()
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(record); err != nil {
+		t.Fatal(err)
+	}
+	return buffer.Bytes()
+}
+
+// randomRecord returns a job or the progress of a group.
+func randomRecord(r *rand.Rand) any {
+	if r.IntN(2) == 0 {
+		return &jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: r.IntN(5), CriticalPathFactor: r.Float64(), ReceivedMS: r.Int64(),
+			Spec: jobs.Spec{Payload: strings.Repeat("x", r.IntN(2*maxPooledBytes)), Steps: []jobs.Step{{Count: r.IntN(50)}, {DependsOn: []int{0}}}}}
+	}
+	g := &jobrecord.Group{NextRun: r.IntN(9)}
+	for i := range r.IntN(60) {
+		g.Tasks = append(g.Tasks, jobrecord.Task{Done: r.IntN(2) == 0, LastRun: i, Runs: []jobrecord.Run{{Number: i, Worker: fmt.Sprint("w", i), WorkerStartedAtMS: r.Int64()}}})
+	}
+	return g
+}
+
+func TestEncodeReusesNoResult(t *testing.T) {
+	var encoders sync.WaitGroup
+	for seed := range uint64(4) {
+		encoders.Go(func() {
+			r := rand.New(rand.NewPCG(seed, 0))
+			var values, want [][]byte
+			for range 100 {
+				record := randomRecord(r)
+				value, err := Encode(record)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				values, want = append(values, value), append(want, encodeAlone(t, record))
+			}
+			for i := range values {
+				if !bytes.Equal(values[i], want[i]) {
+					t.Errorf("seed %d, record %d differs from the encoding without reuse", seed, i)
+				}
+			}
+		})
+	}
+	encoders.Wait()
+}
+
+func TestEncodeAfterFailure(t *testing.T) {
+	if _, err := Encode([]any{"some bytes", make(chan int)}); err == nil {
+		t.Fatal("a channel was encoded")
+	}
+	record := &jobrecord.Outcome{AtMS: 7}
+	value, err := Encode(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(value, encodeAlone(t, record)) {
+		t.Errorf("%x after a failed encoding, want %x", value, encodeAlone(t, record))
+	}
+	var decoded jobrecord.Outcome
+	if err := Decode(value, &decoded); err != nil || decoded != *record {
+		t.Errorf("decoded %+v, %v", decoded, err)
+	}
+}
+
+func BenchmarkEncodeGroup(b *testing.B) {
+	g := &jobrecord.Group{NextRun: 1}
+	for i := range 20 {
+		g.Tasks = append(g.Tasks, jobrecord.Task{LastRun: i, Runs: []jobrecord.Run{{Number: i, Worker: fmt.Sprint("worker-", i), WorkerStartedAtMS: 1764869445123}}})
+	}
+	b.Run("pooled", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := Encode(g); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("alone", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			encodeAlone(b, g)
+		}
+	})
+}
