--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -28,6 +28,11 @@
 const (
 	// goMemoryPercent is the soft memory limit of the Go runtime, in percent of the memory limit of the process.
 	goMemoryPercent = 40
+	// goGCPercent is by how much the heap may grow between two garbage collections, in percent of the memory in use. The
+	// soft memory limit takes precedence.
+	goGCPercent = 200
+	// logFlushTimeout is how long a process that stops waits for the reader of its log.
+	logFlushTimeout = 500 * time.Millisecond
 	// statusMargin is added to the time for which the state of an ended job must be available, so that late
 	// duplicates of its request are still recognised.
 	statusMargin = time.Minute
@@ -65,18 +70,10 @@
 
 // runOnPlatform runs a node with the given settings until ctx is done. It writes the log to stdout.
 func runOnPlatform(ctx context.Context, path string, s *platform.Settings, metricsPort int, level zapcore.Level) error {
+	debug.SetGCPercent(goGCPercent)
 	debug.SetMemoryLimit(int64(s.Limits.MemoryMB) << 20 * goMemoryPercent / 100)
 	sink := logsink.New(os.Stdout)
-	sinkCtx, stopSink := context.WithCancel(context.WithoutCancel(ctx))
-	flushed := make(chan struct{})
-	go func() {
-		defer close(flushed)
-		_ = sink.Run(sinkCtx) // ends with the context
-	}()
-	defer func() {
-		stopSink()
-		<-flushed
-	}()
+	defer startSink(ctx, sink)()
 	store, workers := platform.NewStore(s.Store.Address), platform.NewWorkers()
 	node := cellnode.New(nodeSettings(s, metricsPort), cellnode.Platform{
 		Store:       store,
@@ -93,6 +90,24 @@
 	return node.Run(ctx)
 }
 
+// startSink has a sink write its lines even after ctx is done. The returned function ends that: it waits for the queued
+// lines to be written, but at most logFlushTimeout.
+func startSink(ctx context.Context, sink *logsink.Sink) (stop func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		_ = sink.Run(ctx) // ends with the context
+	}()
+	return func() {
+		cancel()
+		select {
+		case <-flushed:
+		case <-time.After(logFlushTimeout):
+		}
+	}
+}
+
 // settingsPollPeriod is the interval between two reads of the settings file, which may change without a signal.
 const settingsPollPeriod = time.Second
 
