Keep the metrics of calls instead of looking them up by name

Cause: CallObserver built two metric names and looked both up for each call. Change: the counter and the histogram of each kind and result are kept in a map.

--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -1,8 +1,11 @@
 package cellnode
 
 import (
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
@@ -10,14 +13,54 @@
 // CallObserver returns a function that counts the calls to a target, "store" or "worker", by kind and result and
 // records their duration. It is called after each call, with a nil error if the call succeeded.
 func (n *Node) CallObserver(target string) func(kind string, err error, took time.Duration) {
-	return func(kind string, err error, took time.Duration) {
-		result := "ok"
-		if err != nil {
-			result = string(verdict.ReasonOf(err))
-		}
-		n.metrics.GetOrCreateCounter(`cactuswall_calls_total{target="` + target + `",kind="` + kind + `",result="` + result + `"}`).Inc()
-		n.metrics.GetOrCreateHistogram(`cactuswall_call_seconds{target="` + target + `",kind="` + kind + `"}`).Update(took.Seconds())
+	o := &callObserver{metrics: n.metrics, target: target, byResult: make(map[callResult]callMetrics)}
+	return o.observe
+}
+
+// callObserver keeps the metrics of the calls to a target, because a look-up by their names costs more than their update.
+type callObserver struct {
+	metrics *metrics.Set
+	target  string
+
+	mu       sync.RWMutex
+	byResult map[callResult]callMetrics
+}
+
+type callResult struct {
+	kind   string
+	result verdict.Reason
+}
+
+// callMetrics are the metrics of the calls with one result. Calls of one kind share their histogram.
+type callMetrics struct {
+	count    *metrics.Counter
+	duration *metrics.Histogram
+}
+
+func (o *callObserver) observe(kind string, err error, took time.Duration) {
+	result := callResult{kind: kind, result: "ok"}
+	if err != nil {
+		result.result = verdict.ReasonOf(err)
+	}
+	o.mu.RLock()
+	m, ok := o.byResult[result]
+	o.mu.RUnlock()
+	if !ok {
+		m = o.register(result)
+	}
+	m.count.Inc()
+	m.duration.Update(took.Seconds())
+}
+
+func (o *callObserver) register(r callResult) callMetrics {
+	m := callMetrics{
+		count:    o.metrics.GetOrCreateCounter(`cactuswall_calls_total{target="` + o.target + `",kind="` + r.kind + `",result="` + string(r.result) + `"}`),
+		duration: o.metrics.GetOrCreateHistogram(`cactuswall_call_seconds{target="` + o.target + `",kind="` + r.kind + `"}`),
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.byResult[r] = m
+	return m
 }
 
 // LogCounts provides the number of log lines that were not written: those dropped because the reader of the log was too
