Limit starts and renewals to what the owner has processor time for

Callers saw: on the grown deployments too little served (SHORT), and after an overload or a restart of everything long-running tasks that stay away (LOST, RECOVER). Cause: starts, reports and renewals compete as equals for the owner's processor time. Under overload renewals come late, leases lapse, runs are thrown away and started again. Fix: internal/overload adapts two limits to the delay of orders in the owner's process, taken from the loop and from the scheduling latency of the runtime: the rest of a worker between a report and the next renewal order, and the number of unanswered start orders. Workers with services rest little, since their measurements are needed.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -10,6 +10,7 @@
 // StartAnswered processes the answer to a start order, or err if the order was refused, not answered or not sent.
 // fenced is true if the worker has accepted the fencing token of a newer owner, so that this owner has to end.
 func (c *Cell) StartAnswered(order StartOrder, answer workercall.Reply, err error) (fenced bool) {
+	c.unansweredStarts--
 	w := c.workers[order.To.ID]
 	if w == nil {
 		return false
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/overload"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/queue"
 )
@@ -45,7 +46,11 @@
 	formerLeasesEnd time.Duration
 	// needsPlacement is set when the next Plan has to look for workers for waiting tasks.
 	needsPlacement bool
-	nextRetry      time.Duration // when placement is tried again; 0 if no retry is due
+	// load limits start and renewal orders to what the owner has processor time for; unansweredStarts is the number of
+	// start orders without a call of StartAnswered.
+	load             *overload.Controller
+	unansweredStarts int
+	nextRetry        time.Duration // when placement is tried again; 0 if no retry is due
 	// dirtyGroups and dirtyJobs have changes that are not stored yet.
 	dirtyGroups   []*group
 	dirtyJobs     []*job
@@ -81,7 +86,7 @@
 	return &Cell{
 		settings: s, token: token, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
 		jobs: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
-		health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
+		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
 		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
 	}
 }
@@ -90,6 +95,10 @@
 // during system suspend, wall the wall time.
 func (c *Cell) SetTime(now time.Duration, wall time.Time) { c.now, c.wall = now, wall }
 
+// ObserveDelay records by how much the owner's process delays orders and their answers. The owner calls it in each
+// iteration of its loop. While the delay is long, workers are asked less often for reports and fewer tasks are started.
+func (c *Cell) ObserveDelay(delay time.Duration) { c.load.Observe(delay, c.now) }
+
 // SetRoundTime sets how long it takes from the Plan of a round until the owner handles the result of storing it. It is
 // logged with waiting tasks.
 func (c *Cell) SetRoundTime(d time.Duration) { c.roundTime = d }
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -14,6 +14,8 @@
 	// renewWait is how long a worker with runs may wait for the end of a run before it answers a renewal order. It
 	// limits the time between two latency measurements, so that several arrive within Settings.MaxOverTarget.
 	renewWait = 800 * time.Millisecond
+	// maxRenewWait is used instead while the owner is short of processor time, for a worker on which nothing is paced.
+	maxRenewWait = 1900 * time.Millisecond
 	// idleRenewInterval is the time between two renewal orders to a worker without runs.
 	idleRenewInterval = 2 * time.Second
 	// failedRenewInterval is the time between two renewal orders to a worker that does not answer.
@@ -21,8 +23,11 @@
 	// unstoredRenewInterval is the time between two renewal orders to a worker while run ends that it reported are not
 	// stored yet.
 	unstoredRenewInterval = time.Second
-	// maxReportAge is the maximum age of a worker's newest report for its lease to be extended. For a task to be placed
-	// on it, idleRenewInterval is added, since an idle worker reports at this interval.
+	// maxServiceRest is the longest rest between a report and the next renewal order to a worker with services, whose
+	// latency measurements are needed to pace the tasks beside them.
+	maxServiceRest = 200 * time.Millisecond
+	// maxReportAge is the maximum age of a worker's newest report for its lease to be extended, see Cell.maxReportAge.
+	// For a task to be placed on it, idleRenewInterval is added, since an idle worker reports at this interval.
 	maxReportAge = 1800 * time.Millisecond
 	// stopRetryInterval is the time between two stop orders for the same run.
 	stopRetryInterval = 600 * time.Millisecond
@@ -78,6 +83,7 @@
 	w, g := r.worker, r.task.group
 	r.setState(runStartSent, c.now)
 	r.attempts++
+	c.unansweredStarts++
 	if !g.started {
 		g.started = true
 		c.metrics.observeStepChange(g, c.now)
@@ -134,10 +140,10 @@
 	request := workercall.RenewRequest{Token: c.token, Acknowledged: w.lastEndStored}
 	w.renewalInFlight = true
 	w.touch()
-	if w.tokenAccepted && w.clockKnown && len(w.runs) > 0 && c.now-w.lastReport < maxReportAge {
+	if w.tokenAccepted && w.clockKnown && len(w.runs) > 0 && c.now-w.lastReport < c.maxReportAge() {
 		request.LeaseExpiry = c.extendLease(w)
 		if w.lastEndSeen == w.lastEndStored {
-			request.Wait = renewWait
+			request.Wait = c.renewWait(w)
 		}
 	}
 	return RenewOrder{To: w.target(), Request: request, CreatedAt: c.now}
@@ -151,6 +157,14 @@
 	}
 }
 
+// renewWait returns how long a worker may wait for the end of a run before it answers a renewal order.
+func (c *Cell) renewWait(w *worker) time.Duration {
+	if c.load.Rest() == 0 || len(w.services) > 0 && len(w.bestEffort) > 0 {
+		return renewWait
+	}
+	return maxRenewWait
+}
+
 // renewInterval returns the time from a report to the next renewal order.
 func (c *Cell) renewInterval(w *worker) time.Duration {
 	switch {
@@ -158,8 +172,16 @@
 		return unstoredRenewInterval // RoundStored makes the next renewal order due at once
 	case len(w.runs) == 0:
 		return idleRenewInterval
+	case len(w.services) > 0:
+		return min(c.load.Rest(), maxServiceRest)
 	}
-	return 0
+	return c.load.Rest()
+}
+
+// maxReportAge returns the maximum age of a worker's newest report for its lease to be extended. It allows for the time
+// by which the owner itself is late, which says nothing about the worker.
+func (c *Cell) maxReportAge() time.Duration {
+	return maxReportAge + c.load.Rest() + c.load.Delay()
 }
 
 // addStopsAndRetries adds the stop orders that are due and repeats start orders that were not answered.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -12,9 +12,8 @@
 const (
 	// assumedServiceCPUPercent is the assumed CPU use of a service task, in percent of its request.
 	assumedServiceCPUPercent = 55
-	// maxStartsPerRound limits the runs that one round places, so that a burst does not delay storing run ends: once a
-	// round has placed this many, it places no further groups. It is also the most that a round places of one group,
-	// except for gangs.
+	// maxStartsPerRound limits the runs that one round places, so that a burst does not delay storing run ends. A round
+	// that has placed this many, or as many as Cell.load allows, places no more, except for the rest of a gang.
 	maxStartsPerRound = 64
 	// placementRetryInterval is the time until placement is tried again after a round that reached maxStartsPerRound,
 	// or while tasks wait.
@@ -39,14 +38,22 @@
 	if len(groups) == 0 {
 		return
 	}
+	limit := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
+	if limit == 0 {
+		c.load.Limited()
+		c.waitForTurn(groups, 0)
+		c.scheduleRetry(c.now + placementRetryInterval)
+		return
+	}
 	v := c.newPlacementView()
 	placed, unplaced := 0, false
 	for i, g := range groups {
-		count, all := c.placeGroup(v, g)
+		count, all := c.placeGroup(v, g, limit-placed)
 		placed += count
 		unplaced = unplaced || !all
-		if placed >= maxStartsPerRound {
+		if placed >= limit {
 			unplaced = unplaced || i+1 < len(groups)
+			c.load.Limited()
 			c.waitForTurn(groups, i)
 			break
 		}
@@ -59,7 +66,7 @@
 // acceptsTasks reports whether tasks may be placed on a worker now.
 func (c *Cell) acceptsTasks(w *worker) bool {
 	return w.listed && w.tokenAccepted && w.clockKnown && !w.dead && !w.info.Draining && w.failingSince == 0 &&
-		c.now >= w.refusingUntil && c.now-w.lastReport < idleRenewInterval+maxReportAge
+		c.now >= w.refusingUntil && c.now-w.lastReport < idleRenewInterval+c.maxReportAge()
 }
 
 // expectedCPU returns the CPU, in milli-CPU, that a run is expected to use.
@@ -74,9 +81,9 @@
 	return request
 }
 
-// placeGroup places a group's waiting tasks and returns how many it placed. all is false if some of them were not
-// placed.
-func (c *Cell) placeGroup(v *placementView, g *group) (placed int, all bool) {
+// placeGroup places up to limit of a group's waiting tasks, or all members of a gang, and returns how many it placed.
+// all is false if some of them were not placed.
+func (c *Cell) placeGroup(v *placementView, g *group, limit int) (placed int, all bool) {
 	if g.step.Gang {
 		return c.placeGang(v, g)
 	}
@@ -89,7 +96,7 @@
 			postponed = waitBackoff
 			continue
 		}
-		if placed >= maxStartsPerRound {
+		if placed >= limit {
 			postponed = waitTurn
 			break
 		}
--- a/internal/cell/processor_test.go
+++ b/internal/cell/processor_test.go
@@ -18,6 +18,7 @@
 type simProcessor struct {
 	freeAt     time.Duration // when all queued work is done
 	loopQueued bool          // an iteration of the owner's loop is queued
+	loopDelay  time.Duration // how long the present iteration of the loop was queued
 }
 
 // process queues a piece of work on an owner's processor and calls do when it is done.
@@ -37,8 +38,9 @@
 		sim.runOwner(o)
 	case !o.processor.loopQueued:
 		o.processor.loopQueued = true
+		queuedAt := sim.now
 		sim.process(o, func() {
-			o.processor.loopQueued = false
+			o.processor.loopQueued, o.processor.loopDelay = false, sim.now-queuedAt
 			sim.runOwner(o)
 		})
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -319,6 +319,7 @@
 		return
 	}
 	o.cell.SetTime(sim.now, sim.wall())
+	o.cell.ObserveDelay(o.processor.loopDelay)
 	if o == sim.owner {
 		o.cell.SetWorkers(sim.listWorkers())
 	}
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -54,7 +54,7 @@
 const (
 	waitNone    waitReason = iota // it was placed in the first round after it became ready
 	waitRoom                      // no worker was found for it or for an earlier task of its group
-	waitTurn                      // the round had reached maxStartsPerRound
+	waitTurn                      // the round placed as many tasks as it may
 	waitBackoff                   // it failed, and the time until its next attempt had not passed
 	waitReasons                   // number of reasons
 )
--- a/internal/cellnode/lateness.go
+++ b/internal/cellnode/lateness.go
@@ -20,6 +20,11 @@
 	onTimeDelay        = 50 * time.Millisecond
 	lateSchedLatency   = 15 * time.Millisecond
 	onTimeSchedLatency = 8 * time.Millisecond
+	// recentWindow is the time over which recentSchedLatency averages.
+	recentWindow = 250 * time.Millisecond
+	// orderHops is the number of times that a goroutine has to be scheduled between a decision and the handling of the
+	// worker's answer, apart from the event loop.
+	orderHops = 5
 )
 
 // ownerMetrics are the metrics of a node about the event loop of its owners. Histograms are in seconds.
@@ -65,6 +70,7 @@
 	lateSince   time.Time // start of the first window of the present late period; zero while on time
 	roundBegan  time.Time // when storing of the present round began; zero while none is stored
 	sums        delaySums // of the current window
+	recent      recentSchedLatency
 }
 
 // delaySums are numbers of events, flushes and rounds, and the sums of their delays and durations.
@@ -79,6 +85,12 @@
 	l.sched()
 }
 
+// orderDelay returns by how much an order and its answer are delayed in this process at present. loopDelay is the delay
+// of the present flush.
+func (l *lateness) orderDelay(loopDelay time.Duration) time.Duration {
+	return max(0, loopDelay, orderHops*l.recent.at(time.Now()))
+}
+
 // eventRuns records that an event that was posted at the given time runs now.
 func (l *lateness) eventRuns(postedAt time.Time) {
 	delay := time.Since(postedAt)
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -165,6 +165,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	start := time.Now()
+	o.cell.ObserveDelay(o.lateness.orderDelay(start.Sub(due)))
 	wait = o.flush(ctx)
 	o.lastFlush = time.Now()
 	o.lastFlushDuration = o.lastFlush.Sub(start)
--- a/internal/cellnode/schedlatency.go
+++ b/internal/cellnode/schedlatency.go
@@ -44,3 +44,22 @@
 	}
 	return time.Duration(sum / float64(count) * float64(time.Second))
 }
+
+// recentSchedLatency is the mean scheduling latency in the newest complete window of recentWindow.
+type recentSchedLatency struct {
+	source      *schedLatency
+	windowStart time.Time
+	mean        time.Duration
+}
+
+// at returns the latency at the given time.
+func (r *recentSchedLatency) at(now time.Time) time.Duration {
+	if r.source == nil {
+		r.source, r.windowStart = newSchedLatency(), now
+		r.source.next()
+	}
+	if now.Sub(r.windowStart) >= recentWindow {
+		r.mean, r.windowStart = r.source.next(), now
+	}
+	return r.mean
+}
