logsink: write at most 4 KB of whole lines with one call

Cause: batches of 100 ms had 20 KB and more; the reader of the log kept about the first 8 KB of a write. Longer writes than PIPE_BUF may also be mixed with those of another process. Fix: the queued lines are written in calls of at most 4,096 bytes that end with a line, about a dozen lines each.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -23,6 +23,9 @@
 	// that of a line of level warn or higher.
 	writeInterval  = 100 * time.Millisecond
 	urgentInterval = 5 * time.Millisecond
+	// maxWriteBytes limits one write. It is PIPE_BUF, the size up to which a write to a pipe is not mixed with others.
+	// Longer writes were seen to be cut by a reader of the log.
+	maxWriteBytes = 4096
 	// maxSpareBytes is the size of the largest buffer that is kept for reuse.
 	maxSpareBytes = 128 << 10
 	// Of the lines with the same level and message in one second, the first sampleFirst are written and after
@@ -109,27 +112,42 @@
 	}
 }
 
-// writeQueued writes the queued lines with one call.
+// writeQueued writes the queued lines, as many whole lines with one call as fit into maxWriteBytes.
 func (s *Sink) writeQueued() {
-	lines, count := s.take()
-	if count == 0 {
-		return
-	}
-	if written, err := s.out.Write(lines); err != nil {
-		// The failure cannot be logged here, so the lines that were not written in full are only counted.
-		s.dropped.Add(int64(count - bytes.Count(lines[:written], []byte("\n"))))
+	lines := s.take()
+	for rest := lines; len(rest) > 0; {
+		chunk := firstLines(rest)
+		rest = rest[len(chunk):]
+		if written, err := s.out.Write(chunk); err != nil {
+			// The failure cannot be logged here, so the lines that were not written in full are only counted.
+			s.dropped.Add(int64(bytes.Count(chunk[written:], []byte("\n"))))
+		}
 	}
 	s.release(lines)
 }
 
-// take empties the queue and returns the lines that were in it and their number.
-func (s *Sink) take() (lines []byte, count int) {
+// firstLines returns the first lines that together fit into maxWriteBytes, or the first line if it is longer.
+func firstLines(lines []byte) []byte {
+	if len(lines) <= maxWriteBytes {
+		return lines
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return lines[:end+1]
+	}
+	return lines
+}
+
+// take empties the queue and returns the lines that were in it.
+func (s *Sink) take() (lines []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lines, count = s.queued, s.queuedLines
-	s.writingLines, s.writingBytes = count, len(lines)
+	lines = s.queued
+	s.writingLines, s.writingBytes = s.queuedLines, len(lines)
 	s.queued, s.queuedLines, s.spare, s.urgent = s.spare, 0, nil, false
-	return lines, count
+	return lines
 }
 
 // release makes room for further lines after the lines that take returned have been written.
