Renew the leases on workers before the state is loaded

Callers saw: after a restart of everything, or a change of owner, all running tasks lapse and are started again; requests are not served for long (RECOVER) and long-running tasks stay away (LOST). Cause: a new owner read all jobs and all progress before it made its first call to a worker. Fix: the event loop begins as soon as the epoch is raised and the workers are known. Until Load it sends renewal orders only; a report that was ordered after Load is compared with the state before a worker gets a start, stop or pace order. The world of the benchmarks calls Load, as the contract of Cell says.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -75,6 +75,7 @@
 			StartedAtMS: 1, Capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 62500}})
 	}
 	world.cell.SetWorkers(list)
+	world.cell.Load(nil, nil)
 	for i := range 5 {
 		world.submit(jobs.Spec{Steps: []jobs.Step{{Count: benchServices / 5, Request: jobs.Resources{MilliCPU: 1000, MemoryMB: 500},
 			LongRunning: true, Image: fmt.Sprint("service", i), TargetTailLatency: 20 * time.Millisecond}}})
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -33,6 +33,10 @@
 	metrics  *Metrics
 	config   *queue.Config // nil until SetConfig is called
 	jobs     map[jobs.ID]*job
+	// loaded is set by Load, at loadedAt. Until then workers are only told the fencing token and their leases renewed,
+	// since it is not known what should run on them.
+	loaded   bool
+	loadedAt time.Duration
 	// earlyCancels holds the cancellations of jobs that have not been added yet.
 	earlyCancels map[jobs.ID]bool
 	workers      map[string]*worker
@@ -407,6 +411,9 @@
 	return c.workersByID
 }
 
+// WorkerCount returns the number of workers, those included that are no longer registered but may still run a task.
+func (c *Cell) WorkerCount() int { return len(c.workers) }
+
 func (c *Cell) removeWorker(w *worker) {
 	delete(c.workers, w.info.ID)
 	w.due.removed = true
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -214,13 +214,22 @@
 // TestRandomFaults injects random faults into owners and workers and checks for violations, once for each seed.
 func TestRandomFaults(t *testing.T) {
 	for seed := uint64(1); seed <= 60; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, 0) })
 	}
 }
 
-// runRandomFaults submits and cancels jobs between random faults, then stops the faults and checks the result.
-func runRandomFaults(t *testing.T, seed uint64) {
+// TestRandomFaultsWithSlowLoading is TestRandomFaults with owners that need time to load the state.
+func TestRandomFaultsWithSlowLoading(t *testing.T) {
+	for seed := uint64(101); seed <= 130; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, 3*time.Second) })
+	}
+}
+
+// runRandomFaults submits and cancels jobs between random faults, then stops the faults and checks the result. New owners
+// load the state within loadTime.
+func runRandomFaults(t *testing.T, seed uint64, loadTime time.Duration) {
 	sim := newSimulation(seed, 5)
+	sim.loadTime = loadTime
 	sim.failRate, sim.lossRate, sim.delayRate = 0.05, 0.02, 0.02
 	sim.takeOver()
 	for i := range 40 {
@@ -285,5 +294,9 @@
 		sim.schedule(time.Duration(sim.random.IntN(12000))*time.Millisecond, func() { o.suspended = false })
 	}
 	sim.run(time.Duration(sim.random.IntN(1000)) * time.Millisecond)
-	sim.takeOver()
+	next := sim.claim()
+	if sim.loadTime > 0 {
+		sim.run(time.Duration(sim.random.Int64N(int64(sim.loadTime))))
+	}
+	sim.load(next)
 }
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -43,8 +43,13 @@
 // Load restores the state that former owners stored. jobRecords are the newest records of the jobs topic, which Load
 // sorts by offset in place; progress are those of the progress topic. It is called once, after the first call of
 // SetWorkers. Outcomes are loaded before cancellations, so that a job that ended before it was cancelled keeps its
-// outcome.
+// outcome. All workers are ordered to report again, since earlier reports were not compared with the state.
 func (c *Cell) Load(jobRecords, progress []store.Record) {
+	c.loaded, c.loadedAt = true, c.now
+	for _, w := range c.workers {
+		w.nextRenewal = c.now
+		w.touch()
+	}
 	sort.SliceStable(jobRecords, func(i, j int) bool { return jobRecords[i].Offset < jobRecords[j].Offset })
 	recorded := make(map[jobs.ID]bool)
 	for _, r := range jobRecords {
@@ -260,7 +265,7 @@
 		}
 		c.abandonRun(r, "new_life")
 	}
-	w.tokenAccepted, w.clockKnown, w.dead, w.failingSince = false, false, false, 0
+	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.grantedUntil, w.nextRenewal = 0, 0, 0, c.now
 	w.leaseExpiresBy = leaseExpiresBy
 	w.touch()
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -26,6 +26,8 @@
 	// maxServiceRest is the longest rest between a report and the next renewal order to a worker with services, whose
 	// latency measurements are needed to pace the tasks beside them.
 	maxServiceRest = 200 * time.Millisecond
+	// unloadedRenewInterval is the time between two renewal orders to a worker while the state is not loaded.
+	unloadedRenewInterval = time.Second
 	// maxReportAge is the maximum age of a worker's newest report for its lease to be extended, see Cell.maxReportAge.
 	// For a task to be placed on it, idleRenewInterval is added, since an idle worker reports at this interval.
 	maxReportAge = 1800 * time.Millisecond
@@ -113,7 +115,7 @@
 }
 
 // TakeOrders returns the orders that are due and marks them as sent. mayDecide is true while the owner's claim on the
-// cell, see package cellnode, allows decisions; if it is false, TakeOrders only returns renewal orders.
+// cell, see package cellnode, allows decisions; if it is false, or before Load, TakeOrders only returns renewal orders.
 func (c *Cell) TakeOrders(mayDecide bool) Orders {
 	var orders Orders
 	for _, w := range c.due.ordersDue(c.now) {
@@ -123,7 +125,7 @@
 		if !w.renewalInFlight && c.now >= w.nextRenewal {
 			orders.Renewals = append(orders.Renewals, c.renewOrder(w))
 		}
-		if mayDecide && w.tokenAccepted {
+		if mayDecide && w.reconciled {
 			c.addStopsAndRetries(w, &orders)
 			if w.pacingPending {
 				w.pacingPending = false
@@ -134,15 +136,15 @@
 	return orders
 }
 
-// renewOrder returns a renewal order for a worker. The order extends the lease only if the worker has runs and its
-// newest report is recent enough.
+// renewOrder returns a renewal order for a worker. The order extends the lease only if the worker has runs, or may have
+// some because the state is not loaded, and its newest report is recent enough.
 func (c *Cell) renewOrder(w *worker) RenewOrder {
 	request := workercall.RenewRequest{Token: c.token, Acknowledged: w.lastEndStored}
 	w.renewalInFlight = true
 	w.touch()
-	if w.tokenAccepted && w.clockKnown && len(w.runs) > 0 && c.now-w.lastReport < c.maxReportAge() {
+	if w.tokenAccepted && w.clockKnown && (len(w.runs) > 0 || !c.loaded) && c.now-w.lastReport < c.maxReportAge() {
 		request.LeaseExpiry = c.extendLease(w)
-		if w.lastEndSeen == w.lastEndStored {
+		if c.loaded && w.lastEndSeen == w.lastEndStored {
 			request.Wait = c.renewWait(w)
 		}
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -53,19 +53,39 @@
 	if !w.tokenAccepted || w.failingSince != 0 {
 		c.needsPlacement = true
 	}
-	first := !w.tokenAccepted
-	if first {
+	firstAnswer := !w.tokenAccepted
+	if firstAnswer {
 		// Former owners may have extended the lease until the worker accepted the new token.
 		w.grantedUntil = max(w.grantedUntil, report.Clock+c.settings.MaxLease)
 	}
 	w.tokenAccepted, w.failingSince, w.lastReport, w.leaseExpired = true, 0, c.now, false
 	w.updateClock(report.Clock, c.now)
+	if !c.loaded {
+		w.nextRenewal = c.now + c.unloadedRenewInterval(firstAnswer)
+		return
+	}
+	first := !w.reconciled && sent >= c.loadedAt
+	if first {
+		w.reconciled, c.needsPlacement = true, true
+	}
 	c.handleEnds(w, report)
 	c.reconcileRuns(w, report, sent, first)
 	c.observeServices(w)
 	w.pacingPending = true
 	c.logMeasurements(w)
-	w.nextRenewal = c.now + c.renewInterval(w)
+	w.nextRenewal = c.now
+	if w.reconciled {
+		w.nextRenewal += c.renewInterval(w)
+	}
+}
+
+// unloadedRenewInterval returns the time until the next renewal order to a worker while the state is not loaded. The
+// first answer brings the worker's clock, without which the lease cannot be extended.
+func (c *Cell) unloadedRenewInterval(firstAnswer bool) time.Duration {
+	if firstAnswer {
+		return 0
+	}
+	return unloadedRenewInterval
 }
 
 // updateClock records a reading of the worker's clock that arrived at local time now.
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -61,6 +61,8 @@
 	statusRetention time.Duration
 	// submitNode is the name of the node that stores new jobs.
 	submitNode string
+	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
+	loadTime time.Duration
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
 	// receives and on each iteration of its loop; 0: none.
 	processorCost time.Duration
@@ -111,6 +113,7 @@
 	storing      bool
 	decidesUntil time.Duration // end of its claim, until which it may make decisions
 	renewsUntil  time.Duration // until when it may renew leases
+	loaded       bool          // it has loaded the state
 	suspended    bool
 	ended        bool
 	processor    simProcessor
@@ -156,8 +159,15 @@
 	sim.events = append(sim.events, event{at: sim.now + d, id: sim.lastEventID, do: do})
 }
 
-// takeOver starts a new owner. The previous one loses its claim now but may not know it.
+// takeOver starts a new owner that has loaded the state. The previous one loses its claim now but may not know it.
 func (sim *simulation) takeOver() *simOwner {
+	o := sim.claim()
+	sim.load(o)
+	return o
+}
+
+// claim starts a new owner that has not loaded the state yet.
+func (sim *simulation) claim() *simOwner {
 	if sim.owner != nil {
 		sim.formerOwners = append(sim.formerOwners, sim.owner)
 	}
@@ -168,13 +178,19 @@
 	o.cell.SetTime(sim.now, sim.wall())
 	o.cell.SetConfig(sim.config)
 	o.cell.SetWorkers(sim.listWorkers())
+	sim.owner = o
+	return o
+}
+
+// load passes the stored state to an owner, which then makes decisions.
+func (sim *simulation) load(o *simOwner) {
+	o.cell.SetTime(sim.now, sim.wall())
 	var progress []store.Record
 	for _, key := range sortedKeysOf(sim.records) {
 		progress = append(progress, sim.records[key])
 	}
 	o.cell.Load(sim.newestJobs(), progress)
-	sim.owner = o
-	return o
+	o.loaded = true
 }
 
 // newestJobs returns what the store lists for the topic of jobs: the newest record of each key, sorted by key, without
@@ -270,7 +286,7 @@
 	sim.jobLog = append(sim.jobLog, r)
 	if o := sim.owner; o != nil {
 		sim.schedule(10*time.Millisecond, func() {
-			if !o.ended {
+			if !o.ended && o.loaded {
 				o.cell.SetTime(sim.now, sim.wall())
 				o.cell.ApplyJobRecord(r)
 			}
@@ -324,7 +340,7 @@
 		o.cell.SetWorkers(sim.listWorkers())
 	}
 	o.cell.Tick()
-	decide := sim.now < o.decidesUntil
+	decide := o.loaded && sim.now < o.decidesUntil
 	orders := o.cell.TakeOrders(decide)
 	for _, order := range orders.Renewals {
 		if sim.processorCost > 0 {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -168,6 +168,9 @@
 	listed bool
 	// tokenAccepted is set once this incarnation has accepted the owner's fencing token.
 	tokenAccepted bool
+	// reconciled is set once a report that this incarnation was ordered to give after Load was compared with the state.
+	// Until then it gets no start, stop or pace orders.
+	reconciled bool
 	// dead is set once another incarnation has answered at the worker's address, so that this one has ended.
 	dead bool
 	runs map[workercall.Run]*run
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -206,7 +206,7 @@
 		return exclusionNotListed
 	case w.info.Service != platformService:
 		return exclusionService
-	case !w.tokenAccepted || !w.clockKnown:
+	case !w.reconciled || !w.clockKnown:
 		return exclusionTokenNotAccepted
 	case w.info.Draining:
 		return exclusionDraining
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -94,19 +94,26 @@
 }
 
 // run loads the state of the cell and then schedules jobs until the claim ends, the owner is fenced or ctx, which stop
-// cancels, ends.
+// cancels, ends. It renews the leases on workers from the beginning, because loading may take longer than the leases
+// last.
 func (o *owner) run(ctx context.Context) error {
 	defer close(o.done)
 	defer o.stop()
-	jobsEnd, workers, err := o.load(ctx)
+	progressEnd, workers, err := o.fenceFormerOwners(ctx)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return o.progress.Run(ctx) })
-	group.Go(func() error { return o.followJobs(ctx, jobsEnd) })
-	group.Go(func() error { return o.followWorkers(ctx, workers) })
 	group.Go(func() error { return o.runEventLoop(ctx) })
+	group.Go(func() error {
+		jobsEnd, err := o.load(ctx, progressEnd)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		group.Go(func() error { return o.progress.Run(ctx) })
+		group.Go(func() error { return o.followJobs(ctx, jobsEnd) })
+		return o.followWorkers(ctx, workers)
+	})
 	return group.Wait()
 }
 
@@ -232,7 +239,7 @@
 	now := boottime.Now()
 	o.cell.SetTime(now, time.Now())
 	o.cell.Tick()
-	decide := o.node.mayDecide(o.epoch)
+	decide := o.loaded && o.node.mayDecide(o.epoch)
 	o.send(ctx, o.cell.TakeOrders(decide))
 	if decide && !o.storing {
 		o.storeRound(ctx, o.cell.Plan())
