Start interrupted long-running tasks before everything else

Callers would see: long-running tasks that are away while a backlog of a higher priority takes all starts and all room (LOST). Cause: the priority of the queue came first in the order of waiting work. Fix: a step with a long-running task that ran before and runs no more is ranked first.

--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -61,6 +61,8 @@
 	statusRetention time.Duration
 	// submitNode is the name of the node that stores new jobs.
 	submitNode string
+	// submitPriority is the priority of the queue to which new jobs are submitted.
+	submitPriority int
 	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
 	loadTime time.Duration
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
@@ -269,7 +271,7 @@
 func (sim *simulation) submit(id jobs.ID, spec jobs.Spec) {
 	sim.specs[id] = spec
 	value, err := recordcodec.Encode(&jobrecord.Job{
-		Queue: "q", Service: "s", MaxAttempts: 3, CriticalPathFactor: 2, ReceivedMS: sim.wall().UnixMilli(), Spec: spec,
+		Queue: "q", Service: "s", Priority: sim.submitPriority, MaxAttempts: 3, CriticalPathFactor: 2, ReceivedMS: sim.wall().UnixMilli(), Spec: spec,
 	})
 	if err != nil {
 		panic(err)
--- a/internal/cell/waiting_groups.go
+++ b/internal/cell/waiting_groups.go
@@ -43,11 +43,24 @@
 func (c *Cell) urgencyItem(g *group) urgency.Item {
 	j := g.job
 	return urgency.Item{
-		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
+		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Interrupted: g.interrupted(), Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
 		Objective: j.objective, JobCPU: j.work,
 	}
 }
 
+// interrupted reports whether a long-running task of the group ran before and has to be started again.
+func (g *group) interrupted() bool {
+	if !g.step.LongRunning {
+		return false
+	}
+	for _, t := range g.tasks {
+		if t.needsRun() && t.lastRunNumber > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // age returns the time since the job was received or, if later, since the occurrence was due. It uses wall time, so
 // that it includes the time under former owners.
 func (c *Cell) age(g *group) time.Duration { return max(0, c.wall.Sub(g.receivedAt)) }
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -38,6 +38,8 @@
 	Priority int
 	// LongRunning is set for long-running tasks, which serve users and come before all others of their priority.
 	LongRunning bool
+	// Interrupted is set if a long-running task of the step ran before and runs no more. Its users are without service.
+	Interrupted bool
 	// Age is the time since the job arrived, Remaining the estimated time of the critical path of its remaining work,
 	// Objective the time within which the job should be done, counted from its arrival.
 	Age, Remaining, Objective time.Duration
@@ -71,6 +73,7 @@
 
 // Rank is the position of an item at one time, computed once for many comparisons.
 type Rank struct {
+	interrupted bool
 	priority    int
 	longRunning bool
 	class       Class
@@ -80,7 +83,7 @@
 
 // Rank returns the item's rank.
 func (i *Item) Rank() Rank {
-	r := Rank{priority: i.Priority, longRunning: i.LongRunning, class: i.Class()}
+	r := Rank{interrupted: i.Interrupted, priority: i.Priority, longRunning: i.LongRunning, class: i.Class()}
 	if r.class == Expired {
 		r.work = i.JobCPU
 	} else {
@@ -90,10 +93,15 @@
 }
 
 // Compare returns a negative number if a is served before b, a positive one if b is served before a, and otherwise 0.
-// The higher priority, which has the lower number, comes first even when its job is late, since tasks of priority 0 may
-// preempt those of other priorities.
+// Interrupted long-running tasks come before everything else: they are few, and a backlog of other work must not keep
+// them away. Then the higher priority, which has the lower number, comes first even when its job is late, since tasks of
+// priority 0 may preempt those of other priorities.
 func Compare(a, b *Rank) int {
 	switch {
+	case a.interrupted && !b.interrupted:
+		return -1
+	case b.interrupted && !a.interrupted:
+		return 1
 	case a.priority != b.priority:
 		return cmp.Compare(a.priority, b.priority)
 	case a.longRunning && !b.longRunning:
--- a/internal/urgency/urgency_test.go
+++ b/internal/urgency/urgency_test.go
@@ -33,6 +33,11 @@
 		urgent := &Item{Priority: 0, Age: 10 * time.Second, Remaining: time.Second, Objective: 2 * time.Second}
 		So(Before(urgent, job(0, 4*time.Second, 9*time.Second)), ShouldBeTrue)
 	})
+	Convey("Interrupted long-running tasks come before urgent jobs of a higher priority", t, func() {
+		interrupted := &Item{Priority: 2, LongRunning: true, Interrupted: true, Age: time.Minute}
+		So(Before(interrupted, &Item{Priority: 0, Age: time.Second, Remaining: time.Second, Objective: 3 * time.Second}), ShouldBeTrue)
+		So(Before(&Item{Priority: 0, LongRunning: true}, interrupted), ShouldBeFalse)
+	})
 	Convey("Long-running tasks come before all others of their priority", t, func() {
 		longRunning := &Item{LongRunning: true, Age: time.Minute}
 		So(Before(longRunning, &Item{Age: time.Second, Remaining: time.Second, Objective: 3 * time.Second}), ShouldBeTrue)
