cpuinterference, pacing: cheaper readings and paces

Cause: for each reading Observe sorted the names of all tasks of the group, copied the siblings' readings and looked up the index of every image of every sibling by name, twice; the Kalman step worked on all images. observeServices built keys and a map of shares for readings that Observe dropped because they overlap. Paces and its callers allocated per service.

Change: a group keeps its readings sorted by task, each with its shares by coefficient index, sorted by index. Working space is kept between calls. A Kalman step skips terms that are 0. observeServices keeps a reading that a new one would overlap with and does not call Observe, except for a job that has ended, whose readings the learner has forgotten. Paces looks up a coefficient once for successive tasks of one image; paceWorker's short lists are on the stack. relocate tests the run's own fields first.

Float sums over the images of one worker (weights, own load, the terms of a Kalman step) went in the random order of a map; they now go by coefficient index, and images that are new in one reading get their indexes by name. All other sums keep their order. A group whose service image changes starts without readings; the cell never does that, and Source now says so.

--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -58,18 +58,22 @@
 // the task would not run from the end of the worker until its lease has expired: that the worker has no entry in the
 // store does not prove that it has ended, since the entry may only be delayed.
 func (c *Cell) onDrainingWorker(r *run) bool {
+	if !r.worker.info.Draining || r.stopRequested || r.state != runRunning {
+		return false
+	}
 	step := r.task.group.step
-	return r.worker.info.Draining && step.LongRunning && !step.Gang && !r.stopRequested &&
-		r.state == runRunning && r.task.group.job.live()
+	return step.LongRunning && !step.Gang && r.task.group.job.live()
 }
 
 // throttledTooLong reports whether a best-effort run has been slow for minSlowTime and may be relocated: it is running,
 // no stop is requested, it is not part of a gang, its job is live, its task was relocated fewer than maxRelocations
 // times, and the task has checkpoints or its progress is at most maxLostPercent.
 func (c *Cell) throttledTooLong(r *run) bool {
+	if r.slowSince == 0 || r.pace > slowPace || c.now-r.slowSince < minSlowTime || r.stopRequested || r.state != runRunning {
+		return false
+	}
 	step := r.task.group.step
-	if !step.BestEffort || step.Gang || r.stopRequested || r.state != runRunning ||
-		r.pace > slowPace || r.slowSince == 0 || c.now-r.slowSince < minSlowTime {
+	if !step.BestEffort || step.Gang {
 		return false
 	}
 	return r.task.relocations < maxRelocations && (step.Checkpoints || r.progressPercent <= maxLostPercent) &&
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -33,22 +33,23 @@
 	if len(w.services) == 0 {
 		return
 	}
-	shares := cpuinterference.CPUShares{}
-	for _, r := range w.bestEffort {
-		if r.state == runRunning {
-			shares[r.task.group.step.Image] += float64(r.milliCPU) / float64(max(1, w.info.Capacity.MilliCPU))
-		}
-	}
+	var shares cpuinterference.CPUShares
 	for _, r := range w.services {
 		step := r.task.group.step
 		// Below 100 percent of progress the service is not serving yet.
 		if r.state != runRunning || r.progressPercent < fullPace || r.tailLatency <= 0 {
 			continue
 		}
-		reading := c.interference.Observe(cpuinterference.Source{
-			Image: step.Image, Group: jobrecord.GroupKey(r.task.group.id), Task: r.task.id.Key(),
-		}, r.tailLatency, shares, c.now)
-		r.reading = &reading
+		// The learner forgets the readings of a job that has ended, so it may take a new one before the gap is over.
+		if r.reading == nil || r.task.group.job.ended || !r.reading.Overlaps(c.now) {
+			if shares == nil {
+				shares = w.bestEffortShares()
+			}
+			reading := c.interference.Observe(cpuinterference.Source{
+				Image: step.Image, Group: jobrecord.GroupKey(r.task.group.id), Task: r.task.id.Key(),
+			}, r.tailLatency, shares, c.now)
+			r.reading = &reading
+		}
 		switch {
 		case r.tailLatency < step.TargetTailLatency:
 			r.overTargetSince = 0
@@ -58,6 +59,18 @@
 	}
 }
 
+// bestEffortShares returns the CPU use of the running best-effort tasks on a worker.
+func (w *worker) bestEffortShares() cpuinterference.CPUShares {
+	shares := cpuinterference.CPUShares{}
+	capacity := float64(max(1, w.info.Capacity.MilliCPU))
+	for _, r := range w.bestEffort {
+		if r.state == runRunning {
+			shares[r.task.group.step.Image] += float64(r.milliCPU) / capacity
+		}
+	}
+	return shares
+}
+
 // overTargetFraction returns how long a service has been over its target, including measurementDelay, divided by
 // Settings.MaxOverTarget. It returns 0 for a service that is not over its target, or if MaxOverTarget is 0.
 func (c *Cell) overTargetFraction(r *run) float64 {
@@ -72,8 +85,11 @@
 
 // paceWorker sets the pace of each best-effort run on a worker and adds orders for those that change.
 func (c *Cell) paceWorker(w *worker, orders *Orders) {
-	var runs []*run
-	var bestEffortTasks []pacing.BestEffortTask
+	// Short lists stay on the stack.
+	var runSpace [16]*run
+	var taskSpace [16]pacing.BestEffortTask
+	var serviceSpace [8]pacing.Service
+	runs, bestEffortTasks := runSpace[:0], taskSpace[:0]
 	for _, r := range w.bestEffort {
 		if r.state == runRunning && !r.stopRequested {
 			runs = append(runs, r)
@@ -83,7 +99,7 @@
 	if len(runs) == 0 {
 		return
 	}
-	for i, pace := range pacing.Paces(c.services(w), bestEffortTasks, c.interference.Coefficient) {
+	for i, pace := range pacing.Paces(c.appendServices(serviceSpace[:0], w), bestEffortTasks, c.interference.Coefficient) {
 		r := runs[i]
 		if pace == r.pace {
 			continue
@@ -103,9 +119,8 @@
 	}
 }
 
-// services describes the services on a worker to the pacing package.
-func (c *Cell) services(w *worker) []pacing.Service {
-	var services []pacing.Service
+// appendServices appends to services the descriptions of the services on a worker for the pacing package.
+func (c *Cell) appendServices(services []pacing.Service, w *worker) []pacing.Service {
 	for _, r := range w.services {
 		step := r.task.group.step
 		if r.reading != nil && r.state == runRunning {
--- a/internal/cpuinterference/cpuinterference.go
+++ b/internal/cpuinterference/cpuinterference.go
@@ -15,6 +15,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -54,8 +55,9 @@
 // Learner holds the coefficients of all pairs of images. Its methods are not safe for concurrent use.
 type Learner struct {
 	services map[string]*service
-	// latest is the latest reading of each task, by Source.Group and Source.Task.
-	latest map[string]map[string]Reading
+	groups   map[string]*group // by Source.Group
+	// observations is the working space of Observe.
+	observations []*observation
 }
 
 // service holds the coefficients of one service image. The map indexes gives, for each best-effort image, its index in
@@ -65,6 +67,8 @@
 	indexes      map[string]int
 	mean         []float64
 	covariance   [][]float64
+	// weight, difference and gain are the working space of the methods weights, shareDifferences and update.
+	weight, difference, gain []float64
 }
 
 // Reading is the utilization of one task of a service at one time, as derived from its tail latency.
@@ -79,7 +83,7 @@
 }
 
 // Source identifies the task that a reading is of. Image is the service's image. Group identifies the tasks that share
-// the load of one service, Task the task within the group.
+// the load of one service, Task the task within the group. All tasks of a group have the same image.
 type Source struct {
 	Image string
 	Group string
@@ -88,117 +92,110 @@
 
 // NewLearner returns a learner without any readings.
 func NewLearner() *Learner {
-	return &Learner{services: make(map[string]*service), latest: make(map[string]map[string]Reading)}
+	return &Learner{services: make(map[string]*service), groups: make(map[string]*group)}
 }
 
 // Observe adds a task's tail latency at a time and learns from it. It returns the reading, or the task's previous one
 // when the two overlap.
 func (l *Learner) Observe(from Source, tail time.Duration, shares CPUShares, at time.Duration) Reading {
-	group := l.latest[from.Group]
-	if group == nil {
-		group = make(map[string]Reading)
-		l.latest[from.Group] = group
-	}
-	before, known := group[from.Task]
-	if known && at-before.At < minReadingGap {
-		return before
-	}
-	reading := l.NewReading(from.Image, tail, shares, at)
-	siblings := recentSiblings(group, from.Task, at)
-	if !l.learnFromSiblings(from.Image, reading, siblings) && known {
-		l.Learn(from.Image, before, reading)
-	}
-	reading.OwnLoad = l.estimateOwnLoad(from.Image, reading, siblings)
-	group[from.Task] = reading
-	return reading
+	s := l.service(from.Image)
+	g := l.groups[from.Group]
+	if g == nil || g.service != s {
+		g = &group{service: s}
+		l.groups[from.Group] = g
+	}
+	i, known := g.find(from.Task)
+	if known && g.latest[i].reading.Overlaps(at) {
+		return g.latest[i].reading
+	}
+	current := &observation{
+		task: from.Task, reading: l.NewReading(from.Image, tail, shares, at), shares: s.indexShares(shares),
+	}
+	var before *observation
+	if known {
+		before, g.latest[i] = g.latest[i], current
+	} else {
+		g.latest = slices.Insert(g.latest, i, current)
+	}
+	l.observations = g.appendRecentSiblings(append(l.observations[:0], current), current)
+	if !s.learnFromSiblings(current, l.observations[1:]) && known {
+		s.learnFromChange(before, current)
+	}
+	current.reading.OwnLoad = s.estimateOwnLoad(l.observations)
+	return current.reading
 }
 
-// recentSiblings returns the readings of the task's siblings that are recent enough to be compared with one at the time
-// at. It deletes expired readings.
-func recentSiblings(readings map[string]Reading, task string, at time.Duration) []Reading {
-	var siblings []Reading
-	for _, name := range sortedKeys(readings) {
-		age := at - readings[name].At
-		switch {
-		case age > readingExpiry:
-			delete(readings, name)
-		case name != task && age <= maxSiblingAge:
-			siblings = append(siblings, readings[name])
-		}
-	}
-	return siblings
-}
+// Overlaps reports whether a new reading of the same task at the time at would overlap with the reading, so that Observe
+// would return the reading again.
+func (r *Reading) Overlaps(at time.Duration) bool { return at-r.At < minReadingGap }
 
-// weights returns the weight of each sibling's reading in the estimate of the service's own load. The weights are
+// weights returns the weight of each observation in the estimate of the service's own load. The weights are
 // proportional to the inverse of the variance of the reading and add up to 1. The variance grows with the interference,
 // whose coefficients are assumed to have an error of half their mean besides their standard deviation, and by 1 for a
-// saturated reading.
-func (s *service) weights(siblings []Reading) []float64 {
-	weights, total := make([]float64, len(siblings)), 0.0
-	for i, sibling := range siblings {
+// saturated reading. The result is valid until the next call.
+func (s *service) weights(observations []*observation) []float64 {
+	weights, total := s.weight[:0], 0.0
+	for _, o := range observations {
 		variance := readingNoise * readingNoise
-		for image, x := range sibling.CPUShares {
-			k := s.coefficientIndex(image)
+		for _, beside := range o.shares {
+			k, x := beside.index, beside.share
 			variance += x * x * (s.covariance[k][k] + s.mean[k]*s.mean[k]/4)
 		}
-		if sibling.Utilization >= saturatedUtilization {
+		if o.reading.Utilization >= saturatedUtilization {
 			variance += 1
 		}
-		weights[i] = 1 / variance
-		total += weights[i]
+		weights = append(weights, 1/variance)
+		total += 1 / variance
 	}
 	for i := range weights {
 		weights[i] /= total
 	}
+	s.weight = weights
 	return weights
 }
 
 // learnFromSiblings learns from the difference between a reading and the weighted mean of its siblings' readings. It
 // reports whether the CPU share of any best-effort image differs by more than minShareChange between the two; siblings
 // on the same worker run beside the same best-effort tasks, so that their shares do not differ.
-func (l *Learner) learnFromSiblings(image string, reading Reading, siblings []Reading) bool {
+func (s *service) learnFromSiblings(current *observation, siblings []*observation) bool {
 	if len(siblings) == 0 {
 		return false
 	}
-	s := l.service(image)
 	weights := s.weights(siblings)
-	siblingShares, utilizationDiff, varianceFactor := CPUShares{}, reading.Utilization, 1.0
-	for i, sibling := range siblings {
-		utilizationDiff -= weights[i] * sibling.Utilization
-		varianceFactor += weights[i] * weights[i]
-		for bestEffortImage, x := range sibling.CPUShares {
-			siblingShares[bestEffortImage] += weights[i] * x
-		}
+	utilization := current.reading.Utilization
+	utilizationDiff, varianceFactor := utilization, 1.0
+	for i, weight := range weights {
+		utilizationDiff -= weight * siblings[i].reading.Utilization
+		varianceFactor += weight * weight
+	}
+	differences, any := s.shareDifferences(siblings, weights, current.shares)
+	if !any {
+		return false
 	}
 	deviation := readingNoise
-	if reading.Utilization >= saturatedUtilization {
+	if utilization >= saturatedUtilization {
 		deviation = saturatedReadingNoise
 	}
-	differences, any := s.shareDifferences(siblingShares, reading.CPUShares)
-	if any {
-		s.update(differences, utilizationDiff, deviation*math.Sqrt(varianceFactor))
-	}
-	return any
+	s.update(differences, utilizationDiff, deviation*math.Sqrt(varianceFactor))
+	return true
 }
 
-// estimateOwnLoad returns the utilization that the service's own load causes: the weighted mean, over the reading and
-// its siblings, of the utilization less the expected interference.
-func (l *Learner) estimateOwnLoad(image string, reading Reading, siblings []Reading) float64 {
-	s := l.service(image)
-	all := append([]Reading{reading}, siblings...)
+// estimateOwnLoad returns the utilization that the service's own load causes: the weighted mean, over the readings of a
+// task and its siblings, of the utilization less the expected interference.
+func (s *service) estimateOwnLoad(observations []*observation) float64 {
 	ownLoad := 0.0
-	for i, weight := range s.weights(all) {
+	for i, weight := range s.weights(observations) {
 		interference := 0.0
-		for bestEffortImage, x := range all[i].CPUShares {
-			interference += s.mean[s.coefficientIndex(bestEffortImage)] * x
+		for _, beside := range observations[i].shares {
+			interference += s.mean[beside.index] * beside.share
 		}
-		ownLoad += weight * math.Max(0, all[i].Utilization-interference)
+		ownLoad += weight * math.Max(0, observations[i].reading.Utilization-interference)
 	}
 	return ownLoad
 }
 
 // Forget drops the readings of a group that has ended.
-func (l *Learner) Forget(group string) { delete(l.latest, group) }
+func (l *Learner) Forget(group string) { delete(l.groups, group) }
 
 // service returns the entry of a service image and adds it if necessary.
 func (l *Learner) service(image string) *service {
@@ -255,39 +252,48 @@
 // Learn learns from the change between two successive readings of the same task. It ignores readings whose distance in
 // time is below minReadingGap or above maxReadingGap, and pairs of saturated readings.
 func (l *Learner) Learn(image string, before, after Reading) {
-	gap := after.At - before.At
+	s := l.service(image)
+	s.learnFromChange(&observation{reading: before, shares: s.indexShares(before.CPUShares)},
+		&observation{reading: after, shares: s.indexShares(after.CPUShares)})
+}
+
+// learnFromChange is Learn for indexed shares.
+func (s *service) learnFromChange(before, after *observation) {
+	gap := after.reading.At - before.reading.At
 	if gap < minReadingGap || gap > maxReadingGap {
 		return
 	}
 	deviation := readingNoise
-	if before.Utilization >= saturatedUtilization && after.Utilization >= saturatedUtilization {
+	saturatedBefore := before.reading.Utilization >= saturatedUtilization
+	saturatedAfter := after.reading.Utilization >= saturatedUtilization
+	if saturatedBefore && saturatedAfter {
 		return
 	}
-	if before.Utilization >= saturatedUtilization || after.Utilization >= saturatedUtilization {
+	if saturatedBefore || saturatedAfter {
 		deviation = saturatedReadingNoise
 	}
-	s := l.service(image)
-	differences, any := s.shareDifferences(before.CPUShares, after.CPUShares)
+	differences, any := s.shareDifferences([]*observation{before}, []float64{1}, after.shares)
 	if any {
-		s.update(differences, after.Utilization-before.Utilization, deviation)
+		s.update(differences, after.reading.Utilization-before.reading.Utilization, deviation)
 	}
 }
 
-// shareDifferences returns the difference of the share of each best-effort image, by the image's index, and whether any
-// of them exceeds minShareChange.
-func (s *service) shareDifferences(before, after CPUShares) (differences []float64, any bool) {
-	for image := range before {
-		s.coefficientIndex(image)
+// shareDifferences returns the difference between the share of each best-effort image and the weighted sum of its shares
+// in observations, by the image's index, and whether any of them exceeds minShareChange. The result is valid until the
+// next call.
+func (s *service) shareDifferences(observations []*observation, weights []float64, after []indexedShare) (differences []float64, any bool) {
+	differences = zeroed(s.difference, len(s.mean))
+	s.difference = differences
+	for i, o := range observations {
+		for _, beside := range o.shares {
+			differences[beside.index] -= weights[i] * beside.share
+		}
 	}
-	for image := range after {
-		s.coefficientIndex(image)
+	for _, beside := range after {
+		differences[beside.index] += beside.share
 	}
-	differences = make([]float64, len(s.mean))
-	for image, i := range s.indexes {
-		differences[i] = after[image] - before[image]
-		if math.Abs(differences[i]) > minShareChange {
-			any = true
-		}
+	for _, difference := range differences {
+		any = any || math.Abs(difference) > minShareChange
 	}
 	return differences, any
 }
@@ -296,26 +302,40 @@
 // coefficientIndex; observed is the change of the utilization, and deviation is its standard deviation. Coefficients
 // are kept from becoming negative.
 func (s *service) update(differences []float64, observed, deviation float64) {
-	n := len(s.mean)
-	gain := make([]float64, n)
+	gain := zeroed(s.gain, len(s.mean))
+	s.gain = gain
 	predicted, variance := 0.0, deviation*deviation
-	for i := range n {
-		for k := range n {
-			gain[i] += s.covariance[i][k] * differences[k]
+	for k, difference := range differences {
+		if difference == 0 {
+			continue
 		}
-		predicted += s.mean[i] * differences[i]
-		variance += gain[i] * differences[i]
+		for i, covariance := range s.covariance[k] { // the matrix is symmetric
+			gain[i] += covariance * difference
+		}
+		predicted += s.mean[k] * difference
 	}
-	for i := range n {
-		s.mean[i] = math.Max(0, s.mean[i]+gain[i]/variance*(observed-predicted))
+	for i, difference := range differences {
+		variance += gain[i] * difference
 	}
-	for i := range n {
-		for k := range n {
-			s.covariance[i][k] -= gain[i] * gain[k] / variance
+	for i, g := range gain {
+		if g == 0 {
+			continue
+		}
+		s.mean[i] = math.Max(0, s.mean[i]+g/variance*(observed-predicted))
+		row := s.covariance[i]
+		for k := range row {
+			row[k] -= g * gain[k] / variance
 		}
 	}
 }
 
+// zeroed returns a slice of n zeros that reuses the memory of space.
+func zeroed(space []float64, n int) []float64 {
+	space = slices.Grow(space[:0], n)[:n]
+	clear(space)
+	return space
+}
+
 // Coefficient returns the coefficient of a service image and a best-effort image, and its standard deviation. For a pair
 // without readings it returns the prior.
 func (l *Learner) Coefficient(service, bestEffortImage string) (mean, deviation float64) {
--- a/internal/pacing/pacing.go
+++ b/internal/pacing/pacing.go
@@ -66,9 +66,10 @@
 type CoefficientFunc func(service, bestEffortImage string) (mean, deviation float64)
 
 // Paces returns the new pace of each best-effort task of a worker, in percent of full speed and in the order of tasks.
-// services are the services on the same worker.
+// services are the services on the same worker. It calls coefficient once for successive tasks of the same image.
 func Paces(services []Service, tasks []BestEffortTask, coefficient CoefficientFunc) []int {
-	targets := make([]float64, len(tasks))
+	space := make([]float64, 2*len(tasks))
+	targets, contributions := space[:len(tasks)], space[len(tasks):]
 	for i := range targets {
 		targets[i] = FullSpeed
 	}
@@ -76,7 +77,7 @@
 	for i := range services {
 		s := &services[i]
 		overLimit = overLimit || s.Utilization >= s.MaxUtilization
-		limitForService(s, tasks, targets, coefficient)
+		limitForService(s, tasks, targets, contributions, coefficient)
 	}
 	paces := make([]int, len(tasks))
 	for i := range tasks {
@@ -87,24 +88,25 @@
 
 // limitForService lowers targets, the target paces in percent by index of tasks, until the service is expected to stay
 // under usedLimitShare of its limit. It lowers them further while the service stays over its target, and halves the
-// paces of tasks with unknown coefficients if the known ones do not explain why the service is near its limit.
-func limitForService(s *Service, tasks []BestEffortTask, targets []float64, coefficient CoefficientFunc) {
-	expected := 0.0
-	contributions := make([]float64, len(tasks))
+// paces of tasks with unknown coefficients if the known ones do not explain why the service is near its limit. It
+// overwrites contributions, which is as long as tasks.
+func limitForService(s *Service, tasks []BestEffortTask, targets, contributions []float64, coefficient CoefficientFunc) {
+	if s.OverTargetShare >= stopAllAfter {
+		clear(targets)
+		return
+	}
+	expected, mean, deviation := 0.0, 0.0, 0.0
 	unknown := false
 	for i := range tasks {
-		mean, deviation := coefficient(s.Image, tasks[i].Image)
+		if i == 0 || tasks[i].Image != tasks[i-1].Image {
+			mean, deviation = coefficient(s.Image, tasks[i].Image)
+		}
 		contributions[i] = (mean + deviationWeight*deviation) * tasks[i].FullSpeedCPUShare
 		expected += contributions[i] * targets[i] / FullSpeed
 		unknown = unknown || deviation > maxKnownDeviation
 	}
 	allowed := math.Max(0, s.MaxUtilization*usedLimitShare-s.OwnLoad)
 	switch {
-	case s.OverTargetShare >= stopAllAfter:
-		for i := range targets {
-			targets[i] = 0
-		}
-		return
 	case s.OverTargetShare >= stopInterferingAfter:
 		allowed = 0
 	case s.OverTargetShare >= halveAfter:
