Forget that a lease has expired when an order extends it again

Callers would see: a task that is away for good (LOST). Cause: a lease lapses while one run is started and another is only placed. The first is abandoned and the mark 'lease expired' set. The start order of the second extends the lease, but the mark stays, so if the worker never reports again its run is never abandoned. Evidence: found by a review; the new test fails before (1 run after a minute of silence) and passes after. Fix: an order that extends the lease, and a new incarnation of the worker, clear the mark.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -267,7 +267,7 @@
 	}
 	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.grantedUntil, w.nextRenewal = 0, 0, 0, c.now
-	w.leaseExpiresBy = leaseExpiresBy
+	w.leaseExpiresBy, w.leaseExpired = leaseExpiresBy, false
 	w.touch()
 	w.info.Draining = false
 }
--- a/internal/cell/lost_worker_test.go
+++ b/internal/cell/lost_worker_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 // Guards against LOST: a worker that was idle vanishes right after it was given a task, before its next report, and the
@@ -32,3 +34,38 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against LOST: the lease of a worker lapses while one run is started and another is only placed. The start order
+// of the second run extends the lease, the worker is gone, and the second run stayed for ever.
+func TestLeaseThatLapsesBesidePlacedRunExpiresAgain(t *testing.T) {
+	sim := newSimulation(14, 1)
+	c := sim.takeOver().cell
+	sim.run(12 * time.Second)
+	spec := testSpec(1)
+	spec.Steps[0].LongRunning = true
+	sim.submit("a", spec)
+	sim.run(2 * time.Second)
+	sim.submit("b", spec)
+	sim.now += simTick
+	sim.runDueEvents()
+	c.SetTime(sim.now, sim.wall())
+	round := c.Plan()
+	silence := func(d time.Duration) {
+		for end := sim.now + d; sim.now < end; {
+			sim.now += simTick
+			c.SetTime(sim.now, sim.wall())
+			c.Tick()
+			for _, r := range c.TakeOrders(true).Renewals {
+				c.RenewFailed(r.To.ID, errNoAnswer)
+			}
+		}
+	}
+	silence(9 * time.Second)
+	for _, order := range c.RoundStored(round) {
+		c.StartAnswered(order, workercall.Reply{}, errNoAnswer)
+	}
+	silence(time.Minute)
+	if runs := len(c.workers["w0"].runs); runs > 0 {
+		t.Errorf("%d runs on a worker that has been silent for a minute, want 0", runs)
+	}
+}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -109,7 +109,7 @@
 // extendLease extends the lease on a worker by Settings.MaxLease from now and returns its end, on the worker's clock.
 func (c *Cell) extendLease(w *worker) time.Duration {
 	until := w.clockNow(c.now) + c.settings.MaxLease
-	w.grantedUntil = max(w.grantedUntil, until)
+	w.grantedUntil, w.leaseExpired = max(w.grantedUntil, until), false
 	w.updateLeaseExpiry()
 	return until
 }
