Do not extend leases of silent workers for longer while the owner is late

Callers would see: a long-running task away for up to 9.7 s after its worker vanished (LOST; the bound is 9 s), leases that lapse when one renewal is lost under overload, and interrupted tasks that wait while no start is allowed. Cause: the age of a report up to which a lease is extended grew by the rest and the delay, also for a worker that did not answer; a rest of 2 s and a wait of 1.9 s left no room for a lost renewal within a lease of 6 s; at the limit of 4 unanswered starts, four silent workers stopped all starts. Fix: an order extends the lease if the last renewal was answered and the order is not overdue for long. Rest 1 s, wait 1.2 s, at least 16 unanswered starts, and interrupted long-running tasks are not limited by them.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -251,19 +251,19 @@
 	}
 }
 
-// handleNewIncarnation abandons all runs on a worker that has restarted and resets the worker's state. A run whose start
-// order is not answered stays, since the new incarnation may carry out the order. seenBy says for the log how the restart
-// was noticed: by an entry in the store, a report or a refusal.
+// handleNewIncarnation abandons the runs on a worker that has restarted and resets the worker's state. Runs with a start
+// order that was not answered stay, since the new incarnation may carry out the order, and are stopped there. seenBy says
+// for the log how the restart was noticed: by an entry in the store, a report or a refusal.
 func (c *Cell) handleNewIncarnation(w *worker, seenBy string) {
 	c.log.Info("worker restarted", zap.String("worker", w.info.ID), zap.String("seen_by", seenBy), zap.Int("runs", len(w.runs)))
 	leaseExpiresBy := max(c.now, c.formerLeasesEnd)
 	for _, r := range w.sortedRuns() {
-		if r.state == runStartSent {
-			r.incarnation, r.startInDoubt = 0, true
-			leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, c.settings.MaxLease))
+		if r.state != runStartSent && !r.startInDoubt {
+			c.abandonRun(r, "new_life")
 			continue
 		}
-		c.abandonRun(r, "new_life")
+		c.doubtRun(r)
+		leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, c.settings.MaxLease))
 	}
 	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.grantedUntil, w.nextRenewal = 0, 0, 0, c.now
@@ -271,3 +271,14 @@
 	w.touch()
 	w.info.Draining = false
 }
+
+// doubtRun has a run whose start order may reach the next incarnation of its worker stopped there, at once or when the
+// order in flight remains unanswered.
+func (c *Cell) doubtRun(r *run) {
+	r.incarnation, r.startInDoubt, r.startRuledOut, r.stopInFlight, r.stopSentAt = 0, true, false, false, 0
+	r.attempts = maxStartAttempts
+	if r.state != runStartSent {
+		r.setState(runUncertain, c.now)
+		c.stopRun(r, stopRunUnknown)
+	}
+}
--- a/internal/cell/lost_worker_test.go
+++ b/internal/cell/lost_worker_test.go
@@ -35,6 +35,43 @@
 	}
 }
 
+// Guards against LOST: an owner that is late goes on extending the lease of a worker that has vanished, so that its
+// long-running task stays away for longer than allowed.
+func TestTaskOfLostWorkerRunsElsewhereInTimeWhileOwnerIsLate(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
+		worst := time.Duration(0)
+		for offset := range 20 {
+			worst = max(worst, lostWorkerTime(delay, 300+20*offset))
+		}
+		if worst > restoreTime {
+			t.Errorf("owner late by %v: the task was away for up to %v, want at most %v", delay, worst, restoreTime)
+		}
+	}
+}
+
+// lostWorkerTime returns how long a long-running task is away if its worker vanishes after a number of ticks.
+func lostWorkerTime(delay time.Duration, ticks int) time.Duration {
+	sim := newSimulation(11, 3)
+	sim.takeOver()
+	sim.run(12 * time.Second)
+	spec := testSpec(1)
+	spec.Steps[0].LongRunning = true
+	sim.submit("j", spec)
+	sim.owner.processor.loopDelay = delay
+	sim.run(time.Duration(ticks) * simTick)
+	for id, s := range sim.workers {
+		if len(s.running) > 0 {
+			s.up = false
+			delete(sim.workers, id)
+		}
+	}
+	lost := sim.now
+	for sim.running() == 0 && sim.now < lost+time.Minute {
+		sim.run(simTick)
+	}
+	return sim.now - lost
+}
+
 // Guards against LOST: the lease of a worker lapses while one run is started and another is only placed. The start order
 // of the second run extends the lease, the worker is gone, and the second run stayed for ever.
 func TestLeaseThatLapsesBesidePlacedRunExpiresAgain(t *testing.T) {
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -15,7 +15,7 @@
 	// limits the time between two latency measurements, so that several arrive within Settings.MaxOverTarget.
 	renewWait = 800 * time.Millisecond
 	// maxRenewWait is used instead while the owner is short of processor time, for a worker on which nothing is paced.
-	maxRenewWait = 1900 * time.Millisecond
+	maxRenewWait = 1200 * time.Millisecond
 	// idleRenewInterval is the time between two renewal orders to a worker without runs.
 	idleRenewInterval = 2 * time.Second
 	// failedRenewInterval is the time between two renewal orders to a worker that does not answer.
@@ -28,8 +28,8 @@
 	maxServiceRest = 200 * time.Millisecond
 	// unloadedRenewInterval is the time between two renewal orders to a worker while the state is not loaded.
 	unloadedRenewInterval = time.Second
-	// maxReportAge is the maximum age of a worker's newest report for its lease to be extended, see Cell.maxReportAge.
-	// For a task to be placed on it, idleRenewInterval is added, since an idle worker reports at this interval.
+	// maxReportAge is the maximum time by which a renewal order may be overdue if it is to extend the lease.
+	// For a task to be placed on the worker, idleRenewInterval is added, since an idle worker reports at this interval.
 	maxReportAge = 1800 * time.Millisecond
 	// stopRetryInterval is the time between two stop orders for the same run.
 	stopRetryInterval = 600 * time.Millisecond
@@ -137,12 +137,12 @@
 }
 
 // renewOrder returns a renewal order for a worker. The order extends the lease only if the worker has runs, or may have
-// some because the state is not loaded, and its newest report is recent enough.
+// some because the state is not loaded, and its last renewal was answered and this one is not overdue for long.
 func (c *Cell) renewOrder(w *worker) RenewOrder {
 	request := workercall.RenewRequest{Token: c.token, Acknowledged: w.lastEndStored}
 	w.renewalInFlight = true
 	w.touch()
-	if w.tokenAccepted && w.clockKnown && (len(w.runs) > 0 || !c.loaded) && c.now-w.lastReport < c.maxReportAge() {
+	if w.tokenAccepted && w.clockKnown && (len(w.runs) > 0 || !c.loaded) && w.failingSince == 0 && c.now-w.nextRenewal < maxReportAge {
 		request.LeaseExpiry = c.extendLease(w)
 		if c.loaded && w.lastEndSeen == w.lastEndStored {
 			request.Wait = c.renewWait(w)
@@ -180,10 +180,10 @@
 	return c.load.Rest()
 }
 
-// maxReportAge returns the maximum age of a worker's newest report for its lease to be extended. It allows for the time
-// by which the owner itself is late, which says nothing about the worker.
-func (c *Cell) maxReportAge() time.Duration {
-	return maxReportAge + c.load.Rest() + c.load.Delay()
+// maxPlacementReportAge returns the maximum age of a worker's newest report for a task to be placed on it. It allows for
+// the rest that the owner gives to workers, which says nothing about them.
+func (c *Cell) maxPlacementReportAge() time.Duration {
+	return idleRenewInterval + maxReportAge + c.load.Rest()
 }
 
 // addStopsAndRetries adds the stop orders that are due and repeats start orders that were not answered.
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -38,21 +38,18 @@
 	if len(groups) == 0 {
 		return
 	}
-	limit := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
-	if limit == 0 {
-		c.load.Limited()
-		c.waitForTurn(groups, 0)
-		c.scheduleRetry(c.now + placementRetryInterval)
-		return
-	}
+	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
 	v := c.newPlacementView()
 	placed, unplaced := 0, false
 	for i, g := range groups {
-		count, all := c.placeGroup(v, g, limit-placed)
+		limit := allowed
+		if g.rank.Interrupted() {
+			limit = maxStartsPerRound
+		}
+		count, all := c.placeGroup(v, g, max(0, limit-placed))
 		placed += count
 		unplaced = unplaced || !all
-		if placed >= limit {
-			unplaced = unplaced || i+1 < len(groups)
+		if g.waitReason == waitTurn {
 			c.load.Limited()
 			c.waitForTurn(groups, i)
 			break
@@ -66,7 +63,7 @@
 // acceptsTasks reports whether tasks may be placed on a worker now.
 func (c *Cell) acceptsTasks(w *worker) bool {
 	return w.listed && w.reconciled && w.clockKnown && !w.dead && !w.info.Draining && w.failingSince == 0 &&
-		c.now >= w.refusingUntil && c.now-w.lastReport < idleRenewInterval+c.maxReportAge()
+		c.now >= w.refusingUntil && c.now-w.lastReport < c.maxPlacementReportAge()
 }
 
 // expectedCPU returns the CPU, in milli-CPU, that a run is expected to use.
@@ -84,7 +81,7 @@
 // placeGroup places up to limit of a group's waiting tasks, or all members of a gang, and returns how many it placed.
 // all is false if some of them were not placed.
 func (c *Cell) placeGroup(v *placementView, g *group, limit int) (placed int, all bool) {
-	if g.step.Gang {
+	if g.step.Gang && limit > 0 {
 		return c.placeGang(v, g)
 	}
 	postponed := waitNone
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -147,9 +147,9 @@
 	switch {
 	case r.state == runRunning:
 		c.abandonRun(r, "not_listed")
-	case r.state == runUncertain && (r.startRuledOut || first):
+	case r.state == runUncertain && (r.startRuledOut || first && r.attempts == 0):
 		// From now on the worker refuses older tokens and runs that were stopped or ended, so the start can no longer
-		// take effect.
+		// take effect. A start order of this owner still can.
 		c.abandonRun(r, "never_started")
 	}
 }
@@ -242,12 +242,16 @@
 // ended.
 func (c *Cell) handleOtherIncarnation(w *worker) {
 	w.touch()
-	if w.dead {
-		w.nextRenewal = c.now + idleRenewInterval
-		return
+	if !w.dead {
+		c.handleNewIncarnation(w, "refusal")
+		w.dead = true
+	}
+	// The incarnation at the address refuses the orders to this one, so none of them takes effect any more.
+	for _, r := range w.sortedRuns() {
+		if r.state != runStartSent {
+			c.abandonRun(r, "new_life")
+		}
 	}
-	c.handleNewIncarnation(w, "refusal")
-	w.dead = true
 	w.nextRenewal = c.now + idleRenewInterval
 }
 
--- a/internal/cell/restarted_worker_test.go
+++ b/internal/cell/restarted_worker_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 // Guards against TWICE: a start order reaches the next incarnation of a worker, which has the same ID, before the owner
@@ -32,3 +35,85 @@
 		t.Errorf("seed %d, restart after %d ticks: %s", seed, ticks, violation)
 	}
 }
+
+// Guards against TWICE: a start order that was not answered reaches the next incarnation of the worker, after the owner
+// has given up on the answer and learned of the restart.
+func TestUnansweredStartOrderReachesRestartedWorker(t *testing.T) {
+	for delay := 50 * time.Millisecond; delay <= 3*time.Second; delay += 50 * time.Millisecond {
+		sim := newSimulation(3, 3)
+		sim.taskRunTime = 40 * time.Second
+		sim.takeOver()
+		sim.run(12 * time.Second)
+		sim.submit("j", testSpec(1))
+		r := sim.placeOneRun()
+		sim.delayRate = 1 // the start order gets no answer
+		for r.state == runPlaced {
+			sim.now += simTick
+			sim.runDueEvents()
+		}
+		sim.delayRate = 0
+		id := r.worker.info.ID
+		order := workercall.Start{
+			Run: workercall.Run{Task: jobs.TaskID{Job: "j"}, Number: r.number}, LeaseExpiry: sim.workers[id].clock() + maxLease, Token: sim.owner.token,
+		}
+		sim.run(delay)
+		sim.restartWorker(id)
+		sim.run(400 * time.Millisecond)
+		_, _ = sim.workers[id].start(order) // may be refused
+		sim.run(3 * time.Second)
+		for _, violation := range sim.violations {
+			t.Errorf("restart %v after the order: %s", delay, violation)
+		}
+		if running := sim.running(); running != 1 {
+			t.Errorf("restart %v after the order: %d runs, want 1", delay, running)
+		}
+	}
+}
+
+// placeOneRun runs the simulation until the owner has placed a run, and returns it.
+func (sim *simulation) placeOneRun() *run {
+	for {
+		sim.now += simTick
+		sim.runDueEvents()
+		sim.runOwner(sim.owner)
+		for _, w := range sim.owner.cell.workers {
+			for _, r := range w.runs {
+				return r
+			}
+		}
+	}
+}
+
+// Guards against TWICE: the first report of a restarted worker does not rule out that this owner's own start order, which
+// was not answered, takes effect there.
+func TestFirstReportDoesNotRuleOutOwnStartOrder(t *testing.T) {
+	sim := newSimulation(3, 1)
+	c := sim.takeOver().cell
+	sim.run(12 * time.Second)
+	sim.submit("j", testSpec(1))
+	sim.now += simTick
+	sim.runDueEvents()
+	c.SetTime(sim.now, sim.wall())
+	starts := c.RoundStored(c.Plan())
+	w := c.workers["w0"]
+	w.renewalInFlight = true // sent to the former incarnation
+	sim.restartWorker("w0")
+	c.SetWorkers(sim.currentWorkers())
+	c.SetTime(sim.now+1200*time.Millisecond, sim.wall())
+	c.StartAnswered(starts[0], workercall.Reply{}, errNoAnswer)
+	c.SetTime(sim.now+1500*time.Millisecond, sim.wall())
+	c.RenewFailed("w0", errNoAnswer)
+	report, err := sim.workers["w0"].renew(workercall.RenewRequest{Token: c.token})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetTime(sim.now+1800*time.Millisecond, sim.wall())
+	c.RenewAnswered("w0", report, sim.now+1800*time.Millisecond)
+	if len(w.runs) != 1 {
+		t.Error("the run was abandoned although its start order may still take effect")
+	}
+	c.TakeOrders(true) // decides to stop the run
+	if orders := c.TakeOrders(true); len(orders.Stops) != 1 || len(orders.Starts) != 0 {
+		t.Errorf("%d stop and %d start orders, want one stop order", len(orders.Stops), len(orders.Starts))
+	}
+}
--- a/internal/cell/starved_owner_test.go
+++ b/internal/cell/starved_owner_test.go
@@ -138,3 +138,32 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against overload that feeds itself: a late owner goes on asking each worker for reports as often as one with time
+// to spare.
+func TestLateOwnerOrdersFewerRenewals(t *testing.T) {
+	renewals := func(delay time.Duration) (count int) {
+		sim := newSimulation(16, 1)
+		o := sim.takeOver()
+		sim.taskRunTime = time.Minute
+		sim.submit("j", testSpec(4))
+		sim.run(2 * time.Second)
+		for end := sim.now + 10*time.Second; sim.now < end; sim.now += simTick {
+			sim.runDueEvents()
+			o.cell.SetTime(sim.now, sim.wall())
+			o.cell.ObserveDelay(delay)
+			for _, order := range o.cell.TakeOrders(true).Renewals {
+				count++
+				report, err := sim.workers["w0"].renew(order.Request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				o.cell.RenewAnswered("w0", report, order.CreatedAt)
+			}
+		}
+		return count
+	}
+	if onTime, late := renewals(0), renewals(500*time.Millisecond); late > onTime/10 || late < 8 {
+		t.Errorf("%d renewal orders in 10 s by a late owner, %d by one on time; want at most a tenth, but at least 8", late, onTime)
+	}
+}
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 // Guards against LOST and RECOVER after a restart of everything: an owner that needs longer to load the state than the
@@ -58,3 +60,41 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against LOST: another incarnation answers at a worker's address before the state is loaded, and the runs that
+// are loaded for that worker stay until its lease must have expired.
+func TestRunsOfEndedWorkerAreAbandonedAfterLoad(t *testing.T) {
+	sim := newSimulation(12, 1)
+	sim.takeOver()
+	sim.submit("j", testSpec(1))
+	sim.run(500 * time.Millisecond)
+	sim.owner.ended = true
+	o := sim.claim()
+	restarted := verdict.New(verdict.NotRun, workercall.ReasonWorkerRestarted, nil)
+	o.cell.TakeOrders(false)
+	o.cell.RenewFailed("w0", restarted)
+	sim.load(o)
+	o.cell.TakeOrders(false)
+	o.cell.RenewFailed("w0", restarted)
+	if runs := len(o.cell.workers["w0"].runs); runs != 0 {
+		t.Errorf("%d runs on a worker that has ended, want 0", runs)
+	}
+}
+
+// Guards against TWICE: a report that was ordered before the state was loaded says nothing about runs in the state.
+func TestReportOrderedBeforeLoadAbandonsNoRun(t *testing.T) {
+	sim := newSimulation(13, 1)
+	sim.takeOver()
+	sim.taskRunTime = time.Minute
+	sim.submit("j", testSpec(1))
+	sim.run(500 * time.Millisecond)
+	sim.owner.ended = true
+	o := sim.claim()
+	empty := workercall.Report{Clock: sim.workers["w0"].clock(), StartedAtMS: sim.workers["w0"].info.StartedAtMS}
+	ordered := sim.now - simTick
+	sim.load(o)
+	o.cell.RenewAnswered("w0", empty, ordered)
+	if w := o.cell.workers["w0"]; len(w.runs) != 1 || w.reconciled {
+		t.Errorf("%d runs, reconciled %v; want 1 run that is not compared with the report", len(w.runs), w.reconciled)
+	}
+}
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -136,7 +136,7 @@
 	lines := 0
 	for i, g := range groups[first:] {
 		t := g.firstToStart(c.now)
-		if t == nil || i == 0 && g.waitReason != waitTurn {
+		if t == nil {
 			continue // all tasks were placed, or wait for another reason
 		}
 		g.waitReason = waitTurn
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -14,7 +14,7 @@
 	startsDelay = 200 * time.Millisecond
 	// MaxStarts and minStarts limit the number of unanswered start orders.
 	MaxStarts = 256
-	minStarts = 4
+	minStarts = 16
 	// raise is added to the number of start orders after each observation below startsDelay, if the number was reached.
 	raise = 4
 	// reduction is the factor by which the number of start orders falls when the owner is overloaded.
@@ -26,8 +26,8 @@
 	smoothing = 0.2
 	// restFactor times the average delay above restDelay is the rest between a report and the next renewal order.
 	restFactor = 8
-	// MaxRest is the longest rest. With it, a worker is still ordered to renew several times within the longest lease.
-	MaxRest = 2 * time.Second
+	// MaxRest is the longest rest. With it, a worker is still ordered to renew twice within the longest lease.
+	MaxRest = time.Second
 )
 
 // Controller holds the limits of one owner. It is not safe for concurrent use. Points in time are readings of one clock
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -92,6 +92,9 @@
 	return r
 }
 
+// Interrupted reports whether the item is an interrupted long-running task.
+func (r *Rank) Interrupted() bool { return r.interrupted }
+
 // Compare returns a negative number if a is served before b, a positive one if b is served before a, and otherwise 0.
 // Interrupted long-running tasks come before everything else: they are few, and a backlog of other work must not keep
 // them away. Then the higher priority, which has the lower number, comes first even when its job is late, since tasks of
