Count pending jobs at most four times a second

The counts of all queues are reused for 250 ms; with the second for which other nodes reuse an answer they stay within the 2 s that callers accept.

--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -59,12 +59,15 @@
 	// startsInFlight is the number of start orders that are queued or not answered yet.
 	startsInFlight atomic.Int64
 
-	// mu protects cell, loaded and jobsReadAt, which queries read concurrently with runEventLoop.
+	// mu protects cell, loaded, jobsReadAt, pendingJobs and pendingAt, which queries read concurrently with runEventLoop.
 	mu     sync.Mutex
 	cell   *cell.Cell
 	loaded bool
 	// jobsReadAt is when the latest successful read of the jobs topic returned.
 	jobsReadAt time.Duration
+	// pendingJobs are the counts of pending jobs by queue at pendingAt; nil before the first query.
+	pendingJobs map[string]int
+	pendingAt   time.Duration
 
 	// The fields from storing to lateness are used only by the goroutine of runEventLoop.
 	storing bool // an append of progress records is in flight
@@ -352,12 +355,19 @@
 // maxJobsReadAge is the maximum age of the latest read of the jobs topic for which an owner may report a job as unknown.
 const maxJobsReadAge = jobsReadWait + 500*time.Millisecond
 
-// pending returns the number of accepted jobs of a queue that have not started. ok is false until the state is loaded.
+// pending returns the number of accepted jobs of a queue that have not started, which may be maxPendingAge old. ok is
+// false until the state is loaded.
 func (o *owner) pending(queue string) (count int, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.loaded {
 		return 0, false
 	}
-	return o.cell.PendingJobs()[queue], true
+	if now := boottime.Now(); o.pendingJobs == nil || now-o.pendingAt > maxPendingAge {
+		o.pendingJobs, o.pendingAt = o.cell.PendingJobs(), now
+	}
+	return o.pendingJobs[queue], true
 }
+
+// maxPendingAge is how long the counts of pending jobs of all queues are reused, since counting visits all jobs.
+const maxPendingAge = 250 * time.Millisecond
--- a/internal/cellnode/owner_test.go
+++ b/internal/cellnode/owner_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/claim"
 )
 
@@ -25,3 +26,23 @@
 		t.Error("the owner did not stop")
 	}
 }
+
+// Guards against a cost that grows with jobs times queries: each query for the pending jobs of a queue counted all jobs.
+func TestCountsOfPendingJobsAreReusedForAShortTime(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	o := d.nodes[0].node.owner.Load()
+	if count, ok := o.pending("q"); !ok || count != 0 {
+		t.Fatalf("%d pending jobs (ok %v), want 0", count, ok)
+	}
+	o.mu.Lock()
+	o.pendingJobs, o.pendingAt = map[string]int{"q": 7}, boottime.Now()
+	o.mu.Unlock()
+	if count, _ := o.pending("q"); count != 7 {
+		t.Errorf("%d pending jobs right after they were counted, want the 7 of that count", count)
+	}
+	time.Sleep(maxPendingAge + 50*time.Millisecond)
+	if count, _ := o.pending("q"); count != 0 {
+		t.Errorf("%d pending jobs later, want a new count of 0", count)
+	}
+}
