Show the limits that an owner has set itself

'owner late' and 'owner on time again' gain start_limit and renewal_rest, and there is the gauge cactuswall_owner_start_limit: the load controller changes what the owner believes it can do, and nothing showed it. The test of the counted workload now names the limit as well.

--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -73,16 +73,18 @@
 	c.waits[reason].Update(waited.Seconds())
 }
 
-// Workload is the number of things that an owner handles.
+// Workload is the number of things that an owner handles, and the limits that it has set itself.
 type Workload struct {
 	WaitingTasks int // tasks that are ready and have no run
 	Runs         int
 	Workers      int
+	StartLimit   int           // start orders that may be unanswered at a time
+	RenewalRest  time.Duration // from a report to the next renewal order
 }
 
 // Workload counts the cell's waiting tasks, runs and workers.
 func (c *Cell) Workload() Workload {
-	load := Workload{Workers: len(c.workers)}
+	load := Workload{Workers: len(c.workers), StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest()}
 	for _, w := range c.workers {
 		load.Runs += len(w.runs)
 	}
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -13,6 +13,7 @@
 
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/overload"
 )
 
 // observeLog returns the lines that an owner logs from now on.
@@ -109,7 +110,7 @@
 		for _, g := range o.cell.waiting {
 			g.tasks[0].notBefore = sim.now + 300*time.Millisecond
 		}
-		So(o.cell.Workload(), ShouldResemble, Workload{WaitingTasks: 1, Workers: 1})
+		So(o.cell.Workload(), ShouldResemble, Workload{WaitingTasks: 1, Workers: 1, StartLimit: overload.MaxStarts})
 		sim.run(time.Second)
 		So(metricsPage(o), ShouldContainSubstring, `cactuswall_cell_waiting_reason_seconds_count{reason="backoff"} 1`)
 	})
--- a/internal/cellnode/lateness.go
+++ b/internal/cellnode/lateness.go
@@ -35,6 +35,8 @@
 	roundDuration *metrics.Histogram // from when a round is planned to when the owner handles the result of storing it
 	// waitingTasks and schedLatency, in nanoseconds, are those of the last window.
 	waitingTasks, schedLatency atomic.Int64
+	// startLimit is the number of start orders that may be unanswered at a time.
+	startLimit atomic.Int64
 }
 
 // newOwnerMetrics registers the metrics in a set. current returns the owner, or nil while the node does not own the cell.
@@ -56,6 +58,7 @@
 	set.NewGauge("cactuswall_owner_queued_events", ofOwner(func(o *owner) float64 { return float64(len(o.events)) }))
 	set.NewGauge("cactuswall_owner_starts_in_flight", ofOwner(func(o *owner) float64 { return float64(o.startsInFlight.Load()) }))
 	set.NewGauge("cactuswall_owner_waiting_tasks", ofOwner(func(*owner) float64 { return float64(m.waitingTasks.Load()) }))
+	set.NewGauge("cactuswall_owner_start_limit", ofOwner(func(*owner) float64 { return float64(m.startLimit.Load()) }))
 	set.NewGauge("cactuswall_owner_sched_latency_seconds", ofOwner(func(*owner) float64 { return time.Duration(m.schedLatency.Load()).Seconds() }))
 	return m
 }
@@ -132,11 +135,13 @@
 	}
 	l.metrics.waitingTasks.Store(int64(load.WaitingTasks))
 	l.metrics.schedLatency.Store(int64(sched))
+	l.metrics.startLimit.Store(int64(load.StartLimit))
 	fields := []zap.Field{
 		zap.Duration("sched_latency", sched), zap.Duration("event_delay", eventDelay), zap.Duration("loop_delay", loopDelay),
 		zap.Duration("flush", mean(s.flushDuration, s.flushes)), zap.Duration("round_time", roundTime),
 		zap.Int("events", s.events), zap.Int("flushes", s.flushes), zap.Int("rounds", s.rounds),
 		zap.Int("waiting_tasks", load.WaitingTasks), zap.Int("runs", load.Runs), zap.Int("workers", load.Workers),
+		zap.Int("start_limit", load.StartLimit), zap.Duration("renewal_rest", load.RenewalRest),
 		zap.Duration("window", now.Sub(l.windowStart)),
 	}
 	delay := max(eventDelay, loopDelay)
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -1,7 +1,7 @@
 // Package overload adapts the load that an owner puts on itself to the processor time that it gets. Its input is by how
-// much the owner's process delays orders; its outputs are how many start orders may be unanswered at a time and how long a worker
-// rests between a report and the next renewal order. Both shed work that can wait, so that renewals of leases, run ends
-// and stop orders are still handled in time when the owner cannot keep up.
+// much the owner's process delays orders; its outputs are how many start orders may be unanswered at a time and how long
+// a worker rests between a report and the next renewal order. Both shed work that can wait, so that renewals of leases,
+// run ends and stop orders are still handled in time when the owner cannot keep up.
 package overload
 
 import "time"
@@ -55,9 +55,12 @@
 	c.limited = false
 }
 
+// StartLimit returns how many start orders may be unanswered at a time.
+func (c *Controller) StartLimit() int { return int(c.starts) }
+
 // AllowedStarts returns how many start orders may be created while the given number is unanswered.
 func (c *Controller) AllowedStarts(unanswered int) int {
-	return max(0, int(c.starts)-unanswered)
+	return max(0, c.StartLimit()-unanswered)
 }
 
 // Limited records that tasks were left waiting because AllowedStarts did not permit more.
@@ -67,6 +70,3 @@
 func (c *Controller) Rest() time.Duration {
 	return min(MaxRest, restFactor*max(0, c.delay-restDelay))
 }
-
-// Delay returns the moving average of the delay.
-func (c *Controller) Delay() time.Duration { return c.delay }
