Begin the newest jobs first while the owner is overloaded

Callers saw: with an owner that cannot keep up, hardly a job of the wide kind is done in time (SHORT, floors of classes missed with only small nodes). Cause: jobs that can be on time are begun in the order of their slack. With a standing backlog each is begun when it is about to be late, its later steps wait again, and nearly all are late. Fix: while the load controller has reduced starts within 5 s, jobs of which something was started come first, then the newest. Owners with room are not affected.

--- a/internal/cell/waiting_groups.go
+++ b/internal/cell/waiting_groups.go
@@ -26,8 +26,10 @@
 		g.waiting = g.mayStart()
 		return !g.waiting
 	})
+	overloaded := c.load.Overloaded(c.now)
 	for _, g := range c.waiting {
 		item := c.urgencyItem(g)
+		item.NewestFirst = overloaded && !g.job.started
 		g.rank = item.Rank()
 	}
 	slices.SortFunc(c.waiting, func(a, b *group) int {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -22,6 +22,8 @@
 	// minReductionInterval is the minimum time between two reductions. It is longer if the delay is longer,
 	// since the effect of a reduction shows only after that time.
 	minReductionInterval = 100 * time.Millisecond
+	// overloadedTime is how long after a reduction the owner counts as overloaded.
+	overloadedTime = 5 * time.Second
 	// smoothing is the weight of a new delay in the average.
 	smoothing = 0.2
 	// restFactor times the average delay above restDelay is the rest between a report and the next renewal order.
@@ -58,6 +60,11 @@
 // StartLimit returns how many start orders may be unanswered at a time.
 func (c *Controller) StartLimit() int { return int(c.starts) }
 
+// Overloaded reports whether the owner has recently had to reduce its starts.
+func (c *Controller) Overloaded(now time.Duration) bool {
+	return c.reducedAt != 0 && now-c.reducedAt < overloadedTime
+}
+
 // AllowedStarts returns how many start orders may be created while the given number is unanswered.
 func (c *Controller) AllowedStarts(unanswered int) int {
 	return max(0, c.StartLimit()-unanswered)
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -32,6 +32,8 @@
 		c := NewController()
 		now := observe(c, 2*startsDelay, time.Hour, 30*time.Second)
 		So(c.AllowedStarts(0), ShouldEqual, minStarts)
+		So(c.Overloaded(now), ShouldBeTrue)
+		So(c.Overloaded(now+2*overloadedTime), ShouldBeFalse)
 		So(c.AllowedStarts(minStarts+1), ShouldEqual, 0)
 		So(c.Rest(), ShouldEqual, MaxRest)
 		observe(c, 0, now, 3*time.Second)
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -40,6 +40,9 @@
 	LongRunning bool
 	// Interrupted is set if a long-running task of the step ran before and runs no more. Its users are without service.
 	Interrupted bool
+	// NewestFirst is set for a job of which nothing was started while starts are scarce. Jobs are then better begun early
+	// or not at all: begun in the order of their slack, each would be begun when it is about to be late.
+	NewestFirst bool
 	// Age is the time since the job arrived, Remaining the estimated time of the critical path of its remaining work,
 	// Objective the time within which the job should be done, counted from its arrival.
 	Age, Remaining, Objective time.Duration
@@ -77,6 +80,7 @@
 	priority    int
 	longRunning bool
 	class       Class
+	newestFirst bool          // Item.NewestFirst of an OnTime item
 	work        float64       // Item.JobCPU of an Expired item, otherwise 0
 	slack       time.Duration // of an item that is not Expired, otherwise 0
 }
@@ -88,6 +92,7 @@
 		r.work = i.JobCPU
 	} else {
 		r.slack = i.slack(r.class)
+		r.newestFirst = i.NewestFirst && r.class == OnTime && !i.LongRunning
 	}
 	return r
 }
@@ -113,6 +118,12 @@
 		return 1
 	case a.class != b.class:
 		return cmp.Compare(a.class, b.class)
+	case a.newestFirst && b.newestFirst:
+		return cmp.Compare(b.slack, a.slack)
+	case a.newestFirst:
+		return 1
+	case b.newestFirst:
+		return -1
 	case a.class == Expired:
 		return cmp.Compare(a.work, b.work)
 	}
--- a/internal/urgency/urgency_test.go
+++ b/internal/urgency/urgency_test.go
@@ -33,6 +33,24 @@
 		urgent := &Item{Priority: 0, Age: 10 * time.Second, Remaining: time.Second, Objective: 2 * time.Second}
 		So(Before(urgent, job(0, 4*time.Second, 9*time.Second)), ShouldBeTrue)
 	})
+	// Guards against SHORT: an owner that cannot keep up begins each job when it is about to be late, and completes all of
+	// them late.
+	Convey("While starts are scarce", t, func() {
+		begun, older, newer := job(4*time.Second, 4*time.Second, 9*time.Second), job(3*time.Second, 4*time.Second, 9*time.Second), job(0, 4*time.Second, 9*time.Second)
+		older.NewestFirst, newer.NewestFirst = true, true
+		Convey("jobs that have begun come first, then the newest ones", func() {
+			So(Before(begun, newer), ShouldBeTrue)
+			So(Before(newer, older), ShouldBeTrue)
+			So(Before(older, begun), ShouldBeFalse)
+		})
+		Convey("late jobs still come after those that can meet their objective, and among themselves by their slack", func() {
+			late := job(8*time.Second, 4*time.Second, 9*time.Second)
+			later := job(9*time.Second, 4*time.Second, 9*time.Second)
+			late.NewestFirst, later.NewestFirst = true, true
+			So(Before(older, late), ShouldBeTrue)
+			So(Before(later, late), ShouldBeTrue)
+		})
+	})
 	Convey("Interrupted long-running tasks come before urgent jobs of a higher priority", t, func() {
 		interrupted := &Item{Priority: 2, LongRunning: true, Interrupted: true, Age: time.Minute}
 		So(Before(interrupted, &Item{Priority: 0, Age: time.Second, Remaining: time.Second, Objective: 3 * time.Second}), ShouldBeTrue)
