--- a/internal/capacity/ownerload/load.go
+++ b/internal/capacity/ownerload/load.go
@@ -133,7 +133,7 @@
 			l.starts.Add(int64(s.Count))
 		}
 		l.mu.Lock()
-		l.append(jobrecord.JobsTopic, []store.Record{{Key: jobrecord.JobKey(jobs.ID(fmt.Sprintf("%016x", i)), "n"), Value: value}})
+		l.append(jobrecord.JobsTopic, []store.Record{{Key: jobrecord.JobKey(jobs.ID(fmt.Sprintf("%016x", i)), "n", 0), Value: value}})
 		l.mu.Unlock()
 	}
 }
--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		world.b.Fatal(err)
 	}
-	key := jobrecord.JobKey(jobs.ID(fmt.Sprintf("%016x", world.submitted)), "n")
+	key := jobrecord.JobKey(jobs.ID(fmt.Sprintf("%016x", world.submitted)), "n", 0)
 	world.timed(func() { world.cell.ApplyJobRecord(store.Record{Key: key, Value: value}) })
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -28,11 +28,15 @@
 // the field says that they are on the worker's clock; 0 means never. Fields that end in MS are Unix milliseconds.
 type Cell struct {
 	settings Settings
-	token    int64 // fencing token of this owner; workers refuse orders with a lower one than they have accepted
-	log      *zap.Logger
-	metrics  *Metrics
-	config   *queue.Config // nil until SetConfig is called
-	jobs     map[jobs.ID]*job
+	epoch    int64 // of this owner; part of its fencing tokens
+	// number is the number of the cell, and cellCount that of the cells that exist.
+	number, cellCount int
+	log               *zap.Logger
+	metrics           *Metrics
+	config            *queue.Config // nil until SetConfig is called
+	jobs              map[jobs.ID]*job
+	// foreign holds the cells of the jobs that belong to other cells.
+	foreign map[jobs.ID]int
 	// loaded is set by Load, at loadedAt. Until then workers are only told the fencing token and their leases renewed,
 	// since it is not known what should run on them.
 	loaded   bool
@@ -74,6 +78,8 @@
 	now            time.Duration       // current reading of the local clock, set by SetTime
 	wall           time.Time           // current wall time, set by SetTime
 	roundTime      time.Duration       // set by SetRoundTime
+	// plannedRounds is the number of calls of Plan, and storedRound the number of the newest round that was stored.
+	plannedRounds, storedRound int
 }
 
 // probeBackoff holds the time from the quarantine of a worker to its first probe and the longest time between two
@@ -84,12 +90,12 @@
 // endedJobsDegree is the degree of the tree of ended jobs.
 const endedJobsDegree = 32
 
-// New returns an empty cell for a new owner. token is the owner's fencing token, and formerLeasesEnd is when all leases
-// from former owners have expired.
-func New(s Settings, token int64, formerLeasesEnd time.Duration, log *zap.Logger, metrics *Metrics) *Cell {
+// New returns an empty cell for a new owner: cell 0, unless SetCell names another. epoch is the owner's epoch, and
+// formerLeasesEnd is when all leases from former owners have expired.
+func New(s Settings, epoch int64, formerLeasesEnd time.Duration, log *zap.Logger, metrics *Metrics) *Cell {
 	return &Cell{
-		settings: s, token: token, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
-		jobs: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
+		settings: s, epoch: epoch, cellCount: 1, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
+		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]int), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
 		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
 	}
@@ -207,6 +213,9 @@
 // cancel applies a cancellation that was read from the jobs topic: it ends the job and has its runs stopped. For a job
 // that has not been added yet the cancellation is kept until then. A job that has ended keeps its outcome.
 func (c *Cell) cancel(id jobs.ID) {
+	if _, foreign := c.foreign[id]; foreign {
+		return
+	}
 	j := c.jobs[id]
 	if j == nil {
 		c.earlyCancels[id] = true
@@ -264,6 +273,7 @@
 func (c *Cell) removeRun(r *run) {
 	t := r.task
 	r.worker.deleteRun(r)
+	r.worker.settledRound = c.plannedRounds + 1
 	if !t.done && len(t.runs) == 0 {
 		t.waitingSince = c.now
 	}
--- /dev/null
+++ b/internal/cell/cells.go
@@ -0,0 +1,114 @@
+package cell
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+)
+
+// SetCell sets the number of the cell and how many cells exist. Cell 0 also runs the jobs whose records name a cell that
+// does not exist.
+func (c *Cell) SetCell(number, count int) { c.number, c.cellCount = number, count }
+
+// isForeign reports whether a job belongs to another cell, and remembers that. The first record of a job settles its cell.
+func (c *Cell) isForeign(id jobs.ID, key string) bool {
+	if _, known := c.foreign[id]; known {
+		return true
+	}
+	if c.jobs[id] != nil {
+		return false
+	}
+	named := jobrecord.JobCell(key)
+	if named >= c.cellCount {
+		c.metrics.UnknownCells.Inc()
+		c.log.Warn("job names a cell that does not exist", zap.String("job", string(id)), zap.Int("cell", named))
+		named = 0
+	}
+	if named == c.number {
+		return false
+	}
+	c.foreign[id] = named
+	delete(c.earlyCancels, id)
+	return true
+}
+
+// CellOf returns the cell of a job that belongs to another cell; known is false for any other job.
+func (c *Cell) CellOf(id jobs.ID) (cell int, known bool) {
+	cell, known = c.foreign[id]
+	return cell, known
+}
+
+// Load is the load of a cell: processor capacities in thousandths of a core, and the labels of its workers.
+type Load struct {
+	Capacity, Used, Waiting int64
+	Labels                  []string
+	Overloaded              bool
+}
+
+// CurrentLoad returns the load of the cell. Best-effort tasks, which request no free processor, do not count.
+func (c *Cell) CurrentLoad() Load {
+	load := Load{Overloaded: c.load.Overloaded(c.now)}
+	labels := make(map[string]bool)
+	for _, w := range c.sortedWorkers() {
+		load.Used += int64(w.reserved.MilliCPU)
+		if !c.acceptsTasks(w) {
+			continue
+		}
+		load.Capacity += int64(w.info.Capacity.MilliCPU)
+		for _, label := range w.info.Labels {
+			if !labels[label] && label != w.info.Rack {
+				labels[label] = true
+				load.Labels = append(load.Labels, label)
+			}
+		}
+	}
+	for _, g := range c.waiting {
+		if g.mayStart() {
+			load.Waiting += int64(g.toStart) * int64(g.step.Requested().MilliCPU)
+		}
+	}
+	return load
+}
+
+// shortageAfter is how long a task must have waited for resources before the cell borrows workers for it.
+const shortageAfter = 300 * time.Millisecond
+
+// Shortage is what the workers of the cell cannot provide.
+type Shortage struct {
+	// MilliCPU is the processor capacity, in thousandths of a core, that tasks have waited for longer than shortageAfter.
+	MilliCPU int64
+	// Label is a label that one of these tasks requires and no worker of the cell has, or empty.
+	Label string
+}
+
+// CurrentShortage returns what tasks of the cell wait for.
+func (c *Cell) CurrentShortage() Shortage {
+	var shortage Shortage
+	for _, g := range c.waiting {
+		if !g.mayStart() || g.waitReason != waitRoom || g.step.BestEffort {
+			continue
+		}
+		t := g.firstToStart(c.now)
+		if t == nil || c.now-max(t.waitingSince, g.readyAt) < shortageAfter {
+			continue
+		}
+		shortage.MilliCPU += int64(g.toStart) * int64(g.step.Request.MilliCPU)
+		if label := g.step.RequiredLabel; label != "" && !c.hasLabel(label) {
+			shortage.Label = label
+		}
+	}
+	return shortage
+}
+
+// hasLabel reports whether a worker of the cell has a label.
+func (c *Cell) hasLabel(label string) bool {
+	for _, w := range c.workers {
+		if w.listed && hasLabel(w, label) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/cell/cells_test.go
@@ -0,0 +1,436 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/claim"
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/recordcodec"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/testseed"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+func TestMain(m *testing.M) { testseed.MainWithChecks(m, "60") }
+
+// newCellsSimulation returns a simulation with the given numbers of cells and workers. Each cell has an owner, and worker i
+// belongs to the cell with the number i modulo the number of cells.
+func newCellsSimulation(seed uint64, cells, workers int) *simulation {
+	sim := newSimulation(seed, workers)
+	plan := cellmap.SingleCell()
+	for len(sim.cells) < cells {
+		sim.addCell()
+		plan.Cells = append(plan.Cells, cellmap.PlannedCell{FailureDomain: "d", Active: true})
+	}
+	sim.storeInTable(cellmap.PlanKey, &plan)
+	for i := range workers {
+		if i%cells > 0 {
+			sim.storeInTable(cellmap.WorkerKey(fmt.Sprintf("w%d", i)), &cellmap.Assignment{Cell: i % cells})
+		}
+	}
+	for _, home := range sim.cells {
+		sim.load(sim.claimCell(home))
+	}
+	return sim
+}
+
+// storeInTable appends a record to the topic of the cells.
+func (sim *simulation) storeInTable(key string, value any) {
+	encoded, err := recordcodec.Encode(value)
+	if err != nil {
+		panic(err) // the records can be encoded
+	}
+	end := sim.table.End()
+	sim.table, _, _ = sim.table.With([]store.Record{{Key: key, Value: encoded, Offset: end}}, end+1)
+}
+
+// handOverStep is the point at which something happens to the owner that hands a worker over.
+type handOverStep int
+
+const (
+	handOverCompletes handOverStep = iota
+	storeRefuses                   // the store does not store the assignment
+	answerLost                     // the store stores it, and the owner does not learn that
+	killedBefore                   // the owner's process is killed before the assignment is stored
+	killedAfter
+	frozenBefore // the owner is suspended before the assignment is stored, and its claim expires
+	handOverSteps
+)
+
+// handOver hands a worker over, as package cellnode does, if it is idle. It returns false if it is not.
+func (sim *simulation) handOver(home *simCell, id string, to int, step handOverStep) bool {
+	o := home.owner
+	if o.ended || o.suspended || !o.loaded || sim.now >= o.decidesUntil || o.detached[id] || !o.cell.Idle([]string{id}) {
+		return false
+	}
+	o.cell.Detach([]string{id})
+	o.detached[id] = true
+	switch step {
+	case killedBefore:
+		o.ended = true
+	case frozenBefore:
+		sim.freeze(o, sim.appendTime+time.Duration(sim.random.IntN(9000))*time.Millisecond)
+	}
+	sent := !o.ended
+	sim.schedule(sim.appendTime, func() {
+		switch {
+		case !sent:
+		case o.token < home.epoch: // the append is refused as fenced
+			o.ended = true
+		case step == storeRefuses:
+			delete(o.detached, id)
+		default:
+			sim.storeInTable(cellmap.WorkerKey(id), &cellmap.Assignment{Cell: to})
+			o.ended = o.ended || step == answerLost || step == killedAfter
+			o.table = sim.table
+			delete(o.detached, id)
+			sim.spreadTable()
+		}
+	})
+	return true
+}
+
+// spreadTable has each owner read the table after a random time.
+func (sim *simulation) spreadTable() {
+	for _, home := range sim.cells {
+		o := home.owner
+		sim.schedule(time.Duration(sim.random.IntN(1500))*time.Millisecond, func() {
+			if sim.table.End() > o.table.End() {
+				o.table = sim.table
+			}
+		})
+	}
+}
+
+// freeze suspends an owner, whose claim expires meanwhile.
+func (sim *simulation) freeze(o *simOwner, d time.Duration) {
+	o.suspended, o.decidesUntil, o.renewsUntil = true, sim.now, sim.now+claim.WorkerRenewalGrace-claim.LeaseDuration
+	sim.schedule(d, func() { o.suspended = false })
+}
+
+// replaceOwnerOf makes the owner of a cell lose it in one of three ways and starts a new one after the claim has expired.
+func (sim *simulation) replaceOwnerOf(home *simCell, way int) {
+	o := home.owner
+	switch way {
+	case 0:
+		o.ended = true
+	case 1:
+		o.decidesUntil, o.renewsUntil = sim.now, sim.now+claim.WorkerRenewalGrace-claim.LeaseDuration
+	case 2:
+		sim.freeze(o, time.Duration(sim.random.IntN(12000))*time.Millisecond)
+	}
+	sim.reclaim(home)
+}
+
+// reclaim starts a new owner of a cell after a random time.
+func (sim *simulation) reclaim(home *simCell) {
+	before := home.owner
+	sim.schedule(time.Duration(sim.random.IntN(1500))*time.Millisecond, func() {
+		if home.owner == before {
+			sim.load(sim.claimCell(home))
+		}
+	})
+}
+
+// stateOf returns the state of a job as the owner of its cell reports it, and the number of cells that have it.
+func (sim *simulation) stateOf(id jobs.ID) (state jobs.State, cells int) {
+	for _, home := range sim.cells {
+		if s, known := home.owner.cell.Status(id); known {
+			state = s
+			cells++
+		}
+	}
+	return state, cells
+}
+
+// checkCells checks, after all faults, that each job belongs to one cell and has ended, unless it is long-running, and that
+// each worker is held by one owner.
+func (sim *simulation) checkCells(t interface{ Errorf(string, ...any) }) {
+	for id, spec := range sim.specs {
+		state, cells := sim.stateOf(id)
+		if cells != 1 {
+			t.Errorf("job %s is known in %d cells", id, cells)
+		}
+		if !state.Final() && !spec.LongRunning() {
+			t.Errorf("job %s has not ended: state %v", id, state)
+		}
+	}
+	for id := range sim.workers {
+		holders := 0
+		for _, home := range sim.cells {
+			if w := home.owner.cell.workers[id]; w != nil && w.listed {
+				holders++
+			}
+		}
+		if holders != 1 {
+			t.Errorf("worker %s is held by %d owners", id, holders)
+		}
+	}
+	for _, violation := range sim.violations {
+		t.Errorf("%s", violation)
+	}
+}
+
+// TestCellsUnderFaults lets three owners run jobs, some of them submitted again through another cell, while workers change
+// their cells and owners are killed, cut off, suspended or lose an answer at each step of that. The workers say what ran.
+func TestCellsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const cells, workers = 3, 6
+		sim := newCellsSimulation(rapid.Uint64().Draw(r, "seed"), cells, workers)
+		sim.failRate, sim.lossRate, sim.delayRate = 0.03, 0.02, 0.02
+		submitted := 0
+		job := func(label string) jobs.ID {
+			return jobs.ID(fmt.Sprintf("j%02d", rapid.IntRange(0, max(0, submitted-1)).Draw(r, label)))
+		}
+		for range rapid.IntRange(10, 40).Draw(r, "actions") {
+			home := sim.cells[rapid.IntRange(0, cells-1).Draw(r, "cell")]
+			worker := fmt.Sprintf("w%d", rapid.IntRange(0, workers-1).Draw(r, "worker"))
+			switch rapid.IntRange(0, 9).Draw(r, "action") {
+			case 0, 1, 2:
+				spec := testSpec(rapid.IntRange(1, 4).Draw(r, "first step"), rapid.IntRange(1, 3).Draw(r, "second step"))
+				spec.Steps[1].LongRunning = rapid.IntRange(0, 5).Draw(r, "long-running") == 0
+				sim.submitTo(home.number, jobs.ID(fmt.Sprintf("j%02d", submitted)), spec)
+				submitted++
+			case 3: // the same request reaches a node of another failure domain
+				if id := job("repeated job"); submitted > 0 {
+					sim.submitTo(home.number, id, sim.specs[id])
+				}
+			case 4:
+				if submitted > 0 {
+					sim.cancel(job("cancelled job"))
+				}
+			case 5:
+				sim.restartWorker(worker)
+			case 6:
+				s, o := sim.workers[worker], home.owner
+				s.unreachableBy[o] = true
+				sim.schedule(time.Duration(rapid.IntRange(0, 9000).Draw(r, "cut"))*time.Millisecond, func() { delete(s.unreachableBy, o) })
+			case 7:
+				sim.replaceOwnerOf(home, rapid.IntRange(0, 2).Draw(r, "fault"))
+			default:
+				step := handOverStep(rapid.IntRange(0, int(handOverSteps)-1).Draw(r, "step"))
+				for _, w := range home.owner.cell.sortedWorkers() {
+					if sim.handOver(home, w.info.ID, rapid.IntRange(0, cells-1).Draw(r, "to"), step) {
+						break
+					}
+				}
+			}
+			sim.run(time.Duration(rapid.IntRange(0, 800).Draw(r, "pause")) * time.Millisecond)
+			for _, c := range sim.cells {
+				if c.owner.ended || c.owner.suspended {
+					sim.reclaim(c)
+				}
+			}
+		}
+		sim.failRate, sim.lossRate, sim.delayRate = 0, 0, 0
+		sim.run(2 * time.Second)
+		for _, c := range sim.cells {
+			if c.owner.ended || c.owner.suspended || sim.now >= c.owner.decidesUntil {
+				sim.load(sim.claimCell(c))
+			}
+			c.owner.table = sim.table
+		}
+		sim.run(30 * time.Second)
+		sim.checkCells(r)
+	})
+}
+
+func TestHandOverAtEachStep(t *testing.T) {
+	for step := handOverCompletes; step < handOverSteps; step++ {
+		Convey(fmt.Sprintf("A worker that changes its cell runs each task once, whatever happens at step %d", step), t, func() {
+			sim := newCellsSimulation(uint64(step), 2, 2)
+			sim.submitTo(0, "before", testSpec(3))
+			sim.run(3 * time.Second)
+			So(sim.handOver(sim.cells[0], "w0", 1, step), ShouldBeTrue)
+			sim.submitTo(0, "during", testSpec(3))
+			sim.submitTo(1, "beside", testSpec(8, 8))
+			sim.run(100 * time.Millisecond)
+			sim.load(sim.claimCell(sim.cells[0]))
+			sim.run(500 * time.Millisecond)
+			given, _ := sim.table.CellOf(&sim.workers["w0"].info)
+			if given == 1 { // the cell has no workers left
+				sim.storeInTable(cellmap.WorkerKey("w1"), &cellmap.Assignment{Cell: 1})
+				sim.run(20 * time.Second)
+				So(sim.handOver(sim.cells[1], "w0", 0, handOverCompletes), ShouldBeTrue)
+			}
+			sim.run(20 * time.Second)
+			sim.checkCells(t)
+			for task, starts := range sim.startCounts {
+				So(fmt.Sprint(task, starts), ShouldEqual, fmt.Sprint(task, 1))
+			}
+		})
+	}
+}
+
+// A worker with a run, an unanswered start or an end that is not stored must not be given away.
+func TestOnlyIdleWorkersAreHandedOver(t *testing.T) {
+	Convey("Given a cell with one worker", t, func() {
+		sim := newSimulation(1, 1)
+		o := sim.takeOver()
+		idle := func() bool { return o.cell.Idle([]string{"w0"}) }
+		So(idle(), ShouldBeFalse) // it has not reported yet
+		sim.run(time.Second)
+		So(idle(), ShouldBeTrue)
+		So(o.cell.Idle([]string{"w0", "gone"}), ShouldBeFalse)
+		Convey("it is busy from the placement of a task until its end is stored", func() {
+			sim.submit("j", testSpec(1))
+			for sim.startCounts[jobs.TaskID{Job: "j"}] == 0 {
+				sim.run(simTick)
+				if len(o.cell.workers["w0"].runs) > 0 {
+					So(idle(), ShouldBeFalse)
+				}
+			}
+			for o.cell.workers["w0"].lastEndStored == 0 {
+				So(idle(), ShouldBeFalse)
+				sim.run(simTick)
+			}
+			So(idle(), ShouldBeTrue)
+		})
+		Convey("a start without an answer keeps it, and so does silence", func() {
+			sim.lossRate = 1
+			sim.submit("j", testSpec(1))
+			sim.run(4 * time.Second)
+			So(idle(), ShouldBeFalse)
+		})
+		Convey("a cordoned worker gets no tasks, and says why", func() {
+			o.cell.SetCordoned([]string{"w0"}, true)
+			sim.submit("j", testSpec(1))
+			sim.run(2 * time.Second)
+			So(idle(), ShouldBeTrue)
+			So(o.cell.CurrentLoad().Capacity, ShouldEqual, 0)
+			So(o.cell.exclusionReason(o.cell.newPlacementView(), o.cell.workers["w0"], -1, &jobs.Step{}, "s", nil), ShouldEqual, exclusionCordoned)
+			o.cell.SetCordoned([]string{"w0"}, false)
+			sim.run(3 * time.Second)
+			So(sim.state("j"), ShouldEqual, jobs.Completed)
+		})
+	})
+}
+
+func TestLend(t *testing.T) {
+	Convey("Given a cell with ten workers, of which some run tasks that never end", t, func() {
+		sim := newSimulation(1, 10)
+		o := sim.takeOver()
+		sim.run(time.Second)
+		spec := testSpec(1)
+		spec.Steps[0].LongRunning = true
+		sim.submit("lasting", spec)
+		sim.run(time.Second)
+		busy := ""
+		for id, w := range o.cell.workers {
+			if w.hasLongRunning() {
+				busy = id
+			}
+		}
+		Convey("it lends a tenth of them at most, not one with such a task, and places nothing there", func() {
+			lent := o.cell.Lend(100000, "")
+			So(lent, ShouldHaveLength, 1)
+			So(lent, ShouldNotContain, busy)
+			So(o.cell.workers[lent[0]].cordoned, ShouldBeTrue)
+			So(o.cell.Lend(0, ""), ShouldBeEmpty)
+			So(o.cell.Lend(100000, "other label"), ShouldBeEmpty)
+		})
+		Convey("its racks tell what they hold", func() {
+			racks := o.cell.Racks(func(string) bool { return true })
+			So(racks, ShouldHaveLength, 1)
+			So(racks[0].Workers, ShouldHaveLength, 10)
+			So(racks[0].Busy, ShouldBeTrue)
+			So(racks[0].Idle, ShouldBeFalse)
+			So(o.cell.Racks(func(id string) bool { return id != busy })[0].Idle, ShouldBeTrue)
+		})
+	})
+}
+
+func TestShortage(t *testing.T) {
+	Convey("Tasks that have waited for room are a shortage, with the label that no worker has", t, func() {
+		sim := newSimulation(1, 1)
+		sim.taskRunTime = time.Minute
+		o := sim.takeOver()
+		sim.submit("fits", testSpec(8))
+		sim.run(time.Second)
+		So(o.cell.CurrentShortage(), ShouldResemble, Shortage{})
+		sim.submit("waits", testSpec(3))
+		labelled := testSpec(1)
+		labelled.Steps[0].RequiredLabel = "gpu"
+		sim.submit("labelled", labelled)
+		sim.run(100 * time.Millisecond)
+		So(o.cell.CurrentShortage(), ShouldResemble, Shortage{})
+		sim.run(time.Second)
+		So(o.cell.CurrentShortage(), ShouldResemble, Shortage{MilliCPU: 2000, Label: "gpu"})
+		load := o.cell.CurrentLoad()
+		So([]int64{load.Capacity, load.Used, load.Waiting}, ShouldResemble, []int64{4000, 4000, 2000})
+	})
+}
+
+// The first record of a job settles its cell, also for owners that read it only after the end of the job.
+func TestJobsOfOtherCells(t *testing.T) {
+	Convey("Given two cells", t, func() {
+		sim := newCellsSimulation(1, 2, 2)
+		own, other := sim.cells[0].owner.cell, sim.cells[1].owner.cell
+		Convey("a request that is repeated through another cell leaves the job where it was", func() {
+			sim.submitTo(1, "j", testSpec(2))
+			sim.submitTo(0, "j", testSpec(2))
+			sim.cancel("unknown")
+			sim.run(3 * time.Second)
+			sim.load(sim.claimCell(sim.cells[0]))
+			sim.run(3 * time.Second)
+			_, known := sim.cells[0].owner.cell.Status("j")
+			So(known, ShouldBeFalse)
+			cell, foreign := sim.cells[0].owner.cell.CellOf("j")
+			So([]any{cell, foreign}, ShouldResemble, []any{1, true})
+			state, _ := other.Status("j")
+			So(state, ShouldEqual, jobs.Completed)
+			So(sim.startCounts[jobs.TaskID{Job: "j"}], ShouldEqual, 1)
+			So(sim.violations, ShouldBeEmpty)
+		})
+		Convey("a cancellation stays with the job's cell, also one that comes before the job", func() {
+			sim.cancel("j")
+			sim.submitTo(1, "j", testSpec(2))
+			sim.run(time.Second)
+			state, _ := other.Status("j")
+			So(state, ShouldEqual, jobs.Cancelled)
+			So(own.earlyCancels, ShouldNotContainKey, jobs.ID("j"))
+			sim.cancel("j")
+			sim.run(time.Second)
+			So(own.earlyCancels, ShouldBeEmpty)
+		})
+		Convey("a job whose record names a cell that does not exist runs in cell 0, and is counted", func() {
+			sim.submitTo(7, "j", testSpec(2))
+			sim.run(3 * time.Second)
+			state, _ := own.Status("j")
+			So(state, ShouldEqual, jobs.Completed)
+			So(own.metrics.UnknownCells.Get(), ShouldEqual, 1)
+			cell, foreign := other.CellOf("j")
+			So([]any{cell, foreign}, ShouldResemble, []any{0, true})
+		})
+		Convey("a job that is deleted is forgotten everywhere", func() {
+			sim.submitTo(1, "j", testSpec(1))
+			sim.run(time.Second)
+			own.ApplyJobRecord(store.Record{Key: jobrecord.JobKey("j", "", 1)})
+			_, foreign := own.CellOf("j")
+			So(foreign, ShouldBeFalse)
+		})
+	})
+}
+
+// Two owners that both believe to have a worker: only the one with the higher version of the assignment is obeyed.
+func TestWorkerObeysTheNewerAssignment(t *testing.T) {
+	Convey("Given a worker that belonged to a cell with a high epoch", t, func() {
+		sim := newSimulation(1, 1)
+		w := sim.workers["w0"]
+		_, err := w.renew(workercall.RenewRequest{Token: cellmap.Token(3, 900)})
+		So(err, ShouldBeNil)
+		Convey("the owner of its new cell is obeyed although its epoch is low, and the former one is not any more", func() {
+			_, err := w.renew(workercall.RenewRequest{Token: cellmap.Token(4, 1)})
+			So(err, ShouldBeNil)
+			_, err = w.renew(workercall.RenewRequest{Token: cellmap.Token(3, 901)})
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -14,12 +14,15 @@
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
-// ApplyJobRecord processes a record of the jobs topic: a job or a cancellation. Deletions are ignored. Records have to
-// be passed in the order of their offsets. After Load, the owner passes each record that was stored later.
+// ApplyJobRecord processes a record of the jobs topic: a job or a cancellation. Of jobs that belong to other cells only
+// the cell is kept. Deletions of the cell's own jobs are ignored. Records have to be passed in the order of their offsets. After Load, the owner passes each record that was stored later.
 func (c *Cell) ApplyJobRecord(r store.Record) {
 	kind, id := jobrecord.ParseKey(r.Key)
 	switch {
-	case kind == jobrecord.KindJob && len(r.Value) > 0:
+	case kind == jobrecord.KindJob && len(r.Value) == 0:
+		delete(c.foreign, id.Job)
+	case kind == jobrecord.KindJob && c.isForeign(id.Job, r.Key):
+	case kind == jobrecord.KindJob:
 		var record jobrecord.Job
 		if err := recordcodec.Decode(r.Value, &record); err != nil {
 			c.skipUnreadable(r, err)
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -13,6 +13,7 @@
 	// unknown whether their progress was stored.
 	FencedOwners      *metrics.Counter
 	UnreadableRecords *metrics.Counter // stored records, also of workers, that could not be decoded or do not fit their job
+	UnknownCells      *metrics.Counter // jobs whose record names a cell that does not exist
 	UnknownRuns       *metrics.Counter // runs in worker reports that the owner does not know, in each report again
 	// StepDelay is the time from the end of a step to the first start order of a step that depends on it. With several
 	// dependencies it is measured from the first listed one that ended under this owner.
@@ -32,6 +33,7 @@
 		DuplicateJobs:     set.NewCounter("cactuswall_cell_duplicate_jobs_total"),
 		FencedOwners:      set.NewCounter("cactuswall_cell_fenced_total"),
 		UnreadableRecords: set.NewCounter("cactuswall_cell_unreadable_records_total"),
+		UnknownCells:      set.NewCounter("cactuswall_cell_unknown_cells_total"),
 		UnknownRuns:       set.NewCounter("cactuswall_cell_foreign_runs_total"),
 		StepDelay:         set.NewHistogram("cactuswall_cell_step_change_seconds"),
 		PlacementWait:     set.NewHistogram("cactuswall_cell_waiting_seconds"),
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
@@ -79,6 +80,9 @@
 	Paces    []PaceOrder
 }
 
+// token returns the owner's fencing token for a worker, which refuses orders with a lower one than it has accepted.
+func (c *Cell) token(w *worker) int64 { return cellmap.Token(w.info.Assignment, c.epoch) }
+
 // startOrder returns the order that starts a run whose record is stored. It extends the worker's lease and marks the
 // run, its group and its job as started.
 func (c *Cell) startOrder(r *run) StartOrder {
@@ -95,14 +99,14 @@
 		c.log.Info("job started", zap.String("job", string(g.job.id)), zap.Duration("after", c.now-g.job.addedAt))
 	}
 	c.log.Info("start", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
-		zap.Int64("token", c.token), zap.Int("attempt", r.attempts), zap.Duration("waited", c.now-r.task.waitingSince),
+		zap.Int64("token", c.token(w)), zap.Int("attempt", r.attempts), zap.Duration("waited", c.now-r.task.waitingSince),
 		zap.Duration("worker_report_age", c.now-w.lastReport), zap.Bool("checkpoint", r.task.checkpoint != ""))
 	return StartOrder{To: w.target(), Start: workercall.Start{
 		Run:         workercall.Run{Task: r.task.id, Number: r.number},
 		Payload:     g.job.record.Spec.Payload,
 		Checkpoint:  r.task.checkpoint,
 		LeaseExpiry: c.extendLease(w),
-		Token:       c.token,
+		Token:       c.token(w),
 	}}
 }
 
@@ -139,7 +143,7 @@
 // renewOrder returns a renewal order for a worker. The order extends the lease only if the worker has runs, or may have
 // some because the state is not loaded, and its last renewal was answered and this one is not overdue for long.
 func (c *Cell) renewOrder(w *worker) RenewOrder {
-	request := workercall.RenewRequest{Token: c.token, Acknowledged: w.lastEndStored}
+	request := workercall.RenewRequest{Token: c.token(w), Acknowledged: w.lastEndStored}
 	w.renewalInFlight = true
 	w.touch()
 	if w.tokenAccepted && w.clockKnown && (len(w.runs) > 0 || !c.loaded) && w.failingSince == 0 && c.now-w.nextRenewal < maxReportAge {
@@ -190,7 +194,7 @@
 func (c *Cell) addStopsAndRetries(w *worker, orders *Orders) {
 	for _, unknown := range w.unknownRuns {
 		c.metrics.countStop(string(stopRunUnknown))
-		orders.Stops = append(orders.Stops, StopOrder{To: w.target(), Run: unknown, Token: c.token})
+		orders.Stops = append(orders.Stops, StopOrder{To: w.target(), Run: unknown, Token: c.token(w)})
 	}
 	w.unknownRuns = nil
 	for _, r := range w.unresolvedRuns() {
@@ -228,7 +232,7 @@
 			zap.String("reason", string(r.stopReason)))
 	}
 	r.stopInFlight, r.stopSentAt = true, c.now
-	return StopOrder{To: r.worker.target(), Run: workercall.Run{Task: r.task.id, Number: r.number}, Token: c.token}
+	return StopOrder{To: r.worker.target(), Run: workercall.Run{Task: r.task.id, Number: r.number}, Token: c.token(r.worker)}
 }
 
 // retryStart repeats an unanswered start order, or stops the run after maxStartAttempts.
--- a/internal/cell/restarted_worker_test.go
+++ b/internal/cell/restarted_worker_test.go
@@ -103,7 +103,7 @@
 	c.StartAnswered(starts[0], workercall.Reply{}, errNoAnswer)
 	c.SetTime(sim.now+1500*time.Millisecond, sim.wall())
 	c.RenewFailed("w0", errNoAnswer)
-	report, err := sim.workers["w0"].renew(workercall.RenewRequest{Token: c.token})
+	report, err := sim.workers["w0"].renew(workercall.RenewRequest{Token: c.epoch})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -11,6 +11,7 @@
 
 // Round is the result of one Plan. Its records have to be stored before its start orders are sent.
 type Round struct {
+	number  int // counts the calls of Plan
 	Records []store.Record
 	starts  []*run   // runs to start once the records are stored
 	groups  []*group // groups whose progress is among the records
@@ -34,7 +35,8 @@
 		c.place()
 	}
 	c.relocate()
-	round := &Round{starts: c.pendingStarts}
+	c.plannedRounds++
+	round := &Round{number: c.plannedRounds, starts: c.pendingStarts}
 	c.pendingStarts = nil
 	for _, g := range c.dirtyGroups {
 		g.dirty = false
@@ -84,6 +86,7 @@
 // RoundStored is called once a round's records are stored. It returns the start orders of the round, without those of
 // runs that were removed or are to be stopped.
 func (c *Cell) RoundStored(round *Round) []StartOrder {
+	c.storedRound = round.number
 	for w, seen := range round.endsSeen {
 		// lastEndSeen is lower than seen if the worker has restarted since Plan.
 		w.lastEndStored = max(w.lastEndStored, min(seen, w.lastEndSeen))
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -114,7 +114,7 @@
 			r.slowSince = c.now
 		}
 		orders.Paces = append(orders.Paces, PaceOrder{
-			To: w.target(), Run: workercall.Run{Task: r.task.id, Number: r.number}, Percent: pace, Token: c.token,
+			To: w.target(), Run: workercall.Run{Task: r.task.id, Number: r.number}, Percent: pace, Token: c.token(w),
 		})
 	}
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -31,14 +32,13 @@
 // simulation runs a store, workers and owners in virtual time. It records which tasks the workers really ran and, in
 // violations, each start that breaks a rule of checkStart.
 type simulation struct {
+	*simCell      // cell 0
+	cells         []*simCell
+	table         *cellmap.Table // as the store has it
 	random        *rand.Rand
 	now           time.Duration
-	records       map[string]store.Record // progress records by key
 	jobLog        []store.Record
-	epoch         int64 // newest owner epoch
 	workers       map[string]*simWorker
-	owner         *simOwner
-	formerOwners  []*simOwner
 	events        []event
 	lastEventID   int
 	violations    []string
@@ -70,6 +70,15 @@
 	processorCost time.Duration
 }
 
+// simCell is what the store and the owners know of one cell.
+type simCell struct {
+	number       int
+	records      map[string]store.Record // progress records by key
+	epoch        int64                   // newest owner epoch
+	owner        *simOwner
+	formerOwners []*simOwner
+}
+
 // workerList is what the store listed as workers at one time.
 type workerList struct {
 	at   time.Duration
@@ -111,6 +120,9 @@
 // simOwner is a process that owns the cell.
 type simOwner struct {
 	cell         *Cell
+	home         *simCell
+	table        *cellmap.Table  // as the owner has read it
+	detached     map[string]bool // workers whose hand-over is being stored
 	token        int64
 	storing      bool
 	decidesUntil time.Duration // end of its claim, until which it may make decisions
@@ -125,13 +137,14 @@
 // Simulations with the same seed make the same random choices.
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(seed, 7)), records: make(map[string]store.Record), workers: make(map[string]*simWorker),
+		random: rand.New(rand.NewPCG(seed, 7)), table: cellmap.NewTable(), workers: make(map[string]*simWorker),
 		specs: make(map[jobs.ID]jobs.Spec), done: make(map[jobs.TaskID]bool), ackedDone: make(map[jobs.TaskID]bool),
 		ackedFailures: make(map[jobs.TaskID]int), startCounts: make(map[jobs.TaskID]int), taskRunTime: 800 * time.Millisecond,
 		now: time.Hour, appendTime: 10 * time.Millisecond, statusRetention: time.Hour,
 		config: &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "s"}},
 			Services: []queue.Service{{Name: "s", EnforcesCapacity: true}}},
 	}
+	sim.simCell = sim.addCell()
 	queue.NewActiveConfig().Update(sim.config)
 	for i := range workers {
 		sim.addWorker(fmt.Sprintf("w%d", i))
@@ -139,6 +152,12 @@
 	return sim
 }
 
+func (sim *simulation) addCell() *simCell {
+	cell := &simCell{number: len(sim.cells), records: make(map[string]store.Record)}
+	sim.cells = append(sim.cells, cell)
+	return cell
+}
+
 func (sim *simulation) addWorker(id string) {
 	sim.workers[id] = &simWorker{
 		sim: sim, clockOffset: time.Duration(sim.random.IntN(100000)) * time.Millisecond, running: make(map[jobs.TaskID]*simRun),
@@ -168,19 +187,23 @@
 	return o
 }
 
-// claim starts a new owner that has not loaded the state yet.
-func (sim *simulation) claim() *simOwner {
-	if sim.owner != nil {
-		sim.formerOwners = append(sim.formerOwners, sim.owner)
+// claim starts a new owner of cell 0 that has not loaded the state yet.
+func (sim *simulation) claim() *simOwner { return sim.claimCell(sim.simCell) }
+
+// claimCell starts a new owner of a cell that has not loaded the state yet.
+func (sim *simulation) claimCell(home *simCell) *simOwner {
+	if home.owner != nil {
+		home.formerOwners = append(home.formerOwners, home.owner)
 	}
-	sim.epoch++
-	o := &simOwner{token: sim.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour}
+	home.epoch++
+	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour}
 	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second},
 		o.token, claim.LeasesExpiredBy(sim.now+claim.WorkerRenewalGrace-claim.LeaseDuration, maxLease), zap.NewNop(), NewMetrics(metrics.NewSet()))
 	o.cell.SetTime(sim.now, sim.wall())
 	o.cell.SetConfig(sim.config)
-	o.cell.SetWorkers(sim.listWorkers())
-	sim.owner = o
+	o.cell.SetCell(home.number, len(sim.table.Plan().Cells))
+	o.cell.SetWorkers(sim.workersOf(o))
+	home.owner = o
 	return o
 }
 
@@ -188,8 +211,8 @@
 func (sim *simulation) load(o *simOwner) {
 	o.cell.SetTime(sim.now, sim.wall())
 	var progress []store.Record
-	for _, key := range sortedKeysOf(sim.records) {
-		progress = append(progress, sim.records[key])
+	for _, key := range sortedKeysOf(o.home.records) {
+		progress = append(progress, o.home.records[key])
 	}
 	o.cell.Load(sim.newestJobs(), progress)
 	o.loaded = true
@@ -239,6 +262,18 @@
 
 func (sim *simulation) wall() time.Time { return time.UnixMilli(startUnixMS).Add(sim.now) }
 
+// workersOf returns the entries of the workers of an owner's cell.
+func (sim *simulation) workersOf(o *simOwner) []workercall.Worker {
+	var list []workercall.Worker
+	for _, w := range sim.listWorkers() {
+		if cell, version := o.table.CellOf(&w); cell == o.home.number && !o.detached[w.ID] {
+			w.Assignment = version
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // listWorkers returns the entries of the workers as the store lists them, which is delayed by entryLag.
 func (sim *simulation) listWorkers() []workercall.Worker {
 	sim.workerLists = append(sim.workerLists, workerList{at: sim.now, list: sim.currentWorkers()})
@@ -267,8 +302,11 @@
 	return list
 }
 
-// submit stores a new job.
-func (sim *simulation) submit(id jobs.ID, spec jobs.Spec) {
+// submit stores a new job of cell 0.
+func (sim *simulation) submit(id jobs.ID, spec jobs.Spec) { sim.submitTo(0, id, spec) }
+
+// submitTo stores a job whose record names a cell. Each call stores a record of its own.
+func (sim *simulation) submitTo(cell int, id jobs.ID, spec jobs.Spec) {
 	sim.specs[id] = spec
 	value, err := recordcodec.Encode(&jobrecord.Job{
 		Queue: "q", Service: "s", Priority: sim.submitPriority, MaxAttempts: 3, CriticalPathFactor: 2, ReceivedMS: sim.wall().UnixMilli(), Spec: spec,
@@ -276,17 +314,35 @@
 	if err != nil {
 		panic(err)
 	}
-	sim.append(store.Record{Key: jobrecord.JobKey(id, sim.submitNode), Value: value, Offset: store.Offset(len(sim.jobLog))})
+	sim.append(store.Record{Key: jobrecord.JobKey(id, sim.submitNode+sim.writerSuffix(id), cell), Value: value, Offset: store.Offset(len(sim.jobLog))})
 }
 
 func (sim *simulation) cancel(id jobs.ID) {
 	sim.append(store.Record{Key: jobrecord.CancelKey(id), Value: []byte{1}, Offset: store.Offset(len(sim.jobLog))})
 }
 
-// append appends a record to the jobs topic and has the owner read it 10 ms later.
+// writerSuffix distinguishes the writers of repeated requests for a job.
+func (sim *simulation) writerSuffix(id jobs.ID) string {
+	count := 0
+	for _, r := range sim.jobLog {
+		if kind, group := jobrecord.ParseKey(r.Key); kind == jobrecord.KindJob && group.Job == id && len(sim.cells) > 1 {
+			count++
+		}
+	}
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprint(".", count)
+}
+
+// append appends a record to the jobs topic and has the owners read it 10 ms later.
 func (sim *simulation) append(r store.Record) {
 	sim.jobLog = append(sim.jobLog, r)
-	if o := sim.owner; o != nil {
+	for _, home := range sim.cells {
+		o := home.owner
+		if o == nil {
+			continue
+		}
 		sim.schedule(10*time.Millisecond, func() {
 			if !o.ended && o.loaded {
 				o.cell.SetTime(sim.now, sim.wall())
@@ -304,9 +360,11 @@
 		for _, worker := range sim.sortedWorkers() {
 			worker.tick()
 		}
-		for _, o := range append(append([]*simOwner(nil), sim.formerOwners...), sim.owner) {
-			if o != nil && !o.suspended && !o.ended {
-				sim.scheduleOwner(o)
+		for _, home := range sim.cells {
+			for _, o := range append(append([]*simOwner(nil), home.formerOwners...), home.owner) {
+				if o != nil && !o.suspended && !o.ended {
+					sim.scheduleOwner(o)
+				}
 			}
 		}
 	}
@@ -338,8 +396,9 @@
 	}
 	o.cell.SetTime(sim.now, sim.wall())
 	o.cell.ObserveDelay(o.processor.loopDelay)
-	if o == sim.owner {
-		o.cell.SetWorkers(sim.listWorkers())
+	if o == o.home.owner {
+		o.cell.SetCell(o.home.number, len(sim.table.Plan().Cells))
+		o.cell.SetWorkers(sim.workersOf(o))
 	}
 	o.cell.Tick()
 	decide := o.loaded && sim.now < o.decidesUntil
@@ -384,16 +443,16 @@
 	o.storing = true
 	sim.schedule(sim.appendTime, func() {
 		o.storing = false
-		if o.token < sim.epoch {
+		if o.token < o.home.epoch {
 			o.ended = true
 			return
 		}
 		for _, r := range round.Records {
 			if len(r.Value) == 0 {
-				delete(sim.records, r.Key)
+				delete(o.home.records, r.Key)
 				continue
 			}
-			sim.records[r.Key] = r
+			o.home.records[r.Key] = r
 		}
 		if o.suspended || o.ended {
 			return
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -209,6 +209,10 @@
 	due         dueState
 	// leaseExpired is set once the runs were abandoned because the lease had expired.
 	leaseExpired bool
+	// cordoned is set while no tasks are placed on the worker because it is to be handed over to another cell.
+	cordoned bool
+	// settledRound is the number of the first round that stores that the last run which was removed is gone.
+	settledRound int
 }
 
 func (w *worker) target() workercall.Target {
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -26,6 +26,7 @@
 	exclusionTokenNotAccepted = "token_not_taken"
 	exclusionSilent           = "silent" // it does not answer, or its newest report is too old
 	exclusionDraining         = "leaving"
+	exclusionCordoned         = "cordoned" // it is to be handed over to another cell
 	exclusionRefusing         = "refusing"
 	exclusionQuarantine       = "quarantined"
 	exclusionService          = "other_service"
@@ -212,6 +213,8 @@
 		return exclusionTokenNotAccepted
 	case w.info.Draining:
 		return exclusionDraining
+	case w.cordoned:
+		return exclusionCordoned
 	case c.now < w.refusingUntil:
 		return exclusionRefusing
 	case c.health.State(w.info.ID, c.wall) == quarantine.Quarantined:
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -106,7 +106,7 @@
 		o := sim.takeOver()
 		sim.run(100 * time.Millisecond)
 		sim.specs["j"] = testSpec(1)
-		o.cell.addJob("j", jobrecord.JobKey("j", "n"), jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, Spec: testSpec(1)})
+		o.cell.addJob("j", jobrecord.JobKey("j", "n", 0), jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, Spec: testSpec(1)})
 		for _, g := range o.cell.waiting {
 			g.tasks[0].notBefore = sim.now + 300*time.Millisecond
 		}
--- a/internal/cell/withdrawn_start_test.go
+++ b/internal/cell/withdrawn_start_test.go
@@ -17,7 +17,7 @@
 		sim := newSimulation(32, 1)
 		o := sim.takeOver()
 		sim.run(100 * time.Millisecond)
-		o.cell.addJob("j", jobrecord.JobKey("j", "n"), jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, Spec: testSpec(1)})
+		o.cell.addJob("j", jobrecord.JobKey("j", "n", 0), jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, Spec: testSpec(1)})
 		o.cell.SetTime(sim.now, sim.wall())
 		starts := o.cell.RoundStored(o.cell.Plan())
 		So(starts, ShouldHaveLength, 1)
--- /dev/null
+++ b/internal/cellmap/cellmap_test.go
@@ -0,0 +1,257 @@
+package cellmap
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/recordcodec"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+func record(key string, offset store.Offset, value any) store.Record {
+	encoded, err := recordcodec.Encode(value)
+	if err != nil {
+		panic(err) // the records of this package can be encoded
+	}
+	return store.Record{Key: key, Value: encoded, Offset: offset}
+}
+
+func domains(count int) []string {
+	var names []string
+	for i := range count {
+		names = append(names, fmt.Sprintf("d%d", i))
+	}
+	return names
+}
+
+func active(p Plan) map[string]int {
+	counts := make(map[string]int)
+	for _, number := range p.Active() {
+		counts[p.Cells[number].FailureDomain]++
+	}
+	return counts
+}
+
+func TestNumberOfCells(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		workers, domains  int
+		capacity          int64
+		perDomain, active int
+	}{
+		{"48 workers and nodes of 0.16 of a core: one cell", 48, 3, 160, 0, 1},
+		{"350 workers and nodes of 0.8 of a core: one cell", 350, 5, 800, 0, 1},
+		{"350 workers and nodes of 0.11 of a core: one in each failure domain", 350, 5, 110, 1, 5},
+		{"1,100 workers and nodes of 0.8 of a core: one in each failure domain", 1100, 5, 800, 1, 5},
+		{"1,100 workers and nodes of 0.192 of a core: two in each failure domain", 1100, 5, 192, 2, 10},
+		{"more than the store has partitions for", 100000, 7, 110, 4, 28},
+		{"unknown capacity: as before", 1100, 5, 0, 0, 1},
+	} {
+		Convey(c.name, t, func() {
+			plan, changed := SingleCell().Next(Deployment{Workers: c.workers, FailureDomains: domains(c.domains), OwnerMilliCPU: c.capacity, OwnerDomain: "d1"})
+			So(len(plan.Active()), ShouldEqual, c.active)
+			So(changed, ShouldEqual, c.active > 1)
+			if c.perDomain > 0 {
+				So(plan.Cells[0].FailureDomain, ShouldEqual, "d1")
+				So(active(plan), ShouldHaveLength, c.domains)
+				for _, count := range active(plan) {
+					So(count, ShouldEqual, c.perDomain)
+				}
+			}
+		})
+	}
+}
+
+func TestNumberOfCellsChangesWhileRunning(t *testing.T) {
+	Convey("Given a deployment that grows and shrinks", t, func() {
+		d := Deployment{Workers: 1100, FailureDomains: domains(5), OwnerMilliCPU: 800, OwnerDomain: "d0"}
+		plan, _ := SingleCell().Next(d)
+		So(len(plan.Active()), ShouldEqual, 5)
+		Convey("a little less demand changes nothing, half of it leads back to one cell, and the numbers stay", func() {
+			d.Workers = 500
+			_, changed := plan.Next(d)
+			So(changed, ShouldBeFalse)
+			d.Workers = 360
+			fewer, changed := plan.Next(d)
+			So(changed, ShouldBeTrue)
+			So(fewer.Active(), ShouldResemble, []int{0})
+			So(len(fewer.Cells), ShouldEqual, 5)
+			So(fewer.Homes("d3"), ShouldResemble, []int{0})
+			d.Workers = 1100
+			again, _ := fewer.Next(d)
+			So(active(again), ShouldResemble, active(plan))
+			So(len(again.Cells), ShouldEqual, 5)
+		})
+		Convey("a failure domain that comes gets a cell, and that of one that goes serves no more", func() {
+			d.FailureDomains = append(domains(5), "new")
+			more, changed := plan.Next(d)
+			So(changed, ShouldBeTrue)
+			So(more.Homes("new"), ShouldResemble, []int{5})
+			d.FailureDomains = domains(4)
+			less, changed := more.Next(d)
+			So(changed, ShouldBeTrue)
+			So(active(less), ShouldHaveLength, 4)
+		})
+	})
+}
+
+func TestTable(t *testing.T) {
+	Convey("Given a plan of three cells", t, func() {
+		plan := Plan{Cells: []PlannedCell{{"a", true}, {"b", true}, {"c", true}}}
+		table, skipped, err := NewTable().With([]store.Record{record(PlanKey, 0, &plan)}, 1)
+		So(err, ShouldBeNil)
+		So(skipped, ShouldEqual, 0)
+		w := &workercall.Worker{ID: "w", FailureDomain: "b", Rack: "r1"}
+		with := func(key string, offset store.Offset, cell int) {
+			table, skipped, err = table.With([]store.Record{record(key, offset, &Assignment{Cell: cell})}, offset+1)
+		}
+		Convey("a worker belongs to cell 0, then to that of its rack, and while it is lent to another", func() {
+			var versions []int64
+			next := func() int {
+				cell, version := table.CellOf(w)
+				versions = append(versions, version)
+				return cell
+			}
+			So(next(), ShouldEqual, 0)
+			with(RackKey("b", "r1"), 1, 1)
+			So(next(), ShouldEqual, 1)
+			with(WorkerKey("w"), 2, 2)
+			So(next(), ShouldEqual, 2)
+			So(table.Borrowed("w"), ShouldBeTrue)
+			with(RackKey("b", "r1"), 3, 0)
+			So(next(), ShouldEqual, 2) // the owner that has the worker has not agreed
+			with(WorkerKey("w"), 4, HomeCell)
+			So(next(), ShouldEqual, 0)
+			So(table.Borrowed("w"), ShouldBeFalse)
+			Convey("and each owner's fencing tokens are higher than those of the one before, whatever their epochs", func() {
+				So(versions, ShouldResemble, []int64{0, 2, 3, 3, 5})
+				So(Token(versions[1], 1), ShouldBeGreaterThan, Token(versions[0], 1<<epochBits-1))
+				So(Token(versions[1], 2), ShouldBeGreaterThan, Token(versions[1], 1))
+				So(Token(0, 7), ShouldEqual, 7) // as earlier builds had it
+			})
+		})
+		Convey("records that name a cell that does not exist, or cannot be read, are left out", func() {
+			for _, r := range []store.Record{
+				record(RackKey("b", "r1"), 1, &Assignment{Cell: 3}), record(WorkerKey("w"), 1, &Assignment{Cell: -2}),
+				record(RackKey("b", "r1"), 1, &Assignment{Cell: HomeCell}), record("x/y", 1, &Assignment{Cell: 1}),
+				record(PlanKey, 1, &Plan{}), record(PlanKey, 1, &Plan{Cells: plan.Cells[:2]}), {Key: PlanKey, Value: []byte{0xc1}, Offset: 1},
+				{Key: WorkerKey("w"), Value: []byte("x"), Offset: 1},
+			} {
+				next, skipped, err := table.With([]store.Record{r}, 2)
+				So(err, ShouldNotBeNil)
+				So(skipped, ShouldEqual, 1)
+				So(next.Plan(), ShouldResemble, plan)
+				cell, _ := next.CellOf(w)
+				So(cell, ShouldEqual, 0)
+			}
+		})
+		Convey("a listing may hold the plan after the assignments, and records that were applied are not applied again", func() {
+			listed, skipped, _ := NewTable().With([]store.Record{
+				record(RackKey("b", "r1"), 5, &Assignment{Cell: 1}), record(PlanKey, 9, &plan), record(WorkerKey("w"), 7, &Assignment{Cell: 2}),
+			}, 10)
+			So(skipped, ShouldEqual, 0)
+			again, _, _ := listed.With([]store.Record{record(WorkerKey("w"), 6, &Assignment{Cell: 1})}, 10)
+			cell, version := again.CellOf(w)
+			So([]int64{int64(cell), version}, ShouldResemble, []int64{2, 8})
+		})
+	})
+}
+
+func TestMoves(t *testing.T) {
+	plan := Plan{Cells: []PlannedCell{{"a", true}, {"b", true}, {"b", true}}}
+	table, _, _ := NewTable().With([]store.Record{record(PlanKey, 0, &plan)}, 1)
+	racks := func(domain string, count int) []Rack {
+		var list []Rack
+		for i := range count {
+			list = append(list, Rack{FailureDomain: domain, Label: fmt.Sprintf("%s%d", domain, i)})
+		}
+		return list
+	}
+	count := func(moves []Move) map[int]int {
+		counts := make(map[int]int)
+		for _, m := range moves {
+			counts[m.Cell]++
+		}
+		return counts
+	}
+	Convey("Cell 0 gives the racks of other failure domains away, equally to their cells, and keeps its own", t, func() {
+		So(count(table.Moves(0, append(racks("a", 4), racks("b", 6)...))), ShouldResemble, map[int]int{1: 3, 2: 3})
+	})
+	Convey("A rack on which something never ends stays", t, func() {
+		busy := racks("b", 1)
+		busy[0].Busy = true
+		So(table.Moves(0, busy), ShouldBeEmpty)
+	})
+	Convey("A cell gives racks to a new cell of its failure domain until both have equally many", t, func() {
+		So(count(table.Moves(1, racks("b", 5))), ShouldResemble, map[int]int{2: 2})
+	})
+	Convey("With one cell for all again, the others give all racks back", t, func() {
+		single := Plan{Cells: []PlannedCell{{"", true}, {"b", false}, {"b", false}}}
+		shrunk, _, _ := table.With([]store.Record{record(PlanKey, 1, &single)}, 2)
+		So(count(shrunk.Moves(1, racks("b", 5))), ShouldResemble, map[int]int{0: 5})
+		So(shrunk.Moves(0, racks("b", 5)), ShouldBeEmpty)
+	})
+}
+
+// Jobs that arrive unevenly filled one cell while the others had room.
+func TestChoose(t *testing.T) {
+	plan := Plan{Cells: []PlannedCell{{"a", true}, {"b", true}, {"c", true}, {"d", false}}}
+	table, _, _ := NewTable().With([]store.Record{record(PlanKey, 0, &plan), record(RackKey("c", "r9"), 1, &Assignment{Cell: 2})}, 2)
+	loads := func(used ...int64) map[int]Load {
+		board := make(map[int]Load)
+		for cell, u := range used {
+			board[cell] = Load{Cell: cell, CapacityMilliCPU: 1000, UsedMilliCPU: u, Labels: []string{"x"}}
+		}
+		return board
+	}
+	choices := func(need Need, board map[int]Load) map[int]int {
+		counts := make(map[int]int)
+		for i := range 100 {
+			counts[table.Choose(need, "a", board, func() float64 { return float64(i) / 100 })]++
+		}
+		return counts
+	}
+	Convey("While the cells have room, jobs stay in their failure domain", t, func() {
+		So(choices(Need{}, loads(500, 0, 0)), ShouldResemble, map[int]int{0: 100})
+	})
+	Convey("Without knowledge of the cells they stay as well", t, func() {
+		So(choices(Need{}, nil), ShouldResemble, map[int]int{0: 100})
+	})
+	Convey("When all cells are equally full they stay", t, func() {
+		So(choices(Need{}, loads(990, 990, 990)), ShouldResemble, map[int]int{0: 100})
+	})
+	Convey("When one is clearly fuller than the average, its new jobs go to those below", t, func() {
+		counts := choices(Need{}, loads(900, 600, 750))
+		So(counts[0], ShouldEqual, 0)
+		So(counts[1], ShouldBeGreaterThan, counts[2])
+	})
+	Convey("A cell a little above the tolerance keeps a part of them", t, func() {
+		counts := choices(Need{}, loads(780, 700, 700))
+		So(counts[0], ShouldBeBetween, 50, 100)
+	})
+	Convey("A cell whose owner is short of processor time gets none", t, func() {
+		board := loads(100, 100, 100)
+		full := board[0]
+		full.Overloaded = true
+		board[0] = full
+		So(choices(Need{}, board)[0], ShouldEqual, 0)
+	})
+	Convey("A job goes where its data is, also to another failure domain", t, func() {
+		So(choices(Need{DataRack: "r9"}, loads(100, 100, 100)), ShouldResemble, map[int]int{2: 100})
+	})
+	Convey("A job that requires a label goes to a cell that has it, and waits at home if none has", t, func() {
+		board := loads(100, 100, 100)
+		special := board[2]
+		special.Labels = []string{"gpu"}
+		board[2] = special
+		So(choices(Need{Labels: []string{"gpu"}}, board), ShouldResemble, map[int]int{2: 100})
+		So(choices(Need{Labels: []string{"none"}}, board), ShouldResemble, map[int]int{0: 100})
+	})
+	// A hash of the ID gives a cut failure domain only one job in as many as there are cells.
+	Convey("Callers of a failure domain that is cut off are served by its own cell, all of them", t, func() {
+		So(choices(Need{}, map[int]Load{0: loads(300)[0]}), ShouldResemble, map[int]int{0: 100})
+	})
+}
--- a/internal/cellnode/accepted_jobs.go
+++ b/internal/cellnode/accepted_jobs.go
@@ -14,28 +14,39 @@
 // the request succeeds without storing the job again, so that the first record keeps its time of arrival.
 type acceptedJobs struct {
 	mu    sync.Mutex
-	known map[jobs.ID]bool
-	order []jobs.ID // oldest first
+	known map[jobs.ID]int // cells by job
+	order []jobs.ID       // oldest first
 }
 
-func newAcceptedJobs() *acceptedJobs { return &acceptedJobs{known: make(map[jobs.ID]bool)} }
+func newAcceptedJobs() *acceptedJobs { return &acceptedJobs{known: make(map[jobs.ID]int)} }
 
-func (a *acceptedJobs) has(id jobs.ID) bool {
+// cellOf returns the cell of a job; known is false if this process has not stored the job recently.
+func (a *acceptedJobs) cellOf(id jobs.ID) (cell int, known bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.known[id]
+	cell, known = a.known[id]
+	return cell, known
 }
 
-func (a *acceptedJobs) add(id jobs.ID) {
+// moved corrects the cell of a job that another node had stored before, for another cell.
+func (a *acceptedJobs) moved(id jobs.ID, cell int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.known[id] {
+	if _, known := a.known[id]; known {
+		a.known[id] = cell
+	}
+}
+
+func (a *acceptedJobs) add(id jobs.ID, cell int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, known := a.known[id]; known {
 		return
 	}
 	if len(a.order) >= maxAcceptedJobs {
 		delete(a.known, a.order[0])
 		a.order = a.order[1:]
 	}
-	a.known[id] = true
+	a.known[id] = cell
 	a.order = append(a.order, id)
 }
--- /dev/null
+++ b/internal/cellnode/cells_test.go
@@ -0,0 +1,263 @@
+package cellnode
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/recordcodec"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// workerSet passes each order to the worker that it is for.
+type workerSet map[string]*memoryWorker
+
+func (s workerSet) Start(ctx context.Context, to workercall.Target, order workercall.Start) (workercall.Reply, error) {
+	return s[to.ID].Start(ctx, to, order)
+}
+
+func (s workerSet) Stop(ctx context.Context, to workercall.Target, run workercall.Run, token int64) (workercall.Reply, error) {
+	return s[to.ID].Stop(ctx, to, run, token)
+}
+
+func (s workerSet) SetPace(ctx context.Context, to workercall.Target, run workercall.Run, percent int, token int64) (workercall.Reply, error) {
+	return s[to.ID].SetPace(ctx, to, run, percent, token)
+}
+
+func (s workerSet) Renew(ctx context.Context, to workercall.Target, r workercall.RenewRequest) (workercall.Report, error) {
+	return s[to.ID].Renew(ctx, to, r)
+}
+
+// starts returns how often each task was started on any worker.
+func (s workerSet) starts() map[jobs.TaskID]int {
+	total := make(map[jobs.TaskID]int)
+	for _, w := range s {
+		w.mu.Lock()
+		for task, count := range w.starts {
+			total[task] += count
+		}
+		w.mu.Unlock()
+	}
+	return total
+}
+
+// newCellsCluster returns a deployment of two failure domains with two workers each, whose demand exceeds what one node may
+// spend on a cell. It has a node in each failure domain.
+func newCellsCluster(t *testing.T) (*testCluster, workerSet) {
+	d := newTestCluster(t, 0)
+	workers := workerSet{}
+	d.store.topics["workers"] = nil
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		workers[id] = newMemoryWorker()
+		d.store.topics["workers"] = append(d.store.topics["workers"], store.Record{Key: id, Value: []byte(id)})
+	}
+	d.workers = workers
+	for _, domain := range []string{"a", "b"} {
+		d.startProcess(testProcess{name: "n" + domain, processNumber: 1, capacity: 2, domain: domain})
+	}
+	return d, workers
+}
+
+// waitForOwners waits until the process with each index owns the cell with the same number, and both know that there is
+// room in both.
+func (d *testCluster) waitForOwners(timeout time.Duration) {
+	d.t.Helper()
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if a, b := d.nodes[0].node.ownerOf(0), d.nodes[1].node.ownerOf(1); a != nil && b != nil && a.isLoaded() && b.isLoaded() &&
+			len(d.workersOf(a)) == 2 && len(d.workersOf(b)) == 2 && d.knowsRoom(0) && d.knowsRoom(1) {
+			return
+		}
+	}
+	d.t.Fatal("the cells do not have their owners and workers")
+}
+
+// knowsRoom reports whether a process knows that both cells have capacity.
+func (d *testCluster) knowsRoom(index int) bool {
+	loads := d.nodes[index].node.loads.recent()
+	return loads[0].CapacityMilliCPU > 0 && loads[1].CapacityMilliCPU > 0
+}
+
+func (d *testCluster) workersOf(o *owner) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ids []string
+	for _, rack := range o.cell.Racks(func(string) bool { return true }) {
+		ids = append(ids, rack.Workers...)
+	}
+	return ids
+}
+
+// One owner for everything was late before traffic began on a deployment of 1,100 workers.
+func TestDeploymentIsDividedIntoCellsByFailureDomain(t *testing.T) {
+	d, workers := newCellsCluster(t)
+	// A new deployment has one cell, whose owner is either node; it divides the workers and gives half of them away.
+	for deadline := time.Now().Add(10 * time.Second); len(d.nodes[0].node.cells.table().Plan().Active()) < 2; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the deployment was not divided")
+		}
+	}
+	first := 0
+	if d.nodes[0].node.cells.table().Plan().Cells[0].FailureDomain == "b" {
+		first = 1
+	}
+	if first == 1 {
+		d.nodes[0], d.nodes[1] = d.nodes[1], d.nodes[0]
+	}
+	d.waitForOwners(10 * time.Second)
+
+	t.Run("jobs run in the failure domain that received them, and every node knows them", func(t *testing.T) {
+		for i := range 6 {
+			d.requestUntil(2*time.Second, i%2, http.MethodPost, fmt.Sprintf("/q/%s1%d", testIDPrefix, i), "spec", http.StatusOK, "")
+		}
+		for i := range 6 {
+			path := fmt.Sprintf("/q/%s1%d", testIDPrefix, i)
+			d.requestUntil(8*time.Second, 1-i%2, http.MethodGet, path, "", http.StatusOK, "completed")
+			if _, known := d.nodes[i%2].node.ownerOf(i % 2).cell.Status(jobs.ID(fmt.Sprintf("%s1%d", testIDPrefix, i))); !known {
+				t.Errorf("job %d does not belong to the cell of the node that accepted it", i)
+			}
+		}
+		d.requestUntil(3*time.Second, 0, http.MethodGet, "/q/", "", http.StatusOK, "0")
+		d.requestUntil(time.Second, 1, http.MethodGet, "/q/"+testIDPrefix+"99", "", http.StatusGone, "")
+	})
+	t.Run("a request that is repeated through the other failure domain stays one job, and is cancelled from there", func(t *testing.T) {
+		path := "/q/" + testIDPrefix + "20"
+		d.requestUntil(2*time.Second, 0, http.MethodPost, path, "spec", http.StatusOK, "")
+		d.requestUntil(2*time.Second, 1, http.MethodPost, path, "spec", http.StatusOK, "")
+		d.requestUntil(8*time.Second, 1, http.MethodGet, path, "", http.StatusOK, "completed")
+		d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+testIDPrefix+"21", "spec", http.StatusOK, "")
+		d.requestUntil(2*time.Second, 1, http.MethodDelete, "/q/"+testIDPrefix+"21", "", http.StatusOK, "")
+		d.requestUntil(2*time.Second, 1, http.MethodGet, "/q/"+testIDPrefix+"21", "", http.StatusOK, "cancelled")
+	})
+	t.Run("a lent worker changes its cell and comes back", func(t *testing.T) {
+		n := d.nodes[1].node
+		if promised := n.askToLend(context.Background(), 0, 1, 1000, ""); promised != 1 {
+			t.Fatalf("%d workers were promised, want 1", promised)
+		}
+		waitForWorkers := func(inFirst, inSecond int) {
+			for deadline := time.Now().Add(15 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+				if len(d.workersOf(d.nodes[0].node.ownerOf(0))) == inFirst && len(d.workersOf(n.ownerOf(1))) == inSecond {
+					return
+				}
+				if time.Now().After(deadline) {
+					t.Fatalf("the cells do not have %d and %d workers", inFirst, inSecond)
+				}
+			}
+		}
+		waitForWorkers(1, 3)
+		d.requestUntil(2*time.Second, 1, http.MethodPost, "/q/"+testIDPrefix+"30", "spec", http.StatusOK, "")
+		d.requestUntil(8*time.Second, 1, http.MethodGet, "/q/"+testIDPrefix+"30", "", http.StatusOK, "completed")
+		waitForWorkers(2, 2)
+	})
+	t.Run("a request to lend to a cell that does not exist is refused", func(t *testing.T) {
+		for _, r := range []*cellrpc.LendRequest{{Cell: 0, Borrower: 7}, {Cell: 0, Borrower: 0}, {Cell: 0, Borrower: -1}} {
+			if _, err := (cellServer{d.nodes[0].node}).Lend(context.Background(), r); err == nil {
+				t.Errorf("%v was accepted", r)
+			}
+		}
+		if reply, err := (cellServer{d.nodes[0].node}).Lend(context.Background(), &cellrpc.LendRequest{Cell: 1}); err != nil || reply.Owner {
+			t.Errorf("a node that does not own the cell answered %v, %v", reply, err)
+		}
+	})
+	t.Run("when a failure domain loses its nodes, another node takes over its cell beside its own", func(t *testing.T) {
+		d.nodes[1].link.killed.Store(true)
+		d.nodes[1].cancel()
+		id := testIDPrefix + "40"
+		key := jobrecord.JobKey(jobs.ID(id), "elsewhere", 1)
+		_, err := d.store.Append(context.Background(), store.AppendRequest{Partition: jobsPartition, Records: []store.Record{{Key: key, Value: d.jobValue()}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.requestUntil(25*time.Second, 0, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+		if d.nodes[0].node.ownerOf(0) == nil || d.nodes[0].node.ownerOf(1) == nil {
+			t.Error("the node does not own both cells")
+		}
+	})
+	for task, starts := range workers.starts() {
+		if starts != 1 {
+			t.Errorf("%v was started %d times", task, starts)
+		}
+	}
+}
+
+// jobValue returns the record of a job as the nodes store it.
+func (d *testCluster) jobValue() []byte {
+	d.t.Helper()
+	spec, err := testWire().DecodeJob([]byte("spec"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	value, err := recordcodec.Encode(&jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 2, CriticalPathFactor: 2, ReceivedMS: time.Now().UnixMilli(), Spec: *spec})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return value
+}
+
+// Records of the topic of the cells that nobody should have written must not stop a node.
+func TestUnreadableRecordsOfTheCellsAreSkipped(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	assignment, err := recordcodec.Encode(&cellmap.Assignment{Cell: 9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = d.store.Append(context.Background(), store.AppendRequest{Partition: cellsPartition, Records: []store.Record{
+		{Key: cellmap.PlanKey, Value: []byte("x")}, {Key: cellmap.WorkerKey("w"), Value: assignment}, {Key: "", Value: nil}, {Key: "?", Value: assignment}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := d.nodes[0].node
+	for deadline := time.Now().Add(3 * time.Second); n.counts.UnreadableRecords.Get() < 3; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d records were skipped, want 3", n.counts.UnreadableRecords.Get())
+		}
+	}
+	d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+testIDPrefix+"01", "spec", http.StatusOK, "")
+	d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+testIDPrefix+"01", "", http.StatusOK, "completed")
+}
+
+// A list whose pages are read while a job is deleted must not show a repeated request as the job's first record.
+func TestJobsDeletedDuringListingAreLeftOut(t *testing.T) {
+	d := newTestCluster(t, 0)
+	d.startProcess(testProcess{name: "n", processNumber: 1})
+	first, repeated := jobrecord.JobKey("j", "z", 0), jobrecord.JobKey("j", "a", 1)
+	append := func(records ...store.Record) {
+		if _, err := d.store.Append(context.Background(), store.AppendRequest{Partition: jobsPartition, Records: records}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	append(store.Record{Key: first, Value: []byte("1")}, store.Record{Key: repeated, Value: []byte("2")})
+	n := d.nodes[0].node
+	n.platform.Store = &deletingStore{Store: n.platform.Store, delete: func() {
+		append(store.Record{Key: first}, store.Record{Key: repeated}, store.Record{Key: jobrecord.JobKey("k", "a", 0), Value: []byte("3")})
+	}}
+	records, end, err := n.readJobs(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(records) != 1 || records[0].Key != jobrecord.JobKey("k", "a", 0) || end != 5 {
+		t.Errorf("got %v up to offset %d, want only the job that is not deleted", records, end)
+	}
+}
+
+// deletingStore lists only the record with the lowest key, as if the others were deleted before the second page.
+type deletingStore struct {
+	Store
+	delete func()
+}
+
+func (s *deletingStore) List(ctx context.Context, p store.Partition, after string) (store.ListPage, error) {
+	page, err := s.Store.List(ctx, p, after)
+	if p == jobsPartition && err == nil && len(page.Records) > 0 {
+		page.Records = page.Records[:1]
+		s.delete()
+	}
+	return page, err
+}
--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -26,14 +26,14 @@
 )
 
 // watchClaim follows the claim topic and updates the view of the claim.
-func (n *Node) watchClaim(ctx context.Context) error {
+func (m *membership) watchClaim(ctx context.Context) error {
 	listed := false
 	for ctx.Err() == nil {
 		if !listed {
-			listed = n.listClaim(ctx)
+			listed = m.listClaim(ctx)
 		}
-		if !listed || !n.readClaim(ctx, &listed) {
-			n.markStoreUnreachable()
+		if !listed || !m.readClaim(ctx, &listed) {
+			m.markStoreUnreachable()
 			sleep(ctx, readRetryDelay)
 		}
 	}
@@ -41,68 +41,69 @@
 }
 
 // listClaim passes the latest claim record to the view and reports whether the store answered.
-func (n *Node) listClaim(ctx context.Context) bool {
+func (m *membership) listClaim(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, claimCallTimeout)
 	defer cancel()
-	listing, err := n.platform.Store.List(callCtx, claimsPartition, "")
+	listing, err := m.node.platform.Store.List(callCtx, m.claims(), "")
 	if err != nil {
-		n.recordStoreFailure("list claims", err)
+		m.node.recordStoreFailure("list claims", err)
 		return false
 	}
-	n.observeClaim(listing.Records, listing.End)
+	m.observeClaim(listing.Records, listing.End)
 	return true
 }
 
 // readClaim passes the claim records appended since the last read to the view and reports whether the store answered.
 // If some of these records have been deleted, it sets *listed to false, so that the topic is listed again.
-func (n *Node) readClaim(ctx context.Context, listed *bool) bool {
-	n.mu.Lock()
-	from := n.view.End()
-	n.mu.Unlock()
+func (m *membership) readClaim(ctx context.Context, listed *bool) bool {
+	m.mu.Lock()
+	from := m.view.End()
+	m.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, claimReadWait+claimCallTimeout)
 	defer cancel()
-	page, err := n.platform.Store.Read(callCtx, claimsPartition, from, claimReadWait)
+	page, err := m.node.platform.Store.Read(callCtx, m.claims(), from, claimReadWait)
 	switch {
 	case store.HasReason(err, store.ReasonTrimmed):
 		*listed = false
 		return true
 	case err != nil:
-		n.recordStoreFailure("read claims", err)
+		m.node.recordStoreFailure("read claims", err)
 		return false
 	}
-	n.observeClaim(page.Records, page.Next)
+	m.observeClaim(page.Records, page.Next)
 	return true
 }
 
 // observeClaim passes the records of a successful read up to end to the view, and logs changes of the claim.
-func (n *Node) observeClaim(records []store.Record, end store.Offset) {
-	n.recordStoreSuccess()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	owned := n.view.Owns()
-	before, _ := n.view.Latest()
-	if unreadable := n.view.Observe(records, end, boottime.Now()); unreadable > 0 {
-		n.log.Warn("undecodable claim records ignored", zap.Int("unreadable", unreadable))
+func (m *membership) observeClaim(records []store.Record, end store.Offset) {
+	m.node.recordStoreSuccess()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	owned := m.view.Owns()
+	before, _ := m.view.Latest()
+	if unreadable := m.view.Observe(records, end, boottime.Now()); unreadable > 0 {
+		m.log.Warn("undecodable claim records ignored", zap.Int("unreadable", unreadable))
 	}
-	latest, _ := n.view.Latest()
+	latest, _ := m.view.Latest()
 	if latest.Epoch != before.Epoch || latest.Released != before.Released {
-		n.log.Info("claim changed", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch), zap.Bool("released", latest.Released),
-			zap.Int64("capacity", n.view.Details().Capacity), zap.String("successor", n.view.Details().Successor))
+		m.log.Info("claim changed", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch), zap.Bool("released", latest.Released),
+			zap.Int64("capacity", m.view.Details().Capacity), zap.String("successor", m.view.Details().Successor))
 	}
-	if owned && !n.view.Owns() {
-		n.log.Warn("claim lost", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch))
+	if owned && !m.view.Owns() {
+		m.log.Warn("claim lost", zap.String("owner", latest.Node), zap.Int64("epoch", latest.Epoch))
 	}
 }
 
 // markStoreUnreachable tells the view that the claim topic could not be read, so that this node does not claim.
-func (n *Node) markStoreUnreachable() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.view.StoreUnreachable()
+func (m *membership) markStoreUnreachable() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.StoreUnreachable()
 }
 
-// claimAndRenew claims the cell if it has no owner, and renews the claim while this node owns the cell.
-func (n *Node) claimAndRenew(ctx context.Context) error {
+// claimAndRenew claims the cell if it has no owner, and renews the claim while this node owns the cell. Owners run until
+// ownerCtx ends.
+func (m *membership) claimAndRenew(ctx, ownerCtx context.Context) error {
 	ticker := time.NewTicker(claimCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -111,65 +112,66 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if !n.stopping.Load() { // a stopping node releases its claim instead
-			n.claimOnce(ctx)
+		if !m.node.stopping.Load() { // a stopping node releases its claim instead
+			m.claimOnce(ctx, ownerCtx)
 		}
 	}
 }
 
 // claimOnce writes the claim, renewal, release or request that is due now, if any, and answers a request.
-func (n *Node) claimOnce(ctx context.Context) {
+func (m *membership) claimOnce(ctx, ownerCtx context.Context) {
 	now := boottime.Now()
-	n.mu.Lock()
-	renewalDue, shouldRelease, shouldClaim := n.view.RenewalDue(now), n.view.ShouldRelease(), n.view.ShouldClaim(now)
-	shouldRequest := n.view.ShouldRequest(now)
-	request, requested := n.view.TakeRequest()
-	nextRequest := n.view.NextRequest()
-	latest, _ := n.view.Latest()
-	nextClaim := n.view.NextClaim(n.settings.Node, n.settings.PeerAddress)
-	nextDetails := n.view.NextDetails()
-	leasesEnd := n.view.WorkerLeasesExpireBy(n.cellSettings.Load().MaxLease, now)
-	end := n.view.End()
-	n.mu.Unlock()
+	m.mu.Lock()
+	m.adjustCandidacy()
+	renewalDue, shouldRelease, shouldClaim := m.view.RenewalDue(now), m.view.ShouldRelease(), m.view.ShouldClaim(now)
+	shouldRequest := m.view.ShouldRequest(now)
+	request, requested := m.view.TakeRequest()
+	nextRequest := m.view.NextRequest()
+	latest, _ := m.view.Latest()
+	nextClaim := m.view.NextClaim(m.node.settings.Node, m.node.settings.PeerAddress)
+	nextDetails := m.view.NextDetails()
+	leasesEnd := m.view.WorkerLeasesExpireBy(m.node.cellSettings.Load().MaxLease, now)
+	end := m.view.End()
+	m.mu.Unlock()
 	if requested {
-		go n.answerRequest(ctx, request)
+		go m.answerRequest(ownerCtx, request)
 	}
 	switch {
 	case renewalDue:
-		n.writeClaim(ctx, latest, nil, end)
+		m.writeClaim(ctx, latest, nil, end)
 	case shouldRelease:
 		latest.Released = true
-		if n.writeClaim(ctx, latest, nil, end) {
-			n.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", n.settings.Capacity))
+		if m.writeClaim(ctx, latest, nil, end) {
+			m.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", m.node.settings.Capacity))
 		}
-	case shouldClaim && n.config.Get() != nil:
-		if n.writeClaim(ctx, nextClaim, &nextDetails, end) {
-			n.startOwner(ctx, nextClaim, leasesEnd)
+	case shouldClaim && m.node.config.Get() != nil:
+		if m.writeClaim(ctx, nextClaim, &nextDetails, end) {
+			m.startOwner(ownerCtx, nextClaim, leasesEnd)
 		}
-	case shouldRequest && n.ready():
-		n.requestCell(ctx, nextRequest, latest.Node, end)
+	case shouldRequest && m.node.ready():
+		m.requestCell(ctx, nextRequest, latest.Node, end)
 	}
 }
 
 // writeClaim appends a claim, a renewal or a release, with its details unless they are nil, and reports whether it was
 // accepted. end is the end of the topic up to which the records had been read from which r was derived.
-func (n *Node) writeClaim(ctx context.Context, r claim.Record, details *claim.Details, end store.Offset) bool {
+func (m *membership) writeClaim(ctx context.Context, r claim.Record, details *claim.Details, end store.Offset) bool {
 	var entries []claimEntry
 	if details != nil {
 		entries = append(entries, claimEntry{claim.DetailsKey, details})
 	}
 	entries = append(entries, claimEntry{claim.Key, &r})
 	sent := boottime.Now()
-	appended, ok := n.appendToClaims(ctx, entries, r.Epoch, end)
+	appended, ok := m.appendToClaims(ctx, entries, r.Epoch, end)
 	if !ok {
 		return false
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if details != nil {
-		n.view.ApplyDetails(*details)
+		m.view.ApplyDetails(*details)
 	}
-	n.view.Accepted(r, appended, sent, boottime.Now())
+	m.view.Accepted(r, appended, sent, boottime.Now())
 	return true
 }
 
@@ -180,59 +182,59 @@
 }
 
 // appendToClaims appends entries to the claim topic if it still ends at the given offset.
-func (n *Node) appendToClaims(ctx context.Context, entries []claimEntry, epoch int64, end store.Offset) (store.AppendResult, bool) {
+func (m *membership) appendToClaims(ctx context.Context, entries []claimEntry, epoch int64, end store.Offset) (store.AppendResult, bool) {
 	records := make([]store.Record, len(entries))
 	for i, entry := range entries {
 		value, err := recordcodec.Encode(entry.value)
 		if err != nil {
-			n.log.Error("failed to encode claim", zap.String("key", entry.key), zap.Error(err))
+			m.log.Error("failed to encode claim", zap.String("key", entry.key), zap.Error(err))
 			return store.AppendResult{}, false
 		}
 		records[i] = store.Record{Key: entry.key, Value: value}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, claimCallTimeout)
 	defer cancel()
-	appended, err := n.platform.Store.Append(callCtx, store.AppendRequest{Partition: claimsPartition, Records: records, ExpectedEnd: &end})
+	appended, err := m.node.platform.Store.Append(callCtx, store.AppendRequest{Partition: m.claims(), Records: records, ExpectedEnd: &end})
 	if err != nil {
-		n.log.Info("claim not written", zap.Int64("epoch", epoch), zap.Int64("as_of", int64(end)),
+		m.log.Info("claim not written", zap.Int64("epoch", epoch), zap.Int64("as_of", int64(end)),
 			zap.String("reason", string(verdict.ReasonOf(err))), zap.Stringer("verdict", verdict.Of(err)))
 		return store.AppendResult{}, false
 	}
-	n.recordStoreSuccess()
+	m.node.recordStoreSuccess()
 	return appended, true
 }
 
 // startOwner starts the owner of the cell under an accepted claim. leasesEnd is the time, on the clock of package
 // boottime, by which all leases on workers that previous owners renewed have expired.
-func (n *Node) startOwner(ctx context.Context, r claim.Record, leasesEnd time.Duration) {
-	n.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()),
-		zap.Int64("capacity", n.settings.Capacity))
-	o := newOwner(n, r.Epoch, leasesEnd)
+func (m *membership) startOwner(ctx context.Context, r claim.Record, leasesEnd time.Duration) {
+	m.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()),
+		zap.Int64("capacity", m.node.settings.Capacity))
+	o := newOwner(m, r.Epoch, leasesEnd)
 	ctx, o.stop = context.WithCancel(ctx)
-	n.owner.Store(o)
+	m.owner.Store(o)
 	go func() {
 		err := o.run(ctx)
-		n.owner.CompareAndSwap(o, nil)
-		n.ownerStopped(o)
-		n.log.Info("owner no more", zap.Int64("epoch", r.Epoch), zap.Error(err))
+		m.owner.CompareAndSwap(o, nil)
+		m.ownerStopped(o)
+		m.log.Info("owner no more", zap.Int64("epoch", r.Epoch), zap.Error(err))
 	}()
 }
 
 // mayDecide reports whether the claim of the given epoch permits this node now to start, stop and pace tasks and to
 // store their progress.
-func (n *Node) mayDecide(epoch int64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	latest, _ := n.view.Latest()
-	return latest.Epoch == epoch && n.view.MayDecide(boottime.Now())
+func (m *membership) mayDecide(epoch int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest, _ := m.view.Latest()
+	return latest.Epoch == epoch && m.view.MayDecide(boottime.Now())
 }
 
 // mayRenewWorkerLeases reports whether the claim of the given epoch permits renewing leases on workers now.
-func (n *Node) mayRenewWorkerLeases(epoch int64) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	latest, _ := n.view.Latest()
-	return latest.Epoch == epoch && n.view.MayRenewWorkerLeases(boottime.Now())
+func (m *membership) mayRenewWorkerLeases(epoch int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest, _ := m.view.Latest()
+	return latest.Epoch == epoch && m.view.MayRenewWorkerLeases(boottime.Now())
 }
 
 // recordStoreSuccess records that the store has served a call.
--- a/internal/cellnode/election_test.go
+++ b/internal/cellnode/election_test.go
@@ -62,7 +62,7 @@
 // ownerAmong returns the name of the owner's node if one of the processes from the given index on owns the cell.
 func (d *testCluster) ownerAmong(from int) (name string, found bool) {
 	for _, n := range d.nodes[from:] {
-		if o := n.node.owner.Load(); o != nil && n.node.mayDecide(o.epoch) {
+		if o := n.node.membership(0).owner.Load(); o != nil && n.node.membership(0).mayDecide(o.epoch) {
 			return n.node.settings.Node, true
 		}
 	}
--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -205,6 +205,9 @@
 		g.node.log.Info("failed to decode job", zap.String("job", string(id)), zap.Error(err))
 		return errorResponse(http.StatusBadRequest, reasonBadRequest)
 	}
+	if _, accepted := g.node.acceptedJobs.cellOf(id); accepted {
+		return response{status: http.StatusOK, reason: reasonDuplicate}
+	}
 	value, err := recordcodec.Encode(&jobrecord.Job{
 		Queue: q.Name, Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		CriticalPathFactor: q.CriticalPathFactor, DeadlineSlackMS: q.DeadlineSlack.Milliseconds(), ReceivedMS: received, Spec: *spec,
@@ -212,12 +215,10 @@
 	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
 		return errorResponse(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
-	if g.node.acceptedJobs.has(id) {
-		return response{status: http.StatusOK, reason: reasonDuplicate}
-	}
-	err = g.storeOrForward(ctx, store.Record{Key: jobrecord.JobKey(id, g.node.writerID), Value: value})
+	cell := g.node.chooseCell(spec)
+	err = g.storeOrForward(ctx, cell, store.Record{Key: jobrecord.JobKey(id, g.node.nextWriter(), cell), Value: value})
 	if err == nil {
-		g.node.acceptedJobs.add(id)
+		g.node.acceptedJobs.add(id, cell)
 	}
 	return g.storeResponse(err)
 }
@@ -225,22 +226,23 @@
 // cancel stores the cancellation of a job. If the owner answers that the job is unknown, nothing is stored and the
 // response has status 410. If no owner answers, the cancellation is stored.
 func (g gateway) cancel(ctx context.Context, id jobs.ID) response {
-	if _, known, ok := g.queryStatus(ctx, id, 0); ok && !known {
+	status, ok := g.queryStatus(ctx, id, 0)
+	if ok && !status.known {
 		return errorResponse(http.StatusGone, reasonNoJob)
 	}
-	return g.storeResponse(g.storeOrForward(ctx, store.Record{Key: jobrecord.CancelKey(id), Value: []byte{1}}))
+	return g.storeResponse(g.storeOrForward(ctx, status.cell, store.Record{Key: jobrecord.CancelKey(id), Value: []byte{1}}))
 }
 
 // status responds with the state of a job.
 func (g gateway) status(ctx context.Context, id jobs.ID) response {
-	state, known, ok := g.queryStatus(ctx, id, statusQueryTimeout)
+	status, ok := g.queryStatus(ctx, id, statusQueryTimeout)
 	switch {
 	case !ok:
 		return response{status: http.StatusServiceUnavailable, reason: reasonNoOwner, retryAfter: retryAfterNoOwner}
-	case !known:
+	case !status.known:
 		return errorResponse(http.StatusGone, reasonNoJob)
 	}
-	return response{status: http.StatusOK, body: g.node.platform.CallerCodec.EncodeState(state)}
+	return response{status: http.StatusOK, body: g.node.platform.CallerCodec.EncodeState(status.state)}
 }
 
 // pending responds with the number of accepted jobs of a queue that have not started.
--- a/internal/cellnode/handback_test.go
+++ b/internal/cellnode/handback_test.go
@@ -53,7 +53,7 @@
 func (d *testCluster) waitForOwnerNode(index int, timeout time.Duration) {
 	d.t.Helper()
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
-		if o := d.nodes[index].node.owner.Load(); o != nil && d.nodes[index].node.mayDecide(o.epoch) {
+		if o := d.nodes[index].node.membership(0).owner.Load(); o != nil && d.nodes[index].node.membership(0).mayDecide(o.epoch) {
 			return
 		}
 	}
@@ -68,7 +68,7 @@
 		d.t.Fatal(err)
 	}
 	_, err = d.store.Append(context.Background(), store.AppendRequest{
-		Partition: claimsPartition, Records: []store.Record{{Key: claim.RequestKey, Value: value}}})
+		Partition: store.Partition{Topic: jobrecord.ClaimsTopic}, Records: []store.Record{{Key: claim.RequestKey, Value: value}}})
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -86,7 +86,7 @@
 		d.requestUntil(3*time.Second, 0, http.MethodPost, "/q/"+id, "spec", http.StatusOK, "")
 		submitted = append(submitted, id)
 	}
-	for deadline := time.Now().Add(14 * time.Second); d.nodes[1].node.owner.Load() == nil; time.Sleep(100 * time.Millisecond) {
+	for deadline := time.Now().Add(14 * time.Second); d.nodes[1].node.membership(0).owner.Load() == nil; time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the cell was not handed over to the large node")
 		}
@@ -102,10 +102,10 @@
 	if d.countClaimRecords(claim.RequestKey) != requests {
 		t.Error("the cell of a large owner was requested")
 	}
-	if o := d.nodes[1].node.owner.Load(); o == nil || o.epoch != 2 {
+	if o := d.nodes[1].node.membership(0).owner.Load(); o == nil || o.epoch != 2 {
 		t.Errorf("owner of the large node: %v, want one under epoch 2, which follows a single hand-over", o)
 	}
-	if latest := d.nodes[0].node.latestClaim(); latest.Node != "large-1" || latest.Epoch != 2 {
+	if latest := d.nodes[0].node.membership(0).latestClaim(); latest.Node != "large-1" || latest.Epoch != 2 {
 		t.Errorf("latest claim is %+v, want that of large-1 under epoch 2", latest)
 	}
 	if names := d.successors(); !slices.Equal(names, []string{"large-1"}) {
@@ -128,11 +128,11 @@
 	d := newTestCluster(t, 0)
 	d.startProcess(testProcess{name: "small", rank: 0, capacity: smallCapacity})
 	d.waitForOwnerNode(0, 3*time.Second)
-	first := d.nodes[0].node.owner.Load()
+	first := d.nodes[0].node.membership(0).owner.Load()
 	request := claim.Request{Epoch: first.epoch, Node: "gone", Capacity: largeCapacity}
 	d.sendRequest(request)
 	time.Sleep(500 * time.Millisecond)
-	if d.nodes[0].node.owner.Load() != first {
+	if d.nodes[0].node.membership(0).owner.Load() != first {
 		t.Fatal("an owner handed over the cell right after claiming it")
 	}
 	time.Sleep(minOwnership - (boottime.Now() - first.claimedAt))
@@ -158,7 +158,7 @@
 	d.startProcess(testProcess{name: "small", rank: 0, capacity: smallCapacity})
 	d.waitForOwnerNode(0, 3*time.Second)
 	n := d.nodes[0].node
-	first := n.owner.Load()
+	first := n.membership(0).owner.Load()
 	for deadline := time.Now().Add(3 * time.Second); !first.isLoaded(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the owner did not load its state")
@@ -166,10 +166,10 @@
 	}
 	first.claimedAt -= minOwnership
 	d.store.setDown(true)
-	n.answerRequest(context.Background(), claim.Request{Epoch: first.epoch, Node: "large", Capacity: largeCapacity})
+	n.membership(0).answerRequest(context.Background(), claim.Request{Epoch: first.epoch, Node: "large", Capacity: largeCapacity})
 	d.store.setDown(false)
 	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if o := n.owner.Load(); o != nil && o != first {
+		if o := n.membership(0).owner.Load(); o != nil && o != first {
 			return
 		}
 		if time.Now().After(deadline) {
@@ -185,7 +185,7 @@
 	n := d.nodes[0].node
 	d.waitForOwnerNode(0, 3*time.Second)
 	old := func(loaded bool) *owner {
-		o := newOwner(n, 1, 0)
+		o := newOwner(n.membership(0), 1, 0)
 		o.claimedAt, o.loaded = boottime.Now()-minOwnership, loaded
 		return o
 	}
@@ -199,15 +199,15 @@
 		{old(true), claim.Request{Epoch: 1, Node: "e", Capacity: smallCapacity}, "not clearly larger"},
 		{nil, large, "not the owner"},
 		{old(true), claim.Request{Epoch: 2, Node: "l", Capacity: largeCapacity}, "not the owner"},
-		{newOwner(n, 1, 0), large, "owner for a short time"},
+		{newOwner(n.membership(0), 1, 0), large, "owner for a short time"},
 		{old(false), large, "state not loaded"},
 	} {
-		if reason := n.refusalReason(c.owner, c.request); reason != c.reason {
+		if reason := n.membership(0).refusalReason(c.owner, c.request); reason != c.reason {
 			t.Errorf("%+v: refused for %q, want %q", c.request, reason, c.reason)
 		}
 	}
 	n.stopping.Store(true)
-	if reason := n.refusalReason(old(true), large); reason != "stopping" {
+	if reason := n.membership(0).refusalReason(old(true), large); reason != "stopping" {
 		t.Errorf("a stopping node refused for %q, want %q", reason, "stopping")
 	}
 	n.stopping.Store(false)
--- a/internal/cellnode/lateness.go
+++ b/internal/cellnode/lateness.go
@@ -33,33 +33,41 @@
 	flushDuration *metrics.Histogram
 	loopDelay     *metrics.Histogram // from when a flush is due to when it begins
 	roundDuration *metrics.Histogram // from when a round is planned to when the owner handles the result of storing it
-	// waitingTasks and schedLatency, in nanoseconds, are those of the last window.
+	// waitingTasks and schedLatency, in nanoseconds, are those of the last window of any of the owners.
 	waitingTasks, schedLatency atomic.Int64
 	// startLimit is the number of start orders that may be unanswered at a time.
 	startLimit atomic.Int64
 }
 
-// newOwnerMetrics registers the metrics in a set. current returns the owner, or nil while the node does not own the cell.
-func newOwnerMetrics(set *metrics.Set, current func() *owner) *ownerMetrics {
+// newOwnerMetrics registers the metrics in a set. owners returns the owners that run on the node.
+func newOwnerMetrics(set *metrics.Set, owners func() []*owner) *ownerMetrics {
 	m := &ownerMetrics{
 		eventDelay:    set.NewHistogram("cactuswall_owner_event_delay_seconds"),
 		flushDuration: set.NewHistogram("cactuswall_owner_flush_seconds"),
 		loopDelay:     set.NewHistogram("cactuswall_owner_loop_delay_seconds"),
 		roundDuration: set.NewHistogram("cactuswall_owner_round_seconds"),
 	}
-	ofOwner := func(value func(*owner) float64) func() float64 {
+	sum := func(value func(*owner) float64) func() float64 {
+		return func() (total float64) {
+			for _, o := range owners() {
+				total += value(o)
+			}
+			return total
+		}
+	}
+	newest := func(value func() float64) func() float64 {
 		return func() float64 {
-			if o := current(); o != nil {
-				return value(o)
+			if len(owners()) == 0 {
+				return 0
 			}
-			return 0
+			return value()
 		}
 	}
-	set.NewGauge("cactuswall_owner_queued_events", ofOwner(func(o *owner) float64 { return float64(len(o.events)) }))
-	set.NewGauge("cactuswall_owner_starts_in_flight", ofOwner(func(o *owner) float64 { return float64(o.startsInFlight.Load()) }))
-	set.NewGauge("cactuswall_owner_waiting_tasks", ofOwner(func(*owner) float64 { return float64(m.waitingTasks.Load()) }))
-	set.NewGauge("cactuswall_owner_start_limit", ofOwner(func(*owner) float64 { return float64(m.startLimit.Load()) }))
-	set.NewGauge("cactuswall_owner_sched_latency_seconds", ofOwner(func(*owner) float64 { return time.Duration(m.schedLatency.Load()).Seconds() }))
+	set.NewGauge("cactuswall_owner_queued_events", sum(func(o *owner) float64 { return float64(len(o.events)) }))
+	set.NewGauge("cactuswall_owner_starts_in_flight", sum(func(o *owner) float64 { return float64(o.startsInFlight.Load()) }))
+	set.NewGauge("cactuswall_owner_waiting_tasks", newest(func() float64 { return float64(m.waitingTasks.Load()) }))
+	set.NewGauge("cactuswall_owner_start_limit", newest(func() float64 { return float64(m.startLimit.Load()) }))
+	set.NewGauge("cactuswall_owner_sched_latency_seconds", newest(func() float64 { return time.Duration(m.schedLatency.Load()).Seconds() }))
 	return m
 }
 
--- a/internal/cellnode/lateness_test.go
+++ b/internal/cellnode/lateness_test.go
@@ -22,7 +22,7 @@
 		core, lines := observer.New(zapcore.InfoLevel)
 		sched := time.Duration(0)
 		now := time.Now()
-		l := lateness{metrics: newOwnerMetrics(metrics.NewSet(), func() *owner { return nil }), log: zap.New(core),
+		l := lateness{metrics: newOwnerMetrics(metrics.NewSet(), func() []*owner { return nil }), log: zap.New(core),
 			sched: func() time.Duration { return sched }}
 		l.begin(now)
 		window := func() time.Duration {
@@ -111,7 +111,7 @@
 		d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
 		var page bytes.Buffer
 		n.metrics.WritePrometheus(&page)
-		So(n.owner.Load().startsInFlight.Load(), ShouldEqual, 0)
+		So(n.membership(0).owner.Load().startsInFlight.Load(), ShouldEqual, 0)
 		for _, line := range []string{"cactuswall_owner_flush_seconds_count ", "cactuswall_owner_event_delay_seconds_count ",
 			"cactuswall_owner_loop_delay_seconds_count ", "cactuswall_owner_round_seconds_count ",
 			"cactuswall_owner_starts_in_flight 0\n", "cactuswall_owner_waiting_tasks 0\n"} {
--- a/internal/cellnode/metrics.go
+++ b/internal/cellnode/metrics.go
@@ -70,28 +70,37 @@
 	Omitted() int64
 }
 
-// RegisterLogMetrics registers gauges for the log lines that were not written, for whether this node owns the cell, for
-// the epoch of the latest claim, and for the processor capacity of its owner in cores. It must be called at most once.
+// RegisterLogMetrics registers gauges for the log lines that were not written, for the cells that this node owns and the
+// active ones, and for the first cell of its failure domain: the epoch of the latest claim and the processor capacity of
+// the owner in cores. It must be called at most once.
 func (n *Node) RegisterLogMetrics(log LogCounts) {
 	n.metrics.NewGauge(`cactuswall_log_lines_dropped`, func() float64 { return float64(log.Dropped()) })
 	n.metrics.NewGauge(`cactuswall_log_lines_sampled`, func() float64 { return float64(log.Omitted()) })
 	n.metrics.NewGauge(`cactuswall_owner`, func() float64 {
-		if n.owner.Load() == nil {
+		if len(n.owners()) == 0 {
 			return 0
 		}
 		return 1
 	})
-	n.metrics.NewGauge(`cactuswall_claim_epoch`, func() float64 { return float64(n.latestClaim().Epoch) })
+	n.metrics.NewGauge(`cactuswall_cells_owned`, func() float64 { return float64(len(n.owners())) })
+	n.metrics.NewGauge(`cactuswall_cells_active`, func() float64 { return float64(len(n.cells.table().Plan().Active())) })
+	n.metrics.NewGauge(`cactuswall_claim_epoch`, func() float64 { return float64(n.homeMembership().latestClaim().Epoch) })
 	n.metrics.NewGauge(`cactuswall_owner_capacity`, func() float64 {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return float64(n.view.Details().Capacity) / 1000
+		m := n.homeMembership()
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return float64(m.view.Details().Capacity) / 1000
 	})
 }
 
-func (n *Node) latestClaim() claim.Record {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	latest, _ := n.view.Latest()
+// homeMembership returns the node's part in the first cell of its failure domain.
+func (n *Node) homeMembership() *membership {
+	return n.membership(n.cells.table().Plan().Homes(n.settings.FailureDomain)[0])
+}
+
+func (m *membership) latestClaim() claim.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest, _ := m.view.Latest()
 	return latest
 }
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -1,6 +1,6 @@
-// Package cellnode implements a node of a cell: a set of nodes that share one log store (see package store) and one set
-// of workers. A node accepts jobs from callers and answers queries about their state. The node that holds the claim on
-// the cell is the owner, which schedules the jobs on workers.
+// Package cellnode implements a node of a deployment: nodes that share one log store (see package store) and workers, which
+// are divided into cells (see package cellmap). A node accepts jobs from callers and answers queries about their state.
+// The node that holds the claim on a cell is its owner, which schedules the jobs of the cell on its workers.
 package cellnode
 
 import (
@@ -18,7 +18,6 @@
 
 	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/cell"
-	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/queue"
@@ -68,8 +67,9 @@
 // Settings are the settings of a node. The addresses have the form host:port.
 type Settings struct {
 	Node           string // name of the node
-	Rank           int    // of nodes of similar capacity, one with a lower rank claims the cell earlier
-	Capacity       int64  // processor capacity in thousandths of a core, 0: unknown
+	FailureDomain  string
+	Rank           int   // of nodes of similar capacity, one with a lower rank claims a cell earlier
+	Capacity       int64 // processor capacity in thousandths of a core, 0: unknown
 	CallerAddress  string
 	ReadyAddress   string
 	PeerAddress    string
@@ -89,7 +89,7 @@
 	CallerCodec CallerCodec
 }
 
-// Node is a node of the cell. New creates it, and Run runs it until its context ends.
+// Node is a node of a deployment. New creates it, and Run runs it until its context ends.
 type Node struct {
 	settings Settings
 	platform Platform
@@ -100,7 +100,7 @@
 	counts   *cell.Metrics
 	// ownerMetrics are shared by the owners of this process.
 	ownerMetrics *ownerMetrics
-	// writerID is part of the keys of job records and distinguishes those of this process from all others.
+	// writerID is part of the keys of job records (see nextWriter) and distinguishes this process from all others.
 	writerID     string
 	jobsAppender *appender.Appender
 	acceptedJobs *acceptedJobs
@@ -114,24 +114,21 @@
 	// storeUnreachable is set when an outage of the store is logged, and cleared by the next successful call.
 	storeUnreachable atomic.Bool
 
-	// mu protects view and handingOver.
-	mu   sync.Mutex
-	view *claim.View
-	// handingOver is the owner that is being stopped on request of another node, or nil.
-	handingOver *owner
+	cells     *cellTable
+	directory *directory
+	loads     *loadBoard
+	// membershipsMu protects memberships, which are by the number of the cell.
+	membershipsMu sync.Mutex
+	memberships   map[int]*membership
+	// lastWriter counts the records of jobs that this process has written.
+	lastWriter atomic.Int64
 
-	// owner is nil while this node does not own the cell.
-	owner atomic.Pointer[owner]
 	// cellSettings is replaced by Reload.
 	cellSettings atomic.Pointer[cell.Settings]
 }
 
-// The partitions that the nodes write. There is a single cell, so each topic has only partition 0.
-var (
-	claimsPartition   = store.Partition{Topic: jobrecord.ClaimsTopic}
-	jobsPartition     = store.Partition{Topic: jobrecord.JobsTopic}
-	progressPartition = store.Partition{Topic: jobrecord.ProgressTopic}
-)
+// jobsPartition holds the jobs of all cells.
+var jobsPartition = store.Partition{Topic: jobrecord.JobsTopic}
 
 // New returns a node. holder must identify this process uniquely, also among earlier and later processes of the node.
 func New(s Settings, p Platform, holder string, log *zap.Logger) *Node {
@@ -141,15 +138,15 @@
 		writerID: strconv.FormatUint(xxhash.Sum64String(holder), 36), acceptedJobs: newAcceptedJobs(),
 		config: queue.NewActiveConfig(), metrics: set, counts: cell.NewMetrics(set),
 		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
-		peers:        newPeers(), view: claim.NewView(holder, s.Node, s.Rank),
+		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), memberships: make(map[int]*membership),
 	}
-	n.ownerMetrics = newOwnerMetrics(set, n.owner.Load)
+	n.cells = newCellTable(n)
+	n.ownerMetrics = newOwnerMetrics(set, n.owners)
 	n.cellSettings.Store(&s.Cell)
-	n.view.SetCapacity(s.Capacity)
 	return n
 }
 
-// Run runs the node until ctx ends, then hands over the cell if the node owns it, and returns. It returns an error if
+// Run runs the node until ctx ends, then hands over the cells that the node owns, and returns. It returns an error if
 // the node cannot start or fails before ctx ends.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("start", zap.String("holder", n.holder), zap.Int("rank", n.settings.Rank),
@@ -161,7 +158,7 @@
 		return trace.Wrap(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{n.jobsAppender.Run, n.followConfig, n.watchClaim, n.claimAndRenew} {
+	for _, component := range []func(context.Context) error{n.jobsAppender.Run, n.followConfig, n.cells.follow, n.manageMemberships, n.exchangeLoads} {
 		group.Add(func() error { return component(workCtx) }, func(error) { cancel() })
 	}
 	for _, s := range servers {
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -33,6 +33,14 @@
 	down     bool
 }
 
+// topicKey returns the key of a partition in memoryStore.topics, for partition 0 the name of the topic.
+func topicKey(p store.Partition) string {
+	if p.Number == 0 {
+		return p.Topic
+	}
+	return fmt.Sprintf("%s/%d", p.Topic, p.Number)
+}
+
 func newMemoryStore() *memoryStore {
 	return &memoryStore{topics: make(map[string][]store.Record), epochs: make(map[string]int64), appended: make(chan struct{})}
 }
@@ -49,7 +57,7 @@
 	if m.down {
 		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
 	}
-	topic := a.Partition.Topic
+	topic := topicKey(a.Partition)
 	end := store.Offset(len(m.topics[topic]))
 	if a.ExpectedEnd != nil && *a.ExpectedEnd != end {
 		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonConflict, nil)
@@ -74,7 +82,7 @@
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
-		records, appended, down := m.topics[p.Topic], m.appended, m.down
+		records, appended, down := m.topics[topicKey(p)], m.appended, m.down
 		m.mu.Unlock()
 		if down {
 			return store.Page{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
@@ -100,10 +108,10 @@
 		return store.ListPage{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
 	}
 	latest := make(map[string]store.Record)
-	for _, r := range m.topics[p.Topic] {
+	for _, r := range m.topics[topicKey(p)] {
 		latest[r.Key] = r
 	}
-	listing := store.ListPage{End: store.Offset(len(m.topics[p.Topic]))}
+	listing := store.ListPage{End: store.Offset(len(m.topics[topicKey(p)]))}
 	for _, r := range latest {
 		listing.Records = append(listing.Records, r)
 	}
@@ -207,7 +215,9 @@
 	t      *testing.T
 	store  *memoryStore
 	worker *memoryWorker
-	nodes  []*runningNode
+	// workers receives the orders instead of worker, unless it is nil.
+	workers Workers
+	nodes   []*runningNode
 }
 
 type runningNode struct {
@@ -223,6 +233,7 @@
 	processNumber int
 	rank          int
 	capacity      int64 // in thousandths of a core
+	domain        string
 }
 
 // testIDPrefix followed by two characters is a valid job ID, which has 16 characters.
@@ -296,13 +307,16 @@
 				Services: []queue.Service{{Name: "s"}}, Limits: queue.Limits{BodyBytes: 100}}, nil
 		},
 		DecodeWorker: func(id string, _ []byte) (workercall.Worker, error) {
-			return workercall.Worker{ID: id, Service: "s", Address: "w:1", FailureDomain: "d", StartedAtMS: 1,
+			return workercall.Worker{ID: id, Service: "s", Address: "w:1", FailureDomain: id[:1], StartedAtMS: 1,
 				Capacity: jobs.Resources{MilliCPU: 16000, MemoryMB: 64000}}, nil
 		},
 	}
 	link := &platformLink{Store: d.store, Workers: d.worker}
+	if d.workers != nil {
+		link.Workers = d.workers
+	}
 	node := New(Settings{
-		Node: p.name, Rank: p.rank, Capacity: p.capacity, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
+		Node: p.name, FailureDomain: p.domain, Rank: p.rank, Capacity: p.capacity, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
 		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, StopGracePeriod: 6 * time.Second,
 		Cell: cell.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Minute, MaxOverTarget: 4 * time.Second},
 	}, Platform{Store: link, Workers: link, Topics: topics, CallerCodec: testWire()}, fmt.Sprintf("%s-%d", p.name, p.processNumber), zap.NewNop())
@@ -352,7 +366,7 @@
 func (d *testCluster) waitForOwner() int {
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
 		for i, n := range d.nodes {
-			if o := n.node.owner.Load(); o != nil && n.node.mayDecide(o.epoch) {
+			if o := n.node.membership(0).owner.Load(); o != nil && n.node.membership(0).mayDecide(o.epoch) {
 				return i
 			}
 		}
@@ -448,7 +462,7 @@
 	}
 	start := time.Now()
 	d.nodes[owner].cancel()
-	for d.nodes[1-owner].node.owner.Load() == nil {
+	for d.nodes[1-owner].node.membership(0).owner.Load() == nil {
 		if time.Since(start) > time.Second {
 			t.Fatal("the cell was not handed over within a second")
 		}
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -14,14 +14,13 @@
 	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cell"
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
 
 const (
-	// progressProducer is the producer name shared by all owners of the cell, which are distinguished by their epochs.
-	progressProducer = "cell-0"
 	// jobsReadWait is how long a read of the jobs topic waits for a new record.
 	jobsReadWait = 2 * time.Second
 	// jobsBatchDelay is the delay between two reads of the jobs topic, so that jobs that arrive together are read together.
@@ -50,10 +49,12 @@
 // package boottime.
 type owner struct {
 	node        *Node
+	member      *membership
 	epoch       int64
 	log         *zap.Logger
 	events      chan event
 	progress    *appender.Appender
+	assignments *appender.Appender // of the topic of the cells
 	orderQueues *orderQueues
 	claimedAt   time.Duration
 	// startsInFlight is the number of start orders that are queued or not answered yet.
@@ -68,6 +69,14 @@
 	// pendingJobs are the counts of pending jobs by queue at pendingAt; nil before the first query.
 	pendingJobs map[string]int
 	pendingAt   time.Duration
+	// loans are the workers that the owner has promised to other cells, by worker ID; mu protects them.
+	loans map[string]loan
+	// cellLoad is the load of the cell at loadAt; mu protects both.
+	cellLoad cellmap.Load
+	loadAt   time.Duration
+	// borrowedAt is when workers were last requested from another cell, and neededAt when borrowed ones were last needed.
+	// Only the goroutine of followWorkers uses them.
+	borrowedAt, neededAt time.Duration
 
 	// The fields from storing to lateness are used only by the goroutine of runEventLoop.
 	storing bool // an append of progress records is in flight
@@ -80,15 +89,15 @@
 	lastFlushDuration time.Duration
 	lateness          lateness
 
-	stop context.CancelFunc // stops run; set before the owner is published in Node.owner
+	stop context.CancelFunc // stops run; set before the owner is published in membership.owner
 	done chan struct{}      // closed when run has returned
 }
 
-func newOwner(n *Node, epoch int64, leasesEnd time.Duration) *owner {
-	log := n.log.With(zap.Int64("epoch", epoch))
+func newOwner(m *membership, epoch int64, leasesEnd time.Duration) *owner {
+	n, log := m.node, m.log.With(zap.Int64("epoch", epoch))
 	now := boottime.Now()
 	return &owner{
-		node: n, epoch: epoch, log: log, events: make(chan event, eventQueueSize), claimedAt: now,
+		node: n, member: m, epoch: epoch, log: log, loans: make(map[string]loan), events: make(chan event, eventQueueSize), claimedAt: now,
 		orderQueues: newOrderQueues(), done: make(chan struct{}),
 		cell:     cell.New(*n.cellSettings.Load(), epoch, leasesEnd, log, n.counts),
 		lateness: lateness{metrics: n.ownerMetrics, log: log, sched: newSchedLatency().next},
@@ -113,6 +122,7 @@
 			return trace.Wrap(err)
 		}
 		group.Go(func() error { return o.progress.Run(ctx) })
+		group.Go(func() error { return o.assignments.Run(ctx) })
 		group.Go(func() error { return o.followJobs(ctx, jobsEnd) })
 		return o.followWorkers(ctx, workers)
 	})
@@ -153,7 +163,7 @@
 			o.node.counts.FencedOwners.Inc()
 			return errFenced
 		}
-		if !o.node.mayRenewWorkerLeases(o.epoch) {
+		if !o.member.mayRenewWorkerLeases(o.epoch) {
 			return errClaimEnded
 		}
 		if !o.waitForNextFlush(ctx) {
@@ -241,7 +251,7 @@
 	now := boottime.Now()
 	o.cell.SetTime(now, time.Now())
 	o.cell.Tick()
-	decide := o.loaded && o.node.mayDecide(o.epoch)
+	decide := o.loaded && o.member.mayDecide(o.epoch)
 	o.send(ctx, o.cell.TakeOrders(decide))
 	if decide && !o.storing {
 		o.storeRound(ctx, o.cell.Plan())
@@ -300,7 +310,7 @@
 	o.storing = false
 	switch {
 	case err == nil:
-		if o.node.mayDecide(o.epoch) {
+		if o.member.mayDecide(o.epoch) {
 			o.sendStarts(ctx, o.cell.RoundStored(round))
 			return
 		}
@@ -337,19 +347,32 @@
 	return ctx.Err()
 }
 
-// status returns the state of a job and whether the job is known. ok is false if the state is not loaded yet, or if the
-// job is unknown and the latest read of the jobs topic is older than maxJobsReadAge.
-func (o *owner) status(id jobs.ID) (state jobs.State, known, ok bool) {
+// jobStatus is what an owner knows of a job.
+type jobStatus struct {
+	known bool
+	state jobs.State
+	// elsewhere is set if the job belongs to cell, whose owner knows its state.
+	elsewhere bool
+	cell      int
+}
+
+// status returns what the owner knows of a job. ok is false if the state is not loaded yet, or if the job is unknown and
+// the latest read of the jobs topic is older than maxJobsReadAge.
+func (o *owner) status(id jobs.ID) (s jobStatus, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.loaded {
-		return 0, false, false
+		return jobStatus{}, false
+	}
+	if s.cell, s.elsewhere = o.cell.CellOf(id); s.elsewhere {
+		return s, true
 	}
-	state, known = o.cell.Status(id)
-	if !known && boottime.Now()-o.jobsReadAt > maxJobsReadAge {
-		return 0, false, false
+	s.cell = o.member.cell
+	s.state, s.known = o.cell.Status(id)
+	if !s.known && boottime.Now()-o.jobsReadAt > maxJobsReadAge {
+		return jobStatus{}, false
 	}
-	return state, known, true
+	return s, true
 }
 
 // maxJobsReadAge is the maximum age of the latest read of the jobs topic for which an owner may report a job as unknown.
--- /dev/null
+++ b/internal/cellnode/owner_cells.go
@@ -0,0 +1,322 @@
+package cellnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/boottime"
+	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/recordcodec"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+const (
+	// planDelay is how long an owner has known the state before it changes the plan of the cells, so that it has seen all
+	// workers and nodes of a deployment that starts.
+	planDelay = 1500 * time.Millisecond
+	// maxCordonedRacks is the share of its racks, one in so many, that a cell empties at a time.
+	maxCordonedRacks = 4
+	// loanTimeout is how long a worker that was promised to another cell may take to become idle.
+	loanTimeout = 5 * time.Second
+	// borrowInterval is the minimum time between two requests for workers of other cells.
+	borrowInterval = time.Second
+	// returnDelay is how long a cell must have done without borrowed workers before it returns them.
+	returnDelay = 5 * time.Second
+	// returnPercent is the share of its processor capacity that a cell may use if it is to return workers.
+	returnPercent = 50
+)
+
+// loan is a promise to hand a worker over to another cell.
+type loan struct {
+	borrower int
+	until    time.Duration // on the clock of package boottime
+}
+
+// handOver is the assignment of workers to another cell.
+type handOver struct {
+	key     string // of the assignment
+	cell    int
+	workers []string
+}
+
+// manageWorkers changes the plan of the cells, if this is the owner of cell 0, hands workers over that belong into other
+// cells, and borrows some for tasks that wait for resources. It does nothing while there is a single cell.
+func (o *owner) manageWorkers(ctx context.Context, list *workerList) {
+	if !o.isLoaded() || !o.member.mayDecide(o.epoch) {
+		return
+	}
+	if o.member.cell == 0 {
+		o.updatePlan(ctx, list)
+	}
+	table := o.node.cells.table()
+	if len(table.Plan().Cells) == 1 {
+		return
+	}
+	handOvers := o.rackHandOvers(ctx, table)
+	handOvers = append(handOvers, o.loanHandOvers()...)
+	handOvers = append(handOvers, o.returnHandOvers(table)...)
+	o.handOverWorkers(ctx, handOvers)
+	o.borrow(ctx)
+}
+
+// updatePlan stores a new plan if the workers or the processor capacity of the nodes ask for one.
+func (o *owner) updatePlan(ctx context.Context, list *workerList) {
+	if boottime.Now()-o.claimedAt < planDelay {
+		return
+	}
+	o.member.mu.Lock()
+	capacity := max(o.member.view.LargestCapacity(), o.node.settings.Capacity)
+	o.member.mu.Unlock()
+	plan := o.node.cells.table().Plan()
+	next, changed := plan.Next(cellmap.Deployment{
+		Workers: list.count(), FailureDomains: list.failureDomains(), OwnerMilliCPU: capacity, OwnerDomain: o.node.settings.FailureDomain,
+	})
+	if !changed {
+		return
+	}
+	stored := o.storeAssignments(ctx, []assignmentRecord{{cellmap.PlanKey, &next}})
+	o.log.Info("plan of the cells stored", zap.Int("active", len(next.Active())), zap.Int("cells", len(next.Cells)),
+		zap.Int("workers", list.count()), zap.Int64("capacity", capacity), zap.Bool("stored", stored))
+}
+
+// rackHandOvers returns the hand-overs of the idle racks that belong into other cells. Some of the others are emptied.
+func (o *owner) rackHandOvers(ctx context.Context, table *cellmap.Table) []handOver {
+	o.mu.Lock()
+	racks := o.cell.Racks(func(worker string) bool { return !table.Borrowed(worker) && !o.isLent(worker) })
+	o.mu.Unlock()
+	plain := make([]cellmap.Rack, len(racks))
+	for i := range racks {
+		plain[i] = racks[i].Rack
+	}
+	moves := table.Moves(o.member.cell, plain)
+	reachable := make(map[int]bool)
+	for _, move := range moves {
+		if _, known := reachable[move.Cell]; !known {
+			reachable[move.Cell] = o.node.ownerOf(move.Cell) != nil || o.node.ownerAddress(ctx, move.Cell) != ""
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var handOvers []handOver
+	cordoned := 0
+	for i := range racks {
+		rack := &racks[i]
+		at := slices.IndexFunc(moves, func(m cellmap.Move) bool { return m.Rack == rack.Rack })
+		leaves := at >= 0 && reachable[moves[at].Cell]
+		switch {
+		case leaves && rack.Idle:
+			key := cellmap.RackKey(rack.FailureDomain, rack.Label)
+			handOvers = append(handOvers, handOver{key: key, cell: moves[at].Cell, workers: rack.Workers})
+		case leaves && cordoned*maxCordonedRacks < len(racks):
+			cordoned++
+		default:
+			leaves = false
+		}
+		o.cell.SetCordoned(rack.Workers, leaves)
+	}
+	return handOvers
+}
+
+// isLent reports whether a worker was promised to another cell. The caller holds mu.
+func (o *owner) isLent(worker string) bool {
+	_, lent := o.loans[worker]
+	return lent
+}
+
+// loanHandOvers returns the hand-overs of the idle workers that were promised to other cells. Promises that take too long
+// are given up.
+func (o *owner) loanHandOvers() []handOver {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var handOvers []handOver
+	for worker, l := range o.loans {
+		switch {
+		case o.cell.Idle([]string{worker}):
+			handOvers = append(handOvers, handOver{key: cellmap.WorkerKey(worker), cell: l.borrower, workers: []string{worker}})
+			delete(o.loans, worker)
+		case boottime.Now() >= l.until:
+			o.cell.SetCordoned([]string{worker}, false)
+			delete(o.loans, worker)
+		}
+	}
+	return handOvers
+}
+
+// returnHandOvers returns the hand-overs of borrowed workers that are idle, once the cell has done without them.
+func (o *owner) returnHandOvers(table *cellmap.Table) []handOver {
+	load, ok := o.currentLoad()
+	if !ok {
+		return nil
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := boottime.Now()
+	if load.WaitingMilliCPU > 0 || load.UsedMilliCPU*100 > load.CapacityMilliCPU*returnPercent {
+		o.neededAt = now
+	}
+	surplus := now-o.neededAt > returnDelay
+	var handOvers []handOver
+	for _, rack := range o.cell.Racks(table.Borrowed) {
+		for _, worker := range rack.Workers {
+			o.cell.SetCordoned([]string{worker}, surplus)
+			if surplus && o.cell.Idle([]string{worker}) {
+				handOvers = append(handOvers, handOver{key: cellmap.WorkerKey(worker), cell: cellmap.HomeCell, workers: []string{worker}})
+			}
+		}
+	}
+	return handOvers
+}
+
+// handOverWorkers hands idle workers over. From before their assignments are stored the cell sends them no orders, so that
+// they never have two owners. If nothing was stored, they belong to the cell again.
+func (o *owner) handOverWorkers(ctx context.Context, handOvers []handOver) {
+	if len(handOvers) == 0 {
+		return
+	}
+	var workers []string
+	records := make([]assignmentRecord, len(handOvers))
+	for i, h := range handOvers {
+		records[i] = assignmentRecord{h.key, &cellmap.Assignment{Cell: h.cell}}
+		workers = append(workers, h.workers...)
+	}
+	o.mu.Lock()
+	if !o.cell.Idle(workers) { // a task was placed meanwhile
+		o.mu.Unlock()
+		return
+	}
+	o.cell.Detach(workers)
+	o.mu.Unlock()
+	stored := o.storeAssignments(ctx, records)
+	o.node.metrics.GetOrCreateCounter(`cactuswall_workers_handed_over_total{stored="` + boolLabel(stored) + `"}`).Add(len(workers))
+	o.log.Info("workers handed over", zap.Int("workers", len(workers)), zap.String("first", handOvers[0].key), zap.Int("to", handOvers[0].cell),
+		zap.Bool("stored", stored))
+}
+
+func boolLabel(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// assignmentRecord is a record of the topic of the cells.
+type assignmentRecord struct {
+	key   string
+	value any
+}
+
+// storeAssignments stores records of the topic of the cells under the owner's epoch and has this node's table contain them.
+// If it is unknown whether they are stored, the owner gives up.
+func (o *owner) storeAssignments(ctx context.Context, values []assignmentRecord) (stored bool) {
+	records := make([]store.Record, len(values))
+	for i, v := range values {
+		value, err := recordcodec.Encode(v.value)
+		if err != nil {
+			o.log.Error("failed to encode record", zap.String("key", v.key), zap.Error(err))
+			return false
+		}
+		records[i] = store.Record{Key: v.key, Value: value}
+	}
+	_, err := o.assignments.Append(ctx, records)
+	switch {
+	case err == nil:
+		for ctx.Err() == nil {
+			if err = o.node.cells.catchUp(ctx); err == nil {
+				return true
+			}
+			sleep(ctx, readRetryDelay)
+		}
+		return true
+	case verdict.Of(err) == verdict.NotRun && !store.HasReason(err, store.ReasonFenced):
+		o.log.Warn("assignments not stored", zap.Error(err))
+		return false
+	}
+	o.log.Warn("assignments may have been stored, giving up ownership", zap.Error(err))
+	o.post(ctx, func() { o.fenced = true })
+	return false
+}
+
+// borrow asks the cell that can do without most for workers, if tasks have waited for resources.
+func (o *owner) borrow(ctx context.Context) {
+	o.mu.Lock()
+	shortage := o.cell.CurrentShortage()
+	now := boottime.Now()
+	due := now-o.borrowedAt >= borrowInterval
+	o.mu.Unlock()
+	if shortage.MilliCPU == 0 || !due {
+		return
+	}
+	var lender *cellmap.Load
+	for cell, load := range o.node.loads.recent() {
+		if cell == o.member.cell || load.Lendable() == 0 || shortage.Label != "" && !slices.Contains(load.Labels, shortage.Label) {
+			continue
+		}
+		if lender == nil || load.Lendable() > lender.Lendable() {
+			lender = &load
+		}
+	}
+	o.borrowedAt, o.neededAt = now, now
+	if lender == nil {
+		o.log.Info("no cell can lend workers", zap.Int64("milli_cpu", shortage.MilliCPU), zap.String("label", shortage.Label))
+		return
+	}
+	workers := o.node.askToLend(ctx, lender.Cell, o.member.cell, min(shortage.MilliCPU, lender.Lendable()), shortage.Label)
+	o.log.Info("workers requested from another cell", zap.Int("from", lender.Cell), zap.Int64("milli_cpu", shortage.MilliCPU),
+		zap.String("label", shortage.Label), zap.Int("promised", workers))
+}
+
+// askToLend asks the owner of a cell for workers and returns how many it will hand over.
+func (n *Node) askToLend(ctx context.Context, lender, borrower int, milliCPU int64, label string) int {
+	request := &cellrpc.LendRequest{Cell: int32(lender), Borrower: int32(borrower), MilliCpu: milliCPU, Label: label}
+	if n.ownerOf(lender) != nil {
+		reply, err := cellServer{n}.Lend(ctx, request)
+		if err != nil {
+			return 0
+		}
+		return int(reply.Workers)
+	}
+	address := n.ownerAddress(ctx, lender)
+	if address == "" {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	reply, err := n.peers.ownerClient(address).Lend(ctx, request)
+	if err != nil || !reply.Owner {
+		n.ownerFailed(lender)
+		return 0
+	}
+	return int(reply.Workers)
+}
+
+// Lend promises workers of a cell that this node owns to another cell, as far as the cell can do without them.
+func (s cellServer) Lend(_ context.Context, r *cellrpc.LendRequest) (*cellrpc.LendReply, error) {
+	if r.Borrower < 0 || int(r.Borrower) >= len(s.node.cells.table().Plan().Cells) || r.Borrower == r.Cell {
+		return nil, twirp.InvalidArgumentError("borrower", "names no other cell")
+	}
+	o := s.node.ownerOf(int(r.Cell))
+	if o == nil {
+		return &cellrpc.LendReply{}, nil
+	}
+	load, ok := o.currentLoad()
+	if !ok {
+		return nil, twirp.NewError(twirp.Unavailable, "the owner has not loaded its state")
+	}
+	lendable := min(r.MilliCpu, load.Lendable())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.loans) > 0 { // what was promised is still part of the load
+		return &cellrpc.LendReply{Owner: true}, nil
+	}
+	workers := o.cell.Lend(lendable, r.Label)
+	for _, worker := range workers {
+		o.loans[worker] = loan{borrower: int(r.Borrower), until: boottime.Now() + loanTimeout}
+	}
+	return &cellrpc.LendReply{Owner: true, Workers: int32(len(workers))}, nil
+}
--- a/internal/cellnode/owner_test.go
+++ b/internal/cellnode/owner_test.go
@@ -16,8 +16,8 @@
 	n := d.nodes[0].node
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	n.startOwner(ctx, claim.Record{Epoch: 7}, 0)
-	o := n.owner.Load()
+	n.membership(0).startOwner(ctx, claim.Record{Epoch: 7}, 0)
+	o := n.membership(0).owner.Load()
 	if o.stop == nil {
 		t.Fatal("a published owner cannot be stopped")
 	}
@@ -31,7 +31,7 @@
 func TestCountsOfPendingJobsAreReusedForAShortTime(t *testing.T) {
 	d := newTestCluster(t, 1)
 	d.waitForOwner()
-	o := d.nodes[0].node.owner.Load()
+	o := d.nodes[0].node.membership(0).owner.Load()
 	if count, ok := o.pending("q"); !ok || count != 0 {
 		t.Fatalf("%d pending jobs (ok %v), want 0", count, ok)
 	}
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -30,12 +30,18 @@
 	pendingCacheTTL = time.Second
 )
 
-// peers calls owners on other nodes and caches their counts of pending jobs by queue.
+// peers calls owners on other nodes and caches their counts of pending jobs by queue and cell.
 type peers struct {
 	client *http.Client
 
 	mu      sync.Mutex
-	pending map[string]pendingCount
+	pending map[pendingKey]pendingCount
+}
+
+// pendingKey names a queue and a cell.
+type pendingKey struct {
+	queue string
+	cell  int
 }
 
 // pendingCount is a count of pending jobs and the time at which the owner was asked for it.
@@ -51,7 +57,7 @@
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
 	}
-	return &peers{client: &http.Client{Transport: transport}, pending: make(map[string]pendingCount)}
+	return &peers{client: &http.Client{Transport: transport}, pending: make(map[pendingKey]pendingCount)}
 }
 
 func (p *peers) ownerClient(address string) cellrpc.Cell {
@@ -63,21 +69,21 @@
 
 // Status returns the state of a job. Owner is false in the reply if this node does not own the cell.
 func (s cellServer) Status(_ context.Context, r *cellrpc.StatusRequest) (*cellrpc.StatusReply, error) {
-	o := s.node.owner.Load()
+	o := s.node.ownerOf(int(r.Cell))
 	if o == nil {
 		return &cellrpc.StatusReply{}, nil
 	}
-	state, known, ok := o.status(jobs.ID(r.Job))
+	status, ok := o.status(jobs.ID(r.Job))
 	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "the owner has not loaded its state or has not read the latest jobs")
 	}
-	return &cellrpc.StatusReply{Owner: true, Known: known, State: int32(state), Epoch: o.epoch}, nil
+	return &cellrpc.StatusReply{Owner: true, Known: status.known, State: int32(status.state), Epoch: o.epoch, Elsewhere: status.elsewhere, JobCell: int32(status.cell)}, nil
 }
 
 // Pending returns the number of pending jobs of a queue. Owner is false in the reply if this node does not own the
 // cell.
 func (s cellServer) Pending(_ context.Context, r *cellrpc.PendingRequest) (*cellrpc.PendingReply, error) {
-	o := s.node.owner.Load()
+	o := s.node.ownerOf(int(r.Cell))
 	if o == nil {
 		return &cellrpc.PendingReply{}, nil
 	}
@@ -97,7 +103,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	err := s.node.storeRecord(ctx, store.Record{Key: r.Key, Value: r.Value})
+	key := r.Key
+	if kind == jobrecord.KindJob {
+		key = jobrecord.WithWriter(key, s.node.nextWriter()) // the other node's own append may come later
+	}
+	err := s.node.storeRecord(ctx, store.Record{Key: key, Value: r.Value})
 	if err != nil {
 		s.node.log.Info("failed to store record forwarded by another node", zap.String("key", r.Key), zap.Error(err))
 	}
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -109,7 +110,7 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-// awaitStop waits until ctx ends, which is the request to stop, hands over the cell and shuts down the server for
+// awaitStop waits until ctx ends, which is the request to stop, hands over the cells and shuts down the server for
 // callers gracefully.
 func (n *Node) awaitStop(ctx, workCtx context.Context, servers []*server) error {
 	select {
@@ -120,7 +121,11 @@
 	stopRequested := boottime.Now()
 	n.stopping.Store(true)
 	n.log.Info("stop requested", zap.Duration("grace", n.settings.StopGracePeriod))
-	n.handOver(workCtx, n.owner.Load(), "")
+	var handOvers sync.WaitGroup
+	for _, o := range n.owners() {
+		handOvers.Go(func() { o.member.handOver(workCtx, o, "") })
+	}
+	handOvers.Wait()
 	sleep(workCtx, idleCloseDelay-(boottime.Now()-stopRequested))
 	shutdownCtx, cancel := context.WithTimeout(workCtx, n.settings.StopGracePeriod-exitMargin-(boottime.Now()-stopRequested))
 	defer cancel()
@@ -131,7 +136,7 @@
 
 // handOver stops the owner, unless it is nil, and releases the claim, so that the successor can claim the cell
 // immediately. If successor is empty, any node can.
-func (n *Node) handOver(ctx context.Context, o *owner, successor string) {
+func (m *membership) handOver(ctx context.Context, o *owner, successor string) {
 	if o == nil {
 		return
 	}
@@ -139,22 +144,22 @@
 	defer cancel()
 	o.stopAndWait(handOverCtx)
 	for handOverCtx.Err() == nil {
-		n.mu.Lock()
-		latest, _ := n.view.Latest()
-		owns, end := n.view.Owns(), n.view.End()
-		details := n.view.ReleaseDetails(successor)
-		n.mu.Unlock()
+		m.mu.Lock()
+		latest, _ := m.view.Latest()
+		owns, end := m.view.Owns(), m.view.End()
+		details := m.view.ReleaseDetails(successor)
+		m.mu.Unlock()
 		if !owns || latest.Epoch != o.epoch {
 			return
 		}
 		latest.Released = true
-		if n.writeClaim(handOverCtx, latest, &details, end) {
-			n.log.Info("cell handed over", zap.Int64("epoch", o.epoch), zap.String("successor", successor))
+		if m.writeClaim(handOverCtx, latest, &details, end) {
+			m.log.Info("cell handed over", zap.Int64("epoch", o.epoch), zap.String("successor", successor))
 			return
 		}
 		sleep(handOverCtx, releaseRetryDelay)
 	}
-	n.log.Warn("cell not handed over", zap.Int64("epoch", o.epoch))
+	m.log.Warn("cell not handed over", zap.Int64("epoch", o.epoch))
 }
 
 // stopAndWait stops the owner and waits until run has returned or ctx ends. It does not wait for calls to workers that
--- a/internal/cellnode/store_record.go
+++ b/internal/cellnode/store_record.go
@@ -16,9 +16,9 @@
 )
 
 // storeOrForward stores a record in the jobs topic. If this node's append fails or takes longer than forwardAfter, the
-// owner is asked to store the record as well. Storing a record twice has the same effect as storing it once. The error
+// owner of the cell is asked to store the record as well. Storing a record twice has the same effect as storing it once. The error
 // is nil if either attempt succeeded, and its verdict is NotRun only if the verdict of every attempt is.
-func (g gateway) storeOrForward(ctx context.Context, r store.Record) error {
+func (g gateway) storeOrForward(ctx context.Context, cell int, r store.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	results := make(chan error, 2)
@@ -35,7 +35,7 @@
 		pendingResults--
 	case <-timer.C:
 	}
-	address := g.node.ownerAddress()
+	address := g.node.ownerAddress(ctx, cell)
 	if address == "" {
 		if pendingResults == 0 {
 			return localErr
--- a/internal/cellnode/worker_list.go
+++ b/internal/cellnode/worker_list.go
@@ -2,29 +2,40 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
+	"time"
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/boottime"
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
-// followWorkers passes the workers' entries, the configuration and the settings to the cell at regular intervals.
+// followWorkers passes the entries of the cell's workers, the configuration and the settings to the cell at regular
+// intervals, and hands workers over to other cells.
 func (o *owner) followWorkers(ctx context.Context, list *workerList) error {
 	for ctx.Err() == nil {
 		err := list.read(ctx)
 		if err != nil {
 			o.node.recordStoreFailure("read workers", err)
 		}
-		entries, config := list.list(), o.node.config.Get()
-		o.post(ctx, func() {
-			if err == nil {
-				o.cell.SetWorkers(entries)
-			}
-			o.cell.SetConfig(config)
-			o.cell.SetSettings(*o.node.cellSettings.Load())
-		})
+		o.mu.Lock()
+		o.cell.SetTime(boottime.Now(), time.Now())
+		if err == nil {
+			o.cell.SetWorkers(list.list())
+		}
+		o.cell.SetCell(o.member.cell, len(o.node.cells.table().Plan().Cells))
+		o.cell.SetConfig(o.node.config.Get())
+		o.cell.SetSettings(*o.node.cellSettings.Load())
+		o.mu.Unlock()
+		o.post(ctx, func() {}) // has waiting tasks placed
+		if err == nil {
+			o.manageWorkers(ctx, list)
+		}
 		sleep(ctx, workersReadInterval)
 	}
 	return ctx.Err()
@@ -33,15 +44,22 @@
 // workerList holds the latest entry of each worker by worker ID. It is not safe for concurrent use.
 type workerList struct {
 	node     *Node
+	cell     int // the cell of whose workers the entries are decoded
 	follower follower
-	entries  map[string]workercall.Worker
+	entries  map[string]*workerEntry
+}
+
+// workerEntry is the entry of a worker. Of a worker of another cell the newest entry is kept undecoded.
+type workerEntry struct {
+	worker workercall.Worker
+	raw    []byte // newer than worker; nil if there is none
 }
 
-func newWorkerList(n *Node) *workerList {
+func newWorkerList(n *Node, cell int) *workerList {
 	return &workerList{
-		node:     n,
+		node: n, cell: cell,
 		follower: follower{store: n.platform.Store, partition: n.platform.Topics.Workers},
-		entries:  make(map[string]workercall.Worker),
+		entries:  make(map[string]*workerEntry),
 	}
 }
 
@@ -56,8 +74,9 @@
 		if relisted {
 			clear(l.entries)
 		}
+		table := l.node.cells.table()
 		for _, r := range records {
-			l.apply(r)
+			l.apply(r, table)
 		}
 		if l.follower.listed {
 			return nil
@@ -65,8 +84,8 @@
 	}
 }
 
-// apply replaces or deletes the entry of a worker. An older entry of the same worker process is ignored.
-func (l *workerList) apply(r store.Record) {
+// apply replaces or deletes the entry of a worker.
+func (l *workerList) apply(r store.Record, table *cellmap.Table) {
 	if r.Key == "" {
 		return
 	}
@@ -74,24 +93,60 @@
 		delete(l.entries, r.Key)
 		return
 	}
-	w, err := l.node.platform.Topics.DecodeWorker(r.Key, r.Value)
+	if entry := l.entries[r.Key]; entry != nil {
+		if cell, _ := table.CellOf(&entry.worker); cell != l.cell {
+			entry.raw = r.Value
+			return
+		}
+	}
+	l.decode(r.Key, r.Value)
+}
+
+// decode replaces the entry of a worker. An older entry of the same worker process is ignored.
+func (l *workerList) decode(id string, value []byte) {
+	w, err := l.node.platform.Topics.DecodeWorker(id, value)
 	if err != nil {
 		l.node.counts.UnreadableRecords.Inc()
-		l.node.log.Info("invalid worker entry ignored", zap.String("worker", r.Key), zap.Error(err))
+		l.node.log.Info("invalid worker entry ignored", zap.String("worker", id), zap.Error(err))
 		return
 	}
-	if old, known := l.entries[r.Key]; known && old.StartedAtMS == w.StartedAtMS && w.Sequence < old.Sequence {
+	old := l.entries[id]
+	if old != nil && old.worker.StartedAtMS == w.StartedAtMS && w.Sequence < old.worker.Sequence {
 		return
 	}
-	l.entries[r.Key] = w
+	l.entries[id] = &workerEntry{worker: w}
 }
 
-// list returns the entries sorted by worker ID.
+// list returns the entries of the cell's workers sorted by worker ID.
 func (l *workerList) list() []workercall.Worker {
-	list := make([]workercall.Worker, 0, len(l.entries))
-	for _, w := range l.entries {
+	table := l.node.cells.table()
+	var list []workercall.Worker
+	for id, entry := range l.entries {
+		cell, version := table.CellOf(&entry.worker)
+		if cell != l.cell {
+			continue
+		}
+		if raw := entry.raw; raw != nil { // the worker was of another cell
+			entry.raw = nil
+			l.decode(id, raw)
+			entry = l.entries[id]
+		}
+		w := entry.worker
+		w.Assignment = version
 		list = append(list, w)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
 }
+
+// count returns the number of workers of all cells.
+func (l *workerList) count() int { return len(l.entries) }
+
+// failureDomains returns the failure domains of the workers of all cells, sorted.
+func (l *workerList) failureDomains() []string {
+	found := make(map[string]bool)
+	for _, entry := range l.entries {
+		found[entry.worker.FailureDomain] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
--- a/internal/cellrpc/cell.twirp.go
+++ b/internal/cellrpc/cell.twirp.go
@@ -31,7 +31,7 @@
 // Cell Interface
 // ==============
 
-// Cell is what the owner of a cell answers to the other nodes.
+// Cell is what the owner of a cell answers to the other nodes. A node may own several cells.
 type Cell interface {
 	// Status returns the state of a job.
 	Status(context.Context, *StatusRequest) (*StatusReply, error)
@@ -41,6 +41,12 @@
 
 	// Accept stores a job or a cancellation for a node that cannot reach the store.
 	Accept(context.Context, *AcceptRequest) (*AcceptReply, error)
+
+	// Loads returns what the node knows of the load of the cells.
+	Loads(context.Context, *LoadsRequest) (*LoadsReply, error)
+
+	// Lend asks the owner of a cell to hand workers over to another cell.
+	Lend(context.Context, *LendRequest) (*LendReply, error)
 }
 
 // ====================
@@ -49,7 +55,7 @@
 
 type cellProtobufClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -77,10 +83,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.cell", "Cell")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Status",
 		serviceURL + "Pending",
 		serviceURL + "Accept",
+		serviceURL + "Loads",
+		serviceURL + "Lend",
 	}
 
 	return &cellProtobufClient{
@@ -229,13 +237,105 @@
 	return out, nil
 }
 
+func (c *cellProtobufClient) Loads(ctx context.Context, in *LoadsRequest) (*LoadsReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Loads")
+	caller := c.callLoads
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LoadsRequest) (*LoadsReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadsRequest) when calling interceptor")
+					}
+					return c.callLoads(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callLoads(ctx context.Context, in *LoadsRequest) (*LoadsReply, error) {
+	out := new(LoadsReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellProtobufClient) Lend(ctx context.Context, in *LendRequest) (*LendReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	caller := c.callLend
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LendRequest) (*LendReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+					}
+					return c.callLend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LendReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LendReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callLend(ctx context.Context, in *LendRequest) (*LendReply, error) {
+	out := new(LendReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Cell JSON Client
 // ================
 
 type cellJSONClient struct {
 	client      HTTPClient
-	urls        [3]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -263,10 +363,12 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cactuswall.cell", "Cell")
-	urls := [3]string{
+	urls := [5]string{
 		serviceURL + "Status",
 		serviceURL + "Pending",
 		serviceURL + "Accept",
+		serviceURL + "Loads",
+		serviceURL + "Lend",
 	}
 
 	return &cellJSONClient{
@@ -415,6 +517,98 @@
 	return out, nil
 }
 
+func (c *cellJSONClient) Loads(ctx context.Context, in *LoadsRequest) (*LoadsReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Loads")
+	caller := c.callLoads
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LoadsRequest) (*LoadsReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadsRequest) when calling interceptor")
+					}
+					return c.callLoads(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callLoads(ctx context.Context, in *LoadsRequest) (*LoadsReply, error) {
+	out := new(LoadsReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellJSONClient) Lend(ctx context.Context, in *LendRequest) (*LendReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cactuswall.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	caller := c.callLend
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LendRequest) (*LendReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+					}
+					return c.callLend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LendReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LendReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callLend(ctx context.Context, in *LendRequest) (*LendReply, error) {
+	out := new(LendReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Cell Server Handler
 // ===================
@@ -521,6 +715,12 @@
 	case "Accept":
 		s.serveAccept(ctx, resp, req)
 		return
+	case "Loads":
+		s.serveLoads(ctx, resp, req)
+		return
+	case "Lend":
+		s.serveLend(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1068,6 +1268,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *cellServer) serveLoads(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLoadsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLoadsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveLoadsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Loads")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LoadsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Loads
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LoadsRequest) (*LoadsReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadsRequest) when calling interceptor")
+					}
+					return s.Cell.Loads(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LoadsReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadsReply and nil error while calling Loads. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveLoadsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Loads")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LoadsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Loads
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LoadsRequest) (*LoadsReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LoadsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LoadsRequest) when calling interceptor")
+					}
+					return s.Cell.Loads(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LoadsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LoadsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LoadsReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LoadsReply and nil error while calling Loads. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveLend(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveLendJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveLendProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveLendJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LendRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Lend
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LendRequest) (*LendReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+					}
+					return s.Cell.Lend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LendReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LendReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LendReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LendReply and nil error while calling Lend. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveLendProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Lend")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LendRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Lend
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LendRequest) (*LendReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LendRequest) when calling interceptor")
+					}
+					return s.Cell.Lend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LendReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LendReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LendReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LendReply and nil error while calling Lend. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *cellServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1649,27 +2209,44 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 346 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcf, 0x4f, 0xc2, 0x30,
-	0x1c, 0xc5, 0x33, 0x07, 0x43, 0xbf, 0x80, 0x9a, 0x85, 0x98, 0x05, 0x7f, 0xe1, 0x0e, 0x86, 0xd3,
-	0x30, 0x7a, 0x30, 0xf1, 0x62, 0xd4, 0x84, 0xc4, 0x9b, 0xa9, 0x37, 0x6f, 0xa5, 0x7c, 0x55, 0xa4,
-	0xb6, 0x63, 0x6b, 0x45, 0xfe, 0x5c, 0xff, 0x13, 0xd3, 0x76, 0x53, 0x40, 0xf0, 0xb4, 0x7d, 0x5e,
-	0x5f, 0xdb, 0xd7, 0xd7, 0xc2, 0xfe, 0x48, 0x28, 0xcc, 0x04, 0xe5, 0x3d, 0x86, 0x9c, 0x67, 0x29,
-	0xb3, 0xdf, 0x24, 0xcd, 0xa4, 0x92, 0xe1, 0x0e, 0xa3, 0x4c, 0xe9, 0x7c, 0x4a, 0x39, 0x4f, 0x8c,
-	0x1c, 0x9f, 0x40, 0xf3, 0x51, 0x51, 0xa5, 0x73, 0x82, 0x13, 0x8d, 0xb9, 0x0a, 0x77, 0xc1, 0x7f,
-	0x93, 0x83, 0xc8, 0xeb, 0x78, 0xdd, 0x2d, 0x62, 0x7e, 0x63, 0x84, 0x7a, 0x69, 0x49, 0xf9, 0x2c,
-	0x6c, 0x41, 0x55, 0x4e, 0x05, 0x66, 0xd6, 0xb2, 0x49, 0x1c, 0x18, 0x75, 0x2c, 0xe4, 0x54, 0x44,
-	0x1b, 0x4e, 0xb5, 0x60, 0xd4, 0x5c, 0x51, 0x85, 0x91, 0xdf, 0xf1, 0xba, 0x55, 0xe2, 0xc0, 0xa8,
-	0x98, 0x4a, 0xf6, 0x1a, 0x55, 0x3a, 0x5e, 0xd7, 0x27, 0x0e, 0xe2, 0x53, 0xd8, 0x7e, 0x40, 0x31,
-	0x1c, 0x89, 0x97, 0x32, 0x4a, 0x0b, 0xaa, 0x13, 0x8d, 0x1a, 0x8b, 0x30, 0x0e, 0xe2, 0x2b, 0x68,
-	0xfc, 0xf8, 0xfe, 0xcd, 0xc3, 0xa4, 0x16, 0xca, 0xe6, 0xf1, 0x89, 0x83, 0xf8, 0x12, 0x9a, 0x37,
-	0x8c, 0x61, 0xaa, 0xe6, 0x4e, 0x3b, 0xc6, 0x59, 0x79, 0xda, 0x31, 0xda, 0xe5, 0x3e, 0x28, 0xd7,
-	0x68, 0x27, 0x36, 0x88, 0x83, 0xf8, 0x1a, 0xea, 0xe5, 0x44, 0xb3, 0xe7, 0x1e, 0x04, 0xb9, 0x92,
-	0x19, 0x0e, 0x8b, 0x4d, 0x0b, 0x0a, 0x23, 0xa8, 0x65, 0xf8, 0xac, 0x73, 0x1c, 0x16, 0x3d, 0x94,
-	0x78, 0xfe, 0xe5, 0x41, 0xe5, 0x0e, 0x39, 0x0f, 0xfb, 0x10, 0xb8, 0x36, 0xc3, 0xa3, 0x64, 0xe9,
-	0x32, 0x92, 0x85, 0x9b, 0x68, 0x1f, 0xac, 0x1d, 0x37, 0x11, 0xee, 0xa1, 0x56, 0xd4, 0x10, 0x1e,
-	0xff, 0x31, 0x2e, 0x16, 0xd9, 0x3e, 0x5c, 0x6f, 0x30, 0x4b, 0xf5, 0x21, 0x70, 0x87, 0x5b, 0x11,
-	0x69, 0xa1, 0xae, 0x15, 0x91, 0xe6, 0x5a, 0xb9, 0x3d, 0x7b, 0x9a, 0x1f, 0xc6, 0x4f, 0xfa, 0x9e,
-	0x72, 0xec, 0xfd, 0x4a, 0xbd, 0xe5, 0x97, 0x39, 0x08, 0xec, 0xab, 0xbc, 0xf8, 0x0e, 0x00, 0x00,
-	0xff, 0xff, 0x40, 0xcf, 0xe3, 0xbe, 0xb4, 0x02, 0x00, 0x00,
+	// 619 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x54, 0xdd, 0x6e, 0xd3, 0x30,
+	0x14, 0x56, 0x96, 0xa6, 0x4d, 0x4f, 0xb7, 0x81, 0xac, 0x81, 0xb2, 0x6e, 0x8c, 0x2a, 0x57, 0xbd,
+	0x6a, 0xd1, 0x10, 0x42, 0x1a, 0x42, 0xfc, 0x4c, 0x9a, 0x84, 0x34, 0x24, 0x14, 0xee, 0xb8, 0x99,
+	0xdc, 0xf4, 0xd0, 0x65, 0xf5, 0xe2, 0xcc, 0x71, 0x56, 0xfa, 0x32, 0xbc, 0x0f, 0x6f, 0xc2, 0x63,
+	0xa0, 0x63, 0x3b, 0x5d, 0xb7, 0x2e, 0x5c, 0xc5, 0xdf, 0xf1, 0xf9, 0xfd, 0xce, 0xe7, 0xc0, 0x41,
+	0x96, 0x6b, 0x54, 0x39, 0x17, 0xe3, 0x14, 0x85, 0x50, 0x45, 0x6a, 0xbe, 0xa3, 0x42, 0x49, 0x2d,
+	0xd9, 0x93, 0x94, 0xa7, 0xba, 0x2a, 0x17, 0x5c, 0x88, 0x11, 0x99, 0xe3, 0x37, 0xb0, 0xf3, 0x5d,
+	0x73, 0x5d, 0x95, 0x09, 0xde, 0x54, 0x58, 0x6a, 0xf6, 0x14, 0xfc, 0x2b, 0x39, 0x89, 0xbc, 0x81,
+	0x37, 0xec, 0x26, 0x74, 0x64, 0x0c, 0x5a, 0xe4, 0x1a, 0x6d, 0x0d, 0xbc, 0x61, 0x90, 0x98, 0x73,
+	0xfc, 0xdb, 0x83, 0x5e, 0x1d, 0x57, 0x88, 0x25, 0xdb, 0x83, 0x40, 0x2e, 0x72, 0x54, 0x26, 0x2e,
+	0x4c, 0x2c, 0x20, 0xeb, 0x3c, 0x97, 0x8b, 0xdc, 0x84, 0x86, 0x89, 0x05, 0x64, 0x2d, 0x35, 0xd7,
+	0x18, 0xf9, 0x26, 0xa1, 0x05, 0x64, 0xc5, 0x42, 0xa6, 0x97, 0x51, 0x6b, 0xe0, 0x0d, 0xfd, 0xc4,
+	0x02, 0x76, 0x08, 0x5d, 0x14, 0x25, 0x2e, 0x2e, 0x51, 0x61, 0x14, 0x98, 0x2c, 0x77, 0x06, 0xb6,
+	0x0f, 0xe1, 0x95, 0x9c, 0x5c, 0x98, 0xee, 0xda, 0x26, 0x59, 0xe7, 0x4a, 0x4e, 0x4e, 0xa9, 0xc1,
+	0x13, 0xd8, 0xfd, 0x86, 0xf9, 0x34, 0xcb, 0x67, 0xf5, 0x60, 0x7b, 0x10, 0xdc, 0x54, 0x58, 0xa1,
+	0x1b, 0xcd, 0x82, 0x47, 0x87, 0x3b, 0x81, 0xed, 0x55, 0xec, 0x7f, 0x87, 0x4b, 0x65, 0x95, 0x6b,
+	0x13, 0xea, 0x27, 0x16, 0xc4, 0x6f, 0x61, 0xe7, 0x53, 0x9a, 0x62, 0xa1, 0xd7, 0xf8, 0x9c, 0xe3,
+	0xb2, 0xe6, 0x73, 0x8e, 0x26, 0xdd, 0x2d, 0x17, 0x15, 0x9a, 0xc0, 0xed, 0xc4, 0x82, 0xf8, 0x03,
+	0xf4, 0xea, 0x40, 0xaa, 0xf9, 0x1c, 0xda, 0xa5, 0x96, 0x0a, 0xa7, 0xae, 0xa8, 0x43, 0x2c, 0x82,
+	0x8e, 0xc2, 0x9f, 0x55, 0x89, 0x53, 0x47, 0x6a, 0x0d, 0xe3, 0x5d, 0xd8, 0x3e, 0x97, 0x7c, 0x5a,
+	0x2f, 0x32, 0x7e, 0x0f, 0xe0, 0x30, 0xe5, 0x1b, 0x43, 0x20, 0x08, 0x45, 0xde, 0xc0, 0x1f, 0xf6,
+	0x8e, 0xf7, 0x47, 0x0f, 0x84, 0x30, 0x22, 0xd6, 0xc8, 0x3f, 0xb1, 0x7e, 0xf1, 0x1f, 0x0f, 0xc2,
+	0xda, 0xb6, 0x62, 0xc9, 0xbb, 0x63, 0x89, 0xf5, 0x21, 0x4c, 0x79, 0xc1, 0xd3, 0x4c, 0x2f, 0x1d,
+	0x05, 0x2b, 0x4c, 0xfe, 0xa6, 0x45, 0xdf, 0xd8, 0xcd, 0x99, 0x3a, 0x5f, 0xf0, 0x4c, 0x67, 0xf9,
+	0xcc, 0xad, 0xb8, 0x86, 0x34, 0xab, 0xe0, 0x13, 0x14, 0x65, 0x14, 0x0c, 0xfc, 0x61, 0x37, 0x71,
+	0x88, 0x1d, 0x01, 0xc8, 0x5b, 0x54, 0xd4, 0x0f, 0x4e, 0xcd, 0x82, 0xc3, 0x64, 0xcd, 0xc2, 0x9e,
+	0x41, 0x9b, 0xcf, 0xf0, 0xe2, 0xba, 0x8c, 0x3a, 0x76, 0x05, 0x7c, 0x86, 0x5f, 0x4b, 0x62, 0x9c,
+	0x34, 0x17, 0x1a, 0x7f, 0x3a, 0xc6, 0x05, 0xf4, 0xce, 0x31, 0x9f, 0xd6, 0x2b, 0x69, 0x98, 0x66,
+	0x22, 0x95, 0x92, 0x0b, 0x54, 0x4e, 0x0b, 0x2b, 0xcc, 0x0e, 0xa0, 0x7b, 0x9d, 0x09, 0x91, 0x5d,
+	0xa4, 0x45, 0xe5, 0x46, 0x0a, 0x8d, 0xe1, 0xb4, 0xa8, 0x68, 0x9b, 0xa6, 0x5d, 0x33, 0x54, 0x37,
+	0xb1, 0x20, 0x7e, 0x07, 0x5d, 0x5b, 0xb1, 0x59, 0x3f, 0xc4, 0x87, 0x54, 0x73, 0x54, 0xa5, 0x2b,
+	0x58, 0xc3, 0xe3, 0xbf, 0x5b, 0xd0, 0x22, 0xea, 0xd9, 0x19, 0xb4, 0xed, 0x23, 0x63, 0x47, 0x1b,
+	0xfb, 0xba, 0xf7, 0x6a, 0xfb, 0x87, 0x8d, 0xf7, 0xd4, 0xc0, 0x17, 0xe8, 0x38, 0x41, 0xb3, 0x97,
+	0x1b, 0x8e, 0xf7, 0x9f, 0x49, 0xff, 0x45, 0xb3, 0x03, 0xa5, 0x3a, 0x83, 0xb6, 0x95, 0xe9, 0x23,
+	0x2d, 0xdd, 0x13, 0xfe, 0x23, 0x2d, 0xad, 0xeb, 0xfb, 0x14, 0x02, 0xa3, 0x4e, 0xb6, 0x59, 0x6f,
+	0x5d, 0xc5, 0xfd, 0x83, 0xa6, 0x6b, 0x4a, 0xf2, 0x11, 0x5a, 0xc4, 0x32, 0xdb, 0x2c, 0xb5, 0xb6,
+	0xee, 0x7e, 0xbf, 0xe1, 0xb6, 0x10, 0xcb, 0xcf, 0xaf, 0x7e, 0xac, 0x5f, 0xe2, 0x2f, 0x7e, 0x5d,
+	0x08, 0x1c, 0xdf, 0x99, 0xc6, 0x0f, 0x7f, 0xa6, 0x93, 0xb6, 0xf9, 0x91, 0xbe, 0xfe, 0x17, 0x00,
+	0x00, 0xff, 0xff, 0xb0, 0xad, 0x63, 0x6b, 0x67, 0x05, 0x00, 0x00,
 }
--- a/internal/claim/capacity.go
+++ b/internal/claim/capacity.go
@@ -33,10 +33,16 @@
 // false if either capacity is unknown.
 func ClearlyLarger(a, b int64) bool { return b > 0 && 2*a >= 3*b }
 
-// SetCapacity sets the processor capacity of this node in thousandths of a core. It must be called before the view is
-// used.
+// SetCapacity sets the processor capacity that this node has for the cell, in thousandths of a core. It must be called
+// before the view is used, and may be called again.
 func (v *View) SetCapacity(capacity int64) { v.capacity = capacity }
 
+// SetDelay sets how much later than other candidates this process claims.
+func (v *View) SetDelay(delay time.Duration) { v.delay = delay }
+
+// LargestCapacity returns the largest known capacity of a node for the cell, in thousandths of a core.
+func (v *View) LargestCapacity() int64 { return max(v.largest, v.capacity) }
+
 // Details returns the details of the latest claim. They are zero if its owner has not stored any.
 func (v *View) Details() Details {
 	if !v.hasLatest || v.details.Epoch != v.latest.Epoch {
@@ -76,7 +82,7 @@
 
 // claimDelay returns the delay between the moment at which candidates may claim and the claim of this process.
 func (v *View) claimDelay() time.Duration {
-	return time.Duration(v.rank)*delayPerRank + v.capacityDelay()
+	return time.Duration(v.rank)*delayPerRank + v.capacityDelay() + v.delay
 }
 
 // capacityDelay returns the part of claimDelay that depends on the processor capacity of this node.
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -67,6 +67,8 @@
 	// capacity is the processor capacity of this node, and largest the largest known one of the cell, both in thousandths
 	// of a core; 0 means unknown.
 	capacity, largest int64
+	// delay is added to the delay before this process claims.
+	delay time.Duration
 	// details are the latest details read. They may belong to an earlier epoch than latest.
 	details Details
 	// epochReadAt is when a record with the epoch of latest was first read.
@@ -82,6 +84,9 @@
 	return &View{holder: holder, node: node, rank: rank}
 }
 
+// Reachable reports whether the newest read of the claim succeeded.
+func (v *View) Reachable() bool { return v.reachable }
+
 // End returns the offset up to which the topic has been read.
 func (v *View) End() store.Offset { return v.readEnd }
 
--- a/internal/compat/samples_test.go
+++ b/internal/compat/samples_test.go
@@ -67,7 +67,7 @@
 		return &cellrpc.StatusReply{Owner: true, Known: true, State: int32(jobs.Completed), Epoch: 12}
 	}),
 	messageSample("cell-accept.pb", func() *cellrpc.AcceptRequest {
-		return &cellrpc.AcceptRequest{Key: jobrecord.JobKey("j-1", "n1"), Value: []byte("record")}
+		return &cellrpc.AcceptRequest{Key: jobrecord.JobKey("j-1", "n1", 0), Value: []byte("record")}
 	}),
 }
 
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -148,7 +148,7 @@
 // nodeSettings converts the settings of the platform to those of the node.
 func nodeSettings(s *platform.Settings, metricsPort int) cellnode.Settings {
 	return cellnode.Settings{
-		Node: s.Node, Rank: rankOf(s.Node), Capacity: int64(math.Round(s.Limits.Capacity() * 1000)),
+		Node: s.Node, FailureDomain: s.FailureDomain, Rank: rankOf(s.Node), Capacity: int64(math.Round(s.Limits.Capacity() * 1000)),
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
 		PeerAddress:    net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 		MetricsAddress: metricsAddress(s.IP, metricsPort),
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -9,9 +9,11 @@
 	"cactuswall.example/cactuswall/internal/jobs"
 )
 
-// Topics in the store. Each cell has one partition of each topic.
+// Topics in the store. Each cell has a partition of ProgressTopic and of ClaimsTopic, by its number. The other topics have
+// one partition: the jobs of all cells are in one order, so that the first record of a job settles its cell.
 const (
 	JobsTopic     = "keyed.jobs"
+	CellsTopic    = "keyed.cells" // see package cellmap
 	ProgressTopic = "keyed.progress"
 	ClaimsTopic   = "keyed.lead"
 )
@@ -76,9 +78,38 @@
 // owners.
 const InterferenceKey = learnedPrefix + "pressures"
 
-// JobKey is the key under which a writer stores a job that it has accepted. The key contains the writer, so that a
-// duplicate request that another node accepts later does not overwrite the first record.
-func JobKey(id jobs.ID, writer string) string { return jobPrefix + string(id) + "/" + writer }
+// JobKey is the key under which a job of a cell is stored. writer must be different for each record, so that a record that
+// is stored later, for a repeated request, neither replaces the first one nor comes before another.
+func JobKey(id jobs.ID, writer string, cell int) string {
+	key := jobPrefix + string(id) + "/" + writer
+	if cell == 0 {
+		return key // as earlier builds wrote it
+	}
+	return key + "/" + strconv.Itoa(cell)
+}
+
+// JobCell returns the cell that the key of a job names.
+func JobCell(key string) int {
+	_, _, cell := splitJobKey(key)
+	return cell
+}
+
+// WithWriter returns the key of the same job in the same cell for another writer, which is added to the first one.
+func WithWriter(key, writer string) string {
+	id, first, cell := splitJobKey(key)
+	return JobKey(id, first+"."+writer, cell)
+}
+
+// splitJobKey splits the key of a job. A cell that cannot be read is 0.
+func splitJobKey(key string) (id jobs.ID, writer string, cell int) {
+	text, rest, _ := strings.Cut(strings.TrimPrefix(key, jobPrefix), "/")
+	writer, number, _ := strings.Cut(rest, "/")
+	cell, err := strconv.Atoi(number)
+	if err != nil || cell < 0 {
+		cell = 0
+	}
+	return jobs.ID(text), writer, cell
+}
 
 // CancelKey is the key of the cancellation of a job.
 func CancelKey(id jobs.ID) string { return cancelPrefix + string(id) }
--- a/internal/workercall/workercall.go
+++ b/internal/workercall/workercall.go
@@ -28,6 +28,8 @@
 	StartedAtMS int64
 	// Sequence increases with each entry published by one worker process.
 	Sequence int64
+	// Assignment is the version of the worker's assignment to its cell (see package cellmap). The node sets it.
+	Assignment int64
 }
 
 // Target is the worker that an order is sent to: its ID and its address, of the form host:port.
