Keep workers free for interrupted long-running tasks that find no room

Change: a round keeps the workers with most free processor capacity for such tasks, a tenth of all at most.

Also in this commit: owners share what they learn of interference, and new jobs go to cells by their free share. Long-running tasks fill 95% of the deployment, where a cell at 98% has a fifth of the room of one at 90%, so the choice goes by what is free, of memory as well.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 )
@@ -41,7 +42,8 @@
 	return cell, known
 }
 
-// Load is the load of a cell: processor capacities in thousandths of a core, and the labels of its workers.
+// Load is the load of a cell: processor capacities in thousandths of a core, and the labels of its workers. Where a larger
+// share of the memory than of the processors is in use, that share of the processors counts as used.
 type Load struct {
 	Capacity, Used, Waiting int64
 	Labels                  []string
@@ -52,12 +54,15 @@
 func (c *Cell) CurrentLoad() Load {
 	load := Load{Overloaded: c.load.Overloaded(c.now)}
 	labels := make(map[string]bool)
+	memory, usedMemory := 0, 0
 	for _, w := range c.sortedWorkers() {
 		load.Used += int64(w.reserved.MilliCPU)
+		usedMemory += w.reserved.MemoryMB
 		if !c.acceptsTasks(w) {
 			continue
 		}
 		load.Capacity += int64(w.info.Capacity.MilliCPU)
+		memory += w.info.Capacity.MemoryMB
 		for _, label := range w.info.Labels {
 			if !labels[label] && label != w.info.Rack {
 				labels[label] = true
@@ -65,6 +70,7 @@
 			}
 		}
 	}
+	load.Used = max(load.Used, int64(float64(load.Capacity)*float64(usedMemory)/float64(max(1, memory))))
 	for _, g := range c.waiting {
 		if g.mayStart() {
 			load.Waiting += int64(g.toStart) * int64(g.step.Requested().MilliCPU)
@@ -73,6 +79,15 @@
 	return load
 }
 
+// Evidence returns what the owner has learned about interference from the workers of the cell.
+func (c *Cell) Evidence() cpuinterference.Evidence { return c.interference.Evidence() }
+
+// AddEvidence adds what the owner of another cell has learned about interference. Images behave alike in all cells, and one
+// cell alone sees too little of them.
+func (c *Cell) AddEvidence(cell int, evidence cpuinterference.Evidence) {
+	c.interference.Add(cell, evidence)
+}
+
 // shortageAfter is how long a task must have waited for resources before the cell borrows workers for it.
 const shortageAfter = 300 * time.Millisecond
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -49,6 +49,9 @@
 		count, all := c.placeGroup(v, g, max(0, limit-placed))
 		placed += count
 		unplaced = unplaced || !all
+		if g.waitReason == waitRoom {
+			c.reserveWorkers(v, g)
+		}
 		if g.waitReason == waitTurn {
 			c.load.Limited()
 			c.waitForTurn(groups, i)
@@ -175,17 +178,8 @@
 	}
 	perWorker := c.runsPerWorker(g)
 	i := placement.Best(v.candidates, need, func(i int) bool {
-		w := v.workers[i]
-		if w.info.Service != platformService || g.step.RequiredLabel != "" && !hasLabel(w, g.step.RequiredLabel) {
-			return false
-		}
-		if g.step.MaxPerWorker > 0 && perWorker[w]+pending[i] >= g.step.MaxPerWorker {
-			return false
-		}
-		if v.candidates[i].Probing && (w.hasProbeRun() || !c.mayProbe(t)) {
-			return false
-		}
-		return !g.step.BestEffort || c.fitsBesideServices(v, i, g.step)
+		return c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
+			(!g.step.BestEffort || c.fitsBesideServices(v, i, g.step))
 	})
 	if i < 0 && !key.limited {
 		v.unplaceable[key] = need
@@ -193,6 +187,19 @@
 	return i
 }
 
+// eligible reports whether a task may run on the worker with index i, apart from the resources. sameStep is the number of
+// tasks of the step that are on the worker or chosen for it.
+func (c *Cell) eligible(v *placementView, t *task, i int, platformService string, sameStep int) bool {
+	w, step := v.workers[i], t.group.step
+	switch {
+	case w.info.Service != platformService, step.RequiredLabel != "" && !hasLabel(w, step.RequiredLabel):
+		return false
+	case step.MaxPerWorker > 0 && sameStep >= step.MaxPerWorker:
+		return false
+	}
+	return !v.candidates[i].Probing || !w.hasProbeRun() && c.mayProbe(t)
+}
+
 // hasProbeRun reports whether a run on the worker is already probing it.
 func (w *worker) hasProbeRun() bool {
 	for _, r := range w.runs {
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -20,6 +20,8 @@
 	// for a task with the same constraints that needs at least as much.
 	unplaceable map[needKey]placement.Need
 	waitLogs    int // lines that logWaiting has written for this view
+	// reserved contains the workers that reserveWorkers keeps free.
+	reserved map[*worker]bool
 	// unused holds the slices of an earlier view's headroom for use in this one.
 	unused [][]float64
 }
@@ -68,12 +70,14 @@
 func (v *placementView) reset() {
 	if v.headroom == nil {
 		v.headroom, v.unplaceable = make(map[string][]float64), make(map[needKey]placement.Need)
+		v.reserved = make(map[*worker]bool)
 	}
 	for _, values := range v.headroom {
 		v.unused = append(v.unused, values)
 	}
 	clear(v.headroom)
 	clear(v.unplaceable)
+	clear(v.reserved)
 	v.workers, v.candidates, v.waitLogs = v.workers[:0], v.candidates[:0], 0
 }
 
--- a/internal/cellnode/loads.go
+++ b/internal/cellnode/loads.go
@@ -122,6 +122,7 @@
 		switch {
 		case len(owned) > 0:
 			n.readOwnLoads(owned)
+			n.shareEvidence(owned)
 			n.askOwners(ctx, plan)
 		case boottime.Now()-time.Duration(n.loads.lastSubmit.Load()) < submitRecency:
 			homes := plan.Homes(n.settings.FailureDomain)
@@ -167,7 +168,8 @@
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	asked := boottime.Now()
-	reply, err := n.peers.ownerClient(address).Loads(ctx, &cellrpc.LoadsRequest{})
+	owned := n.owners()
+	reply, err := n.peers.ownerClient(address).Loads(ctx, &cellrpc.LoadsRequest{Learned: len(owned) > 0})
 	if err != nil {
 		n.ownerFailed(cell)
 		return false
@@ -175,6 +177,7 @@
 	owns := false
 	for _, l := range reply.Loads {
 		owns = owns || l.Own && int(l.Cell) == cell
+		n.addEvidence(owned, int(l.Cell), l.Learned)
 		if l.Cell < 0 || l.AgeMs < 0 {
 			continue
 		}
@@ -189,9 +192,14 @@
 }
 
 // Loads returns the loads that this node knows.
-func (s cellServer) Loads(context.Context, *cellrpc.LoadsRequest) (*cellrpc.LoadsReply, error) {
+func (s cellServer) Loads(_ context.Context, r *cellrpc.LoadsRequest) (*cellrpc.LoadsReply, error) {
 	n := s.node
-	n.readOwnLoads(n.owners())
+	owned := n.owners()
+	n.readOwnLoads(owned)
+	learned := make(map[int][]byte)
+	if r.Learned {
+		learned = n.encodedEvidence(owned)
+	}
 	n.loads.mu.Lock()
 	defer n.loads.mu.Unlock()
 	reply := &cellrpc.LoadsReply{}
@@ -199,7 +207,7 @@
 		l := &entry.load
 		reply.Loads = append(reply.Loads, &cellrpc.CellLoad{
 			Cell: int32(cell), Capacity: l.CapacityMilliCPU, Used: l.UsedMilliCPU, Waiting: l.WaitingMilliCPU, Labels: l.Labels,
-			Overloaded: l.Overloaded, AgeMs: (boottime.Now() - entry.at).Milliseconds(), Own: n.ownerOf(cell) != nil,
+			Overloaded: l.Overloaded, AgeMs: (boottime.Now() - entry.at).Milliseconds(), Own: n.ownerOf(cell) != nil, Learned: learned[cell],
 		})
 	}
 	return reply, nil
--- a/internal/cpuinterference/cpuinterference.go
+++ b/internal/cpuinterference/cpuinterference.go
@@ -56,6 +56,8 @@
 type Learner struct {
 	services map[string]*service
 	groups   map[string]*group // by Source.Group
+	// added is the evidence of other learners that Add has taken in.
+	added map[pairKey]PairEvidence
 	// observations is the working space of Observe.
 	observations []*observation
 }
@@ -67,6 +69,8 @@
 	indexes      map[string]int
 	mean         []float64
 	covariance   [][]float64
+	// own is the evidence of this learner's own readings, without the names of the images.
+	own []PairEvidence
 	// weight, difference and gain are the working space of the methods weights, shareDifferences and update.
 	weight, difference, gain []float64
 }
@@ -92,7 +96,7 @@
 
 // NewLearner returns a learner without any readings.
 func NewLearner() *Learner {
-	return &Learner{services: make(map[string]*service), groups: make(map[string]*group)}
+	return &Learner{services: make(map[string]*service), groups: make(map[string]*group), added: make(map[pairKey]PairEvidence)}
 }
 
 // Observe adds a task's tail latency at a time and learns from it. It returns the reading, or the task's previous one
@@ -215,6 +219,7 @@
 	i := len(s.mean)
 	s.indexes[image] = i
 	s.mean = append(s.mean, priorMean)
+	s.own = append(s.own, PairEvidence{})
 	for k := range s.covariance {
 		s.covariance[k] = append(s.covariance[k], 0)
 	}
@@ -321,11 +326,12 @@
 		if g == 0 {
 			continue
 		}
+		row, meanBefore, varianceBefore := s.covariance[i], s.mean[i], s.covariance[i][i]
 		s.mean[i] = math.Max(0, s.mean[i]+g/variance*(observed-predicted))
-		row := s.covariance[i]
 		for k := range row {
 			row[k] -= g * gain[k] / variance
 		}
+		s.credit(i, meanBefore, varianceBefore)
 	}
 }
 
