Long-running tasks without room go to another cell; owners exchange exact evidence

Change: the owner of a cell assigns a long-running task that has waited for 1.5 s to a cell with room, under its epoch and with the number of its latest run. The receiver keeps the job as a guest and reads its cancellation like all owners.

Also: what owners exchange of interference are the sums of their readings (information matrices) and not variances of single coefficients, which counted knowledge of a sum of two as knowledge of both.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -7,6 +7,7 @@
 	"github.com/google/btree"
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -35,8 +36,12 @@
 	metrics           *Metrics
 	config            *queue.Config // nil until SetConfig is called
 	jobs              map[jobs.ID]*job
-	// foreign holds the cells of the jobs that belong to other cells.
-	foreign map[jobs.ID]int
+	// foreign holds the jobs that belong to other cells.
+	foreign map[jobs.ID]*foreignJob
+	// guests are the jobs of other cells of which tasks belong to this one.
+	guests map[jobs.ID]*job
+	// tasksElsewhere are the assignments of tasks that SetTasks was last called with.
+	tasksElsewhere map[string]cellmap.TaskAssignment
 	// loaded is set by Load, at loadedAt. Until then workers are only told the fencing token and their leases renewed,
 	// since it is not known what should run on them.
 	loaded   bool
@@ -95,7 +100,7 @@
 func New(s Settings, epoch int64, formerLeasesEnd time.Duration, log *zap.Logger, metrics *Metrics) *Cell {
 	return &Cell{
 		settings: s, epoch: epoch, cellCount: 1, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
-		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]int), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
+		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
 		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
 	}
@@ -213,10 +218,13 @@
 // cancel applies a cancellation that was read from the jobs topic: it ends the job and has its runs stopped. For a job
 // that has not been added yet the cancellation is kept until then. A job that has ended keeps its outcome.
 func (c *Cell) cancel(id jobs.ID) {
-	if _, foreign := c.foreign[id]; foreign {
-		return
-	}
 	j := c.jobs[id]
+	if f := c.foreign[id]; f != nil {
+		f.cancelled = true
+		if j == nil {
+			return
+		}
+	}
 	if j == nil {
 		c.earlyCancels[id] = true
 		return
@@ -273,7 +281,7 @@
 func (c *Cell) removeRun(r *run) {
 	t := r.task
 	r.worker.deleteRun(r)
-	r.worker.settledRound = c.plannedRounds + 1
+	r.worker.settledRound, t.settledRound = c.plannedRounds+1, c.plannedRounds+1
 	if !t.done && len(t.runs) == 0 {
 		t.waitingSince = c.now
 	}
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -8,21 +8,31 @@
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/recordcodec"
+	"cactuswall.example/cactuswall/internal/store"
 )
 
 // SetCell sets the number of the cell and how many cells exist. Cell 0 also runs the jobs whose records name a cell that
 // does not exist.
 func (c *Cell) SetCell(number, count int) { c.number, c.cellCount = number, count }
 
+// foreignJob is a job that belongs to another cell.
+type foreignJob struct {
+	cell      int
+	cancelled bool
+	// record is nil unless the job is long-running, so that its tasks may come to this cell.
+	record *jobrecord.Job
+}
+
 // isForeign reports whether a job belongs to another cell, and remembers that. The first record of a job settles its cell.
-func (c *Cell) isForeign(id jobs.ID, key string) bool {
-	if _, known := c.foreign[id]; known {
+func (c *Cell) isForeign(id jobs.ID, r store.Record) bool {
+	if c.foreign[id] != nil {
 		return true
 	}
 	if c.jobs[id] != nil {
 		return false
 	}
-	named := jobrecord.JobCell(key)
+	named := jobrecord.JobCell(r.Key)
 	if named >= c.cellCount {
 		c.metrics.UnknownCells.Inc()
 		c.log.Warn("job names a cell that does not exist", zap.String("job", string(id)), zap.Int("cell", named))
@@ -31,15 +41,24 @@
 	if named == c.number {
 		return false
 	}
-	c.foreign[id] = named
+	f := &foreignJob{cell: named, cancelled: c.earlyCancels[id]}
+	var record jobrecord.Job
+	if err := recordcodec.Decode(r.Value, &record); err != nil {
+		c.skipUnreadable(r, err)
+	} else if record.Spec.LongRunning() {
+		f.record = &record
+	}
+	c.foreign[id] = f
 	delete(c.earlyCancels, id)
 	return true
 }
 
 // CellOf returns the cell of a job that belongs to another cell; known is false for any other job.
 func (c *Cell) CellOf(id jobs.ID) (cell int, known bool) {
-	cell, known = c.foreign[id]
-	return cell, known
+	if f := c.foreign[id]; f != nil {
+		return f.cell, true
+	}
+	return 0, false
 }
 
 // Load is the load of a cell: processor capacities in thousandths of a core, and the labels of its workers. Where a larger
--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -97,6 +97,48 @@
 	return true
 }
 
+// handOverTasks hands the long-running tasks over that have waited for room in a cell, as package cellnode does, and returns
+// how many there were.
+func (sim *simulation) handOverTasks(home *simCell, to int, step handOverStep) int {
+	o := home.owner
+	if o.ended || o.suspended || !o.loaded || sim.now >= o.decidesUntil || len(o.detached) > 0 || to == home.number {
+		return 0
+	}
+	tasks := o.cell.TakeStrandedTasks()
+	if len(tasks) == 0 {
+		return 0
+	}
+	o.detached["tasks"] = true
+	switch step {
+	case killedBefore:
+		o.ended = true
+	case frozenBefore:
+		sim.freeze(o, sim.appendTime+time.Duration(sim.random.IntN(9000))*time.Millisecond)
+	}
+	sent := !o.ended
+	sim.schedule(sim.appendTime, func() {
+		switch {
+		case !sent:
+		case o.token < home.epoch:
+			o.ended = true
+		case step == storeRefuses:
+			for _, t := range tasks {
+				o.cell.ReturnTask(t.Task)
+			}
+			delete(o.detached, "tasks")
+		default:
+			for _, t := range tasks {
+				sim.storeInTable(cellmap.TaskKey(t.Task), &cellmap.TaskAssignment{Cell: to, LastRun: t.LastRun, Checkpoint: t.Checkpoint})
+			}
+			o.ended = o.ended || step == answerLost || step == killedAfter
+			o.table = sim.table
+			delete(o.detached, "tasks")
+			sim.spreadTable()
+		}
+	})
+	return len(tasks)
+}
+
 // spreadTable has each owner read the table after a random time.
 func (sim *simulation) spreadTable() {
 	for _, home := range sim.cells {
@@ -142,6 +184,9 @@
 // stateOf returns the state of a job as the owner of its cell reports it, and the number of cells that have it.
 func (sim *simulation) stateOf(id jobs.ID) (state jobs.State, cells int) {
 	for _, home := range sim.cells {
+		if _, foreign := home.owner.cell.CellOf(id); foreign {
+			continue
+		}
 		if s, known := home.owner.cell.Status(id); known {
 			state = s
 			cells++
@@ -195,7 +240,7 @@
 			switch rapid.IntRange(0, 9).Draw(r, "action") {
 			case 0, 1, 2:
 				spec := testSpec(rapid.IntRange(1, 4).Draw(r, "first step"), rapid.IntRange(1, 3).Draw(r, "second step"))
-				spec.Steps[1].LongRunning = rapid.IntRange(0, 5).Draw(r, "long-running") == 0
+				spec.Steps[1].LongRunning = rapid.IntRange(0, 5).Draw(r, "long-running") < 2
 				sim.submitTo(home.number, jobs.ID(fmt.Sprintf("j%02d", submitted)), spec)
 				submitted++
 			case 3: // the same request reaches a node of another failure domain
@@ -212,6 +257,8 @@
 				s, o := sim.workers[worker], home.owner
 				s.unreachableBy[o] = true
 				sim.schedule(time.Duration(rapid.IntRange(0, 9000).Draw(r, "cut"))*time.Millisecond, func() { delete(s.unreachableBy, o) })
+			case 8:
+				sim.handOverTasks(home, rapid.IntRange(0, cells-1).Draw(r, "receiver"), handOverStep(rapid.IntRange(0, int(handOverSteps)-1).Draw(r, "step")))
 			case 7:
 				sim.replaceOwnerOf(home, rapid.IntRange(0, 2).Draw(r, "fault"))
 			default:
@@ -237,11 +284,116 @@
 			}
 			c.owner.table = sim.table
 		}
-		sim.run(30 * time.Second)
+		for i := range 30 {
+			sim.run(time.Second)
+			for _, c := range sim.cells {
+				sim.handOverTasks(c, (c.number+1+i%2)%cells, handOverCompletes)
+				sim.borrow(c)
+			}
+		}
+		sim.run(10 * time.Second)
 		sim.checkCells(r)
+		sim.checkLongRunning(r)
 	})
 }
 
+// borrow hands a worker over to a cell in which tasks wait for resources, if another cell has an idle one.
+func (sim *simulation) borrow(home *simCell) {
+	if home.owner.cell.CurrentShortage().MilliCPU == 0 {
+		return
+	}
+	for _, lender := range sim.cells {
+		for _, w := range lender.owner.cell.sortedWorkers() {
+			if lender != home && sim.handOver(lender, w.info.ID, home.number, handOverCompletes) {
+				return
+			}
+		}
+	}
+}
+
+// checkLongRunning checks that each long-running task whose turn has come runs once, and none of a cancelled job.
+func (sim *simulation) checkLongRunning(t interface{ Errorf(string, ...any) }) {
+	runs := make(map[jobs.TaskID]int)
+	for _, w := range sim.workers {
+		for task := range w.running {
+			runs[task]++
+		}
+	}
+	for id, spec := range sim.specs {
+		if !spec.LongRunning() {
+			continue
+		}
+		state, _ := sim.stateOf(id)
+		for i := range spec.Steps[1].Count {
+			want := 1
+			if state.Final() {
+				want = 0
+			}
+			if task := (jobs.TaskID{Job: id, Step: 1, Index: i}); runs[task] != want {
+				t.Errorf("%d runs of the long-running task %v of a job that is %v", runs[task], task, state)
+			}
+		}
+	}
+}
+
+// Pattern: a cell is full of tasks that never end when one of them fails, and another cell has room.
+func TestLongRunningTaskWithoutRoomRunsInAnotherCell(t *testing.T) {
+	for step := handOverCompletes; step < handOverSteps; step++ {
+		Convey(fmt.Sprintf("Given a cell whose workers are lost, its long-running tasks run in the other cell; step %d", step), t, func() {
+			sim := newCellsSimulation(uint64(step), 2, 4)
+			spec := testSpec(1, 10)
+			spec.Steps[1].LongRunning = true
+			sim.submitTo(0, "lasting", spec)
+			sim.run(3 * time.Second)
+			for _, id := range []string{"w0", "w2"} {
+				delete(sim.workers, id)
+			}
+			sim.run(12 * time.Second)
+			So(sim.handOverTasks(sim.cells[0], 1, step), ShouldEqual, 10)
+			sim.run(100 * time.Millisecond)
+			sim.load(sim.claimCell(sim.cells[0]))
+			for range 8 {
+				sim.run(2 * time.Second)
+				sim.handOverTasks(sim.cells[0], 1, handOverCompletes)
+			}
+			sim.checkLongRunning(t)
+			So(sim.violations, ShouldBeEmpty)
+			state, cells := sim.stateOf("lasting")
+			So([]any{state, cells}, ShouldResemble, []any{jobs.Running, 1})
+			Convey("and go on under the next owners of both cells, until the job is cancelled", func() {
+				sim.load(sim.claimCell(sim.cells[0]))
+				sim.load(sim.claimCell(sim.cells[1]))
+				sim.run(3 * time.Second)
+				sim.interrupt(jobs.TaskID{Job: "lasting", Step: 1, Index: 4})
+				sim.run(3 * time.Second)
+				sim.checkLongRunning(t)
+				So(sim.startCounts[jobs.TaskID{Job: "lasting", Step: 1, Index: 4}], ShouldEqual, 3)
+				So(sim.startCounts[jobs.TaskID{Job: "lasting", Step: 1, Index: 5}], ShouldEqual, 2)
+				sim.cancel("lasting")
+				sim.run(3 * time.Second)
+				sim.checkLongRunning(t)
+				So(sim.violations, ShouldBeEmpty)
+				Convey("and their records are deleted after the retention of the job's state", func() {
+					guest := sim.cells[1].owner.cell
+					So(guest.EndedGuests(), ShouldBeEmpty)
+					guest.settings.StatusRetention = 0
+					keys := guest.EndedGuests()
+					So(keys, ShouldHaveLength, 10)
+					for _, key := range keys {
+						end := sim.table.End()
+						sim.table, _, _ = sim.table.With([]store.Record{{Key: key, Offset: end}}, end+1)
+					}
+					sim.cells[1].owner.table = sim.table
+					sim.run(time.Second)
+					So(guest.guests, ShouldBeEmpty)
+					So(sim.table.Tasks(), ShouldBeEmpty)
+					So(sim.cells[1].records, ShouldHaveLength, 1) // what was learned of images
+				})
+			})
+		})
+	}
+}
+
 func TestHandOverAtEachStep(t *testing.T) {
 	for step := handOverCompletes; step < handOverSteps; step++ {
 		Convey(fmt.Sprintf("A worker that changes its cell runs each task once, whatever happens at step %d", step), t, func() {
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -28,7 +28,7 @@
 		if len(expired.jobs) >= maxExpiredJobs || c.wall.UnixMilli()-j.endedAtMS < c.settings.StatusRetention.Milliseconds() {
 			return false
 		}
-		if j.deleting || j.hasRuns() {
+		if j.deleting || j.guest || j.hasRuns() {
 			return true
 		}
 		j.deleting = true
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -21,7 +21,7 @@
 	switch {
 	case kind == jobrecord.KindJob && len(r.Value) == 0:
 		delete(c.foreign, id.Job)
-	case kind == jobrecord.KindJob && c.isForeign(id.Job, r.Key):
+	case kind == jobrecord.KindJob && c.isForeign(id.Job, r):
 	case kind == jobrecord.KindJob:
 		var record jobrecord.Job
 		if err := recordcodec.Decode(r.Value, &record); err != nil {
@@ -61,6 +61,7 @@
 			c.ApplyJobRecord(r)
 		}
 	}
+	c.applyTasks()
 	for _, r := range progress {
 		c.loadProgress(r, recorded)
 	}
@@ -123,7 +124,10 @@
 	for i := range record.Tasks {
 		stored := &record.Tasks[i]
 		t := g.tasks[i]
-		t.done, t.failures, t.lastRunNumber, t.checkpoint = stored.Done, stored.Failures, stored.LastRun, stored.Checkpoint
+		t.done, t.failures = stored.Done, stored.Failures
+		if stored.LastRun >= t.lastRunNumber { // otherwise the task came from another cell later
+			t.lastRunNumber, t.checkpoint = stored.LastRun, stored.Checkpoint
+		}
 		if !t.done {
 			g.unfinished++
 		}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -122,6 +122,7 @@
 	cell         *Cell
 	home         *simCell
 	table        *cellmap.Table  // as the owner has read it
+	tasksSetFrom *cellmap.Table  // whose assignments of tasks the cell has
 	detached     map[string]bool // workers whose hand-over is being stored
 	token        int64
 	storing      bool
@@ -202,6 +203,7 @@
 	o.cell.SetTime(sim.now, sim.wall())
 	o.cell.SetConfig(sim.config)
 	o.cell.SetCell(home.number, len(sim.table.Plan().Cells))
+	o.cell.SetTasks(sim.table.Tasks())
 	o.cell.SetWorkers(sim.workersOf(o))
 	home.owner = o
 	return o
@@ -398,6 +400,10 @@
 	o.cell.ObserveDelay(o.processor.loopDelay)
 	if o == o.home.owner && len(o.detached) == 0 { // the list is not read while a hand-over is being stored
 		o.cell.SetCell(o.home.number, len(sim.table.Plan().Cells))
+		if o.tasksSetFrom != o.table {
+			o.tasksSetFrom = o.table
+			o.cell.SetTasks(o.table.Tasks())
+		}
 		o.cell.SetWorkers(sim.workersOf(o))
 	}
 	o.cell.Tick()
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -91,12 +91,16 @@
 	notBefore time.Duration
 	// waitingSince is when the task became ready to run or, if later, when its last run was removed.
 	waitingSince time.Duration
+	// elsewhere is set while the task belongs to another cell, and settledRound is the number of the first round that stores
+	// that its last run, which was removed, is gone.
+	elsewhere    bool
+	settledRound int
 	avoidWorker  string // ID of the worker on which the task last failed, or from which it was relocated
 	relocations  int    // how often the task was relocated because it was slow; not counted for long-running tasks
 }
 
 // needsRun reports whether the task has to be placed on a worker.
-func (t *task) needsRun() bool { return !t.done && len(t.runs) == 0 }
+func (t *task) needsRun() bool { return !t.done && !t.elsewhere && len(t.runs) == 0 }
 
 // group is the state of the tasks of one step in one occurrence of a job.
 type group struct {
@@ -155,6 +159,8 @@
 	createdOccurrences int
 	// deleting is set while the job's records are being deleted.
 	deleting bool
+	// guest is set if the job belongs to another cell and only some of its tasks, which are not elsewhere, to this one.
+	guest bool
 }
 
 // live reports whether tasks of the job may still be started.
--- /dev/null
+++ b/internal/cell/task_handover.go
@@ -0,0 +1,183 @@
+package cell
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/jobs"
+)
+
+const (
+	// taskHandOverAfter is how long a long-running task must have waited for resources before it goes to another cell. By
+	// then reserveWorkers has found no worker that could be emptied for it, or it takes long.
+	taskHandOverAfter = 1500 * time.Millisecond
+	// maxTaskHandOvers is the maximum number of tasks that go to another cell at a time.
+	maxTaskHandOvers = 16
+)
+
+// TaskHandOver is a task that goes to another cell, with what the owner there needs to know.
+type TaskHandOver struct {
+	Task       jobs.TaskID
+	LastRun    int
+	Checkpoint string
+	MilliCPU   int64 // processor capacity that the task requests
+}
+
+// SetTasks sets the assignments of tasks to other cells than that of their job. Only long-running tasks are assigned, which
+// never end by themselves, so that no cell has to learn of the end of a task in another one.
+func (c *Cell) SetTasks(assigned map[string]cellmap.TaskAssignment) {
+	c.tasksElsewhere = assigned
+	if c.loaded {
+		c.applyTasks()
+	}
+}
+
+// applyTasks applies the assignments: the cell's own tasks that are assigned to other cells do not run here, and tasks of
+// other cells' jobs that are assigned to this cell do.
+func (c *Cell) applyTasks() {
+	for key, assignment := range c.tasksElsewhere {
+		id, err := jobs.ParseTaskKey(key)
+		if err != nil {
+			c.metrics.UnreadableRecords.Inc()
+			continue
+		}
+		here := assignment.Cell == c.number
+		j := c.jobs[id.Job]
+		if j == nil && here {
+			j = c.addGuest(id.Job)
+		}
+		if j == nil {
+			continue
+		}
+		if t := c.taskOf(j, id); t != nil && t.elsewhere == here {
+			if here && assignment.LastRun >= t.lastRunNumber {
+				t.lastRunNumber, t.checkpoint = assignment.LastRun, assignment.Checkpoint
+			}
+			if here && !t.group.ready { // its cell has found it ready
+				t.group.ready, t.group.readyAt = true, c.now
+			}
+			c.setElsewhere(t, !here)
+		}
+	}
+	c.dropEndedGuests()
+}
+
+// addGuest adds a job of another cell, of which no task belongs to this cell yet. It returns nil if the record of the job has
+// not been read, or the job was cancelled.
+func (c *Cell) addGuest(id jobs.ID) *job {
+	f := c.foreign[id]
+	if f == nil || f.record == nil || f.cancelled {
+		return nil
+	}
+	j := &job{
+		id: id, record: *f.record, groups: make(map[jobs.GroupID]*group), criticalPath: criticalPaths(&f.record.Spec), addedAt: c.now,
+		guest: true, started: true,
+	}
+	j.estimate()
+	c.jobs[id], c.guests[id] = j, j
+	c.createDueGroups(j)
+	for _, g := range j.groups {
+		for _, t := range g.tasks {
+			c.setElsewhere(t, true)
+		}
+	}
+	return j
+}
+
+// taskOf returns a task of a job, or nil if the job has no such long-running task.
+func (c *Cell) taskOf(j *job, id jobs.TaskID) *task {
+	if id.Step >= len(j.record.Spec.Steps) || !j.record.Spec.Steps[id.Step].LongRunning || id.Index >= j.record.Spec.Steps[id.Step].Count ||
+		id.Occurrence >= j.record.Spec.Occurrences() {
+		return nil
+	}
+	return c.ensureGroup(j, id.Group()).tasks[id.Index]
+}
+
+// setElsewhere sets whether a task belongs to another cell.
+func (c *Cell) setElsewhere(t *task, elsewhere bool) {
+	needed := t.needsRun()
+	t.elsewhere = elsewhere
+	switch {
+	case needed && !t.needsRun():
+		t.group.toStart--
+	case !needed && t.needsRun():
+		t.group.toStart++
+		t.waitingSince, t.notBefore = c.now, 0
+		c.addWaiting(t.group)
+		c.needsPlacement = true
+	}
+}
+
+// TakeStrandedTasks returns long-running tasks that have waited for resources for long. They do not run in this cell any more
+// unless ReturnTask is called.
+func (c *Cell) TakeStrandedTasks() []TaskHandOver {
+	var stranded []TaskHandOver
+	for _, g := range c.waiting {
+		if !g.mayStart() || !g.step.LongRunning || g.step.Gang || g.waitReason != waitRoom {
+			continue
+		}
+		for _, t := range g.tasks {
+			if !t.needsRun() || c.now-max(t.waitingSince, g.readyAt) < taskHandOverAfter || c.storedRound < t.settledRound ||
+				len(stranded) >= maxTaskHandOvers {
+				continue
+			}
+			c.setElsewhere(t, true)
+			stranded = append(stranded, TaskHandOver{
+				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, MilliCPU: int64(g.step.Request.MilliCPU),
+			})
+			c.log.Info("task leaves the cell", taskField(t.id), zap.Int("last_run", t.lastRunNumber), zap.Duration("waited", c.now-t.waitingSince))
+		}
+	}
+	return stranded
+}
+
+// ReturnTask has a task that TakeStrandedTasks returned run in this cell again, since its assignment was not stored.
+func (c *Cell) ReturnTask(id jobs.TaskID) {
+	if j := c.jobs[id.Job]; j != nil {
+		if t := c.taskOf(j, id); t != nil {
+			c.setElsewhere(t, false)
+		}
+	}
+}
+
+// EndedGuests returns the keys of the assignments of tasks whose jobs ended at least Settings.StatusRetention ago. Once they
+// are deleted, the next SetTasks removes the jobs.
+func (c *Cell) EndedGuests() (keys []string) {
+	for key, assignment := range c.tasksElsewhere {
+		id, err := jobs.ParseTaskKey(key)
+		if err == nil && assignment.Cell == c.number && c.guestExpired(c.guests[id.Job]) {
+			keys = append(keys, cellmap.TaskKey(id))
+		}
+	}
+	return keys
+}
+
+func (c *Cell) guestExpired(j *job) bool {
+	return j != nil && j.endStored && !j.hasRuns() && c.wall.UnixMilli()-j.endedAtMS >= c.settings.StatusRetention.Milliseconds()
+}
+
+// dropEndedGuests removes the jobs of other cells that have expired and of which no task is assigned to this cell any more.
+// Their progress is deleted with the next round, their records by their own cell.
+func (c *Cell) dropEndedGuests() {
+	assigned := make(map[jobs.ID]bool)
+	for key, assignment := range c.tasksElsewhere {
+		if id, err := jobs.ParseTaskKey(key); err == nil && assignment.Cell == c.number {
+			assigned[id.Job] = true
+		}
+	}
+	for id, j := range c.guests {
+		if assigned[id] || !c.guestExpired(j) {
+			continue
+		}
+		c.deletions = append(c.deletions, jobrecord.OutcomeKey(id))
+		for group := range j.groups {
+			c.deletions = append(c.deletions, jobrecord.GroupKey(group))
+		}
+		c.endedJobs.Delete(j)
+		delete(c.jobs, id)
+		delete(c.guests, id)
+	}
+}
--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -264,6 +264,15 @@
 		So(choices(Need{Labels: []string{"gpu"}}, board), ShouldResemble, map[int]int{2: 100})
 		So(choices(Need{Labels: []string{"none"}}, board), ShouldResemble, map[int]int{0: 100})
 	})
+	Convey("A task without room goes to a cell that has room for it, never back, and nowhere if none has", t, func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		for range 100 {
+			cell, found := table.Receiver(100, 0, loads(0, 950, 700), random.Float64)
+			So([]any{cell, found}, ShouldResemble, []any{2, true})
+		}
+		_, found := table.Receiver(100, 0, loads(0, 950, 950), random.Float64)
+		So(found, ShouldBeFalse)
+	})
 	// A hash of the ID gives a cut failure domain only one job in as many as there are cells.
 	Convey("Callers of a failure domain that is cut off are served by its own cell, all of them", t, func() {
 		So(choices(Need{}, map[int]Load{0: loads(300)[0]}), ShouldResemble, map[int]int{0: 100})
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -69,6 +69,21 @@
 	return draw(able, home, random)
 }
 
+// Receiver returns the cell for a task that needs the given processor capacity, in thousandths of a core, and finds no room in
+// the cell where it is: another active one, each as likely as it has room. found is false if none has room for it.
+func (t *Table) Receiver(milliCPU int64, from int, loads map[int]Load, random func() float64) (cell int, found bool) {
+	var able []Load
+	for _, number := range t.plan.Active() {
+		if load, known := loads[number]; known && number != from && load.room(100) >= milliCPU {
+			able = append(able, load)
+		}
+	}
+	if len(able) == 0 {
+		return 0, false
+	}
+	return draw(able, from, random), true
+}
+
 // able returns the loads of the active cells that have all labels.
 func (t *Table) able(need Need, loads map[int]Load) []Load {
 	var able []Load
--- a/internal/cellmap/table.go
+++ b/internal/cellmap/table.go
@@ -6,16 +6,18 @@
 
 	"github.com/gravitational/trace"
 
+	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/recordcodec"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
-// The keys of the topic of the cells: the plan, the cell of a rack and the cell of a worker.
+// The keys of the topic of the cells: the plan, and the cells of a rack, of a worker and of a task.
 const (
 	PlanKey      = "plan"
 	rackPrefix   = "r/"
 	workerPrefix = "w/"
+	taskPrefix   = "t/"
 )
 
 // HomeCell as the cell of a worker means the cell of its rack.
@@ -27,6 +29,18 @@
 	Cell int
 }
 
+// TaskAssignment is the record of the cell that runs a long-running task of a job of another cell. The owner of the cell
+// that had the task until then stores the record, once no run of the task is in progress.
+type TaskAssignment struct {
+	Cell int
+	// LastRun is the number of the latest run of the task, and Checkpoint its latest checkpoint.
+	LastRun    int
+	Checkpoint string
+}
+
+// TaskKey is the key of the assignment of a task.
+func TaskKey(t jobs.TaskID) string { return taskPrefix + t.Key() }
+
 // RackKey is the key of the assignment of a rack. Workers without a rack label share one key in each failure domain.
 func RackKey(domain, rack string) string { return rackPrefix + domain + "/" + rack }
 
@@ -43,8 +57,9 @@
 // returns a changed copy. A rack without an assignment belongs to cell 0.
 type Table struct {
 	plan    Plan
-	racks   map[string]placed // by RackKey
-	workers map[string]placed // by worker ID
+	racks   map[string]placed         // by RackKey
+	workers map[string]placed         // by worker ID
+	tasks   map[string]TaskAssignment // by TaskID.Key
 	// dataRacks holds the cells of the racks by their label alone, as callers name them.
 	dataRacks map[string]int
 	// end is the offset up to which the topic has been read.
@@ -53,12 +68,18 @@
 
 // NewTable returns the table of a deployment without records.
 func NewTable() *Table {
-	return &Table{plan: SingleCell(), racks: map[string]placed{}, workers: map[string]placed{}, dataRacks: map[string]int{}}
+	return &Table{
+		plan: SingleCell(), racks: map[string]placed{}, workers: map[string]placed{}, tasks: map[string]TaskAssignment{},
+		dataRacks: map[string]int{},
+	}
 }
 
 // Plan returns the plan.
 func (t *Table) Plan() Plan { return t.plan }
 
+// Tasks returns the assignments of tasks, by TaskID.Key. The map must not be changed.
+func (t *Table) Tasks() map[string]TaskAssignment { return t.tasks }
+
 // End returns the offset up to which the topic has been read.
 func (t *Table) End() store.Offset { return t.end }
 
@@ -66,13 +87,13 @@
 // no plan lists, are left out; err describes the last of them.
 func (t *Table) With(records []store.Record, end store.Offset) (next *Table, skipped int, err error) {
 	next = &Table{
-		plan: t.plan, racks: maps.Clone(t.racks), workers: maps.Clone(t.workers), dataRacks: maps.Clone(t.dataRacks),
-		end: max(t.end, end),
+		plan: t.plan, racks: maps.Clone(t.racks), workers: maps.Clone(t.workers), tasks: maps.Clone(t.tasks),
+		dataRacks: maps.Clone(t.dataRacks), end: max(t.end, end),
 	}
 	// A listing is in the order of its keys, and cells are only added to the plan, so the plan comes first.
 	for _, plans := range []bool{true, false} {
 		for i := range records {
-			if (records[i].Key == PlanKey) != plans || records[i].Offset < t.end || len(records[i].Value) == 0 {
+			if (records[i].Key == PlanKey) != plans || records[i].Offset < t.end {
 				continue
 			}
 			if problem := next.apply(&records[i]); problem != nil {
@@ -84,6 +105,12 @@
 }
 
 func (t *Table) apply(r *store.Record) error {
+	if task, isTask := strings.CutPrefix(r.Key, taskPrefix); isTask {
+		return t.applyTask(task, r)
+	}
+	if len(r.Value) == 0 {
+		return nil // only assignments of tasks are deleted
+	}
 	if r.Key == PlanKey {
 		var plan Plan
 		if err := recordcodec.Decode(r.Value, &plan); err != nil {
@@ -116,6 +143,23 @@
 	return nil
 }
 
+// applyTask applies the assignment of a task, or its deletion.
+func (t *Table) applyTask(task string, r *store.Record) error {
+	if len(r.Value) == 0 {
+		delete(t.tasks, task)
+		return nil
+	}
+	var assignment TaskAssignment
+	if err := recordcodec.Decode(r.Value, &assignment); err != nil {
+		return trace.Wrap(err)
+	}
+	if assignment.Cell < 0 || assignment.Cell >= len(t.plan.Cells) || assignment.LastRun < 0 {
+		return trace.BadParameter("the assignment of the task %s is not valid: %+v", task, assignment)
+	}
+	t.tasks[task] = assignment
+	return nil
+}
+
 // CellOf returns the cell that a worker belongs to. version rises whenever the worker changes its cell.
 func (t *Table) CellOf(w *workercall.Worker) (cell int, version int64) {
 	rack := t.racks[RackKey(w.FailureDomain, w.Rack)]
--- a/internal/cellnode/loads.go
+++ b/internal/cellnode/loads.go
@@ -17,15 +17,16 @@
 )
 
 const (
-	// loadInterval is the interval at which a node asks for the loads of the cells: an owner asks the owners of all other
-	// cells, any other node that accepts jobs the owner in its own failure domain.
-	loadInterval = time.Second
+	// ownerLoadInterval is the interval at which an owner asks the owners of all other cells for their loads and for what
+	// they have learned, and loadInterval that at which any other node that accepts jobs asks the owner in its failure domain.
+	ownerLoadInterval = 500 * time.Millisecond
+	loadInterval      = time.Second
 	// maxLoadAge is the age up to which a load is used.
 	maxLoadAge = 5 * time.Second
 	// submitRecency is how long after the last new job a node keeps asking.
 	submitRecency = 5 * time.Second
 	// missesToStandIn is after how many failed calls to the owner of a cell an owner stands in as a candidate for it.
-	missesToStandIn = 2
+	missesToStandIn = 4
 )
 
 // loadBoard holds what a node knows of the loads of the cells, and when it was true, on the clock of package boottime.
@@ -113,7 +114,11 @@
 // exchangeLoads keeps the loads of the cells up to date, as long as there are several cells.
 func (n *Node) exchangeLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, loadInterval/2+rand.N(loadInterval))
+		interval := loadInterval
+		if len(n.owners()) > 0 {
+			interval = ownerLoadInterval
+		}
+		sleep(ctx, interval/2+rand.N(interval))
 		plan := n.cells.table().Plan()
 		if len(plan.Cells) == 1 {
 			continue
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/recordcodec"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -62,6 +64,7 @@
 	handOvers = append(handOvers, o.loanHandOvers()...)
 	handOvers = append(handOvers, o.returnHandOvers(table)...)
 	o.handOverWorkers(ctx, handOvers)
+	o.handOverTasks(ctx, table)
 	o.borrow(ctx)
 }
 
@@ -123,6 +126,44 @@
 	return handOvers
 }
 
+// handOverTasks hands long-running tasks that find no room in this cell over to cells that have some, and deletes the
+// assignments of tasks whose jobs have ended long ago.
+func (o *owner) handOverTasks(ctx context.Context, table *cellmap.Table) {
+	loads := o.node.loads.recent()
+	var records []assignmentRecord
+	var tasks []jobs.TaskID
+	o.mu.Lock()
+	for _, key := range o.cell.EndedGuests() {
+		records = append(records, assignmentRecord{key: key})
+	}
+	for _, t := range o.cell.TakeStrandedTasks() {
+		to, found := table.Receiver(t.MilliCPU, o.member.cell, loads, rand.Float64)
+		if !found {
+			o.cell.ReturnTask(t.Task)
+			continue
+		}
+		load := loads[to]
+		load.UsedMilliCPU += t.MilliCPU
+		loads[to] = load
+		tasks = append(tasks, t.Task)
+		records = append(records, assignmentRecord{cellmap.TaskKey(t.Task), &cellmap.TaskAssignment{Cell: to, LastRun: t.LastRun, Checkpoint: t.Checkpoint}})
+	}
+	o.mu.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	stored := o.storeAssignments(ctx, records)
+	o.node.metrics.GetOrCreateCounter(`cactuswall_tasks_handed_over_total{stored="` + boolLabel(stored) + `"}`).Add(len(tasks))
+	o.log.Info("tasks handed over", zap.Int("tasks", len(tasks)), zap.Int("deleted", len(records)-len(tasks)), zap.Bool("stored", stored))
+	if !stored {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, t := range tasks {
+			o.cell.ReturnTask(t)
+		}
+	}
+}
+
 // isLent reports whether a worker was promised to another cell. The caller holds mu.
 func (o *owner) isLent(worker string) bool {
 	_, lent := o.loans[worker]
@@ -205,7 +246,7 @@
 	return "no"
 }
 
-// assignmentRecord is a record of the topic of the cells.
+// assignmentRecord is a record of the topic of the cells. Without a value it deletes the key.
 type assignmentRecord struct {
 	key   string
 	value any
@@ -216,6 +257,10 @@
 func (o *owner) storeAssignments(ctx context.Context, values []assignmentRecord) (stored bool) {
 	records := make([]store.Record, len(values))
 	for i, v := range values {
+		if v.value == nil {
+			records[i] = store.Record{Key: v.key}
+			continue
+		}
 		value, err := recordcodec.Encode(v.value)
 		if err != nil {
 			o.log.Error("failed to encode record", zap.String("key", v.key), zap.Error(err))
--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -46,7 +46,9 @@
 	defer o.mu.Unlock()
 	o.cell.SetTime(boottime.Now(), time.Now())
 	o.cell.SetConfig(o.node.config.Get())
-	o.cell.SetCell(o.member.cell, len(o.node.cells.table().Plan().Cells))
+	table := o.node.cells.table()
+	o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
+	o.cell.SetTasks(table.Tasks())
 	o.cell.SetWorkers(workers.list())
 	return progressEnd, workers, nil
 }
--- a/internal/cellnode/worker_list.go
+++ b/internal/cellnode/worker_list.go
@@ -28,7 +28,9 @@
 		if err == nil {
 			o.cell.SetWorkers(list.list())
 		}
-		o.cell.SetCell(o.member.cell, len(o.node.cells.table().Plan().Cells))
+		table := o.node.cells.table()
+		o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
+		o.cell.SetTasks(table.Tasks())
 		o.cell.SetConfig(o.node.config.Get())
 		o.cell.SetSettings(*o.node.cellSettings.Load())
 		o.mu.Unlock()
--- a/internal/cpuinterference/cpuinterference.go
+++ b/internal/cpuinterference/cpuinterference.go
@@ -57,7 +57,7 @@
 	services map[string]*service
 	groups   map[string]*group // by Source.Group
 	// added is the evidence of other learners that Add has taken in.
-	added map[pairKey]PairEvidence
+	added map[addedKey]*ServiceEvidence
 	// observations is the working space of Observe.
 	observations []*observation
 }
@@ -69,8 +69,9 @@
 	indexes      map[string]int
 	mean         []float64
 	covariance   [][]float64
-	// own is the evidence of this learner's own readings, without the names of the images.
-	own []PairEvidence
+	// ownPrecision and ownInformation are the evidence of this learner's own readings; see ServiceEvidence.
+	ownPrecision   [][]float64
+	ownInformation []float64
 	// weight, difference and gain are the working space of the methods weights, shareDifferences and update.
 	weight, difference, gain []float64
 }
@@ -96,7 +97,7 @@
 
 // NewLearner returns a learner without any readings.
 func NewLearner() *Learner {
-	return &Learner{services: make(map[string]*service), groups: make(map[string]*group), added: make(map[pairKey]PairEvidence)}
+	return &Learner{services: make(map[string]*service), groups: make(map[string]*group), added: make(map[addedKey]*ServiceEvidence)}
 }
 
 // Observe adds a task's tail latency at a time and learns from it. It returns the reading, or the task's previous one
@@ -219,10 +220,12 @@
 	i := len(s.mean)
 	s.indexes[image] = i
 	s.mean = append(s.mean, priorMean)
-	s.own = append(s.own, PairEvidence{})
 	for k := range s.covariance {
 		s.covariance[k] = append(s.covariance[k], 0)
+		s.ownPrecision[k] = append(s.ownPrecision[k], 0)
 	}
+	s.ownPrecision = append(s.ownPrecision, make([]float64, i+1))
+	s.ownInformation = append(s.ownInformation, 0)
 	row := make([]float64, i+1)
 	row[i] = priorDeviation * priorDeviation
 	s.covariance = append(s.covariance, row)
@@ -307,6 +310,7 @@
 // coefficientIndex; observed is the change of the utilization, and deviation is its standard deviation. Coefficients
 // are kept from becoming negative.
 func (s *service) update(differences []float64, observed, deviation float64) {
+	s.credit(differences, observed, deviation*deviation)
 	gain := zeroed(s.gain, len(s.mean))
 	s.gain = gain
 	predicted, variance := 0.0, deviation*deviation
@@ -326,12 +330,11 @@
 		if g == 0 {
 			continue
 		}
-		row, meanBefore, varianceBefore := s.covariance[i], s.mean[i], s.covariance[i][i]
 		s.mean[i] = math.Max(0, s.mean[i]+g/variance*(observed-predicted))
+		row := s.covariance[i]
 		for k := range row {
 			row[k] -= g * gain[k] / variance
 		}
-		s.credit(i, meanBefore, varianceBefore)
 	}
 }
 
--- a/internal/cpuinterference/evidence_test.go
+++ b/internal/cpuinterference/evidence_test.go
@@ -1,6 +1,7 @@
 package cpuinterference
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -58,7 +59,7 @@
 			again, after := first.Coefficient("s", "f")
 			So(after, ShouldAlmostEqual, before, 1e-9)
 			So(again, ShouldAlmostEqual, meanBefore, 1e-9)
-			So(none.Evidence().Pairs, ShouldBeEmpty)
+			So(none.Evidence().Services[0].Precision, ShouldResemble, []float64{0})
 			So(meanFirst, ShouldAlmostEqual, 0.8, 0.3)
 		})
 		Convey("an owner that has started anew adds what it learns from then on", func() {
@@ -72,10 +73,36 @@
 		})
 		Convey("evidence that makes no sense is ignored", func() {
 			_, before := first.Coefficient("s", "f")
-			first.Add(3, Evidence{LowestTailMS: map[string]float64{"s": -1}, Pairs: []PairEvidence{
-				{"s", "f", math.NaN(), 1}, {"s", "f", math.Inf(1), 1}, {"s", "f", -5, 1}, {"s", "f", 5, math.NaN()}, {"s", "f", 5, math.Inf(-1)}}})
+			for _, e := range []ServiceEvidence{
+				{"s", 1, []string{"f"}, []float64{math.NaN()}, []float64{1}}, {"s", 1, []string{"f"}, []float64{1}, []float64{math.Inf(1)}},
+				{"s", 1, []string{"f"}, []float64{-1e9}, []float64{1}}, {"s", 1, []string{"f"}, []float64{1, 2}, []float64{1}},
+				{"s", 1, []string{"f"}, []float64{1}, nil}, {"s", -1, []string{"f"}, []float64{1}, []float64{1}}, {"s", 1, make([]string, 99), nil, nil},
+			} {
+				first.Add(3, Evidence{Services: []ServiceEvidence{e}})
+			}
 			_, after := first.Coefficient("s", "f")
 			So(after, ShouldEqual, before)
 		})
 	})
+	// A cell that only ever saw two images together knows their sum; taken as knowledge of each, it misled the others.
+	Convey("What one cell knows of a sum of coefficients and another of one of them is knowledge of both", t, func() {
+		random := rand.New(rand.NewPCG(3, 4))
+		both, one, all := newIdleLearner(), newIdleLearner(), newIdleLearner()
+		observe := func(l *Learner, i int, shares CPUShares, interference float64) {
+			utilization := 0.3 + interference + 0.02*random.NormFloat64()
+			tail := time.Duration(7.5 / (1 - utilization) * float64(time.Millisecond))
+			l.Observe(Source{Image: "s", Group: "g", Task: fmt.Sprint(i % 2)}, tail, shares, time.Duration(i/2)*500*time.Millisecond)
+		}
+		for i := range 200 {
+			x := random.Float64() / 3
+			observe(both, i, CPUShares{"f": x, "g": x}, 1.2*x)
+			observe(one, i, CPUShares{"g": x}, 0)
+		}
+		all.Add(0, both.Evidence())
+		all.Add(1, one.Evidence())
+		f, _ := all.Coefficient("s", "f")
+		g, _ := all.Coefficient("s", "g")
+		So(f, ShouldAlmostEqual, 1.2, 0.2)
+		So(g, ShouldAlmostEqual, 0, 0.1)
+	})
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -4,7 +4,10 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
+
+	"github.com/gravitational/trace"
 )
 
 // ID identifies a job. It is chosen by the caller.
@@ -25,6 +28,23 @@
 	return string(t.Job) + "/" + strconv.Itoa(t.Occurrence) + "/" + strconv.Itoa(t.Step) + "/" + strconv.Itoa(t.Index)
 }
 
+// ParseTaskKey returns the ID of which Key returned the text.
+func ParseTaskKey(text string) (TaskID, error) {
+	parts := strings.Split(text, "/")
+	if len(parts) != 4 {
+		return TaskID{}, trace.BadParameter("%q is not the key of a task", text)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return TaskID{}, trace.BadParameter("%q is not the key of a task", text)
+		}
+		numbers[i] = number
+	}
+	return TaskID{Job: ID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
 // Group returns the ID of the group that the task belongs to.
 func (t TaskID) Group() GroupID {
 	return GroupID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step}
