Survive malformed job records, and send no order after the claim has expired

Found with tests of the operators' stories, which fail before: - A stored job with a dependency on a step that does not exist ended the process of its owner, and of each successor that loaded it. Stored jobs are checked as those of callers are; those that fail are skipped and counted. - A report of a run with an index that no task has could do the same (the platform's decoder rejects such names). - Stop and pace orders that waited behind others, or in a process that was suspended, were sent after the claim had expired. The claim is checked when an order's turn comes. Start orders were covered by their lease, and are checked too.

Also: jobs that were just accepted count in a node's picture of the loads; without room anywhere they go where fewer wait.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -8,7 +8,6 @@
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
-	"cactuswall.example/cactuswall/internal/recordcodec"
 	"cactuswall.example/cactuswall/internal/store"
 )
 
@@ -42,11 +41,10 @@
 		return false
 	}
 	f := &foreignJob{cell: named, cancelled: c.earlyCancels[id]}
-	var record jobrecord.Job
-	if err := recordcodec.Decode(r.Value, &record); err != nil {
+	if record, err := decodeJob(r.Value); err != nil {
 		c.skipUnreadable(r, err)
 	} else if record.Spec.LongRunning() {
-		f.record = &record
+		f.record = record
 	}
 	c.foreign[id] = f
 	delete(c.earlyCancels, id)
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -54,3 +54,12 @@
 	}
 	return false
 }
+
+// task returns a task of the job, or nil if the job has no such task or its occurrence is not due yet.
+func (j *job) task(id jobs.TaskID) *task {
+	g := j.groups[id.Group()]
+	if g == nil || id.Index < 0 || id.Index >= len(g.tasks) {
+		return nil
+	}
+	return g.tasks[id.Index]
+}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -23,12 +23,12 @@
 		delete(c.foreign, id.Job)
 	case kind == jobrecord.KindJob && c.isForeign(id.Job, r):
 	case kind == jobrecord.KindJob:
-		var record jobrecord.Job
-		if err := recordcodec.Decode(r.Value, &record); err != nil {
+		record, err := decodeJob(r.Value)
+		if err != nil {
 			c.skipUnreadable(r, err)
 			return
 		}
-		c.addJob(id.Job, r.Key, record)
+		c.addJob(id.Job, r.Key, *record)
 	case kind == jobrecord.KindCancel && len(r.Value) > 0:
 		c.cancel(id.Job)
 	case kind == jobrecord.KindUnknown:
@@ -36,6 +36,16 @@
 	}
 }
 
+// decodeJob decodes and checks the record of a job. A job that cannot have been accepted is as unreadable as one that cannot
+// be decoded: it must not reach the tables, whose code relies on what was checked.
+func decodeJob(value []byte) (*jobrecord.Job, error) {
+	var record jobrecord.Job
+	if err := recordcodec.Decode(value, &record); err != nil {
+		return nil, err
+	}
+	return &record, record.Spec.Validate()
+}
+
 // skipUnreadable logs and counts a record that could not be decoded or does not fit its job. err is nil if the cause is
 // not a decoding error.
 func (c *Cell) skipUnreadable(r store.Record, err error) {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -200,9 +200,7 @@
 	j := c.jobs[running.Task.Job]
 	var t *task
 	if j != nil {
-		if g := j.groups[running.Task.Group()]; g != nil && running.Task.Index < len(g.tasks) {
-			t = g.tasks[running.Task.Index]
-		}
+		t = j.task(running.Task)
 	}
 	c.log.Warn("worker reports an unknown run", zap.String("worker", w.info.ID), taskField(running.Task),
 		zap.Int("run", running.Number), zap.Bool("job_known", j != nil))
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -68,11 +68,11 @@
 	if j == nil || !j.live() {
 		return
 	}
-	g := j.groups[e.Task.Group()]
-	if g == nil || e.Task.Index >= len(g.tasks) {
+	t := j.task(e.Task)
+	if t == nil {
 		return
 	}
-	t := g.tasks[e.Task.Index]
+	g := t.group
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
 	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang {
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -31,6 +31,15 @@
 // freeShare returns the free share of the capacity, from 0 to 1.
 func (l *Load) freeShare() float64 { return float64(l.room(100)) / float64(max(1, l.CapacityMilliCPU)) }
 
+// queue returns what waits beyond the capacity, as a share of it. That of a cell that counts as full is at least 1.
+func (l *Load) queue() float64 {
+	queue := float64(l.UsedMilliCPU+l.WaitingMilliCPU-l.CapacityMilliCPU) / float64(max(1, l.CapacityMilliCPU))
+	if l.Overloaded {
+		return max(1, queue)
+	}
+	return max(0, queue)
+}
+
 // Lendable returns the processor capacity, in thousandths of a core, that the cell can do without.
 func (l *Load) Lendable() int64 { return l.room(lendPercent) }
 
@@ -40,6 +49,8 @@
 	Labels []string
 	// DataRack is the rack that holds the data of a step, or empty.
 	DataRack string
+	// MilliCPU is the processor capacity that its first steps request, in thousandths of a core.
+	MilliCPU int64
 }
 
 // Choose returns the cell for a job that was received in a failure domain. loads holds what is known of the cells, by
@@ -47,7 +58,8 @@
 //
 // The job stays with the cell of its data or, without any, in its failure domain, unless that cell lacks a label or has a
 // smaller share of its room free than all cells together. The smaller its share, the more of its jobs go elsewhere, to each
-// cell as many as it has room for: many nodes choose from the same picture, and must not all choose the same cell.
+// cell as many as it has room for: many nodes choose from the same picture, and must not all choose the same cell. Without
+// room anywhere, jobs go where fewer wait.
 func (t *Table) Choose(need Need, domain string, loads map[int]Load, random func() float64) int {
 	homes := t.plan.Homes(domain)
 	if cell, known := t.dataRacks[need.DataRack]; known && need.DataRack != "" && t.plan.Cells[cell].Active {
@@ -62,8 +74,8 @@
 	if len(able) == 0 {
 		return home
 	}
-	average := averageFreeShare(able)
-	if hasLabels(&load, need) && (load.room(calmPercent) > 0 || load.freeShare() >= random()*average) {
+	free, average := load.freeShare(), averageFreeShare(able)
+	if hasLabels(&load, need) && (load.room(calmPercent) > 0 || free > 0 && free >= random()*average) {
 		return home
 	}
 	return draw(able, home, random)
@@ -81,7 +93,7 @@
 	if len(able) == 0 {
 		return 0, false
 	}
-	return draw(able, from, random), true
+	return draw(able, from, random), true // able does not contain from
 }
 
 // able returns the loads of the active cells that have all labels.
@@ -105,25 +117,36 @@
 	return float64(free) / float64(max(1, capacity))
 }
 
-// draw returns a cell other than home, each as likely as it has room. Without any room it returns the first one that may
-// take the job.
+// draw returns a cell other than home, each as likely as it has room. If none has room, cells are the more likely the
+// shorter their queues are, home included.
 func draw(loads []Load, home int, random func() float64) int {
-	total := int64(0)
+	weights, total := make([]float64, len(loads)), 0.0
 	for i := range loads {
 		if loads[i].Cell != home {
-			total += loads[i].room(100)
+			weights[i] = float64(loads[i].room(100))
+			total += weights[i]
 		}
 	}
-	drawn := int64(random() * float64(total))
-	for i := range loads {
-		if loads[i].Cell == home {
-			continue
+	if total == 0 {
+		longest := 0.0
+		for i := range loads {
+			longest = max(longest, loads[i].queue())
 		}
-		if drawn -= loads[i].room(100); drawn < 0 {
+		for i := range loads {
+			weights[i] = longest - loads[i].queue()
+			total += weights[i]
+		}
+	}
+	drawn := random() * total
+	for i := range loads {
+		if drawn -= weights[i]; drawn < 0 {
 			return loads[i].Cell
 		}
 	}
-	return loads[0].Cell
+	if !slices.ContainsFunc(loads, func(l Load) bool { return l.Cell == home }) {
+		return loads[0].Cell
+	}
+	return home
 }
 
 func hasLabels(l *Load, need Need) bool {
--- a/internal/cellnode/loads.go
+++ b/internal/cellnode/loads.go
@@ -69,6 +69,16 @@
 	return loads
 }
 
+// assume counts a job that was accepted for a cell as waiting there, until the owner says what its load is.
+func (b *loadBoard) assume(cell int, milliCPU int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if entry, known := b.entries[cell]; known {
+		entry.load.WaitingMilliCPU += milliCPU
+		b.entries[cell] = entry
+	}
+}
+
 // missed records that the owner of a cell did not answer, or that it did, and returns how often it has not since.
 func (b *loadBoard) missed(cell int, answered bool) int {
 	b.mu.Lock()
@@ -93,7 +103,10 @@
 	if active := table.Plan().Active(); len(active) == 1 {
 		return active[0]
 	}
-	return table.Choose(needOf(spec), n.settings.FailureDomain, n.loads.recent(), rand.Float64)
+	need := needOf(spec)
+	cell := table.Choose(need, n.settings.FailureDomain, n.loads.recent(), rand.Float64)
+	n.loads.assume(cell, need.MilliCPU)
+	return cell
 }
 
 // needOf returns what a job needs of its cell.
@@ -101,6 +114,9 @@
 	var need cellmap.Need
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
+		if len(step.DependsOn) == 0 {
+			need.MilliCPU += int64(step.Count) * int64(step.Requested().MilliCPU)
+		}
 		if step.RequiredLabel != "" {
 			need.Labels = append(need.Labels, step.RequiredLabel)
 		}
--- a/internal/cellnode/owner_orders.go
+++ b/internal/cellnode/owner_orders.go
@@ -20,13 +20,19 @@
 	o.sendStarts(ctx, orders.Starts)
 	for _, order := range orders.Stops {
 		o.orderQueues.send(ctx, order.To.ID, func() {
-			_, err := o.node.platform.Workers.Stop(ctx, order.To, order.Run, order.Token)
+			err := errWithdrawn
+			if o.member.mayDecide(o.epoch) {
+				_, err = o.node.platform.Workers.Stop(ctx, order.To, order.Run, order.Token)
+			}
 			o.post(ctx, func() { o.fenced = o.cell.StopAnswered(order, err) || o.fenced })
 		})
 	}
 	for _, order := range orders.Paces {
 		o.orderQueues.send(ctx, order.To.ID, func() {
-			_, err := o.node.platform.Workers.SetPace(ctx, order.To, order.Run, order.Percent, order.Token)
+			err := errWithdrawn
+			if o.member.mayDecide(o.epoch) {
+				_, err = o.node.platform.Workers.SetPace(ctx, order.To, order.Run, order.Percent, order.Token)
+			}
 			o.post(ctx, func() { o.fenced = o.cell.PaceAnswered(order, err) || o.fenced })
 		})
 	}
@@ -47,7 +53,7 @@
 	for _, order := range starts {
 		o.orderQueues.send(ctx, order.To.ID, func() {
 			var answer workercall.Reply
-			var err error = errWithdrawn
+			err := errWithdrawn
 			if o.startStillNeeded(order) {
 				answer, err = o.node.platform.Workers.Start(ctx, order.To, order.Start)
 			}
@@ -57,13 +63,16 @@
 	}
 }
 
-// errWithdrawn is the result of a start order that was not sent because the run was no longer needed when its turn
-// came.
-var errWithdrawn = verdict.New(verdict.NotRun, workercall.ReasonWithdrawn, nil)
+// errWithdrawn is the result of an order that was not sent because, when its turn came, the run was no longer needed or
+// the claim did not permit the order any more.
+var errWithdrawn error = verdict.New(verdict.NotRun, workercall.ReasonWithdrawn, nil)
 
 // startStillNeeded reports whether a start order should still be sent after it was queued behind other orders to its
-// worker.
+// worker, or after the process was suspended.
 func (o *owner) startStillNeeded(order cell.StartOrder) bool {
+	if !o.member.mayDecide(o.epoch) {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.cell.StartStillNeeded(order)
