--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -55,6 +55,8 @@
 var contextMessages = map[string]bool{
 	"owner": true, "state taken over": true, "owner no more": true, "cell handed over": true, "claim lost": true,
 	"store out of reach": true, "store regained": true, "worker quarantined": true, "lease on a worker has lapsed": true,
+	"candidate for a cell without an owner": true, "plan of the cells changed": true, "workers handed over": true, "tasks handed over": true,
+	"workers requested from another cell": true, "no cell can lend workers": true,
 	messageLate: true, messageOnTime: true,
 }
 
@@ -134,11 +136,11 @@
 	}
 }
 
-// mayBeContext is a cheap check that avoids parsing most lines. It must accept every message in contextMessages.
+// mayBeContext is a cheap check that avoids parsing most lines.
 func mayBeContext(line []byte) bool {
-	return bytes.Contains(line, []byte(`"msg":"owner`)) || bytes.Contains(line, []byte(`"msg":"st`)) ||
-		bytes.Contains(line, []byte(`"msg":"c`)) || bytes.Contains(line, []byte(`"msg":"worker q`)) ||
-		bytes.Contains(line, []byte(`"msg":"lease`))
+	_, rest, _ := bytes.Cut(line, []byte(`"msg":"`))
+	message, _, found := bytes.Cut(rest, []byte(`"`))
+	return found && contextMessages[string(message)]
 }
 
 // parseLine parses a JSON log line. It returns false if the line is not JSON or has no time or message.
@@ -156,13 +158,15 @@
 	return Event{At: time.UnixMicro(int64(ms * 1000)), Node: node, Message: message, Fields: fields}, hasTime && hasMessage
 }
 
-// mergeContext adds the context lines within contextWindow of the job's own lines, and an earlier line of an owner that
-// was late and still was at the beginning of that time. It sorts all events by time.
+// mergeContext adds the context lines within contextWindow of the job's own lines, and for each cell an earlier line of an
+// owner that was late and still was at the beginning of that time. Lines of cells that had nothing to do with the job are
+// left out. It sorts all events by time.
 func (t *Timeline) mergeContext(context []Event) {
 	if len(t.Events) == 0 {
 		return
 	}
 	firstOwn, lastOwn := t.Events[0].At, t.Events[0].At
+	cells := make(map[any]bool)
 	for _, e := range t.Events {
 		if e.At.Before(firstOwn) {
 			firstOwn = e.At
@@ -170,19 +174,28 @@
 		if e.At.After(lastOwn) {
 			lastOwn = e.At
 		}
+		if cell, ok := e.Fields["cell"]; ok {
+			cells[cell] = true
+		}
 	}
 	sort.SliceStable(context, func(i, j int) bool { return context[i].At.Before(context[j].At) })
-	var late latePeriods
+	late := make(map[any]latePeriods)
 	for _, e := range context {
+		cell, ofCell := e.Fields["cell"]
 		switch {
+		case ofCell && len(cells) > 0 && !cells[cell]:
 		case !e.At.After(firstOwn.Add(-contextWindow)):
-			late.add(e)
+			periods := late[cell]
+			periods.add(e)
+			late[cell] = periods
 		case e.At.Before(lastOwn.Add(contextWindow)):
 			t.Events = append(t.Events, e)
 		}
 	}
-	if open := late.open(); open != nil {
-		t.Events = append(t.Events, open.line)
+	for _, periods := range late {
+		if open := periods.open(); open != nil {
+			t.Events = append(t.Events, open.line)
+		}
 	}
 	sort.SliceStable(t.Events, func(i, j int) bool { return t.Events[i].At.Before(t.Events[j].At) })
 }
@@ -190,7 +203,7 @@
 // summarize returns a one-sentence summary of the outcome of the job and its likely causes.
 func summarize(events []Event) string {
 	var reasons []string
-	outcome, lastErrorResponse, failedRuns, ownerChanges := "", "", 0, 0
+	outcome, lastErrorResponse, failedRuns, ownerChanges, handedOver := "", "", 0, 0, 0
 	var longest *Event
 	for i, e := range events {
 		switch e.Message {
@@ -210,6 +223,8 @@
 			}
 		case "state taken over":
 			ownerChanges++
+		case "task leaves the cell":
+			handedOver++
 		}
 	}
 	if failedRuns > 0 {
@@ -221,6 +236,9 @@
 	if ownerChanges > 0 {
 		reasons = append(reasons, fmt.Sprintf("changes of owner: %d", ownerChanges))
 	}
+	if handedOver > 0 {
+		reasons = append(reasons, fmt.Sprintf("tasks that went to another cell for resources: %d", handedOver))
+	}
 	if lastErrorResponse != "" {
 		reasons = append(reasons, "the last error response was "+lastErrorResponse)
 	}
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -17,6 +17,16 @@
 {"level":"info","ts":4000,"msg":"job ended","node":"b","job":"j1","state":"failed"}
 {"level":"info","ts":4`
 
+const cellsLog = `{"ts":900,"msg":"plan of the cells changed","node":"a","active":5}
+{"ts":1000,"msg":"job added","node":"a","cell":1,"job":"j1"}
+{"ts":1100,"msg":"owner late","node":"c","cell":3,"window":1000}
+{"ts":2600,"msg":"task leaves the cell","node":"a","cell":1,"task":{"job":"j1"}}
+{"ts":2700,"msg":"tasks handed over","node":"a","cell":1,"tasks":1}
+{"ts":2800,"msg":"state taken over","node":"b","cell":2}
+{"ts":2800,"msg":"state taken over","node":"c","cell":3}
+{"ts":3000,"msg":"start","node":"b","cell":2,"task":{"job":"j1"},"waited":1500}
+`
+
 func TestRead(t *testing.T) {
 	Convey("Lines of a job from several logs, some out of order, truncated or not log lines,", t, func() {
 		timeline, err := Read("j1", strings.NewReader(testLog), strings.NewReader(`{"level":"info","ts":1500,"msg":"job taken in","node":"c","job":"j1"}`))
@@ -33,6 +43,17 @@
 			So(timeline.Summary, ShouldEqual, "The job failed: failed runs: 1; a task waited 1.5s for free resources; changes of owner: 1.")
 		})
 	})
+	Convey("Of a job with tasks in two cells the lines of these cells are shown, and no others", t, func() {
+		timeline, err := Read("j1", strings.NewReader(cellsLog))
+		So(err, ShouldBeNil)
+		var messages []string
+		for _, e := range timeline.Events {
+			messages = append(messages, e.Message)
+		}
+		So(messages, ShouldResemble, []string{"plan of the cells changed", "job added", "task leaves the cell", "tasks handed over", "state taken over", "start"})
+		So(timeline.Summary, ShouldEqual, "The job has not ended: a task waited 1.5s for free resources; changes of owner: 1; "+
+			"tasks that went to another cell for resources: 1.")
+	})
 	Convey("A job that appears in no log has an empty timeline", t, func() {
 		timeline, err := Read("none", strings.NewReader(testLog))
 		So(err, ShouldBeNil)
--- a/internal/joblog/waits.go
+++ b/internal/joblog/waits.go
@@ -93,7 +93,9 @@
 	var room, turn *Event
 	for i := range events {
 		e := &events[i]
-		late.add(*e)
+		if e.Fields["cell"] == end.Fields["cell"] {
+			late.add(*e)
+		}
 		if e.At.Before(from) || e.At.After(end.At) || !sameStep(e, end) {
 			continue
 		}
