Owners know all cells that jobs name before they take them; a soak of the daemon as processes

Cause: an owner that read a job of a new cell before the plan which has this cell took the job for one of a cell that does not exist, and ran it as its own; the new cell's owner ran it too. Owners read the topic of the cells up to its end before they apply records that name a cell which they do not know.

--- a/internal/cellnode/cells_test.go
+++ b/internal/cellnode/cells_test.go
@@ -186,6 +186,63 @@
 	}
 }
 
+// An owner that read a job of a new cell before the plan that has this cell ran the job as its own, and the new cell's owner
+// ran it too.
+func TestJobOfCellThatTheOwnerHasNotReadOf(t *testing.T) {
+	d := newTestCluster(t, 0)
+	release := make(chan struct{})
+	d.wrapStore = func(s Store) Store { return &latePlanStore{Store: s, release: release} }
+	d.startProcess(testProcess{name: "n", processNumber: 1, capacity: 2, domain: "a"})
+	d.waitForOwner()
+	n := d.nodes[0].node
+	plan, err := recordcodec.Encode(&cellmap.Plan{Cells: []cellmap.PlannedCell{{FailureDomain: "a", Active: true}, {FailureDomain: "b", Active: true}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	id := jobs.ID(testIDPrefix + "50")
+	for _, a := range []store.AppendRequest{
+		{Partition: cellsPartition, Records: []store.Record{{Key: cellmap.PlanKey, Value: plan}}},
+		{Partition: jobsPartition, Records: []store.Record{{Key: jobrecord.JobKey(id, "elsewhere", 1), Value: d.jobValue()}}},
+	} {
+		if _, err := d.store.Append(context.Background(), a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	o := n.ownerOf(0)
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		status, _ := o.status(id)
+		if status.known {
+			t.Fatal("the owner of cell 0 runs a job of cell 1")
+		}
+		if status.elsewhere && status.cell == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the owner has not read the job")
+		}
+	}
+	close(release)
+	if skipped := n.counts.UnknownCells.Get(); skipped != 0 {
+		t.Errorf("%d jobs were taken for jobs of cells that do not exist", skipped)
+	}
+}
+
+// latePlanStore answers long reads of the topic of the cells only once it is released.
+type latePlanStore struct {
+	Store
+	release chan struct{}
+}
+
+func (s *latePlanStore) Read(ctx context.Context, p store.Partition, from store.Offset, wait time.Duration) (store.Page, error) {
+	if p == cellsPartition && wait > 0 {
+		select {
+		case <-s.release:
+		case <-ctx.Done():
+		}
+	}
+	return s.Store.Read(ctx, p, from, wait)
+}
+
 // jobValue returns the record of a job as the nodes store it.
 func (d *testCluster) jobValue() []byte {
 	d.t.Helper()
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -217,7 +217,9 @@
 	worker *memoryWorker
 	// workers receives the orders instead of worker, unless it is nil.
 	workers Workers
-	nodes   []*runningNode
+	// wrapStore, if set, returns the store that nodes call in place of store.
+	wrapStore func(Store) Store
+	nodes     []*runningNode
 }
 
 type runningNode struct {
@@ -315,6 +317,9 @@
 	if d.workers != nil {
 		link.Workers = d.workers
 	}
+	if d.wrapStore != nil {
+		link.Store = d.wrapStore(d.store)
+	}
 	node := New(Settings{
 		Node: p.name, FailureDomain: p.domain, Rank: p.rank, Capacity: p.capacity, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
 		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, StopGracePeriod: 6 * time.Second,
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -336,8 +338,12 @@
 			continue
 		}
 		o.node.recordStoreSuccess()
+		if err := o.learnCells(ctx, records); err != nil {
+			return trace.Wrap(err)
+		}
 		o.post(ctx, func() {
 			o.jobsReadAt = boottime.Now()
+			o.cell.SetCell(o.member.cell, len(o.node.cells.table().Plan().Cells))
 			for _, r := range records {
 				o.cell.ApplyJobRecord(r)
 			}
@@ -347,6 +353,24 @@
 	return ctx.Err()
 }
 
+// learnCells returns once this node knows all cells that the records of jobs name, or that they do not exist. A node names a
+// cell only if the store has it in the plan, but this node may read the plan later than the job.
+func (o *owner) learnCells(ctx context.Context, records []store.Record) error {
+	known := len(o.node.cells.table().Plan().Cells)
+	if !slices.ContainsFunc(records, func(r store.Record) bool { return jobrecord.JobCell(r.Key) >= known }) {
+		return nil
+	}
+	for ctx.Err() == nil {
+		err := o.node.cells.catchUp(ctx)
+		if err == nil {
+			return nil
+		}
+		o.node.recordStoreFailure("read cells", err)
+		sleep(ctx, readRetryDelay)
+	}
+	return ctx.Err()
+}
+
 // jobStatus is what an owner knows of a job.
 type jobStatus struct {
 	known bool
--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -77,9 +77,13 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := o.learnCells(ctx, jobRecords); err != nil {
+		return 0, err
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cell.SetTime(boottime.Now(), time.Now())
+	o.cell.SetCell(o.member.cell, len(o.node.cells.table().Plan().Cells))
 	o.cell.Load(jobRecords, progressRecords)
 	o.loaded, o.jobsReadAt = true, boottime.Now()
 	o.log.Info("state taken over", zap.Int("job_records", len(jobRecords)), zap.Int("progress_records", len(progressRecords)),
--- /dev/null
+++ b/internal/soak/command.go
@@ -0,0 +1,114 @@
+// Package soak runs the daemon as processes against stand-ins of the platform, disturbs them by signals, proxies and a
+// store and workers that misbehave, and checks the promises from what callers and workers saw.
+package soak
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"cactuswall.example/cactuswall/internal/exitcode"
+)
+
+// NewCommand returns the command line of the soak.
+func NewCommand() *cobra.Command {
+	options := Options{Progress: os.Stderr}
+	var seeds int
+	var reports, kinds string
+	command := &cobra.Command{
+		Use: "soak", Short: "Run nodes as processes, disturb them, and check the promises", SilenceUsage: true, SilenceErrors: true,
+		Long: "Run nodes as processes, disturb them, and check the promises.\n\nKinds of faults: " + strings.Join(Kinds(), ", ") + ".",
+		Args: exitcode.UsageArgs(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := options.choose(kinds); err != nil {
+				return exitcode.UsageError(err)
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			options.Self = []string{self}
+			broken := 0
+			for range seeds {
+				report, err := Run(c.Context(), options)
+				if err != nil {
+					return trace.Wrap(err, "seed %d", options.Seed)
+				}
+				if err := report.Write(reports); err != nil {
+					return trace.Wrap(err)
+				}
+				c.Println(report.Summary())
+				broken += len(report.Violations)
+				options.Seed++
+			}
+			if broken > 0 {
+				return trace.CompareFailed("%d promises broken", broken)
+			}
+			return nil
+		},
+	}
+	f := command.Flags()
+	f.Uint64Var(&options.Seed, "seed", 1, "first seed")
+	f.IntVar(&seeds, "seeds", 1, "number of seeds, one after the other")
+	f.DurationVar(&options.Duration, "duration", 40*time.Second, "time of the traffic of each seed")
+	f.IntVar(&options.Domains, "domains", 3, "failure domains, 40 at most")
+	f.IntVar(&options.Nodes, "nodes", 6, "nodes")
+	f.IntVar(&options.Workers, "workers", 30, "workers")
+	f.IntVar(&options.Capacity, "capacity", 20, "processor capacity that nodes are told, in thousandths of a core; the number of cells follows from it")
+	f.Float64Var(&options.JobRate, "rate", 5, "jobs a second")
+	f.StringVar(&kinds, "kinds", "", "kinds of faults, separated by commas; all if empty")
+	f.StringVar(&options.Daemon, "daemon", "bin/cactuswalld", "path of cactuswalld")
+	f.StringVar(&options.KeepLogs, "keep-logs", "", "directory for the logs of all processes")
+	f.StringVar(&reports, "report", ".", "directory for the reports")
+	command.AddCommand(newStoreCommand(), newWorkersCommand())
+	return command
+}
+
+// choose checks the options and sets the kinds of faults.
+func (o *Options) choose(kinds string) error {
+	o.Kinds = Kinds()
+	if kinds != "" {
+		o.Kinds = strings.Split(kinds, ",")
+	}
+	for _, kind := range o.Kinds {
+		if !slices.Contains(Kinds(), kind) {
+			return trace.BadParameter("there is no kind of fault %q", kind)
+		}
+	}
+	switch {
+	case o.Domains < 1 || o.Domains > maxDomains:
+		return trace.BadParameter("there can be 1 to %d failure domains", maxDomains)
+	case o.Nodes < o.Domains || o.Workers < o.Domains:
+		return trace.BadParameter("each failure domain needs a node and a worker")
+	case o.Workers/o.Domains > maxPerDomain || o.Nodes/o.Domains > maxPerDomain:
+		return trace.BadParameter("a failure domain can have %d nodes and workers each", maxPerDomain)
+	case o.JobRate <= 0 || o.Duration < quietStart+quietEnd:
+		return trace.BadParameter("the rate must be positive and the duration at least %v", quietStart+quietEnd)
+	}
+	_, err := os.Stat(o.Daemon)
+	return trace.ConvertSystemError(err)
+}
+
+const (
+	// maxDomains and maxPerDomain keep the addresses of failure domains, nodes and workers apart.
+	maxDomains   = 40
+	maxPerDomain = 250
+)
+
+// Summary returns the result in a few lines.
+func (r *Report) Summary() string {
+	lines := []string{fmt.Sprintf("seed %d: %d broken promises, %d faults, %d jobs accepted, %d tasks done, %d take-overs", r.Seed, len(r.Violations),
+		r.Counts["faults"], r.Counts["accepted"], r.Counts["done"], r.Counts["take-overs"])}
+	for _, v := range r.Violations {
+		lines = append(lines, fmt.Sprintf("  %v %s: %s", v.At.Round(time.Millisecond), v.Promise, v.Seen))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func uintText(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kinds are the kinds of faults, by target.
+var (
+	nodeFaults   = []string{"kill node", "stop node", "suspend node", "kill owner", "suspend owner", "stop owner", "kill all nodes", "reload node"}
+	linkFaults   = []string{"cut node from store", "silence node's store connections", "lose store's answers to node", "delay node's store calls", "reset node's store connections"}
+	storeFaults  = []string{"store down", "store slow", "store loses answers", "store late", "store turns nodes away", "suspend store"}
+	workerFaults = []string{"suspend workers", "kill workers", "restart worker", "sick worker", "drain worker", "cut worker", "lose worker's answers", "delay worker", "reset worker", "silence worker"}
+	configFaults = []string{"change queues"}
+)
+
+// Kinds returns all kinds of faults.
+func Kinds() []string {
+	return slices.Concat(nodeFaults, linkFaults, storeFaults, workerFaults, configFaults)
+}
+
+// Fault is one disturbance of the schedule. Target is a number that is taken modulo the number of possible targets.
+type Fault struct {
+	At       time.Duration `json:"at"`
+	Kind     string        `json:"kind"`
+	Target   int           `json:"target"`
+	Duration time.Duration `json:"duration"`
+}
+
+const (
+	// quietStart and quietEnd are the times without new faults at the beginning and at the end of the traffic.
+	quietStart = 3 * time.Second
+	quietEnd   = 3 * time.Second
+	// faultInterval is the mean time between two faults.
+	faultInterval = 1200 * time.Millisecond
+	// seriesLength is the number of faults of one kind when they come as a series, seriesInterval the time between them.
+	seriesLength   = 4
+	seriesInterval = 2500 * time.Millisecond
+	seriesShare    = 0.12
+	// maxFaultDuration is the longest time for which a fault lasts: longer than leases.
+	maxFaultDuration = 9 * time.Second
+	maxTarget        = 1 << 20
+)
+
+// NewSchedule returns the faults of a seed, in the order of their times. They overlap, and some come as a series.
+func NewSchedule(seed uint64, duration time.Duration, kinds []string) []Fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var faults []Fault
+	at := quietStart
+	for len(kinds) > 0 {
+		at += time.Duration(random.ExpFloat64() * float64(faultInterval))
+		if at >= duration-quietEnd {
+			break
+		}
+		f := Fault{At: at, Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(maxTarget), Duration: drawDuration(random)}
+		faults = append(faults, f)
+		if random.Float64() >= seriesShare {
+			continue
+		}
+		for i := 1; i < seriesLength; i++ {
+			next := f
+			next.At, next.Target = f.At+time.Duration(i)*seriesInterval, random.IntN(maxTarget)
+			next.Duration = min(drawDuration(random), seriesInterval)
+			if next.At < duration-quietEnd {
+				faults = append(faults, next)
+			}
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return faults
+}
+
+// drawDuration returns a duration of which most are short and some are longer than leases.
+func drawDuration(random *rand.Rand) time.Duration {
+	return min(maxFaultDuration, 200*time.Millisecond+time.Duration(random.ExpFloat64()*float64(2*time.Second)))
+}
