Keep runs whose start order a restarted worker may have carried out

Callers' tasks ran twice for half a second: a start order reached the next incarnation of a worker, which answered it; when the entry of that incarnation was read, the run was taken for one of the former incarnation and started elsewhere. Start answers do not say which incarnation sent them. Runs that no report has listed are now kept until the new incarnation reports: it runs them, or they ended with the former one. The same holds for runs that a former owner has started.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -268,18 +269,23 @@
 	}
 }
 
-// handleNewIncarnation abandons the runs on a worker that has restarted and resets the worker's state. Runs with a start
-// order that was not answered stay, since the new incarnation may carry out the order, and are stopped there. seenBy says
-// for the log how the restart was noticed: by an entry in the store, a report or a refusal.
+// handleNewIncarnation abandons the runs that a worker which has restarted had reported, and resets the worker's state.
+// The orders for the others may have reached the new incarnation: those without an answer are stopped there, the others
+// are kept until it reports. seenBy says for the log how the restart was noticed: by an entry in the store, a report or a
+// refusal.
 func (c *Cell) handleNewIncarnation(w *worker, seenBy string) {
 	c.log.Info("worker restarted", zap.String("worker", w.info.ID), zap.String("seen_by", seenBy), zap.Int("runs", len(w.runs)))
 	leaseExpiresBy := max(c.now, c.formerLeasesEnd)
 	for _, r := range w.sortedRuns() {
-		if r.state != runStartSent && !r.startInDoubt {
+		switch {
+		case r.state == runPlaced || r.listedIn > 0 && !r.startInDoubt:
 			c.abandonRun(r, "new_life")
 			continue
+		case r.state == runStartSent || r.startInDoubt:
+			c.doubtRun(r)
+		default:
+			r.awaitReport(c.now)
 		}
-		c.doubtRun(r)
 		leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, c.settings.MaxLease))
 	}
 	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
@@ -289,6 +295,13 @@
 	w.info.Draining = false
 }
 
+// awaitReport keeps a run whose start order was answered, or was sent by a former owner, until the next incarnation of its
+// worker reports: either that incarnation got the order, or the run ended with the former one.
+func (r *run) awaitReport(now time.Duration) {
+	r.incarnation, r.startRuledOut, r.stopInFlight, r.stopSentAt = 0, r.attempts > 0, false, 0
+	r.setState(runUncertain, now)
+}
+
 // doubtRun has a run whose start order may reach the next incarnation of its worker stopped there, at once or when the
 // order in flight remains unanswered.
 func (c *Cell) doubtRun(r *run) {
--- a/internal/cell/restarted_worker_test.go
+++ b/internal/cell/restarted_worker_test.go
@@ -117,3 +117,35 @@
 		t.Errorf("%d stop and %d start orders, want one stop order", len(orders.Stops), len(orders.Starts))
 	}
 }
+
+// Guards against TWICE: a start order was answered by the next incarnation of the worker before the owner learned of the
+// restart. The run was taken for one of the former incarnation and started elsewhere.
+func TestStartOrderAnsweredByRestartedWorker(t *testing.T) {
+	sim := newSimulation(3, 2)
+	sim.taskRunTime = 20 * time.Second
+	c := sim.takeOver().cell
+	sim.run(12 * time.Second)
+	sim.submit("j", testSpec(1))
+	sim.now += simTick
+	sim.runDueEvents()
+	c.SetTime(sim.now, sim.wall())
+	starts := c.RoundStored(c.Plan())
+	id := starts[0].To.ID
+	sim.restartWorker(id)
+	order := starts[0].Start
+	order.LeaseExpiry = sim.workers[id].clock() + maxLease
+	reply, err := sim.workers[id].start(order)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply.StartedAtMS = 0 // workers say it in their reports only
+	c.StartAnswered(starts[0], reply, nil)
+	c.SetWorkers(sim.currentWorkers())
+	sim.run(3 * time.Second)
+	if len(c.workers[id].runs) != 1 || sim.running() != 1 {
+		t.Errorf("the worker has %d runs and %d run in all, want 1 and 1", len(c.workers[id].runs), sim.running())
+	}
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
