Planned stops answer requests that are in flight when the server for callers shuts down

Callers lost the answer to requests that reached a stopping node less than 1.5 s before it closed its server, for example while no owner answered: Serve returns as soon as Shutdown begins, and the node ended with it.

--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -162,7 +162,7 @@
 		group.Add(func() error { return component(workCtx) }, func(error) { cancel() })
 	}
 	for _, s := range servers {
-		group.Add(s.serve, func(error) { s.close() })
+		group.Add(func() error { return s.serve(workCtx) }, func(error) { s.close() })
 	}
 	group.Add(func() error { return n.awaitStop(ctx, workCtx, servers) }, func(error) { cancel() })
 	err = group.Run()
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -506,3 +506,16 @@
 		}
 	}
 }
+
+// A request that was in flight when a stopping node shut down its server for callers was cut: the node ended with the server.
+func TestPlannedStopAnswersRequestsInFlight(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+testIDPrefix+"10", "spec", http.StatusOK, "")
+	d.nodes[0].cancel()
+	time.Sleep(idleCloseDelay - statusQueryTimeout/2)
+	// Without an owner the node tries until statusQueryTimeout has passed.
+	if status, body := d.request(0, http.MethodGet, "/q/"+testIDPrefix+"10", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, %q, want 503", status, body)
+	}
+}
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -44,9 +44,12 @@
 	http     *http.Server
 }
 
-func (s *server) serve() error {
+// serve serves requests until the server fails or ctx is done. When the server is shut down, requests that were accepted
+// before are still being answered: returning then would have the node end.
+func (s *server) serve(ctx context.Context) error {
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
 		return nil
 	}
 	return trace.Wrap(err, "%s server failed", s.name)
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -62,6 +62,7 @@
 	f.IntVar(&options.Workers, "workers", 30, "workers")
 	f.IntVar(&options.Capacity, "capacity", 20, "processor capacity that nodes are told, in thousandths of a core; the number of cells follows from it")
 	f.Float64Var(&options.JobRate, "rate", 5, "jobs a second")
+	f.IntVar(&options.Network, "network", 77, "second number of all addresses, 127.NETWORK.x.y; runs beside each other need different ones")
 	f.StringVar(&kinds, "kinds", "", "kinds of faults, separated by commas; all if empty")
 	f.StringVar(&options.Daemon, "daemon", "bin/cactuswalld", "path of cactuswalld")
 	f.StringVar(&options.KeepLogs, "keep-logs", "", "directory for the logs of all processes")
@@ -88,6 +89,8 @@
 		return trace.BadParameter("each failure domain needs a node and a worker")
 	case o.Workers/o.Domains > maxPerDomain || o.Nodes/o.Domains > maxPerDomain:
 		return trace.BadParameter("a failure domain can have %d nodes and workers each", maxPerDomain)
+	case o.Network < 1 || o.Network > 254:
+		return trace.BadParameter("the network must be a number from 1 to 254")
 	case o.JobRate <= 0 || o.Duration < quietStart+quietEnd:
 		return trace.BadParameter("the rate must be positive and the duration at least %v", quietStart+quietEnd)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -139,9 +139,9 @@
 	}
 	began := boottime.Now()
 	s.oracle.disturb(storeSubject, began, began+duration+time.Second)
-	s.post(storeAddress, faults)
+	s.post(s.storeAddress(), faults)
 	time.Sleep(duration)
-	s.post(storeAddress, standin.StoreFaults{})
+	s.post(s.storeAddress(), standin.StoreFaults{})
 }
 
 func (s *soak) applyToRack(f Fault) {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -43,7 +43,7 @@
 }
 
 func newOperator(s *soak) *operator {
-	return &operator{soak: s, writer: standin.StoreWriter{Address: storeAddress, Client: http.Client{Timeout: publishTimeout}},
+	return &operator{soak: s, writer: standin.StoreWriter{Address: s.storeAddress(), Client: http.Client{Timeout: publishTimeout}},
 		added: make(map[string]time.Duration), removed: make(map[string]time.Duration), seen: make(map[queueOfProcess]bool)}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,6 +36,8 @@
 	Daemon   string   // path of cactuswalld
 	Self     []string // command that runs the soak's own stand-ins
 	KeepLogs string   // directory, or empty
+	// Network is the second number of all addresses, 127.NETWORK.x.y, so that several runs do not meet.
+	Network  int
 	Progress io.Writer
 }
 
@@ -50,7 +52,6 @@
 	workersPerRack = 4
 	checkPeriod    = 250 * time.Millisecond
 	progressPeriod = 5 * time.Second
-	storeAddress   = "127.77.0.1:8169"
 )
 
 var workerCapacity = standin.Work{MilliCPU: 16000, MemoryMB: 64 << 10}
@@ -117,7 +118,7 @@
 // start starts all processes and waits until each node takes requests.
 func (s *soak) start(ctx context.Context) error {
 	var err error
-	s.store, err = startProcess("store", append(s.options.Self, "store", "--listen", storeAddress, "--seed", fmt.Sprint(s.options.Seed)), nil,
+	s.store, err = startProcess("store", append(s.options.Self, "store", "--listen", s.storeAddress(), "--seed", fmt.Sprint(s.options.Seed)), nil,
 		s.logs.file("store"), func([]byte) {})
 	if err != nil {
 		return trace.Wrap(err)
@@ -147,13 +148,18 @@
 	return trace.Wrap(err, "not all nodes became ready")
 }
 
+// address returns a loopback address of the run's network.
+func (s *soak) address(c, d int) string { return fmt.Sprintf("127.%d.%d.%d", s.options.Network, c, d) }
+
+func (s *soak) storeAddress() string { return s.address(0, 1) + ":8169" }
+
 func domainName(i int) string { return fmt.Sprintf("d%d", i) }
 
 func (s *soak) addRack(domain int) error {
-	r := &rack{spec: workersSpec{Store: storeAddress, Listen: fmt.Sprintf("127.77.%d.1:9000", 100+domain), Capacity: workerCapacity, MaxLease: standin.MaxLease}}
+	r := &rack{spec: workersSpec{Store: s.storeAddress(), Listen: s.address(100+domain, 1) + ":9000", Capacity: workerCapacity, MaxLease: standin.MaxLease}}
 	random := rand.New(rand.NewPCG(s.options.Seed, uint64(1000+domain)))
 	for i := range s.options.Workers / s.options.Domains {
-		ip := fmt.Sprintf("127.77.%d.%d", 100+domain, 2+i)
+		ip := s.address(100+domain, 2+i)
 		p, err := newProxy(ip+":9001", ip+":9002", nil)
 		if err != nil {
 			return trace.Wrap(err)
@@ -200,9 +206,9 @@
 
 func (s *soak) addNode(i int) error {
 	domain := i % s.options.Domains
-	ip := fmt.Sprintf("127.77.%d.%d", 10+domain, 1+i/s.options.Domains)
-	linkAddress := fmt.Sprintf("127.77.%d.%d:8169", 50+domain, 1+i/s.options.Domains)
-	link, err := newProxy(linkAddress, storeAddress, net.ParseIP(ip))
+	ip := s.address(10+domain, 1+i/s.options.Domains)
+	linkAddress := s.address(50+domain, 1+i/s.options.Domains) + ":8169"
+	link, err := newProxy(linkAddress, s.storeAddress(), net.ParseIP(ip))
 	if err != nil {
 		return trace.Wrap(err)
 	}
