--- a/cmd/cactuswalld/deployment_test.go
+++ b/cmd/cactuswalld/deployment_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,7 +40,9 @@
 	waitTimeout = 2 * time.Minute
 	pollPeriod  = 50 * time.Millisecond
 	claimLease  = 2 * time.Second
-	taskLease   = 5 * time.Second
+	// processesPerNode is more than the processes that a test starts of one node.
+	processesPerNode = 4
+	taskLease        = 5 * time.Second
 	// serviceTime is how long an endpoint takes to process a request.
 	serviceTime = 300 * time.Millisecond
 )
@@ -140,9 +143,14 @@
 	return len(d.running), len(d.finished), append([]string{}, d.violations...)
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// loopbackAddresses is the number of addresses that freeAddress has returned.
+var loopbackAddresses atomic.Int32
+
+// freeAddress returns a free port on a loopback address of its own. On 127.0.0.1 a connection of another process, or another
+// node, could take the port before the node listens on it.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	number := loopbackAddresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.2.%d.%d:0", number/250, 1+number%250))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -150,6 +158,24 @@
 	return l.Addr().String()
 }
 
+// processOutput collects the output of a process. It may be read while the process writes.
+type processOutput struct {
+	mu      sync.Mutex
+	content bytes.Buffer
+}
+
+func (o *processOutput) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.content.Write(p)
+}
+
+func (o *processOutput) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.content.String()
+}
+
 // startNode starts the process of a new node and waits until it is healthy.
 func (d *deployment) startNode(name string) *nodeProcess {
 	s := settings.Default()
@@ -168,7 +194,7 @@
 	s.Membership.DeadAfter = units.Duration(2 * time.Second)
 	s.Stop.BalancerDelay = units.Duration(time.Second)
 	d.list.Put(platform.VM{ID: name, Kind: platform.EntryVM, State: platform.Live, FailureDomain: domain, Address: s.PeerAddress})
-	n := &nodeProcess{settings: s, exited: make(chan error, 1)}
+	n := &nodeProcess{settings: s, exited: make(chan error, processesPerNode)}
 	d.startProcess(n)
 	return n
 }
@@ -185,17 +211,23 @@
 	}
 	n.command = exec.Command(os.Args[0], "run", path)
 	n.command.Env = append(os.Environ(), processVariable+"=1")
-	var output bytes.Buffer
+	var output processOutput
 	n.command.Stdout, n.command.Stderr = &output, &output
 	if err := n.command.Start(); err != nil {
 		d.t.Fatal(err)
 	}
-	go func() { n.exited <- n.command.Wait() }()
+	command, ended := n.command, make(chan struct{})
+	go func() {
+		err := command.Wait()
+		close(ended)
+		n.exited <- err
+	}()
 	d.t.Cleanup(func() {
-		_ = n.command.Process.Kill()
-		_ = n.command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		_ = command.Process.Signal(syscall.SIGCONT)
+		<-ended // all output has been read
 		if d.t.Failed() {
-			d.t.Logf("output of %s:\n%s", n.settings.Node, output.String())
+			d.t.Logf("%s ended with %v, its output:\n%s", n.settings.Node, command.ProcessState, output.String())
 		}
 	})
 	d.waitUntil(func() bool { return d.getStatus(n, "/healthz") == http.StatusOK })
--- /dev/null
+++ b/internal/soak/oracle_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"cactuswall.example/cactuswall/platform/standin"
+)
+
+// history tells an oracle what happened on workers w1 and w2 and to job j, which has two tasks and then a third one.
+type history struct{ *oracle }
+
+func newHistory() history {
+	o := newOracle(0, standin.Work{MilliCPU: 3000, MemoryMB: 1000})
+	work := standin.Work{MilliCPU: 1000, MemoryMB: 100, DurationMS: 500}
+	o.addJob(&jobHistory{id: "j", queue: mainQueue, accepted: time.Second, steps: []standin.Step{{Work: work, Count: 2}, {Work: work, Count: 1, After: []int{0}}}})
+	return history{o}
+}
+
+func (h history) at(at time.Duration, worker, kind, task string, run int) history {
+	h.event(standin.Event{At: at, Worker: worker, Life: 1, Kind: kind, Task: task, Run: run})
+	return h
+}
+
+// run is a run that ends as done.
+func (h history) run(worker, task string, number int, from, to time.Duration) history {
+	return h.at(from, worker, "start", task, number).at(to, worker, "done", task, number)
+}
+
+const (
+	first, second, last = "j.0.0.0", "j.0.0.1", "j.0.1.0"
+	s                   = time.Second
+)
+
+// complete is a history in which all promises are kept.
+func complete() history {
+	return newHistory().run("w1", first, 1, 2*s, 3*s).run("w2", second, 1, 2*s, 3*s).at(4*s, "w1", "acknowledged", first, 1).run("w1", last, 1, 5*s, 6*s)
+}
+
+func TestOracle(t *testing.T) {
+	tests := map[string]struct {
+		history history
+		promise string // empty if all are kept
+	}{
+		"every task runs once": {complete(), ""},
+		"two runs of a task at a time": {
+			complete().at(2500*time.Millisecond, "w2", "start", first, 2).at(2600*time.Millisecond, "w2", "stopped", first, 2), promiseOnce},
+		"a run begins when its worker's other run has lapsed": {newHistory().at(2*s, "w1", "start", first, 1).at(3*s, "w1", "lapsed", first, 1).
+			run("w2", first, 2, 3*s, 4*s), ""},
+		"a run begins while the other one's worker is only silent": {newHistory().at(2*s, "w1", "start", first, 1).run("w2", first, 2, 3*s, 4*s).
+			at(5*s, "w1", "lapsed", first, 1), promiseOnce},
+		"a run after a crash of the other one's worker": {newHistory().at(2*s, "w1", "start", first, 1).at(3*s, "w1", "gone", "", 0).
+			run("w2", first, 2, 4*s, 5*s), ""},
+		"work that is done again although the owner had stored its end": {complete().run("w2", first, 2, 7*s, 8*s), promiseResume},
+		"work that is done again since nobody learned of its end":       {complete().run("w1", second, 2, 7*s, 8*s), ""},
+		"a step before the one that it depends on":                      {newHistory().run("w1", first, 1, 2*s, 3*s).run("w2", last, 1, 4*s, 5*s), promiseOrder},
+		"more than a worker has":                                        {overcommitted(), promiseCapacity},
+		"a task of a job that nobody handed in":                         {newHistory().run("w1", "k.0.0.0", 1, 2*s, 3*s), promiseNotRun},
+		"a task on a worker that has been leaving":                      {newHistory().at(2*s, "w1", "draining", "", 0).run("w1", first, 1, 10*s, 11*s), promiseLeaving},
+		"a task on a worker that began to leave":                        {newHistory().at(2*s, "w1", "draining", "", 0).run("w1", first, 1, 3*s, 4*s), ""},
+		"a task long after the cancellation":                            {cancelled(2*s).run("w1", first, 1, 30*s, 31*s), promiseCancel},
+		"a task when the cancellation was confirmed":                    {cancelled(2*s).run("w1", first, 1, 3*s, 4*s), ""},
+		"a state that nobody asked for":                                 {state("cancelled"), promiseState},
+		"a completed job with a task that was not done":                 {state("completed"), promiseState},
+		"a running job": {state("running"), ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var promises []string
+			for _, v := range test.history.finish() {
+				promises = append(promises, v.Promise)
+			}
+			if test.promise == "" && len(promises) > 0 || test.promise != "" && (len(promises) == 0 || promises[0] != test.promise) {
+				t.Errorf("broken promises: %q, want %q", promises, test.promise)
+			}
+		})
+	}
+}
+
+// overcommitted has four runs on a worker with room for three.
+func overcommitted() history {
+	h := newHistory()
+	work := standin.Work{MilliCPU: 1000, MemoryMB: 100, DurationMS: 500}
+	h.addJob(&jobHistory{id: "k", accepted: time.Second, steps: []standin.Step{{Work: work, Count: 2}}})
+	for _, task := range []string{first, second, "k.0.0.0", "k.0.0.1"} {
+		h.at(2*s, "w1", "start", task, 1)
+	}
+	return h
+}
+
+func cancelled(at time.Duration) history {
+	h := newHistory()
+	h.jobs["j"].cancelled, h.jobs["j"].cancelSent = at, true
+	return h
+}
+
+func state(reported string) history {
+	h := newHistory().run("w1", first, 1, 2*s, 3*s)
+	h.stateSeen(h.jobs["j"], reported, 4*s)
+	return h
+}
+
+func TestUnsettled(t *testing.T) {
+	h := newHistory().run("w1", first, 1, 2*s, 3*s)
+	h.addJob(&jobHistory{id: "l", accepted: time.Second, steps: []standin.Step{{Work: standin.Work{MilliCPU: 1000}, Count: 2}}})
+	h.at(2*s, "w1", "start", "l.0.0.0", 1)
+	unfinished, notRunning := h.unsettled()
+	if len(unfinished) != 1 || unfinished[0] != second || len(notRunning) != 1 || notRunning[0] != "l.0.0.1" {
+		t.Errorf("got %v and %v, want a task of each job", unfinished, notRunning)
+	}
+}
