Begin the newest jobs first while room is short; new services come after tasks that can be on time

In the order of their slack jobs were begun when they were about to be late, and about as many were late as on time. New long-running tasks came before all others, and hold for good what short tasks would give back within a second; interrupted ones still come first.

Change: a job that becomes late while it waits for room says that there is a backlog; for 5 s the newest of the jobs that were not begun come first. New long-running tasks come after what can be on time, and before what is late.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -14,6 +14,7 @@
 	"cactuswall.example/cactuswall/internal/overload"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/queue"
+	"cactuswall.example/cactuswall/internal/urgency"
 )
 
 // Settings are the configurable limits of a cell.
@@ -62,6 +63,7 @@
 	// load limits start and renewal orders to what the owner has processor time for; unansweredStarts is the number of
 	// start orders without a call of StartAnswered.
 	load             *overload.Controller
+	backlog          urgency.Backlog
 	unansweredStarts int
 	nextRetry        time.Duration // when placement is tried again; 0 if no retry is due
 	// dirtyGroups and dirtyJobs have changes that are not stored yet.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -114,7 +114,7 @@
 	sequence int
 	// waiting is set while the group is in Cell.waiting.
 	waiting bool
-	// rank is the group's rank in the placement round that runs now.
+	// rank is the group's rank in the latest placement round.
 	rank urgency.Rank
 	// receivedAt is when the job was received or, if later, when the occurrence was due, in wall time.
 	receivedAt  time.Time
--- a/internal/cell/waiting_groups.go
+++ b/internal/cell/waiting_groups.go
@@ -26,11 +26,16 @@
 		g.waiting = g.mayStart()
 		return !g.waiting
 	})
-	overloaded := c.load.Overloaded(c.now)
+	becameLate := false
 	for _, g := range c.waiting {
 		item := c.urgencyItem(g)
-		item.NewestFirst = overloaded && !g.job.started
-		g.rank = item.Rank()
+		rank := item.Rank()
+		waited := g.waitReason == waitRoom || g.waitReason == waitTurn
+		becameLate = becameLate || waited && g.rank.Class() == urgency.OnTime && rank.Class() != urgency.OnTime
+		g.rank = rank
+	}
+	if becameLate {
+		c.backlog.BecameLate(c.now)
 	}
 	slices.SortFunc(c.waiting, func(a, b *group) int {
 		if order := urgency.Compare(&a.rank, &b.rank); order != 0 {
@@ -46,7 +51,7 @@
 	j := g.job
 	return urgency.Item{
 		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Interrupted: g.interrupted(), Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
-		Objective: j.objective, JobCPU: j.work,
+		Objective: j.objective, JobCPU: j.work, NewestFirst: !j.started && (c.load.Overloaded(c.now) || c.backlog.Present(c.now)),
 	}
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -111,7 +111,7 @@
 		a := c.request(http.MethodPost, j, body, random.Uint64())
 		switch {
 		case a.status/100 == 2:
-			c.soak.oracle.update(j, func() { j.accepted = boottime.Now() })
+			c.soak.oracle.update(func() { j.accepted = boottime.Now() })
 			c.soak.stats.count("accepted")
 			return true
 		case a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable || a.status == http.StatusNotFound:
@@ -121,7 +121,7 @@
 			}
 			time.Sleep(min(maxRetryAfter, a.retryAfter))
 		default:
-			c.soak.oracle.update(j, func() { j.uncertain = true })
+			c.soak.oracle.update(func() { j.uncertain = true })
 			c.soak.stats.count("unanswered")
 			time.Sleep(time.Duration(random.Int64N(int64(500 * time.Millisecond))))
 		}
@@ -152,10 +152,10 @@
 
 // cancel cancels a job. It tries until a node confirms it.
 func (c *callers) cancel(j *jobHistory, random *rand.Rand) {
-	c.soak.oracle.update(j, func() { j.cancelSent = true })
+	c.soak.oracle.update(func() { j.cancelSent = true })
 	for range maxAttempts * 2 {
 		if a := c.request(http.MethodDelete, j, nil, random.Uint64()); a.status/100 == 2 || a.status == http.StatusGone {
-			c.soak.oracle.update(j, func() { j.cancelled = boottime.Now() })
+			c.soak.oracle.update(func() { j.cancelled = boottime.Now() })
 			return
 		}
 		time.Sleep(500 * time.Millisecond)
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -138,8 +138,8 @@
 	o.jobs[j.id] = j
 }
 
-// update changes what the caller of a job knows.
-func (o *oracle) update(j *jobHistory, change func()) {
+// update has a function change what the caller of a job knows.
+func (o *oracle) update(change func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	change()
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -1,6 +1,7 @@
 // Package urgency orders the work that waits for free capacity. It compares two items by their priority, age, estimated
-// remaining time and objective. Under overload, serving by deadline alone makes every job late, because capacity goes to
-// jobs that can no longer meet their objective; jobs that still can are therefore served first.
+// remaining time and objective. Under overload, serving by deadline alone makes every job late: capacity goes to jobs that
+// can no longer meet their objective, so jobs that still can are served first; and jobs that still can are begun when they
+// are about to be late, so the newest are begun first while there is more work than capacity (see Backlog).
 package urgency
 
 import (
@@ -36,12 +37,14 @@
 type Item struct {
 	// Priority is the priority of the job's queue; 0 is the highest.
 	Priority int
-	// LongRunning is set for long-running tasks, which serve users and come before all others of their priority.
+	// LongRunning is set for long-running tasks. They hold their capacity for good, so they come after the tasks that can
+	// still be on time, and before all others of their priority.
 	LongRunning bool
 	// Interrupted is set if a long-running task of the step ran before and runs no more. Its users are without service.
 	Interrupted bool
-	// NewestFirst is set for a job of which nothing was started while starts are scarce. Jobs are then better begun early
-	// or not at all: begun in the order of their slack, each would be begun when it is about to be late.
+	// NewestFirst is set for a job of which nothing was started while there is more work than capacity or start orders for
+	// it. Jobs are then better begun early or not at all: begun in the order of their slack, each would be begun when it is
+	// about to be late.
 	NewestFirst bool
 	// Age is the time since the job arrived, Remaining the estimated time of the critical path of its remaining work,
 	// Objective the time within which the job should be done, counted from its arrival.
@@ -97,6 +100,9 @@
 	return r
 }
 
+// Class returns the class of the item's job.
+func (r *Rank) Class() Class { return r.class }
+
 // Interrupted reports whether the item is an interrupted long-running task.
 func (r *Rank) Interrupted() bool { return r.interrupted }
 
@@ -112,12 +118,12 @@
 		return 1
 	case a.priority != b.priority:
 		return cmp.Compare(a.priority, b.priority)
-	case a.longRunning && !b.longRunning:
-		return -1
-	case b.longRunning && !a.longRunning:
-		return 1
 	case a.class != b.class:
 		return cmp.Compare(a.class, b.class)
+	case a.longRunning && !b.longRunning:
+		return 1
+	case b.longRunning && !a.longRunning:
+		return -1
 	case a.newestFirst && b.newestFirst:
 		return cmp.Compare(b.slack, a.slack)
 	case a.newestFirst:
@@ -135,3 +141,19 @@
 	x, y := a.Rank(), b.Rank()
 	return Compare(&x, &y) < 0
 }
+
+// backlogTime is how long there is taken to be more work than capacity after a job became late because of it. It is longer
+// than most jobs take, so that those begun meanwhile can end.
+const backlogTime = 5 * time.Second
+
+// Backlog tells whether there is more work than capacity. Points in time are readings of one clock of the caller.
+type Backlog struct {
+	lateAt time.Duration
+	late   bool
+}
+
+// BecameLate notes that a job that could have been on time became late while it waited for capacity.
+func (b *Backlog) BecameLate(now time.Duration) { b.lateAt, b.late = now, true }
+
+// Present reports whether a job became late in the last backlogTime.
+func (b *Backlog) Present(now time.Duration) bool { return b.late && now-b.lateAt < backlogTime }
