--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -586,3 +586,68 @@
 		})
 	})
 }
+
+// newCellWithService returns the cell with number 1 of two, with a worker that is filled by another job, and a service of cell
+// 0 of which it has read the record.
+func newCellWithService(workers int) (*simulation, *Cell) {
+	sim := newCellsSimulation(1, 2, 2*workers)
+	spec := testSpec(1)
+	spec.Steps[0].LongRunning = true
+	sim.submitTo(0, "service", spec)
+	sim.run(time.Second)
+	return sim, sim.cells[1].owner.cell
+}
+
+// assigned returns the assignment of the first task of a job to a cell.
+func assigned(job jobs.ID, cell, lastRun int) map[string]cellmap.TaskAssignment {
+	return map[string]cellmap.TaskAssignment{jobs.TaskID{Job: job}.Key(): {Cell: cell, LastRun: lastRun}}
+}
+
+// A receiver that numbered the runs of a task from 1 again would have its start taken for an old one.
+func TestReceivedTaskContinuesTheNumbersOfItsRuns(t *testing.T) {
+	_, c := newCellWithService(1)
+	c.SetTasks(assigned("service", 1, 5))
+	starts := c.RoundStored(c.Plan())
+	if len(starts) != 1 || starts[0].Start.Number != 6 {
+		t.Errorf("%+v was started, want run 6 of the task", starts)
+	}
+}
+
+// A cancellation that the receiver read before the assignment holds for the task.
+func TestTaskOfCancelledJobIsNotReceived(t *testing.T) {
+	sim, c := newCellWithService(1)
+	sim.cancel("service")
+	sim.run(time.Second)
+	c.SetTasks(assigned("service", 1, 5))
+	if starts := c.RoundStored(c.Plan()); len(starts) != 0 || len(c.jobs) != 0 {
+		t.Errorf("%d tasks of a cancelled job were started", len(starts))
+	}
+}
+
+// The giver must not start a task whose assignment may be stored already, even if there is room for it meanwhile.
+func TestTaskIsNotStartedWhileItsHandOverIsBeingStored(t *testing.T) {
+	sim := newCellsSimulation(1, 2, 2)
+	c := sim.cells[0].owner.cell
+	spec := testSpec(9) // a worker has room for eight
+	spec.Steps[0].LongRunning = true
+	sim.submitTo(0, "services", spec)
+	sim.run(4 * time.Second)
+	stranded := c.TakeStrandedTasks()
+	if len(stranded) != 1 {
+		t.Fatalf("%d tasks are to be handed over, want 1", len(stranded))
+	}
+	sim.addWorker("w2")
+	c.SetWorkers(append(sim.currentWorkers(), sim.workers["w2"].info))
+	if starts := c.RoundStored(c.Plan()); len(starts) != 0 {
+		t.Errorf("%+v was started", starts)
+	}
+	sim.run(time.Second)
+	if count := sim.startCounts[stranded[0].Task]; count != 0 {
+		t.Errorf("the task was started %d times", count)
+	}
+	c.ReturnTask(stranded[0].Task)
+	sim.run(2 * time.Second)
+	if count := sim.startCounts[stranded[0].Task]; count != 1 {
+		t.Errorf("the task was started %d times after it had been returned, want once", count)
+	}
+}
