--- a/internal/cellnode/paused_test.go
+++ b/internal/cellnode/paused_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/cell"
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
@@ -50,3 +52,32 @@
 		t.Errorf("%d starts, %d stops and %d paces were sent after the claim had ended", starts, stops, paces)
 	}
 }
+
+// A process that was suspended while it handed a worker over stored the assignment after another owner had taken the cell over.
+func TestFormerOwnerStoresNoAssignments(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	n := d.nodes[0].node
+	former := newOwner(n.membership(0), n.membership(0).owner.Load().epoch-1, 0)
+	former.assignments = appender.New(n.platform.Store, cellsPartition, former.producer(), former.epoch, n.settings.MaxCallBytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = former.assignments.Run(ctx) }() // ends with the context
+	if former.storeAssignments(ctx, []assignmentRecord{{cellmap.WorkerKey("w"), &cellmap.Assignment{Cell: 1}}}) {
+		t.Error("the assignment was stored")
+	}
+	select {
+	case e := <-former.events:
+		e.run()
+	case <-time.After(time.Second):
+	}
+	if !former.fenced {
+		t.Error("the former owner goes on")
+	}
+	if err := n.cells.catchUp(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if cell, _ := n.cells.table().CellOf(&workercall.Worker{ID: "w"}); cell != 0 {
+		t.Errorf("the worker belongs to cell %d", cell)
+	}
+}
