A process that was suspended while it stops reads what has arrived before it closes connections

Callers lost the answers to requests that arrived while a stopping process was suspended: when it went on, the time for closing idle connections had passed, and it closed connections whose requests it had not read.

--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -28,6 +28,8 @@
 	// readiness checks, which the platform sends once a second, have failed, and the platform opens no new connections
 	// to this node.
 	idleCloseDelay = 2500 * time.Millisecond
+	// settleTime is how long the process must have been running, without having been suspended, before connections are closed.
+	settleTime = 100 * time.Millisecond
 	// exitMargin is how long before the platform kills the process the node stops serving callers, so that it exits in
 	// time.
 	exitMargin = 900 * time.Millisecond
@@ -129,7 +131,8 @@
 		handOvers.Go(func() { o.member.handOver(workCtx, o, "") })
 	}
 	handOvers.Wait()
-	sleep(workCtx, idleCloseDelay-(boottime.Now()-stopRequested))
+	sleep(workCtx, idleCloseDelay-settleTime-(boottime.Now()-stopRequested))
+	awaitRunning(workCtx)
 	shutdownCtx, cancel := context.WithTimeout(workCtx, n.settings.StopGracePeriod-exitMargin-(boottime.Now()-stopRequested))
 	defer cancel()
 	err := servers[0].http.Shutdown(shutdownCtx)
@@ -137,6 +140,18 @@
 	return nil
 }
 
+// awaitRunning waits until the process has been running for settleTime without having been suspended. Requests that arrived during a
+// suspension have been read by then; their connections would still look idle.
+func awaitRunning(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := boottime.Now()
+		sleep(ctx, settleTime)
+		if boottime.Now()-began < 2*settleTime {
+			return
+		}
+	}
+}
+
 // handOver stops the owner, unless it is nil, and releases the claim, so that the successor can claim the cell
 // immediately. If successor is empty, any node can.
 func (m *membership) handOver(ctx context.Context, o *owner, successor string) {
