--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -24,6 +24,8 @@
 	requestTimeout = 3 * time.Second
 	// maxAttempts is how often a caller tries to hand a job in.
 	maxAttempts = 6
+	// maxRepeatDelay is the longest time after which a request is repeated although it was answered.
+	maxRepeatDelay = 4 * time.Second
 	// maxRetryAfter is the longest time for which a caller waits before it tries again.
 	maxRetryAfter = 2 * time.Second
 	// pollInterval is the interval at which callers ask for the state of a job, on average.
@@ -82,9 +84,10 @@
 		return
 	}
 	if random.Float64() < repeatShare {
+		delay, choice := time.Duration(random.Int64N(int64(maxRepeatDelay))), random.Uint64()
 		c.open.Go(func() {
-			time.Sleep(time.Duration(random.Int64N(int64(4 * time.Second))))
-			c.request(http.MethodPost, j, standin.Job(j.steps), random.Uint64())
+			time.Sleep(delay)
+			c.request(http.MethodPost, j, standin.Job(j.steps), choice)
 		})
 	}
 	service := j.steps[0].DurationMS == 0
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -13,97 +16,106 @@
 )
 
 const (
-	continueSignal = syscall.SIGCONT
 	// restartDelay is how long a process is down.
 	restartDelay = 700 * time.Millisecond
-	// maxSuspension is the longest time for which the store is suspended.
-	maxSuspension = 3 * time.Second
+	// maxWorkersDown is the longest time for which the processes of workers are down.
+	maxWorkersDown = 4 * restartDelay
+	// maxStoreSuspension is the longest time for which the store is suspended.
+	maxStoreSuspension = 3 * time.Second
+	// storeRecovery is how long after a fault of the store its clients may still wait for retries.
+	storeRecovery = time.Second
 	// linkDelay is the delay of a slow connection in each direction: most calls time out.
 	linkDelay = 800 * time.Millisecond
-	// drainTime is how long a draining worker stays.
-	drainTime    = standin.DrainTime + 4*time.Second
+	// drainDuration is how long a draining worker stays.
+	drainDuration = standin.DrainTime + 4*time.Second
+	// postTimeout is the timeout of an order to a stand-in.
+	postTimeout = 5 * time.Second
+	// storeSubject is the store as a subject of disturbances.
 	storeSubject = "store"
 )
 
+// faultKind is a kind of fault. apply returns when the fault is over.
+type faultKind struct {
+	name  string
+	apply func(*soak, Fault)
+}
+
+// faultKinds are all kinds. Their order decides what a seed plays.
+var faultKinds = []faultKind{
+	{"kill node", func(s *soak, f Fault) { s.takeDown(s.node(f), (*process).kill) }},
+	{"stop node", func(s *soak, f Fault) { s.takeDown(s.node(f), (*process).terminate) }},
+	{"suspend node", func(s *soak, f Fault) { s.suspendNode(s.node(f), f.Duration) }},
+	{"kill owner", func(s *soak, f Fault) { s.takeDown(s.ownerNode(f), (*process).kill) }},
+	{"suspend owner", func(s *soak, f Fault) { s.suspendNode(s.ownerNode(f), f.Duration) }},
+	{"stop owner", func(s *soak, f Fault) { s.takeDown(s.ownerNode(f), (*process).terminate) }},
+	{"kill all nodes", func(s *soak, _ Fault) { s.killAllNodes() }},
+	{"reload node", func(s *soak, f Fault) { s.reload(s.node(f)) }},
+	{"cut node from store", func(s *soak, f Fault) { s.disturbStoreLink(f, linkState{holdRequests: true, holdAnswers: true}) }},
+	{"silence node's store connections", func(s *soak, f Fault) { s.breakStoreLink(f, (*proxy).silence) }},
+	{"lose store's answers to node", func(s *soak, f Fault) { s.disturbStoreLink(f, linkState{holdAnswers: true}) }},
+	{"delay node's store calls", func(s *soak, f Fault) { s.disturbStoreLink(f, linkState{delay: linkDelay}) }},
+	{"reset node's store connections", func(s *soak, f Fault) { s.breakStoreLink(f, (*proxy).reset) }},
+	{"store down", func(s *soak, f Fault) { s.disturbStore(f, standin.StoreFaults{Down: true}) }},
+	{"store slow", func(s *soak, f Fault) { s.disturbStore(f, standin.StoreFaults{DelayMS: 300}) }},
+	{"store loses answers", func(s *soak, f Fault) { s.disturbStore(f, standin.StoreFaults{LostAnswers: 0.3}) }},
+	{"store late", func(s *soak, f Fault) { s.disturbStore(f, standin.StoreFaults{LateAppends: 0.1, LateMS: 1500}) }},
+	{"store turns nodes away", func(s *soak, f Fault) { s.disturbStore(f, standin.StoreFaults{TurnedAway: s.halfOfTheNodes(f)}) }},
+	{"suspend store", func(s *soak, f Fault) { s.suspendStore(f) }},
+	{"suspend workers", func(s *soak, f Fault) { s.disturbRack(f, s.suspendRack) }},
+	{"kill workers", func(s *soak, f Fault) { s.disturbRack(f, s.killRack) }},
+	{"restart worker", func(s *soak, f Fault) { s.orderWorker(f, "restart", f.Duration) }},
+	{"sick worker", func(s *soak, f Fault) { s.orderWorker(f, "sick", f.Duration) }},
+	{"drain worker", func(s *soak, f Fault) { s.orderWorker(f, "drain", drainDuration) }},
+	{"cut worker", func(s *soak, f Fault) { s.disturbWorkerLink(f, linkState{holdRequests: true, holdAnswers: true}) }},
+	{"lose worker's answers", func(s *soak, f Fault) { s.disturbWorkerLink(f, linkState{holdAnswers: true}) }},
+	{"delay worker", func(s *soak, f Fault) { s.disturbWorkerLink(f, linkState{delay: linkDelay}) }},
+	{"reset worker", func(s *soak, f Fault) { s.breakWorkerLink(f, (*proxy).reset) }},
+	{"silence worker", func(s *soak, f Fault) { s.breakWorkerLink(f, (*proxy).silence) }},
+	{"change queues", func(s *soak, f Fault) { s.operator.change(f.Target) }},
+}
+
+// Kinds returns the names of all kinds of faults.
+func Kinds() []string {
+	names := make([]string, len(faultKinds))
+	for i, kind := range faultKinds {
+		names[i] = kind.name
+	}
+	return names
+}
+
 // apply carries out a fault and returns when it is over.
 func (s *soak) apply(f Fault) {
 	s.stats.note(f)
-	switch f.Kind {
-	case "kill all nodes":
-		done := make(chan struct{}, len(s.nodes))
-		for _, n := range s.nodes {
-			go func() { s.applyToNode("kill node", n, f.Duration); done <- struct{}{} }()
-		}
-		for range s.nodes {
-			<-done
-		}
-	case "kill node", "stop node", "suspend node", "reload node":
-		s.applyToNode(f.Kind, s.nodes[f.Target%len(s.nodes)], f.Duration)
-	case "kill owner", "suspend owner", "stop owner":
-		s.applyToNode(f.Kind[:len(f.Kind)-len("owner")]+"node", s.ownerNode(f.Target), f.Duration)
-	case "store down", "store slow", "store loses answers", "store late", "store turns nodes away", "suspend store":
-		s.applyToStore(f)
-	case "change queues":
-		s.operator.change(f.Target)
-	case "suspend workers", "kill workers":
-		s.applyToRack(f)
-	case "restart worker", "sick worker", "drain worker":
-		s.applyToWorker(f)
-	case "cut worker", "lose worker's answers", "delay worker", "reset worker", "silence worker":
-		r := s.racks[f.Target%len(s.racks)]
-		i := f.Target / len(s.racks) % len(r.proxies)
-		s.disturbLink(f, r.proxies[i], r.spec.Workers[i].ID)
-	default:
-		n := s.nodes[f.Target%len(s.nodes)]
-		s.disturbLink(f, n.link, n.settings.Name)
-	}
+	i := slices.IndexFunc(faultKinds, func(kind faultKind) bool { return kind.name == f.Kind })
+	faultKinds[i].apply(s, f)
 }
 
-// ownerNode returns the owner of a cell.
-func (s *soak) ownerNode(target int) *soakNode {
+func (s *soak) node(f Fault) *soakNode { return s.nodes[f.Target%len(s.nodes)] }
+
+// ownerNode returns the owner of a cell, or any node while no cell has had an owner.
+func (s *soak) ownerNode(f Fault) *soakNode {
 	var owners []*soakNode
-	for cell := range s.options.Workers {
-		if n, ok := s.owners.Load(cell); ok {
-			owners = append(owners, n.(*soakNode))
-		}
-	}
+	s.owners.Range(func(_, n any) bool {
+		owners = append(owners, n.(*soakNode))
+		return true
+	})
 	if len(owners) == 0 {
-		return s.nodes[target%len(s.nodes)]
+		return s.node(f)
 	}
-	return owners[target%len(owners)]
+	slices.SortFunc(owners, func(a, b *soakNode) int { return strings.Compare(a.settings.Name, b.settings.Name) })
+	return owners[f.Target%len(owners)]
 }
 
-func (s *soak) applyToNode(kind string, n *soakNode, duration time.Duration) {
+// takeDown ends a node's process and starts the next one. Callers go on using the process until it has gone.
+func (s *soak) takeDown(n *soakNode, end func(*process)) {
 	p := n.current()
 	if p == nil {
 		return
 	}
-	began := boottime.Now()
-	s.oracle.disturb(n.settings.Name, began, began+duration+restartDelay)
-	switch kind {
-	case "suspend node":
-		p.suspend(duration)
-	case "reload node":
-		p.signal(syscall.SIGHUP)
-	case "kill node":
-		s.takeDown(n, p, p.kill)
-	case "stop node":
-		s.takeDown(n, p, p.terminate)
-	}
-	s.oracle.disturb(n.settings.Name, began, boottime.Now())
-}
-
-// takeDown ends a node's process and starts the next one. Callers go on using the process until it has gone.
-func (s *soak) takeDown(n *soakNode, p *process, end func()) {
-	end()
+	defer s.disturbing(n.settings.Name)()
+	end(p)
 	s.awaitStop(p)
-	n.mu.Lock()
-	mine := n.process == p
-	if mine {
-		n.process = nil
-	}
-	n.mu.Unlock()
-	if !mine {
+	if !n.forget(p) {
 		return // another fault restarts it
 	}
 	time.Sleep(restartDelay)
@@ -112,102 +124,139 @@
 	}
 }
 
-func (s *soak) applyToStore(f Fault) {
-	var faults standin.StoreFaults
-	duration := f.Duration
-	switch f.Kind {
-	case "store down":
-		faults.Down = true
-	case "store slow":
-		faults.DelayMS = 300
-	case "store loses answers":
-		faults.LostAnswers = 0.3
-	case "store late":
-		faults.LateAppends, faults.LateMS = 0.1, 1500
-	case "store turns nodes away":
-		for i, n := range s.nodes {
-			if (i+f.Target)%2 == 0 {
-				faults.TurnedAway = append(faults.TurnedAway, n.settings.IP)
-			}
-		}
-	case "suspend store":
-		duration = min(duration, maxSuspension)
-		began := boottime.Now()
-		s.oracle.disturb(storeSubject, began, began+duration+time.Second)
-		s.store.suspend(duration)
-		return
+func (s *soak) killAllNodes() {
+	var all sync.WaitGroup
+	for _, n := range s.nodes {
+		all.Go(func() { s.takeDown(n, (*process).kill) })
+	}
+	all.Wait()
+}
+
+func (s *soak) suspendNode(n *soakNode, duration time.Duration) {
+	if p := n.current(); p != nil {
+		defer s.disturbing(n.settings.Name)()
+		p.suspend(duration)
+	}
+}
+
+func (s *soak) reload(n *soakNode) {
+	if p := n.current(); p != nil {
+		p.signal(syscall.SIGHUP)
 	}
+}
+
+// disturbing notes that a subject is disturbed until the returned function is called.
+func (s *soak) disturbing(subject string) (end func()) {
 	began := boottime.Now()
-	s.oracle.disturb(storeSubject, began, began+duration+time.Second)
+	disturbance := s.oracle.disturb(subject, began, endlessTime)
+	return func() { s.oracle.endDisturbance(disturbance, boottime.Now()) }
+}
+
+func (s *soak) disturbStore(f Fault, faults standin.StoreFaults) {
+	defer s.disturbing(storeSubject)()
 	s.post(s.storeAddress(), faults)
-	time.Sleep(duration)
+	time.Sleep(f.Duration)
 	s.post(s.storeAddress(), standin.StoreFaults{})
+	time.Sleep(storeRecovery)
 }
 
-func (s *soak) applyToRack(f Fault) {
+func (s *soak) suspendStore(f Fault) {
+	defer s.disturbing(storeSubject)()
+	s.store.suspend(min(f.Duration, maxStoreSuspension))
+	time.Sleep(storeRecovery)
+}
+
+func (s *soak) halfOfTheNodes(f Fault) (addresses []string) {
+	for i, n := range s.nodes {
+		if (i+f.Target)%2 == 0 {
+			addresses = append(addresses, n.settings.IP)
+		}
+	}
+	return addresses
+}
+
+// disturbRack disturbs the process of a rack's workers. Only one fault at a time does, since a suspended process cannot be told
+// from one that was killed.
+func (s *soak) disturbRack(f Fault, do func(*rack, *process, time.Duration)) {
 	r := s.racks[f.Target%len(s.racks)]
 	r.mu.Lock()
 	p, busy := r.process, r.disturbed
 	r.disturbed = true
 	r.mu.Unlock()
 	if busy {
-		return // one fault at a time, since a suspended process can't be told from one that was killed
+		return
 	}
-	began := boottime.Now()
 	for _, w := range r.spec.Workers {
-		s.oracle.disturb(w.ID, began, began+f.Duration)
-	}
-	if f.Kind == "suspend workers" {
-		p.suspend(f.Duration)
-	} else {
-		p.kill()
-		s.workersGone(r, p)
-		time.Sleep(min(f.Duration, restartDelay*4))
-		if err := s.startRack(r); err != nil {
-			s.oracle.report(promiseProcess, boottime.Now(), "%s did not start: %v", p.name, err)
-		}
+		defer s.disturbing(w.ID)()
 	}
+	do(r, p, f.Duration)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.disturbed = false
 }
 
-func (s *soak) applyToWorker(f Fault) {
-	r := s.racks[f.Target%len(s.racks)]
-	w := r.spec.Workers[f.Target/len(s.racks)%len(r.spec.Workers)]
-	order := standin.WorkerFault{Worker: w.ID, Kind: f.Kind[:len(f.Kind)-len(" worker")], DurationMS: int(f.Duration.Milliseconds())}
-	if order.Kind == "drain" {
-		order.DurationMS = int(drainTime.Milliseconds())
+func (s *soak) suspendRack(_ *rack, p *process, duration time.Duration) { p.suspend(duration) }
+
+func (s *soak) killRack(r *rack, p *process, duration time.Duration) {
+	p.kill()
+	s.workersGone(r, p)
+	time.Sleep(min(duration, maxWorkersDown))
+	if err := s.startRack(r); err != nil {
+		s.oracle.report(promiseProcess, boottime.Now(), "%s did not start: %v", p.name, err)
 	}
-	s.post(r.spec.Listen, order)
 }
 
-// disturbLink disturbs the connections through a proxy.
-func (s *soak) disturbLink(f Fault, p *proxy, subject string) {
-	began := boottime.Now()
-	s.oracle.disturb(subject, began, began+f.Duration)
-	switch f.Kind {
-	case "reset node's store connections", "reset worker":
-		p.reset()
-		return
-	case "silence node's store connections", "silence worker":
-		p.silence()
-		return
-	case "cut node from store", "cut worker":
-		p.set(linkState{holdRequests: true, holdAnswers: true})
-	case "lose store's answers to node", "lose worker's answers":
-		p.set(linkState{holdAnswers: true})
-	case "delay node's store calls", "delay worker":
-		p.set(linkState{delay: linkDelay})
-	}
-	time.Sleep(f.Duration)
+// worker returns a worker and its rack.
+func (s *soak) worker(f Fault) (*rack, int) {
+	r := s.racks[f.Target%len(s.racks)]
+	return r, f.Target / len(s.racks) % len(r.spec.Workers)
+}
+
+// orderWorker has a worker misbehave by itself.
+func (s *soak) orderWorker(f Fault, kind string, duration time.Duration) {
+	r, i := s.worker(f)
+	s.post(r.spec.Listen, standin.WorkerFault{Worker: r.spec.Workers[i].ID, Kind: kind, DurationMS: int(duration.Milliseconds())})
+}
+
+func (s *soak) disturbStoreLink(f Fault, state linkState) {
+	n := s.node(f)
+	s.disturbLink(n.link, n.settings.Name, f.Duration, state)
+}
+
+func (s *soak) breakStoreLink(f Fault, disrupt func(*proxy)) {
+	n := s.node(f)
+	s.breakLink(n.link, n.settings.Name, f.Duration, disrupt)
+}
+
+func (s *soak) disturbWorkerLink(f Fault, state linkState) {
+	r, i := s.worker(f)
+	s.disturbLink(r.proxies[i], r.spec.Workers[i].ID, f.Duration, state)
+}
+
+func (s *soak) breakWorkerLink(f Fault, disrupt func(*proxy)) {
+	r, i := s.worker(f)
+	s.breakLink(r.proxies[i], r.spec.Workers[i].ID, f.Duration, disrupt)
+}
+
+// disturbLink has a proxy treat all connections in some way for a while.
+func (s *soak) disturbLink(p *proxy, subject string, duration time.Duration, state linkState) {
+	defer s.disturbing(subject)()
+	p.set(state)
+	time.Sleep(duration)
 	p.set(linkState{})
 }
 
+// breakLink resets or silences the open connections of a proxy. Their ends may take the duration to notice.
+func (s *soak) breakLink(p *proxy, subject string, duration time.Duration, disrupt func(*proxy)) {
+	defer s.disturbing(subject)()
+	disrupt(p)
+	time.Sleep(duration)
+}
+
 // post sends an order of the soak to a stand-in. A stand-in that is down does not get it.
 func (s *soak) post(address string, order any) {
 	body, _ := json.Marshal(order) // cannot fail for these types
-	client := http.Client{Timeout: 5 * time.Second}
+	client := http.Client{Timeout: postTimeout}
 	resp, err := client.Post("http://"+address+standin.FaultsPath, "application/json", bytes.NewReader(body))
 	if err != nil {
 		s.stats.count("orders lost")
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -156,10 +156,7 @@
 // a node takes to connect again.
 func (o *operator) settled(n *soakNode, p *process, changedAt, sentAt time.Duration) bool {
 	from := max(changedAt, p.startedAt)
-	p.mu.Lock()
-	suspended := p.disturbedUntil > sentAt-standin.ReconnectTime-configDelay
-	p.mu.Unlock()
 	quietSince := sentAt - standin.ReconnectTime - configDelay
-	return sentAt > from+configDelay && !suspended && p.startedAt < quietSince && !o.soak.oracle.isDisturbed(n.settings.Name, quietSince, sentAt) &&
+	return sentAt > from+configDelay && !p.suspendedSince(quietSince) && p.startedAt < quietSince && !o.soak.oracle.isDisturbed(n.settings.Name, quietSince, sentAt) &&
 		!o.soak.oracle.isDisturbed(storeSubject, quietSince, sentAt)
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -27,8 +27,8 @@
 	startedAt time.Duration // CLOCK_BOOTTIME, as all times here
 	// termAt is when the process was asked to stop, killedAt when it was killed; 0 if it was not.
 	termAt, killedAt, endedAt time.Duration
-	// disturbedUntil is until when the process was suspended, or endlessTime while it is.
-	disturbedUntil time.Duration
+	// suspendedUntil is until when the process was suspended, endlessTime while it is, or 0.
+	suspendedUntil time.Duration
 	err            error
 }
 
@@ -88,17 +88,24 @@
 
 // suspend stops the process for a while.
 func (p *process) suspend(duration time.Duration) {
-	p.setDisturbed(endlessTime)
+	p.setSuspended(endlessTime)
 	p.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	p.signal(syscall.SIGCONT)
-	p.setDisturbed(boottime.Now())
+	p.setSuspended(boottime.Now())
 }
 
-func (p *process) setDisturbed(until time.Duration) {
+// suspendedSince reports whether the process was suspended at some time since from.
+func (p *process) suspendedSince(from time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.disturbedUntil = until
+	return p.suspendedUntil >= from
+}
+
+func (p *process) setSuspended(until time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.suspendedUntil = until
 }
 
 func (p *process) signal(s syscall.Signal) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -6,20 +6,6 @@
 	"time"
 )
 
-// Kinds are the kinds of faults, by target.
-var (
-	nodeFaults   = []string{"kill node", "stop node", "suspend node", "kill owner", "suspend owner", "stop owner", "kill all nodes", "reload node"}
-	linkFaults   = []string{"cut node from store", "silence node's store connections", "lose store's answers to node", "delay node's store calls", "reset node's store connections"}
-	storeFaults  = []string{"store down", "store slow", "store loses answers", "store late", "store turns nodes away", "suspend store"}
-	workerFaults = []string{"suspend workers", "kill workers", "restart worker", "sick worker", "drain worker", "cut worker", "lose worker's answers", "delay worker", "reset worker", "silence worker"}
-	configFaults = []string{"change queues"}
-)
-
-// Kinds returns all kinds of faults.
-func Kinds() []string {
-	return slices.Concat(nodeFaults, linkFaults, storeFaults, workerFaults, configFaults)
-}
-
 // Fault is one disturbance of the schedule. Target is a number that is taken modulo the number of possible targets.
 type Fault struct {
 	At       time.Duration `json:"at"`
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -88,6 +89,17 @@
 	return n.process
 }
 
+// forget notes that a process has ended. It returns false if another fault has done so.
+func (n *soakNode) forget(p *process) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	mine := n.process == p
+	if mine {
+		n.process = nil
+	}
+	return mine
+}
+
 // rack is a process with workers and the proxies in front of them.
 type rack struct {
 	spec    workersSpec
@@ -374,12 +386,19 @@
 
 // awaitStop waits for a process that was asked to stop, kills it if it takes too long, and checks how it ended.
 func (s *soak) awaitStop(p *process) {
-	select {
-	case <-p.done:
-	case <-time.After(standin.StopGrace + stopMargin):
-		s.oracle.report(promiseStop, boottime.Now(), "%s did not stop within %v", p.name, standin.StopGrace+stopMargin)
-		p.kill()
-		<-p.done
+	limit := standin.StopGrace + stopMargin
+	for ended := false; !ended; {
+		began := boottime.Now()
+		select {
+		case <-p.done:
+			ended = true
+		case <-time.After(limit):
+			if p.suspendedSince(began) {
+				continue
+			}
+			s.oracle.report(promiseStop, boottime.Now(), "%s did not stop within %v", p.name, limit)
+			p.kill()
+		}
 	}
 	if byItself, err := p.endedByItself(); byItself {
 		s.oracle.report(promiseProcess, p.endedAt, "%s ended: %v", p.name, err)
@@ -390,7 +409,7 @@
 func (s *soak) stopAll() {
 	for _, n := range s.nodes {
 		if p := n.current(); p != nil && p.runs() {
-			p.signal(continueSignal)
+			p.signal(syscall.SIGCONT)
 			p.kill()
 		}
 		n.link.close()
