--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,6 +49,8 @@
 	finishLimit = 45 * time.Second
 	// stopMargin is added to the time that a process may take to stop.
 	stopMargin = 2 * time.Second
+	// stateLimit is how long after the end of all work nodes may take to report it.
+	stateLimit = 5 * time.Second
 	// workersPerRack is the number of workers in a rack.
 	workersPerRack = 4
 	checkPeriod    = 250 * time.Millisecond
@@ -347,7 +349,7 @@
 			s.oracle.report(promiseKept, boottime.Now(), "%v after the last fault task %s is not done, or does not run", finishLimit, task)
 		}
 	}
-	s.cancelServices()
+	s.cancelServices(ctx)
 	if err := waitFor(ctx, cancelLimit, func() bool { return len(s.oracle.stillRunning()) == 0 }); err != nil {
 		s.oracle.report(promiseCancel, boottime.Now(), "tasks of cancelled jobs still run: %v", s.oracle.stillRunning())
 	}
@@ -364,8 +366,8 @@
 	}
 }
 
-// cancelServices cancels the jobs that last, and checks the state of all others once more.
-func (s *soak) cancelServices() {
+// cancelServices cancels the jobs that last, and checks the state of all others.
+func (s *soak) cancelServices(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 4))
 	s.oracle.mu.Lock()
 	var jobs []*jobHistory
@@ -379,11 +381,23 @@
 		if j.steps[0].DurationMS == 0 {
 			s.callers.cancel(j, random)
 		} else if j.queue == mainQueue {
-			s.callers.ask(j, random)
+			s.checkCompleted(ctx, j, random)
 		}
 	}
 }
 
+// checkCompleted checks that nodes report a job as completed of which all tasks are done.
+func (s *soak) checkCompleted(ctx context.Context, j *jobHistory, random *rand.Rand) {
+	state := ""
+	err := waitFor(ctx, stateLimit, func() bool {
+		state = s.callers.ask(j, random)
+		return state == "completed"
+	})
+	if err != nil {
+		s.oracle.report(promiseState, boottime.Now(), "the workers are done with job %s, and its state is %q", j.id, state)
+	}
+}
+
 // awaitStop waits for a process that was asked to stop, kills it if it takes too long, and checks how it ended.
 func (s *soak) awaitStop(p *process) {
 	limit := standin.StopGrace + stopMargin
