--- a/internal/soak/run/main.go
+++ b/internal/soak/run/main.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 
 	"cactuswall.example/cactuswall/internal/soak"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := soak.NewCommand().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -353,12 +353,14 @@
 	if err := waitFor(ctx, cancelLimit, func() bool { return len(s.oracle.stillRunning()) == 0 }); err != nil {
 		s.oracle.report(promiseCancel, boottime.Now(), "tasks of cancelled jobs still run: %v", s.oracle.stillRunning())
 	}
+	var stops sync.WaitGroup
 	for _, n := range s.nodes {
 		if p := n.current(); p != nil {
 			p.terminate()
-			s.awaitStop(p)
+			stops.Go(func() { s.awaitStop(p) })
 		}
 	}
+	stops.Wait()
 	s.callers.checkBroken()
 	for _, r := range s.racks {
 		r.process.kill()
