Best-effort jobs go to cells by the capacity that is left unused

Cause: nodes chose the cell of a job by the capacity that tasks request. Best-effort tasks request none, and services hold 95% of it on the large deployment, so best-effort jobs were spread by differences between nearly full cells that say nothing about them: one cell's best-effort work waited while the next had processors idle.

Change: owners also report the capacity that other tasks leave unused, and how much of it best-effort tasks use and wait for. Jobs whose first steps are all best-effort go by that.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -65,9 +66,12 @@
 	Capacity, Used, Waiting int64
 	Labels                  []string
 	Overloaded              bool
+	// BestEffort is the room for best-effort tasks, which request no free processor and do not count in the other fields: the
+	// capacity that other tasks are expected to leave unused.
+	BestEffort cellmap.Room
 }
 
-// CurrentLoad returns the load of the cell. Best-effort tasks, which request no free processor, do not count.
+// CurrentLoad returns the load of the cell.
 func (c *Cell) CurrentLoad() Load {
 	load := Load{Overloaded: c.load.Overloaded(c.now)}
 	labels := make(map[string]bool)
@@ -80,6 +84,9 @@
 		}
 		load.Capacity += int64(w.info.Capacity.MilliCPU)
 		memory += w.info.Capacity.MemoryMB
+		used := w.bestEffortCPU()
+		load.BestEffort.UsedMilliCPU += int64(used)
+		load.BestEffort.CapacityMilliCPU += int64(max(0, w.spareCPU()+used))
 		for _, label := range w.info.Labels {
 			if !labels[label] && label != w.info.Rack {
 				labels[label] = true
@@ -89,8 +96,12 @@
 	}
 	load.Used = max(load.Used, int64(float64(load.Capacity)*float64(usedMemory)/float64(max(1, memory))))
 	for _, g := range c.waiting {
-		if g.mayStart() {
-			load.Waiting += int64(g.toStart) * int64(g.step.Requested().MilliCPU)
+		if !g.mayStart() {
+			continue
+		}
+		load.Waiting += int64(g.toStart) * int64(g.step.Requested().MilliCPU)
+		if g.step.BestEffort {
+			load.BestEffort.WaitingMilliCPU += int64(g.toStart) * int64(expectedStepCPU(g.step))
 		}
 	}
 	return load
--- a/internal/cell/cells_load_test.go
+++ b/internal/cell/cells_load_test.go
@@ -71,7 +71,7 @@
 
 // burst submits jobs that are all received in the failure domain of cell 0 of three, each to the cell that choose names, and
 // returns how many of them are completed after a time in which cell 0 alone cannot run half of them.
-func burst(choose func(sim *simulation, loads map[int]cellmap.Load) int) (completed int) {
+func burst(spec jobs.Spec, choose func(sim *simulation, loads map[int]cellmap.Load) int) (completed int) {
 	sim := newCellsSimulation(5, 3, 12)
 	plan := cellmap.Plan{Cells: []cellmap.PlannedCell{{FailureDomain: "a", Active: true}, {FailureDomain: "b", Active: true}, {FailureDomain: "c", Active: true}}}
 	sim.storeInTable(cellmap.PlanKey, &plan)
@@ -82,14 +82,19 @@
 		if i%20 == 0 { // once a second
 			for _, home := range sim.cells {
 				l := home.owner.cell.CurrentLoad()
-				loads[home.number] = cellmap.Load{Cell: home.number, CapacityMilliCPU: l.Capacity, UsedMilliCPU: l.Used, WaitingMilliCPU: l.Waiting}
+				loads[home.number] = cellmap.Load{Cell: home.number, CapacityMilliCPU: l.Capacity, UsedMilliCPU: l.Used, WaitingMilliCPU: l.Waiting,
+					BestEffort: l.BestEffort}
 			}
 		}
 		to := choose(sim, loads)
 		assumed := loads[to]
-		assumed.WaitingMilliCPU += 10 * 500
+		if spec.Steps[0].BestEffort {
+			assumed.BestEffort.WaitingMilliCPU += 10 * 500
+		} else {
+			assumed.WaitingMilliCPU += 10 * 500
+		}
 		loads[to] = assumed
-		sim.submitTo(to, jobs.ID(fmt.Sprintf("j%02d", i)), testSpec(10))
+		sim.submitTo(to, jobs.ID(fmt.Sprintf("j%02d", i)), spec)
 		sim.run(50 * time.Millisecond)
 	}
 	sim.run(4 * time.Second)
@@ -104,11 +109,29 @@
 // Pattern: callers of one failure domain submit far more than its cell has room for, while the other cells have room.
 func TestBurstInOneCellUsesRoomOfOthers(t *testing.T) {
 	Convey("A burst in one failure domain is served by all cells", t, func() {
-		atHome := burst(func(*simulation, map[int]cellmap.Load) int { return 0 })
-		spread := burst(func(sim *simulation, loads map[int]cellmap.Load) int {
+		atHome := burst(testSpec(10), func(*simulation, map[int]cellmap.Load) int { return 0 })
+		spread := burst(testSpec(10), func(sim *simulation, loads map[int]cellmap.Load) int {
 			return sim.table.Choose(cellmap.Need{}, "a", loads, sim.random.Float64)
 		})
 		So(atHome, ShouldBeLessThan, 30)
 		So(spread, ShouldBeGreaterThan, 50)
 	})
 }
+
+// Pattern: callers of one failure domain submit more best-effort work than its cell has unused capacity for. Such jobs were
+// spread by the capacity that other tasks request, which they do not need.
+func TestBurstOfBestEffortJobsUsesUnusedCapacityOfOtherCells(t *testing.T) {
+	spec := testSpec(10)
+	spec.Steps[0].BestEffort = true
+	choose := func(bestEffort bool) func(sim *simulation, loads map[int]cellmap.Load) int {
+		return func(sim *simulation, loads map[int]cellmap.Load) int {
+			return sim.table.Choose(cellmap.Need{BestEffort: bestEffort, MilliCPU: 10 * 500}, "a", loads, sim.random.Float64)
+		}
+	}
+	if completed := burst(spec, choose(false)); completed > 40 {
+		t.Errorf("%d of 60 jobs are completed by the capacity that tasks request; the load is not one that needs the other cells", completed)
+	}
+	if completed := burst(spec, choose(true)); completed <= 50 {
+		t.Errorf("%d of 60 jobs are completed, want more than 50", completed)
+	}
+}
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -89,3 +89,12 @@
 
 // spareCPU returns the CPU, in milli-CPU, that the worker's runs are expected to leave unused.
 func (w *worker) spareCPU() int { return w.info.Capacity.MilliCPU - w.expectedCPU }
+
+// bestEffortCPU returns the CPU, in milli-CPU, that the worker's best-effort runs are expected to use.
+func (w *worker) bestEffortCPU() int {
+	used := 0
+	for _, r := range w.bestEffort {
+		used += r.expectedCPU()
+	}
+	return used
+}
--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -256,6 +256,17 @@
 		board[0] = full
 		So(choices(Need{}, board)[0], ShouldBeLessThan, 2)
 	})
+	Convey("A best-effort job goes by the capacity that is left unused, whatever other tasks request", t, func() {
+		board := loads(100, 990, 990)
+		for cell, used := range []int64{900, 300, 500} {
+			load := board[cell]
+			load.BestEffort = Room{CapacityMilliCPU: 1000, UsedMilliCPU: used}
+			board[cell] = load
+		}
+		counts := choices(Need{BestEffort: true}, board)
+		So(counts[0], ShouldBeLessThan, 30)
+		So(counts[1], ShouldBeGreaterThan, counts[2])
+	})
 	Convey("A job goes where its data is, also to another failure domain", t, func() {
 		So(choices(Need{DataRack: "r9"}, loads(100, 100, 100)), ShouldResemble, map[int]int{2: 100})
 	})
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -18,6 +18,20 @@
 	Labels []string
 	// Overloaded is set while the owner is short of processor time. The cell then counts as full.
 	Overloaded bool
+	// BestEffort is the room for best-effort tasks, which request none of the above.
+	BestEffort Room
+}
+
+// Room is the processor capacity that a cell has for some kind of task, in thousandths of a core: how much there is, how
+// much of it is used and how much is waited for.
+type Room struct {
+	CapacityMilliCPU, UsedMilliCPU, WaitingMilliCPU int64
+}
+
+// withRoom returns the load with another room in place of that for tasks that request their capacity.
+func (l Load) withRoom(r Room) Load {
+	l.CapacityMilliCPU, l.UsedMilliCPU, l.WaitingMilliCPU = r.CapacityMilliCPU, r.UsedMilliCPU, r.WaitingMilliCPU
+	return l
 }
 
 // room returns how much of the room below a share of the capacity is neither used nor waited for.
@@ -49,8 +63,23 @@
 	Labels []string
 	// DataRack is the rack that holds the data of a step, or empty.
 	DataRack string
-	// MilliCPU is the processor capacity that its first steps request, in thousandths of a core.
+	// MilliCPU is the processor capacity that its first steps request or, with BestEffort set, would use, in thousandths of a
+	// core.
 	MilliCPU int64
+	// BestEffort is set if all of its first steps are best-effort.
+	BestEffort bool
+}
+
+// loadsFor returns the loads with the room that a job competes for.
+func loadsFor(need Need, loads map[int]Load) map[int]Load {
+	if !need.BestEffort {
+		return loads
+	}
+	bestEffort := make(map[int]Load, len(loads))
+	for cell, load := range loads {
+		bestEffort[cell] = load.withRoom(load.BestEffort)
+	}
+	return bestEffort
 }
 
 // Choose returns the cell for a job that was received in a failure domain. loads holds what is known of the cells, by
@@ -61,6 +90,7 @@
 // cell as many as it has room for: many nodes choose from the same picture, and must not all choose the same cell. Without
 // room anywhere, jobs go where fewer wait.
 func (t *Table) Choose(need Need, domain string, loads map[int]Load, random func() float64) int {
+	loads = loadsFor(need, loads)
 	homes := t.plan.Homes(domain)
 	if cell, known := t.dataRacks[need.DataRack]; known && need.DataRack != "" && t.plan.Cells[cell].Active {
 		homes = []int{cell}
--- a/internal/cellnode/loads.go
+++ b/internal/cellnode/loads.go
@@ -70,11 +70,15 @@
 }
 
 // assume counts a job that was accepted for a cell as waiting there, until the owner says what its load is.
-func (b *loadBoard) assume(cell int, milliCPU int64) {
+func (b *loadBoard) assume(cell int, need cellmap.Need) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if entry, known := b.entries[cell]; known {
-		entry.load.WaitingMilliCPU += milliCPU
+		if need.BestEffort {
+			entry.load.BestEffort.WaitingMilliCPU += need.MilliCPU
+		} else {
+			entry.load.WaitingMilliCPU += need.MilliCPU
+		}
 		b.entries[cell] = entry
 	}
 }
@@ -105,17 +109,21 @@
 	}
 	need := needOf(spec)
 	cell := table.Choose(need, n.settings.FailureDomain, n.loads.recent(), rand.Float64)
-	n.loads.assume(cell, need.MilliCPU)
+	n.loads.assume(cell, need)
 	return cell
 }
 
 // needOf returns what a job needs of its cell.
 func needOf(spec *jobs.Spec) cellmap.Need {
 	var need cellmap.Need
+	var requested, bestEffort int64
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
 		if len(step.DependsOn) == 0 {
-			need.MilliCPU += int64(step.Count) * int64(step.Requested().MilliCPU)
+			requested += int64(step.Count) * int64(step.Requested().MilliCPU)
+			if step.BestEffort {
+				bestEffort += int64(step.Count) * int64(step.Request.MilliCPU)
+			}
 		}
 		if step.RequiredLabel != "" {
 			need.Labels = append(need.Labels, step.RequiredLabel)
@@ -124,6 +132,10 @@
 			need.DataRack = step.DataRack
 		}
 	}
+	need.MilliCPU = requested
+	if requested == 0 && bestEffort > 0 {
+		need.MilliCPU, need.BestEffort = bestEffort, true
+	}
 	return need
 }
 
@@ -204,6 +216,7 @@
 		}
 		n.loads.put(cellmap.Load{
 			Cell: int(l.Cell), CapacityMilliCPU: l.Capacity, UsedMilliCPU: l.Used, WaitingMilliCPU: l.Waiting, Labels: l.Labels, Overloaded: l.Overloaded,
+			BestEffort: cellmap.Room{CapacityMilliCPU: l.BestEffortCapacity, UsedMilliCPU: l.BestEffortUsed, WaitingMilliCPU: l.BestEffortWaiting},
 		}, asked-time.Duration(l.AgeMs)*time.Millisecond)
 	}
 	if !owns {
@@ -229,6 +242,7 @@
 		reply.Loads = append(reply.Loads, &cellrpc.CellLoad{
 			Cell: int32(cell), Capacity: l.CapacityMilliCPU, Used: l.UsedMilliCPU, Waiting: l.WaitingMilliCPU, Labels: l.Labels,
 			Overloaded: l.Overloaded, AgeMs: (boottime.Now() - entry.at).Milliseconds(), Own: n.ownerOf(cell) != nil, Learned: learned[cell],
+			BestEffortCapacity: l.BestEffort.CapacityMilliCPU, BestEffortUsed: l.BestEffort.UsedMilliCPU, BestEffortWaiting: l.BestEffort.WaitingMilliCPU,
 		})
 	}
 	return reply, nil
@@ -245,6 +259,7 @@
 		l := o.cell.CurrentLoad()
 		o.cellLoad, o.loadAt = cellmap.Load{
 			Cell: o.member.cell, CapacityMilliCPU: l.Capacity, UsedMilliCPU: l.Used, WaitingMilliCPU: l.Waiting, Labels: l.Labels, Overloaded: l.Overloaded,
+			BestEffort: l.BestEffort,
 		}, now
 	}
 	return o.cellLoad, true
