A panic ends the owner of a cell and not the process

Story: one malformed message or unexpected error took a whole process down.

Change: goroutines of an owner recover; the owner ends, its claim is given up and the cell is claimed anew with the state from the store. A second panic within a minute keeps the node from claiming for 5 s, so that another one can try. Components of the node run again after a second. Critical sections release the lock when they panic. cactuswall_panics_total and the line panic count them.

--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -123,7 +124,7 @@
 	now := boottime.Now()
 	m.mu.Lock()
 	m.adjustCandidacy()
-	renewalDue, shouldRelease, shouldClaim := m.view.RenewalDue(now), m.view.ShouldRelease(), m.view.ShouldClaim(now)
+	renewalDue, shouldRelease, shouldClaim := m.view.RenewalDue(now), m.view.ShouldRelease(), now >= m.restUntil && m.view.ShouldClaim(now)
 	shouldRequest := m.view.ShouldRequest(now)
 	request, requested := m.view.TakeRequest()
 	nextRequest := m.view.NextRequest()
@@ -213,7 +214,10 @@
 	ctx, o.stop = context.WithCancel(ctx)
 	m.owner.Store(o)
 	go func() {
-		err := o.run(ctx)
+		err := o.guarded("owner", func() error { return o.run(ctx) })()
+		if errors.Is(err, errPanicked) || o.panicked.Load() {
+			m.ownerPanicked(boottime.Now())
+		}
 		m.owner.CompareAndSwap(o, nil)
 		m.ownerStopped(o)
 		m.log.Info("owner no more", zap.Int64("epoch", r.Epoch), zap.Error(err))
--- a/internal/cellnode/membership.go
+++ b/internal/cellnode/membership.go
@@ -35,11 +35,13 @@
 	cell int
 	log  *zap.Logger
 
-	// mu protects view and handingOver.
+	// mu protects view, handingOver, panickedAt and restUntil.
 	mu   sync.Mutex
 	view *claim.View
 	// handingOver is the owner that is being stopped on request of another node, or nil.
 	handingOver *owner
+	// panickedAt is when an owner on this node last panicked, 0 if none has. Until restUntil this node does not claim the cell.
+	panickedAt, restUntil time.Duration
 
 	// owner is nil while this node does not own the cell.
 	owner atomic.Pointer[owner]
@@ -124,8 +126,11 @@
 		var memberCtx context.Context
 		memberCtx, m.stop = context.WithCancel(ctx)
 		group, memberCtx := errgroup.WithContext(memberCtx)
-		group.Go(func() error { return m.watchClaim(memberCtx) })
-		group.Go(func() error { return m.claimAndRenew(memberCtx, ctx) })
+		claimAndRenew := func(memberCtx context.Context) error { return m.claimAndRenew(memberCtx, ctx) }
+		for work, follow := range map[string]func(context.Context) error{"watch claim": m.watchClaim, "claim": claimAndRenew} {
+			follow = n.restarting(work, follow)
+			group.Go(func() error { return follow(memberCtx) })
+		}
 	case !candidate && m.stop != nil:
 		m.stop()
 		m.stop = nil
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -158,7 +158,10 @@
 		return trace.Wrap(err)
 	}
 	var group run.Group
-	for _, component := range []func(context.Context) error{n.jobsAppender.Run, n.followConfig, n.cells.follow, n.manageMemberships, n.exchangeLoads} {
+	for _, component := range []func(context.Context) error{
+		n.jobsAppender.Run, n.restarting("follow configuration", n.followConfig), n.restarting("follow cells", n.cells.follow),
+		n.restarting("memberships", n.manageMemberships), n.restarting("exchange loads", n.exchangeLoads),
+	} {
 		group.Add(func() error { return component(workCtx) }, func(error) { cancel() })
 	}
 	for _, s := range servers {
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -61,6 +61,8 @@
 	claimedAt   time.Duration
 	// startsInFlight is the number of start orders that are queued or not answered yet.
 	startsInFlight atomic.Int64
+	// panicked is set when a call to a worker or the store has panicked.
+	panicked atomic.Bool
 
 	// mu protects cell, loaded, jobsReadAt, pendingJobs and pendingAt, which queries read concurrently with runEventLoop.
 	mu     sync.Mutex
@@ -117,15 +119,16 @@
 		return trace.Wrap(err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return o.runEventLoop(ctx) })
-	group.Go(func() error {
+	start := func(work string, f func() error) { group.Go(o.guarded(work, f)) }
+	start("event loop", func() error { return o.runEventLoop(ctx) })
+	start("load", func() error {
 		jobsEnd, err := o.load(ctx, progressEnd)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		group.Go(func() error { return o.progress.Run(ctx) })
-		group.Go(func() error { return o.assignments.Run(ctx) })
-		group.Go(func() error { return o.followJobs(ctx, jobsEnd) })
+		start("store progress", func() error { return o.progress.Run(ctx) })
+		start("store assignments", func() error { return o.assignments.Run(ctx) })
+		start("follow jobs", func() error { return o.followJobs(ctx, jobsEnd) })
 		return o.followWorkers(ctx, workers)
 	})
 	return group.Wait()
@@ -152,11 +155,7 @@
 			if e.postedAt.Before(due) {
 				due = e.postedAt
 			}
-			o.mu.Lock()
-			o.cell.SetTime(boottime.Now(), time.Now())
-			o.runEvent(e)
-			o.drainEvents()
-			o.mu.Unlock()
+			o.runEvents(e)
 		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -177,6 +176,22 @@
 	}
 }
 
+// locked calls f with mu held.
+func (o *owner) locked(f func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	f()
+}
+
+// runEvents runs an event and all that are queued.
+func (o *owner) runEvents(e event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cell.SetTime(boottime.Now(), time.Now())
+	o.runEvent(e)
+	o.drainEvents()
+}
+
 // measuredFlush calls flush and records when it was due and how long it took. due is when the event or the end of the
 // wait that led to the flush occurred.
 func (o *owner) measuredFlush(ctx context.Context, due time.Time) (wait time.Duration) {
@@ -277,13 +292,13 @@
 	}
 	o.storing = true
 	o.lateness.roundBegan = time.Now()
-	go func() {
+	o.spawn("store round", func() {
 		_, err := o.progress.Append(ctx, round.Records)
 		o.post(ctx, func() {
 			o.lateness.roundStored()
 			o.roundStored(ctx, round, err)
 		})
-	}()
+	})
 }
 
 // deleteExpired deletes jobs whose state no longer has to be reported.
@@ -292,7 +307,7 @@
 	if len(expired.Records) == 0 {
 		return
 	}
-	go func() {
+	o.spawn("delete expired", func() {
 		_, err := o.node.jobsAppender.Append(ctx, expired.Records)
 		o.post(ctx, func() {
 			if err != nil {
@@ -302,7 +317,7 @@
 			}
 			o.cell.ExpiredDeleted(expired)
 		})
-	}()
+	})
 }
 
 // roundStored handles the result of storing a round. If the round was stored, it sends the start orders, or leaves them
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/boottime"
+	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -90,9 +91,10 @@
 
 // rackHandOvers returns the hand-overs of the idle racks that belong into other cells. Some of the others are emptied.
 func (o *owner) rackHandOvers(ctx context.Context, table *cellmap.Table) []handOver {
-	o.mu.Lock()
-	racks := o.cell.Racks(func(worker string) bool { return !table.Borrowed(worker) && !o.isLent(worker) })
-	o.mu.Unlock()
+	var racks []cell.Rack
+	o.locked(func() {
+		racks = o.cell.Racks(func(worker string) bool { return !table.Borrowed(worker) && !o.isLent(worker) })
+	})
 	plain := make([]cellmap.Rack, len(racks))
 	for i := range racks {
 		plain[i] = racks[i].Rack
@@ -129,10 +131,27 @@
 // handOverTasks hands long-running tasks that find no room in this cell over to cells that have some, and deletes the
 // assignments of tasks whose jobs have ended long ago.
 func (o *owner) handOverTasks(ctx context.Context, table *cellmap.Table) {
+	records, tasks := o.taskHandOvers(table)
+	if len(records) == 0 {
+		return
+	}
+	stored := o.storeAssignments(ctx, records)
+	o.node.metrics.GetOrCreateCounter(`cactuswall_tasks_handed_over_total{stored="` + boolLabel(stored) + `"}`).Add(len(tasks))
+	o.log.Info("tasks handed over", zap.Int("tasks", len(tasks)), zap.Int("deleted", len(records)-len(tasks)), zap.Bool("stored", stored))
+	if !stored {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		for _, t := range tasks {
+			o.cell.ReturnTask(t)
+		}
+	}
+}
+
+// taskHandOvers returns the records of what handOverTasks does, and the tasks that they hand over.
+func (o *owner) taskHandOvers(table *cellmap.Table) (records []assignmentRecord, tasks []jobs.TaskID) {
 	loads := o.node.loads.recent()
-	var records []assignmentRecord
-	var tasks []jobs.TaskID
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, key := range o.cell.EndedGuests() {
 		records = append(records, assignmentRecord{key: key})
 	}
@@ -148,20 +167,7 @@
 		tasks = append(tasks, t.Task)
 		records = append(records, assignmentRecord{cellmap.TaskKey(t.Task), &cellmap.TaskAssignment{Cell: to, LastRun: t.LastRun, Checkpoint: t.Checkpoint}})
 	}
-	o.mu.Unlock()
-	if len(records) == 0 {
-		return
-	}
-	stored := o.storeAssignments(ctx, records)
-	o.node.metrics.GetOrCreateCounter(`cactuswall_tasks_handed_over_total{stored="` + boolLabel(stored) + `"}`).Add(len(tasks))
-	o.log.Info("tasks handed over", zap.Int("tasks", len(tasks)), zap.Int("deleted", len(records)-len(tasks)), zap.Bool("stored", stored))
-	if !stored {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		for _, t := range tasks {
-			o.cell.ReturnTask(t)
-		}
-	}
+	return records, tasks
 }
 
 // isLent reports whether a worker was promised to another cell. The caller holds mu.
@@ -226,13 +232,15 @@
 		records[i] = assignmentRecord{h.key, &cellmap.Assignment{Cell: h.cell}}
 		workers = append(workers, h.workers...)
 	}
-	o.mu.Lock()
-	if !o.cell.Idle(workers) { // a task was placed meanwhile
-		o.mu.Unlock()
+	idle := false
+	o.locked(func() {
+		if idle = o.cell.Idle(workers); idle { // otherwise a task was placed meanwhile
+			o.cell.Detach(workers)
+		}
+	})
+	if !idle {
 		return
 	}
-	o.cell.Detach(workers)
-	o.mu.Unlock()
 	stored := o.storeAssignments(ctx, records)
 	o.node.metrics.GetOrCreateCounter(`cactuswall_workers_handed_over_total{stored="` + boolLabel(stored) + `"}`).Add(len(workers))
 	o.log.Info("workers handed over", zap.Int("workers", len(workers)), zap.String("first", handOvers[0].key), zap.Int("to", handOvers[0].cell),
@@ -289,11 +297,10 @@
 
 // borrow asks the cell that can do without most for workers, if tasks have waited for resources.
 func (o *owner) borrow(ctx context.Context) {
-	o.mu.Lock()
-	shortage := o.cell.CurrentShortage()
+	var shortage cell.Shortage
+	o.locked(func() { shortage = o.cell.CurrentShortage() })
 	now := boottime.Now()
 	due := now-o.borrowedAt >= borrowInterval
-	o.mu.Unlock()
 	if shortage.MilliCPU == 0 || !due {
 		return
 	}
--- a/internal/cellnode/owner_orders.go
+++ b/internal/cellnode/owner_orders.go
@@ -12,14 +12,14 @@
 // their worker.
 func (o *owner) send(ctx context.Context, orders cell.Orders) {
 	for _, order := range orders.Renewals {
-		go func() {
+		o.spawn("renew", func() {
 			report, err := o.node.platform.Workers.Renew(ctx, order.To, order.Request)
 			o.post(ctx, func() { o.renewAnswered(order, report, err) })
-		}()
+		})
 	}
 	o.sendStarts(ctx, orders.Starts)
 	for _, order := range orders.Stops {
-		o.orderQueues.send(ctx, order.To.ID, func() {
+		o.queueOrder(ctx, order.To.ID, func() {
 			err := errWithdrawn
 			if o.member.mayDecide(o.epoch) {
 				_, err = o.node.platform.Workers.Stop(ctx, order.To, order.Run, order.Token)
@@ -28,7 +28,7 @@
 		})
 	}
 	for _, order := range orders.Paces {
-		o.orderQueues.send(ctx, order.To.ID, func() {
+		o.queueOrder(ctx, order.To.ID, func() {
 			err := errWithdrawn
 			if o.member.mayDecide(o.epoch) {
 				_, err = o.node.platform.Workers.SetPace(ctx, order.To, order.Run, order.Percent, order.Token)
@@ -38,6 +38,11 @@
 	}
 }
 
+// queueOrder has an order sent to a worker after those that wait for it.
+func (o *owner) queueOrder(ctx context.Context, worker string, order func()) {
+	o.orderQueues.send(ctx, worker, o.protected("order", order))
+}
+
 // renewAnswered passes the reply to a renewal order to the cell.
 func (o *owner) renewAnswered(order cell.RenewOrder, report workercall.Report, err error) {
 	if err != nil {
@@ -51,7 +56,7 @@
 func (o *owner) sendStarts(ctx context.Context, starts []cell.StartOrder) {
 	o.startsInFlight.Add(int64(len(starts)))
 	for _, order := range starts {
-		o.orderQueues.send(ctx, order.To.ID, func() {
+		o.queueOrder(ctx, order.To.ID, func() {
 			var answer workercall.Reply
 			err := errWithdrawn
 			if o.startStillNeeded(order) {
--- a/internal/cellnode/worker_list.go
+++ b/internal/cellnode/worker_list.go
@@ -23,17 +23,17 @@
 		if err != nil {
 			o.node.recordStoreFailure("read workers", err)
 		}
-		o.mu.Lock()
-		o.cell.SetTime(boottime.Now(), time.Now())
-		if err == nil {
-			o.cell.SetWorkers(list.list())
-		}
-		table := o.node.cells.table()
-		o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
-		o.cell.SetTasks(table.Tasks())
-		o.cell.SetConfig(o.node.config.Get())
-		o.cell.SetSettings(*o.node.cellSettings.Load())
-		o.mu.Unlock()
+		o.locked(func() {
+			o.cell.SetTime(boottime.Now(), time.Now())
+			if err == nil {
+				o.cell.SetWorkers(list.list())
+			}
+			table := o.node.cells.table()
+			o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
+			o.cell.SetTasks(table.Tasks())
+			o.cell.SetConfig(o.node.config.Get())
+			o.cell.SetSettings(*o.node.cellSettings.Load())
+		})
 		o.post(ctx, func() {}) // has waiting tasks placed
 		if err == nil {
 			o.manageWorkers(ctx, list)
