Process tests: a node that ends right after its start fails the test; TestStoppedAndContinuedProcess traced

What was seen once: 'os: process already finished' at SIGSTOP, and no reason in the output of the node. Trace: with the operator address of the second node taken by another process that answers 200, the test fails with just that: the node exits with 'cannot listen', which the test did not read at the time, and the other process answers the health checks (trial on a scratch copy). The test now says so when a node ends before it is healthy.

--- a/cmd/cactuswalld/deployment_test.go
+++ b/cmd/cactuswalld/deployment_test.go
@@ -231,6 +231,11 @@
 		}
 	})
 	d.waitUntil(func() bool { return d.getStatus(n, "/healthz") == http.StatusOK })
+	select {
+	case <-ended: // then another process has answered, which has taken the address
+		d.t.Fatalf("node %s ended right after its start", n.settings.Node)
+	default:
+	}
 }
 
 // getStatus returns the HTTP status of a GET request to the operator address, or 0 if there was no response.
