Evidence without images is ignored; panics in calls between nodes end no process

A peer's evidence of interference without images was valid, and led to a matrix without rows: gonum panics, in a goroutine of the node. TestEvidenceWithoutImagesIsIgnored ended with that panic before. Calls to peers and the store that components and requests make in goroutines of their own recover too: an append that panics counts as one that may have been stored.

--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -214,7 +214,7 @@
 	ctx, o.stop = context.WithCancel(ctx)
 	m.owner.Store(o)
 	go func() {
-		err := o.guarded("owner", func() error { return o.run(ctx) })()
+		err := m.node.guarded("owner", func() error { return o.run(ctx) })()
 		if errors.Is(err, errPanicked) || o.panicked.Load() {
 			m.ownerPanicked(boottime.Now())
 		}
--- a/internal/cellnode/loads.go
+++ b/internal/cellnode/loads.go
@@ -182,14 +182,14 @@
 		if n.ownerOf(cell) != nil {
 			continue
 		}
-		group.Go(func() error {
+		group.Go(n.guarded("ask for loads", func() error {
 			if n.loads.missed(cell, n.askLoads(ctx, cell)) >= missesToStandIn {
 				n.membership(cell).standIn()
 			}
 			return nil
-		})
+		}))
 	}
-	_ = group.Wait() // always nil
+	_ = group.Wait() // a panic, the only error, has been recorded
 }
 
 // askLoads asks the owner of a cell for the loads that it knows, and reports whether it answered as the owner.
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -119,7 +119,7 @@
 		return trace.Wrap(err)
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	start := func(work string, f func() error) { group.Go(o.guarded(work, f)) }
+	start := func(work string, f func() error) { group.Go(o.node.guarded(work, f)) }
 	start("event loop", func() error { return o.runEventLoop(ctx) })
 	start("load", func() error {
 		jobsEnd, err := o.load(ctx, progressEnd)
--- a/internal/cellnode/panics.go
+++ b/internal/cellnode/panics.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 )
 
-// errPanicked ends an owner whose code has panicked. Its state may be inconsistent, so the next owner loads it anew.
-var errPanicked = errors.New("panic in the owner of a cell")
+// errPanicked stands for a panic. It ends an owner: its state may be inconsistent, so the next one loads it anew.
+var errPanicked = errors.New("panic")
 
 const (
 	// restartDelay is how long a component of a node rests after a panic.
@@ -33,8 +33,8 @@
 func (n *Node) restarting(work string, component func(context.Context) error) func(context.Context) error {
 	return func(ctx context.Context) error {
 		for {
-			err, panicked := n.runRecovered(ctx, work, component)
-			if !panicked {
+			err := n.guarded(work, func() error { return component(ctx) })()
+			if !errors.Is(err, errPanicked) {
 				return err
 			}
 			sleep(ctx, restartDelay)
@@ -45,22 +45,12 @@
 	}
 }
 
-func (n *Node) runRecovered(ctx context.Context, work string, component func(context.Context) error) (err error, panicked bool) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			n.recordPanic(work, cause)
-			panicked = true
-		}
-	}()
-	return component(ctx), false
-}
-
-// guarded returns a function that calls f. A panic in f ends the owner and not the process.
-func (o *owner) guarded(work string, f func() error) func() error {
+// guarded returns a function that calls f, and returns errPanicked if f panics.
+func (n *Node) guarded(work string, f func() error) func() error {
 	return func() (err error) {
 		defer func() {
 			if cause := recover(); cause != nil {
-				o.node.recordPanic(work, cause)
+				n.recordPanic(work, cause)
 				err = errPanicked
 			}
 		}()
@@ -73,7 +63,7 @@
 
 // protected returns a function that calls f, and ends the owner if f panics.
 func (o *owner) protected(work string, f func()) func() {
-	guarded := o.guarded(work, func() error { f(); return nil })
+	guarded := o.node.guarded(work, func() error { f(); return nil })
 	return func() {
 		if guarded() != nil {
 			o.panicked.Store(true)
--- a/internal/cellnode/status_query.go
+++ b/internal/cellnode/status_query.go
@@ -84,14 +84,14 @@
 	counts := make([]int, len(g.node.cells.table().Plan().Cells))
 	var group errgroup.Group
 	for cell := range counts {
-		group.Go(func() error {
+		group.Go(g.node.guarded("count pending jobs", func() error {
 			count, ok := g.countPendingIn(ctx, pendingKey{queue: name, cell: cell})
 			counts[cell] = count
 			if !ok {
 				return verdict.New(verdict.NotRun, reasonNoOwner, nil)
 			}
 			return nil
-		})
+		}))
 	}
 	err := group.Wait()
 	total := 0
--- a/internal/cellnode/store_record.go
+++ b/internal/cellnode/store_record.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	results := make(chan error, 2)
-	go func() { results <- g.node.storeRecord(ctx, r) }()
+	go func() { results <- g.node.guarded("store record", func() error { return g.node.storeRecord(ctx, r) })() }()
 	timer := time.NewTimer(forwardAfter)
 	defer timer.Stop()
 	var localErr error
@@ -43,7 +43,9 @@
 		return <-results
 	}
 	pendingResults++
-	go func() { results <- g.storeViaOwner(ctx, address, r) }()
+	go func() {
+		results <- g.node.guarded("store record by the owner", func() error { return g.storeViaOwner(ctx, address, r) })()
+	}()
 	worstErr := localErr
 	for range pendingResults {
 		err := <-results
--- a/internal/cpuinterference/evidence.go
+++ b/internal/cpuinterference/evidence.go
@@ -77,7 +77,7 @@
 // valid reports whether the evidence is complete and consists of numbers.
 func (e *ServiceEvidence) valid() bool {
 	n := len(e.Images)
-	if n > maxEvidenceImages || len(e.Precision) != n*n || len(e.Information) != n || !(e.LowestTailMS > 0) {
+	if n == 0 || n > maxEvidenceImages || len(e.Precision) != n*n || len(e.Information) != n || !(e.LowestTailMS > 0) {
 		return false
 	}
 	for _, value := range append(slices.Clone(e.Precision), e.Information...) {
--- a/internal/cpuinterference/evidence_test.go
+++ b/internal/cpuinterference/evidence_test.go
@@ -106,3 +106,12 @@
 		So(g, ShouldAlmostEqual, 0, 0.1)
 	})
 }
+
+// Guards against a process that ends because of one message: evidence without images led to a matrix without rows.
+func TestEvidenceWithoutImagesIsIgnored(t *testing.T) {
+	l := NewLearner()
+	l.Add(1, Evidence{Services: []ServiceEvidence{{Image: "s", LowestTailMS: 1}, {}, {Image: "s", LowestTailMS: 1, Images: []string{"f"}}}})
+	if mean, deviation := l.Coefficient("s", "f"); mean != priorMean || deviation != priorDeviation {
+		t.Errorf("coefficient %v with deviation %v, want the prior", mean, deviation)
+	}
+}
