Nodes that the store turns away go on by way of the owners; unknown outcomes are settled while the caller waits

Causes: an accepting node looks the owner up in the store, and forgot it when the store did not answer. An answer of the owner that did not come in 0.7 s made the outcome unknown, and was final although the caller waits for 3 s.

Change: without the store a node uses the owner that it knew, unless that has failed to answer. While the outcome is unknown, the record is stored again, under a key of its own, by way of the owners of the other cells in turn. A job that certainly was not stored is still refused at once.

--- a/internal/cellnode/directory.go
+++ b/internal/cellnode/directory.go
@@ -42,7 +42,8 @@
 
 // ownerAddress returns the peer address of the owner of a cell, or an empty string if no other node is known to own it.
 func (n *Node) ownerAddress(ctx context.Context, cell int) string {
-	if m := n.membership(cell); m.follows() {
+	m := n.membership(cell)
+	if m.follows() {
 		return m.ownerAddress()
 	}
 	entry := n.directory.entry(cell)
@@ -50,7 +51,15 @@
 	defer entry.mu.Unlock()
 	if (entry.address == "" || entry.failed) && time.Since(entry.lookedUp) >= lookupInterval {
 		entry.lookedUp = time.Now()
-		entry.address, entry.failed = n.lookUpOwner(ctx, cell), false
+		address, answered := n.lookUpOwner(ctx, cell)
+		switch {
+		case answered:
+			entry.address, entry.failed = address, false
+		case entry.failed:
+			entry.address = ""
+		case entry.address == "":
+			entry.address = m.ownerAddress() // by the latest claim that this node has read
+		}
 	}
 	return entry.address
 }
@@ -63,23 +72,24 @@
 	entry.failed = true
 }
 
-// lookUpOwner reads the claim on a cell and returns the address of the owner, or an empty string if there is none.
-func (n *Node) lookUpOwner(ctx context.Context, cell int) string {
+// lookUpOwner reads the claim on a cell and returns the address of the owner, or an empty string if there is none. answered
+// is false if the store did not answer.
+func (n *Node) lookUpOwner(ctx context.Context, cell int) (address string, answered bool) {
 	callCtx, cancel := context.WithTimeout(ctx, claimCallTimeout)
 	defer cancel()
 	listing, err := n.platform.Store.List(callCtx, store.Partition{Topic: jobrecord.ClaimsTopic, Number: cell}, "")
 	if err != nil {
 		n.recordStoreFailure("list claims", err)
-		return ""
+		return "", false
 	}
 	n.recordStoreSuccess()
 	for i := range listing.Records {
 		var r claim.Record
 		if listing.Records[i].Key == claim.Key && recordcodec.Decode(listing.Records[i].Value, &r) == nil && !r.Released && r.Holder != n.holder {
-			return r.Address
+			return r.Address, true
 		}
 	}
-	return ""
+	return "", true
 }
 
 // follows reports whether this node has read the claim of the cell and reads on.
--- a/internal/cellnode/election_test.go
+++ b/internal/cellnode/election_test.go
@@ -35,6 +35,13 @@
 	return l.Store.Read(ctx, p, from, wait)
 }
 
+func (l *platformLink) List(ctx context.Context, p store.Partition, after string) (store.ListPage, error) {
+	if l.killed.Load() {
+		return store.ListPage{}, errKilled
+	}
+	return l.Store.List(ctx, p, after)
+}
+
 func (l *platformLink) Start(ctx context.Context, to workercall.Target, s workercall.Start) (workercall.Reply, error) {
 	if l.killed.Load() {
 		return workercall.Reply{}, errKilled
--- a/internal/cellnode/store_record.go
+++ b/internal/cellnode/store_record.go
@@ -11,16 +11,43 @@
 
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
 
-// storeOrForward stores a record in the jobs topic. If this node's append fails or takes longer than forwardAfter, the
-// owner of the cell is asked to store the record as well. Storing a record twice has the same effect as storing it once. The error
-// is nil if either attempt succeeded, and its verdict is NotRun only if the verdict of every attempt is.
+// settleDelay is the delay between two attempts to store a record.
+const settleDelay = 100 * time.Millisecond
+
+// storeOrForward stores a record in the jobs topic. While the outcome of an attempt is unknown and there is time, it tries again,
+// by way of the owner of another cell if there are several: any node can store the record, and storing it twice has the same
+// effect as storing it once. The error is nil if an attempt succeeded, and its verdict is NotRun only if the verdict of every
+// attempt is.
 func (g gateway) storeOrForward(ctx context.Context, cell int, r store.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	kind, _ := jobrecord.ParseKey(r.Key)
+	cells := len(g.node.cells.table().Plan().Cells)
+	err := g.attemptStore(ctx, cell, r)
+	for attempt := 1; err != nil && verdict.Of(err) != verdict.NotRun; attempt++ {
+		sleep(ctx, settleDelay)
+		if ctx.Err() != nil {
+			return err
+		}
+		again := r
+		if kind == jobrecord.KindJob {
+			again.Key = jobrecord.WithWriter(r.Key, g.node.nextWriter()) // a key is not stored twice
+		}
+		if g.attemptStore(ctx, (cell+attempt)%cells, again) == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// attemptStore stores a record in the jobs topic. If this node's append fails or takes longer than forwardAfter, the owner of the
+// cell is asked to store the record as well. The error is as that of storeOrForward.
+func (g gateway) attemptStore(ctx context.Context, cell int, r store.Record) error {
 	results := make(chan error, 2)
 	go func() { results <- g.node.guarded("store record", func() error { return g.node.storeRecord(ctx, r) })() }()
 	timer := time.NewTimer(forwardAfter)
@@ -44,7 +71,11 @@
 	}
 	pendingResults++
 	go func() {
-		results <- g.node.guarded("store record by the owner", func() error { return g.storeViaOwner(ctx, address, r) })()
+		err := g.node.guarded("store record by the owner", func() error { return g.storeViaOwner(ctx, address, r) })()
+		if err != nil && verdict.Of(err) != verdict.NotRun {
+			g.node.ownerFailed(cell)
+		}
+		results <- err
 	}()
 	worstErr := localErr
 	for range pendingResults {
