--- a/internal/cellnode/store_record.go
+++ b/internal/cellnode/store_record.go
@@ -49,7 +49,9 @@
 // cell is asked to store the record as well. The error is as that of storeOrForward.
 func (g gateway) attemptStore(ctx context.Context, cell int, r store.Record) error {
 	results := make(chan error, 2)
-	go func() { results <- g.node.guarded("store record", func() error { return g.node.storeRecord(ctx, r) })() }()
+	go func() {
+		results <- g.node.guarded("store record", func() error { return g.node.storeRecord(ctx, r) })()
+	}()
 	timer := time.NewTimer(forwardAfter)
 	defer timer.Stop()
 	var localErr error
