Test of an owner's stop function: the owner does not end before it is looked at

Trace: the test started an owner under a claim that is not in force, which ends by itself within milliseconds; when the test goroutine is delayed, there is no owner to look at, and it dereferenced nil. It checks what it did before.

--- a/internal/cellnode/owner_test.go
+++ b/internal/cellnode/owner_test.go
@@ -16,9 +16,10 @@
 	n := d.nodes[0].node
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	n.membership(0).startOwner(ctx, claim.Record{Epoch: 7}, 0)
+	// The claim is in force, so that the owner does not end by itself before it is looked at.
+	n.membership(0).startOwner(ctx, claim.Record{Epoch: n.membership(0).owner.Load().epoch}, 0)
 	o := n.membership(0).owner.Load()
-	if o.stop == nil {
+	if o == nil || o.stop == nil {
 		t.Fatal("a published owner cannot be stopped")
 	}
 	o.stopAndWait(ctx)
