Orders to a worker reach only the incarnation that they are meant for

Expect-Instance names a worker's ID, which the next incarnation at the same address may share, so an order that was queued, being sent or repeated while the restart was unknown was executed by a worker with other labels.

A connection ends with the process at its other end. httpcall now records which incarnation has answered on a connection, and start, stop and pace orders, and renewals that acknowledge ends, are sent only on a connection of their incarnation. A new connection is identified by a renewal that acknowledges nothing. This holds whatever the owner knows, and does not depend on timing.

A refusal for a former incarnation no longer marks the next one as ended (TestRefusalForFormerIncarnationDoesNotEndTheNext, failed before). The stand-in worker of the soak now breaks connections of its former incarnation.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -34,7 +34,7 @@
 	case workercall.ReasonFenced:
 		return true
 	case workercall.ReasonWorkerRestarted:
-		c.handleOtherIncarnation(w)
+		c.handleOtherIncarnation(w, order.To.StartedAtMS)
 		if w.runs[order.Start.Run] == r {
 			c.abandonRun(r, "new_life")
 		}
@@ -117,7 +117,7 @@
 	}
 	switch {
 	case err != nil && reason == workercall.ReasonWorkerRestarted:
-		c.handleOtherIncarnation(w)
+		c.handleOtherIncarnation(w, order.To.StartedAtMS)
 	case err != nil:
 		c.log.Info("stop order failed", taskField(order.Run.Task), zap.Int("run", order.Run.Number),
 			zap.String("worker", w.info.ID), zap.String("reason", string(reason)))
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -225,7 +225,7 @@
 	case workercall.ReasonFenced:
 		return true
 	case workercall.ReasonWorkerRestarted:
-		c.handleOtherIncarnation(w)
+		c.handleOtherIncarnation(w, w.info.StartedAtMS)
 		return false
 	}
 	if w.failingSince == 0 {
@@ -238,8 +238,11 @@
 }
 
 // handleOtherIncarnation handles an answer from a different incarnation than the one addressed, which has therefore
-// ended.
-func (c *Cell) handleOtherIncarnation(w *worker) {
+// ended. It does nothing if that is known.
+func (c *Cell) handleOtherIncarnation(w *worker, addressed int64) {
+	if addressed != w.info.StartedAtMS {
+		return
+	}
 	w.touch()
 	if !w.dead {
 		c.handleNewIncarnation(w, "refusal")
--- a/internal/cell/restarted_worker_test.go
+++ b/internal/cell/restarted_worker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/verdict"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -262,3 +263,23 @@
 		}
 	}
 }
+
+// Guards against LOST: a start order for a former incarnation was refused after the owner had learned of the next one, and the owner
+// took the next one for ended and placed nothing on it.
+func TestRefusalForFormerIncarnationDoesNotEndTheNext(t *testing.T) {
+	sim := newSimulation(3, 1)
+	c := sim.takeOver().cell
+	sim.run(12 * time.Second)
+	sim.submit("j", testSpec(1))
+	sim.now += simTick
+	sim.runDueEvents()
+	c.SetTime(sim.now, sim.wall())
+	starts := c.RoundStored(c.Plan())
+	sim.restartWorker("w0")
+	c.SetWorkers(sim.currentWorkers())
+	c.StartAnswered(starts[0], workercall.Reply{}, verdict.New(verdict.NotRun, workercall.ReasonWorkerRestarted, nil))
+	w := c.workers["w0"]
+	if w.dead || len(w.runs) != 0 {
+		t.Errorf("dead %v with %d runs, want the next incarnation alive and without the refused run", w.dead, len(w.runs))
+	}
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -229,7 +229,7 @@
 }
 
 func (w *worker) target() workercall.Target {
-	return workercall.Target{ID: w.info.ID, Address: w.info.Address}
+	return workercall.Target{ID: w.info.ID, Address: w.info.Address, StartedAtMS: w.info.StartedAtMS}
 }
 
 // clockNow estimates the worker's clock at local time now.
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -5,7 +5,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +30,21 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.cause }
 
+// OtherIncarnationError is the error of a call that was not sent because a later incarnation of the server has answered at
+// its address than the one that the call is meant for.
+type OtherIncarnationError struct {
+	// Incarnation is the one that has answered.
+	Incarnation int64
+}
+
+// Error implements error.
+func (e *OtherIncarnationError) Error() string {
+	return "not sent: incarnation " + strconv.FormatInt(e.Incarnation, 10) + " of the server has answered"
+}
+
+// errUnidentified means that the server does not say, or not as expected, which incarnation it is.
+var errUnidentified = errors.New("the server has not been identified as the incarnation that the call is meant for")
+
 // Options are the settings of a Client.
 type Options struct {
 	// Dialer establishes the connections. Its timeout is shortened to that of the call.
@@ -39,6 +56,9 @@
 	MaxIdleConnsPerServer int
 	// MaxResponseBytes limits the body of a response.
 	MaxResponseBytes int
+	// Incarnation returns the incarnation of the server, a number that grows with each start of its process, that a response
+	// names, or 0. It is called for the responses on a connection until one names an incarnation. It may be nil.
+	Incarnation func(resp *fasthttp.Response) int64
 }
 
 // Client makes calls. Its methods may be called concurrently.
@@ -64,6 +84,31 @@
 // sent is not cancelled when ctx ends, but ends at its timeout at the latest. The error is a NotSentError if certainly
 // nothing was sent.
 func (c *Client) Do(ctx context.Context, server string, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	return c.do(ctx, server, Recipient{}, req, resp, timeout)
+}
+
+// Recipient is the incarnation of a server that a call is meant for.
+type Recipient struct {
+	Incarnation int64
+	// Identify is a request whose response names the incarnation of the server; see Options.Incarnation. It must not have an
+	// effect on an incarnation that it is not meant for.
+	Identify *fasthttp.Request
+}
+
+// DoAt is Do for a call that must not reach any other incarnation of the server. A connection cannot outlive the process at
+// its other end, so the call is sent only on a connection on which that incarnation has answered. On a connection that is
+// not identified yet, to.Identify is sent first. The error is an OtherIncarnationError if a later incarnation has answered;
+// it is a NotSentError also if the server cannot be identified.
+func (c *Client) DoAt(
+	ctx context.Context, server string, to Recipient, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration,
+) error {
+	return c.do(ctx, server, to, req, resp, timeout)
+}
+
+// do is DoAt, and Do if to is the zero value.
+func (c *Client) do(
+	ctx context.Context, server string, to Recipient, req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration,
+) error {
 	deadline := time.Now().Add(timeout)
 	if end, ok := ctx.Deadline(); ok && end.Before(deadline) {
 		deadline = end
@@ -86,6 +131,19 @@
 			host.CloseConn(pooled)
 			continue
 		}
+		if to.Incarnation != 0 {
+			switch usable, err := c.identify(connection, to, deadline); {
+			case err != nil && usable:
+				host.ReleaseConn(pooled) // for calls to the incarnation that has answered
+				return err
+			case err != nil:
+				host.CloseConn(pooled)
+				return err
+			case !usable:
+				host.CloseConn(pooled)
+				continue
+			}
+		}
 		reusable, err := c.exchange(connection, req, resp, deadline)
 		if reusable && host.IdleConnsCount() < c.options.MaxIdleConnsPerServer {
 			host.ReleaseConn(pooled)
@@ -102,6 +160,35 @@
 	}
 }
 
+// identify checks that a connection leads to the incarnation that a call is meant for. If it does not, err says why the call
+// cannot be sent, or is nil if another connection may do; usable then says whether the connection can be used by other calls.
+func (c *Client) identify(connection *conn, to Recipient, deadline time.Time) (usable bool, err error) {
+	known := connection.incarnation != 0
+	if !known {
+		resp := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseResponse(resp)
+		reused := connection.reused
+		reusable, err := c.exchange(connection, to.Identify, resp, deadline)
+		switch {
+		case err == errNotSent && reused:
+			return false, nil // the server has closed an idle connection
+		case err != nil:
+			return false, &NotSentError{cause: err}
+		case !reusable || connection.incarnation == 0:
+			return false, &NotSentError{cause: errUnidentified}
+		}
+	}
+	switch {
+	case connection.incarnation > to.Incarnation:
+		return true, &OtherIncarnationError{Incarnation: connection.incarnation}
+	case connection.incarnation == to.Incarnation:
+		return true, nil
+	case known:
+		return false, nil // that incarnation has ended
+	}
+	return false, &NotSentError{cause: errUnidentified}
+}
+
 // exchange sends a request on a connection and reads the response.
 func (c *Client) exchange(connection *conn, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (reusable bool, err error) {
 	if err := connection.SetDeadline(deadline); err != nil {
@@ -123,6 +210,9 @@
 		return false, trace.Wrap(err)
 	}
 	connection.usedAt, connection.reused = time.Now(), true
+	if connection.incarnation == 0 && c.options.Incarnation != nil {
+		connection.incarnation = c.options.Incarnation(resp)
+	}
 	return !resp.ConnectionClose() && reader.Buffered() == 0, nil
 }
 
--- a/internal/httpcall/conn.go
+++ b/internal/httpcall/conn.go
@@ -27,6 +27,8 @@
 	// usedAt is when the connection was established or its last response was complete.
 	usedAt time.Time
 	reused bool
+	// incarnation is the incarnation of the server that has answered on the connection, or 0.
+	incarnation int64
 
 	// The following fields belong to the running Read; onReady is c.exchange.
 	onReady func(fd uintptr) bool
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -44,7 +45,7 @@
 	command := &cobra.Command{Use: "store", Short: "Run the stand-in of the store", Hidden: true, RunE: func(*cobra.Command, []string) error {
 		s := standin.NewStore(standin.KeepHistory, standin.WorkerExpiry, seed)
 		go s.Expire()
-		return trace.Wrap(serve(listen, s))
+		return trace.Wrap(serve(listen, s, nil))
 	}}
 	command.Flags().StringVar(&listen, "listen", "", "address")
 	command.Flags().Uint64Var(&seed, "seed", 0, "seed of lost answers")
@@ -81,7 +82,7 @@
 		workers[s.ID] = w
 		go w.Run()
 		go writeEntries(w, spec.Store)
-		go func() { failed <- serve(s.Listen, w) }()
+		go func() { failed <- serve(s.Listen, w, w.ConnContext) }()
 	}
 	go func() {
 		failed <- serve(spec.Listen, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -91,7 +92,7 @@
 				return
 			}
 			workers[f.Worker].Apply(f)
-		}))
+		}), nil)
 	}()
 	return trace.Wrap(<-failed)
 }
@@ -108,11 +109,11 @@
 	}
 }
 
-// serve serves HTTP at an address until the process ends.
-func serve(address string, handler http.Handler) error {
+// serve serves HTTP at an address until the process ends. connContext is as in http.Server and may be nil.
+func serve(address string, handler http.Handler, connContext func(context.Context, net.Conn) context.Context) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap((&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(listener))
+	return trace.Wrap((&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, ConnContext: connContext}).Serve(listener))
 }
--- a/internal/workercall/workercall.go
+++ b/internal/workercall/workercall.go
@@ -36,6 +36,9 @@
 type Target struct {
 	ID      string
 	Address string
+	// StartedAtMS is the incarnation that the order is meant for, as its start time in Unix milliseconds. No other incarnation
+	// must get the order. If it is 0 the incarnation is not known, and any may get it.
+	StartedAtMS int64
 }
 
 // Run identifies one run of a task.
