Best-effort tasks go beside the services that are furthest from their targets

Readings of services show that half of this happens at the peaks of a service's own load, next to images that press on it only a little: among the workers that pass the limit, placement took the one with most unused CPU time, whatever the load of the services there at the time.

Placement now subtracts from a worker's score the share of the utilization left to each service's target that the task would add. It excludes no worker, so best-effort work is not delayed for it.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -183,6 +183,9 @@
 	if g.step.TargetTailLatency > 0 {
 		need.InterferenceMismatch = func(i int) float64 { return c.mismatch(v.workers[i], g.step.Image) }
 	}
+	if g.step.BestEffort {
+		need.InterferenceRisk = func(i int) float64 { return c.riskAt(v, i, g.step) }
+	}
 	perWorker := c.runsPerWorker(g)
 	v.waitsForSuspect = false
 	i := placement.Best(v.candidates, need, func(i int) bool {
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -23,6 +23,9 @@
 	// minPlacementSpeed is the minimum speed, as a share of full speed, that a best-effort task must reach on the
 	// worker where it is placed.
 	minPlacementSpeed = 0.9
+	// minUtilizationLeft is the lowest utilization to its target that a service is taken to have left when the risk of placing a
+	// best-effort task beside it is computed. It is about the standard deviation of a reading.
+	minUtilizationLeft = 0.04
 	// deviationWeight is the share of an interference coefficient's standard deviation that placement adds to its mean.
 	deviationWeight = 0.5
 )
@@ -49,6 +52,7 @@
 				Image: step.Image, Group: jobrecord.GroupKey(r.task.group.id), Task: r.task.id.Key(),
 			}, r.tailLatency, shares, c.now)
 			r.reading = &reading
+			w.utilizationLeft = nil
 		}
 		switch {
 		case r.tailLatency < step.TargetTailLatency:
@@ -205,7 +209,7 @@
 func (c *Cell) headroomAt(v *placementView, i int, image string) float64 {
 	headroom := v.headroom[image]
 	if headroom == nil {
-		headroom = v.newHeadroom()
+		headroom = v.newValues()
 		v.headroom[image] = headroom
 	}
 	if math.IsNaN(headroom[i]) {
@@ -231,4 +235,59 @@
 	for image, headroom := range v.headroom {
 		headroom[i] = c.headroomAt(v, i, image) - min(1, highest)*v.cpuShare(i, step)
 	}
+	for _, risk := range v.risk {
+		risk[i] = math.NaN()
+	}
+}
+
+// riskAt returns the interference risk of a task of a step on the worker with index i; see placement.Need. Where best-effort
+// tasks fit beside several services, they go beside those that are furthest from their targets, whose own load is low at the time.
+func (c *Cell) riskAt(v *placementView, i int, step *jobs.Step) float64 {
+	risk := v.risk[step.Image]
+	if risk == nil {
+		risk = v.newValues()
+		v.risk[step.Image] = risk
+	}
+	if math.IsNaN(risk[i]) {
+		risk[i] = c.interferenceRisk(v.workers[i], step.Image)
+	}
+	return risk[i] * v.cpuShare(i, step)
+}
+
+// interferenceRisk returns the interference risk of an image on a worker for each share of the worker's CPU time that a task
+// uses.
+func (c *Cell) interferenceRisk(w *worker, image string) float64 {
+	if len(w.services) == 0 {
+		return 0
+	}
+	c.updateUtilizationLeft(w)
+	risk := 0.0
+	for k, r := range w.services {
+		if r.reading != nil {
+			mean, _ := c.interference.Coefficient(r.task.group.step.Image, image)
+			risk += mean / w.utilizationLeft[k]
+		}
+	}
+	return risk
+}
+
+// updateUtilizationLeft computes worker.utilizationLeft if something has changed since.
+func (c *Cell) updateUtilizationLeft(w *worker) {
+	if w.utilizationLeft != nil {
+		return
+	}
+	w.utilizationLeft = make([]float64, len(w.services))
+	capacity := float64(max(1, w.info.Capacity.MilliCPU))
+	for k, r := range w.services {
+		if r.reading == nil {
+			continue
+		}
+		step := r.task.group.step
+		left := c.interference.UtilizationAt(step.Image, step.TargetTailLatency) - r.reading.OwnLoad
+		for _, beside := range w.bestEffort {
+			mean, _ := c.interference.Coefficient(step.Image, beside.task.group.step.Image)
+			left -= mean * float64(beside.expectedCPU()) / capacity
+		}
+		w.utilizationLeft[k] = max(minUtilizationLeft, left)
+	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -186,7 +186,10 @@
 	// services and bestEffort are the runs of tasks with a latency target and of best-effort tasks, sorted by lessRun. A
 	// run may be in both.
 	services, bestEffort []*run
-	reserved             jobs.Resources // requested by the tasks of all runs
+	// utilizationLeft is, for each of services, the utilization between its own load with the expected interference and its latency
+	// target, at least minUtilizationLeft. It is nil until it is needed, and after each change of what it depends on.
+	utilizationLeft []float64
+	reserved        jobs.Resources // requested by the tasks of all runs
 	// expectedCPU is the CPU that all runs are expected to use, in milli-CPU.
 	expectedCPU int
 	failureRate float64       // recent share of failed runs, from 0 to 1, as the quarantine table has it
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -17,6 +17,8 @@
 	// may use; see Cell.headroom. It is NaN until it is computed, see Cell.headroomAt. An image has a slice once it is
 	// needed; from then on reserve changes the headroom, computing it first.
 	headroom map[string][]float64
+	// risk holds, in the same way, the interference risk of an image; see Cell.riskAt.
+	risk map[string][]float64
 	// unplaceable holds, by constraints, the last need for which no worker was found. chooseWorker returns -1 at once
 	// for a task with the same constraints that needs at least as much.
 	unplaceable map[needKey]placement.Need
@@ -26,7 +28,7 @@
 	waitsForSuspect bool
 	// reserved contains the workers that reserveWorkers keeps free.
 	reserved map[*worker]bool
-	// unused holds the slices of an earlier view's headroom for use in this one.
+	// unused holds the slices of an earlier view's headroom and risk for use in this one.
 	unused [][]float64
 }
 
@@ -71,20 +73,23 @@
 
 func (v *placementView) reset() {
 	if v.headroom == nil {
-		v.headroom, v.unplaceable = make(map[string][]float64), make(map[needKey]placement.Need)
+		v.headroom, v.risk = make(map[string][]float64), make(map[string][]float64)
+		v.unplaceable = make(map[needKey]placement.Need)
 		v.reserved = make(map[*worker]bool)
 	}
-	for _, values := range v.headroom {
-		v.unused = append(v.unused, values)
+	for _, byImage := range []map[string][]float64{v.headroom, v.risk} {
+		for _, values := range byImage {
+			v.unused = append(v.unused, values)
+		}
+		clear(byImage)
 	}
-	clear(v.headroom)
 	clear(v.unplaceable)
 	clear(v.reserved)
 	v.workers, v.candidates, v.states, v.waitLogs = v.workers[:0], v.candidates[:0], v.states[:0], 0
 }
 
-// newHeadroom returns a slice with NaN for each candidate.
-func (v *placementView) newHeadroom() []float64 {
+// newValues returns a slice with NaN for each candidate.
+func (v *placementView) newValues() []float64 {
 	var values []float64
 	if n := len(v.unused); n > 0 {
 		values, v.unused = v.unused[n-1][:0], v.unused[:n-1]
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -24,12 +24,14 @@
 func (r *run) setPace(pace int) {
 	r.worker.expectedCPU -= r.expectedCPU()
 	r.pace = pace
+	r.worker.utilizationLeft = nil
 	r.worker.expectedCPU += r.expectedCPU()
 }
 
 // addRun adds a run to its worker and its task.
 func (w *worker) addRun(r *run) {
 	w.touch()
+	w.utilizationLeft = nil
 	step := r.task.group.step
 	w.runs[r.key()] = r
 	if step.TargetTailLatency > 0 {
@@ -62,6 +64,7 @@
 	}
 	if key := r.key(); w.runs[key] == r {
 		w.touch()
+		w.utilizationLeft = nil
 		delete(w.runs, key)
 		w.services = withoutRun(w.services, r)
 		w.bestEffort = withoutRun(w.bestEffort, r)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -22,10 +22,6 @@
 	Probing bool
 	// FailureRate is the recent share of failed runs, from 0 to 1.
 	FailureRate float64
-	// Interference is how much best-effort tasks on the worker interfere with the services there; it is not the
-	// coefficient of package cpuinterference. It is subtracted from the worker's score for a best-effort task, in the
-	// unit of the score, a share of the worker's CPU capacity. No caller of Best sets it, so it is 0.
-	Interference float64
 }
 
 // Kind is the kind of a task; each is scored by its own rule.
@@ -56,6 +52,10 @@
 	// InterferenceMismatch returns how differently a long-running task and the services on worker i react to
 	// interference, from 0 to 1. Nil means no mismatch on any worker.
 	InterferenceMismatch func(i int) float64
+	// InterferenceRisk returns how close to their latency targets a best-effort task is expected to bring the services on
+	// worker i: the sum, over the services, of the utilization that it adds as a share of what is left to the target. Nil means no
+	// risk on any worker. It is subtracted from the worker's score.
+	InterferenceRisk func(i int) float64
 }
 
 // The penalties are subtracted from a worker's score, whose unit is the worker's CPU capacity: without a penalty,
@@ -87,7 +87,7 @@
 		if !w.Free.Contains(n.Requested) || n.Kind == BestEffort && !hasSpareCPU(w, &n) {
 			continue
 		}
-		// The mismatch only lowers the score, so that a worker that is no better without it needs no further look.
+		// The mismatch and the risk only lower the score, so that a worker that is no better without them needs no further look.
 		score := score(w, &n)
 		if best >= 0 && score <= bestScore || !eligible(i) {
 			continue
@@ -95,6 +95,9 @@
 		if n.InterferenceMismatch != nil {
 			score -= mismatchPenalty * n.InterferenceMismatch(i)
 		}
+		if n.InterferenceRisk != nil {
+			score -= n.InterferenceRisk(i)
+		}
 		if best < 0 || score > bestScore {
 			best, bestScore = i, score
 		}
@@ -107,7 +110,7 @@
 	return float64(w.SpareMilliCPU) >= minBestEffortShare*float64(n.ExpectedMilliCPU)
 }
 
-// score rates a worker for a task, without the mismatch penalty; higher is better.
+// score rates a worker for a task, without the mismatch penalty and the risk; higher is better.
 func score(w *Worker, n *Need) float64 {
 	size := float64(max(1, w.MilliCPU))
 	score := float64(w.SpareMilliCPU) / size
@@ -117,9 +120,6 @@
 		score = -float64(w.Free.MilliCPU) / size
 	}
 	score -= failureRatePenalty * w.FailureRate
-	if n.Kind == BestEffort {
-		score -= w.Interference
-	}
 	if n.DataRack != "" && w.Rack != n.DataRack {
 		score -= otherRackPenalty
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -49,6 +49,15 @@
 			So(choose(mixed), ShouldEqual, "mixed")
 		})
 	})
+	Convey("A best-effort task goes where it brings services less close to their targets, even with less unused CPU capacity there", t, func() {
+		workers := []Worker{worker("peak", "r1", 8000, 8000), worker("trough", "r1", 8000, 6000)}
+		risk := []float64{0.4, 0.1}
+		need := Need{Kind: BestEffort, Requested: jobs.Resources{MemoryMB: 1000}, ExpectedMilliCPU: 1000,
+			InterferenceRisk: func(i int) float64 { return risk[i] }}
+		So(Best(workers, need, anyWorker), ShouldEqual, 1)
+		need.InterferenceRisk = nil
+		So(Best(workers, need, anyWorker), ShouldEqual, 0)
+	})
 	Convey("A worker with a high failure rate comes last", t, func() {
 		bad := worker("bad", "r1", 16000, 16000)
 		bad.FailureRate = 0.6
@@ -73,8 +82,11 @@
 		if random.IntN(2) == 0 {
 			need.DataRack = "r"
 		}
-		if need.Kind == LongRunning {
+		switch need.Kind {
+		case LongRunning:
 			need.InterferenceMismatch = func(i int) float64 { return mismatch[i] }
+		case BestEffort:
+			need.InterferenceRisk = func(i int) float64 { return mismatch[i] }
 		}
 		expected, highest := -1, 0.0
 		for i := range workers {
@@ -86,6 +98,9 @@
 			if need.InterferenceMismatch != nil {
 				value -= mismatchPenalty * mismatch[i]
 			}
+			if need.InterferenceRisk != nil {
+				value -= mismatch[i]
+			}
 			if expected < 0 || value > highest {
 				expected, highest = i, value
 			}
