Records of a rejected append go back into the queue and can be withdrawn

While the store turned a node away (store_busy), callers whose time ran out between two attempts were told that the outcome was unknown (504), though every attempt had been rejected, and records queued behind a rejected append waited up to 400 ms for it before their own 400 ms began. Both are now told that nothing was written, within 400 ms of the first attempt.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -1,6 +1,7 @@
 // Package appender writes records to a partition of a keyed topic (see package store). Records that arrive while an
 // append is in progress are batched into the next one. An append without a reply is repeated with the same sequence
-// number until its outcome is known.
+// number until its outcome is known. The records of an append that the store rejects go back into the queue, where they can be
+// withdrawn, and into the next append.
 package appender
 
 import (
@@ -19,7 +20,7 @@
 	maxQueuedRecords = 4000
 	// retryDelay is the delay between two attempts of an append.
 	retryDelay = 60 * time.Millisecond
-	// rejectedRetryTimeout is how long after its first attempt an append that the store rejects is retried. Appends
+	// rejectedRetryTimeout is how long after their first append records that the store rejects are appended again. Appends
 	// rejected as fenced or because the store is full are not retried.
 	rejectedRetryTimeout = 400 * time.Millisecond
 	// maxBatchRecords is the maximum number of records in one append, unless a single request has more.
@@ -61,7 +62,9 @@
 	ctx     context.Context
 	records []store.Record
 	done    chan result
-	inBatch bool // set once the request is part of a batch that is being sent
+	inBatch bool // set while the request is part of an append that is being sent or whose outcome is unknown
+	// attemptedAt is when the request was first part of an append; zero for never.
+	attemptedAt time.Time
 }
 
 // result is the result of a call to Append.
@@ -101,8 +104,8 @@
 	}
 }
 
-// withdraw removes a request from the queue if it has not been sent yet. It returns the error for the caller of Append,
-// with verdict NotRun if the request was not sent and MayHaveRun otherwise.
+// withdraw removes a request from the queue if it has not been sent or the store has rejected it. It returns the error for the
+// caller of Append, with verdict NotRun if the request was removed and MayHaveRun otherwise.
 func (a *Appender) withdraw(r *request) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -132,8 +135,12 @@
 			}
 		}
 		appended, err := a.writeBatch(ctx, batch)
-		for _, r := range batch {
-			r.done <- result{appended: appended, err: err}
+		if isRejection(err) && a.requeue(batch, err) {
+			sleep(ctx, retryDelay)
+		} else if !isRejection(err) {
+			for _, r := range batch {
+				r.done <- result{appended: appended, err: err}
+			}
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -141,6 +148,43 @@
 	}
 }
 
+// isRejection reports whether the store has rejected an append and may accept it later.
+func isRejection(err error) bool {
+	return err != nil && verdict.Of(err) == verdict.NotRun && !store.HasReason(err, store.ReasonFenced) && !store.HasReason(err, store.ReasonFull)
+}
+
+// requeue puts the requests of a rejected batch back to the front of the queue. It fails those whose caller has gone or that
+// were first sent more than rejectedRetryTimeout ago. It reports whether any is left.
+func (a *Appender) requeue(batch []*request, rejection error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	remaining := make([]*request, 0, len(batch)+len(a.queued))
+	for _, r := range batch {
+		r.inBatch = false
+		switch {
+		case r.ctx.Err() != nil:
+			r.done <- result{err: verdict.New(verdict.NotRun, ReasonCancelled, rejection)}
+		case time.Since(r.attemptedAt) > rejectedRetryTimeout:
+			r.done <- result{err: rejection}
+		default:
+			remaining = append(remaining, r)
+			a.queuedRecords += len(r.records)
+		}
+	}
+	a.queued = append(remaining, a.queued...)
+	return len(remaining) > 0
+}
+
+// sleep waits for a duration or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // nextBatch removes the requests of the next append from the queue and returns them.
 func (a *Appender) nextBatch() []*request {
 	a.mu.Lock()
@@ -154,6 +198,9 @@
 			break
 		}
 		r.inBatch = true
+		if r.attemptedAt.IsZero() {
+			r.attemptedAt = time.Now()
+		}
 		batch = append(batch, r)
 		records, size = records+len(r.records), size+bytes
 		a.queued = a.queued[1:]
@@ -174,13 +221,13 @@
 // recordOverhead is the size in bytes of the length prefixes of a record and of its key.
 const recordOverhead = 5
 
-// writeBatch sends one append and retries it until its outcome is known or it is given up.
+// writeBatch sends one append. While its outcome is unknown it is repeated, also if the contexts of all its callers have ended,
+// because the next append must not be executed before it.
 func (a *Appender) writeBatch(ctx context.Context, batch []*request) (store.AppendResult, error) {
 	var records []store.Record
 	for _, r := range batch {
 		records = append(records, r.records...)
 	}
-	start := time.Now()
 	outcomeUnknown := false
 	for {
 		producer := store.Producer{Name: a.producerName, Epoch: a.epoch, Sequence: a.nextSequence}
@@ -191,56 +238,26 @@
 		}
 		var sequenceErr *store.SequenceError
 		switch {
+		case errors.As(err, &sequenceErr) && !outcomeUnknown:
+			a.nextSequence = sequenceErr.Expected
+			return store.AppendResult{}, err
+		case errors.As(err, &sequenceErr) && sequenceErr.Expected == a.nextSequence+1:
+			a.nextSequence++
+			return store.AppendResult{}, nil
 		case errors.As(err, &sequenceErr):
-			switch {
-			case !outcomeUnknown:
-				a.nextSequence = sequenceErr.Expected
-			case sequenceErr.Expected == a.nextSequence+1:
-				a.nextSequence++
-				return store.AppendResult{}, nil
-			default:
-				return store.AppendResult{}, verdict.New(verdict.MayHaveRun, store.ReasonUnexpectedSequence, err)
-			}
+			return store.AppendResult{}, verdict.New(verdict.MayHaveRun, store.ReasonUnexpectedSequence, err)
 		case store.HasReason(err, store.ReasonFenced), store.HasReason(err, store.ReasonFull):
 			return store.AppendResult{}, err
 		case verdict.Of(err) != verdict.NotRun:
 			outcomeUnknown = true
-		case !outcomeUnknown && time.Since(start) > rejectedRetryTimeout:
+		case !outcomeUnknown:
 			return store.AppendResult{}, err
 		}
-		if !a.waitBeforeRetry(ctx, outcomeUnknown, batch) {
-			if outcomeUnknown {
-				return store.AppendResult{}, verdict.New(verdict.MayHaveRun, ReasonCancelled, err)
-			}
-			return store.AppendResult{}, verdict.New(verdict.NotRun, ReasonCancelled, err)
-		}
-	}
-}
-
-// waitBeforeRetry waits for the retry delay and reports whether to retry. An append whose outcome is unknown is retried
-// even if the contexts of all its callers have ended, because the next append must not be executed before it.
-func (a *Appender) waitBeforeRetry(ctx context.Context, outcomeUnknown bool, batch []*request) bool {
-	if !outcomeUnknown && allCancelled(batch) {
-		return false
-	}
-	timer := time.NewTimer(retryDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// allCancelled reports whether the contexts of all callers of a batch have ended.
-func allCancelled(batch []*request) bool {
-	for _, r := range batch {
-		if r.ctx.Err() == nil {
-			return false
+		sleep(ctx, retryDelay)
+		if ctx.Err() != nil {
+			return store.AppendResult{}, verdict.New(verdict.MayHaveRun, ReasonCancelled, err)
 		}
 	}
-	return true
 }
 
 // firstSequence follows the sequence number 0 of the empty append by RaiseEpoch. If the store expects another number,
--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -169,3 +169,66 @@
 		t.Error("a fenced append was written")
 	}
 }
+
+// rejections returns n faults that reject appends.
+func rejections(n int) []fault { return make([]fault, n) } // the zero value is reject
+
+// Guards against an unknown outcome for a caller whose record the store has rejected: a caller that gives up between two attempts was
+// told that the record may have been written, and could not try again elsewhere.
+func TestCallerThatGivesUpBetweenRejectionsKnowsThatNothingWasWritten(t *testing.T) {
+	f := &fakeStore{faults: rejections(50)}
+	runAppender(t, f, func(ctx context.Context, a *Appender) {
+		for _, patience := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+			callerCtx, cancel := context.WithTimeout(ctx, patience)
+			if _, err := a.Append(callerCtx, recordWithKey("a")); verdict.Of(err) != verdict.NotRun {
+				t.Errorf("after %v: got verdict %v, want NotRun", patience, verdict.Of(err))
+			}
+			cancel()
+		}
+	})
+	if len(f.keys) != 0 {
+		t.Error("a withdrawn record was written")
+	}
+}
+
+// Guards against rejections that add up: records that were queued behind a rejected append waited for its time limit before
+// their own began, longer than their callers wait.
+func TestRecordsBehindRejectedAppendFailWithinTheSameTime(t *testing.T) {
+	f := &fakeStore{faults: rejections(50)}
+	runAppender(t, f, func(ctx context.Context, a *Appender) {
+		var group sync.WaitGroup
+		for i := range 10 {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 30 * time.Millisecond)
+				start := time.Now()
+				if _, err := a.Append(ctx, recordWithKey("a")); verdict.Of(err) != verdict.NotRun {
+					t.Errorf("got verdict %v, want NotRun", verdict.Of(err))
+				}
+				if took := time.Since(start); took > rejectedRetryTimeout+200*time.Millisecond {
+					t.Errorf("record %d failed after %v", i, took)
+				}
+			})
+		}
+		group.Wait()
+	})
+}
+
+// Guards against lost or reordered records when an append is rejected while others wait.
+func TestRejectedRecordsAreWrittenInOrderOnceTheStoreAccepts(t *testing.T) {
+	f := &fakeStore{faults: rejections(3)}
+	runAppender(t, f, func(ctx context.Context, a *Appender) {
+		var group sync.WaitGroup
+		for i, key := range []string{"a", "b", "c"} {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				if _, err := a.Append(ctx, recordWithKey(key)); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		group.Wait()
+	})
+	if diff := cmp.Diff([]string{"a", "b", "c"}, f.keys); diff != "" {
+		t.Error(diff)
+	}
+}
