While the store is slow, the owner appends the records of all nodes

The store executes appends to a partition one at a time; 38 nodes appended 30 records a second, one each, where it takes 12 a second. Appends waited longer than the timeout of a call, were repeated, and kept the partition full until the store was fast again.

Nodes that see slow answers of the store now send the records of their callers to the owner alone, whose appends hold all records that wait. Appends without a reply in time are repeated after delays that double. While the store accepts nothing for 400 ms, one record goes on trying and others are refused at once.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -20,9 +20,18 @@
 	maxQueuedRecords = 4000
 	// retryDelay is the delay between two attempts of an append.
 	retryDelay = 60 * time.Millisecond
+	// maxRetryDelay limits the delay before an append whose reply did not come in time is repeated; the delay doubles with each
+	// attempt. Otherwise the repeated appends of many writers keep a slow partition busy for good. While other records wait for the
+	// outcome the limit is maxBusyRetryDelay.
+	maxRetryDelay     = 2 * time.Second
+	maxBusyRetryDelay = 240 * time.Millisecond
 	// rejectedRetryTimeout is how long after their first append records that the store rejects are appended again. Appends
 	// rejected as fenced or because the store is full are not retried.
 	rejectedRetryTimeout = 400 * time.Millisecond
+	// slowAppend is the duration from which on an append counts as slow. It is about ten times as long as an append normally takes.
+	slowAppend = 150 * time.Millisecond
+	// congestionMemory is how long after a slow append the partition is taken to be congested.
+	congestionMemory = 2 * time.Second
 	// maxBatchRecords is the maximum number of records in one append, unless a single request has more.
 	maxBatchRecords = 500
 )
@@ -31,6 +40,9 @@
 const (
 	// ReasonQueueFull means that too many records are waiting for an append.
 	ReasonQueueFull = verdict.Reason("append_queue_full")
+	// ReasonStoreFailing means that the store has not accepted an append for rejectedRetryTimeout, and that other records wait for it
+	// to do so.
+	ReasonStoreFailing = verdict.Reason("append_store_failing")
 	// ReasonCancelled means that the context of the caller or of the Appender ended before the append completed.
 	ReasonCancelled = verdict.Reason("append_given_up")
 )
@@ -50,11 +62,17 @@
 	nextSequence int64
 	maxBytes     int
 
-	// mu protects queued, queuedRecords and request.inBatch.
+	// mu protects the fields below, and inBatch of the requests.
 	mu            sync.Mutex
 	queued        []*request
 	queuedRecords int
-	wake          chan struct{}
+	sending       bool // an append is being sent, or its outcome is unknown
+	// failingSince is when the first append failed since the last one that succeeded; zero if the last one succeeded.
+	failingSince time.Time
+	// sentAt is when the append that is being sent was sent; lastSlow is when an append was last found to be slow.
+	sentAt, lastSlow time.Time
+
+	wake chan struct{}
 }
 
 // request holds the records of one call to Append.
@@ -80,11 +98,15 @@
 }
 
 // Append writes records and returns when they are stored, the append has failed or ctx ends. It fails at once if too
-// many records are waiting. The offsets in the result are those of the whole batch, and are zero if the store's reply
+// many records are waiting, or if the store has been failing for rejectedRetryTimeout while other records wait. The offsets in the result are those of the whole batch, and are zero if the store's reply
 // was lost. Errors carry a verdict that tells whether the records may have been written.
 func (a *Appender) Append(ctx context.Context, records []store.Record) (store.AppendResult, error) {
 	r := &request{ctx: ctx, records: records, done: make(chan result, 1)}
 	a.mu.Lock()
+	if a.failing() && (a.sending || len(a.queued) > 0) {
+		a.mu.Unlock()
+		return store.AppendResult{}, verdict.New(verdict.NotRun, ReasonStoreFailing, nil)
+	}
 	if a.queuedRecords+len(records) > maxQueuedRecords && a.queuedRecords > 0 {
 		a.mu.Unlock()
 		return store.AppendResult{}, verdict.New(verdict.NotRun, ReasonQueueFull, nil)
@@ -104,6 +126,66 @@
 	}
 }
 
+// failing reports whether the store has not accepted an append for rejectedRetryTimeout. The caller holds mu.
+func (a *Appender) failing() bool {
+	return !a.failingSince.IsZero() && time.Since(a.failingSince) > rejectedRetryTimeout
+}
+
+// Congested reports whether an append is or was slow in the last congestionMemory. A partition processes one append at a time, so
+// that many writers wait for each other while the store is slow. Records then better go to one writer, which appends them together.
+func (a *Appender) Congested() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.sentAt.IsZero() && time.Since(a.sentAt) >= slowAppend {
+		return true
+	}
+	return !a.lastSlow.IsZero() && time.Since(a.lastSlow) < congestionMemory
+}
+
+// ObserveLatency records how long the store has taken for something else than an append of this writer: to answer a read, or to
+// execute an append of another writer.
+func (a *Appender) ObserveLatency(took time.Duration) {
+	if took < slowAppend {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lastSlow = time.Now()
+}
+
+// attempting records that an append is being sent.
+func (a *Appender) attempting(at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sentAt = at
+}
+
+// maxDelay returns the longest delay before an append whose outcome is unknown is repeated.
+func (a *Appender) maxDelay() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.queued) > 0 {
+		return maxBusyRetryDelay
+	}
+	return maxRetryDelay
+}
+
+// attempted records the result of an append to the store.
+func (a *Appender) attempted(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if time.Since(a.sentAt) >= slowAppend {
+		a.lastSlow = time.Now()
+	}
+	a.sentAt = time.Time{}
+	switch {
+	case err == nil:
+		a.failingSince = time.Time{}
+	case a.failingSince.IsZero():
+		a.failingSince = time.Now()
+	}
+}
+
 // withdraw removes a request from the queue if it has not been sent or the store has rejected it. It returns the error for the
 // caller of Append, with verdict NotRun if the request was removed and MayHaveRun otherwise.
 func (a *Appender) withdraw(r *request) error {
@@ -138,9 +220,7 @@
 		if isRejection(err) && a.requeue(batch, err) {
 			sleep(ctx, retryDelay)
 		} else if !isRejection(err) {
-			for _, r := range batch {
-				r.done <- result{appended: appended, err: err}
-			}
+			a.finish(batch, result{appended: appended, err: err})
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -148,6 +228,16 @@
 	}
 }
 
+// finish gives the result of an append to the callers of its requests.
+func (a *Appender) finish(batch []*request, r result) {
+	a.mu.Lock()
+	a.sending = false
+	a.mu.Unlock()
+	for _, request := range batch {
+		request.done <- r
+	}
+}
+
 // isRejection reports whether the store has rejected an append and may accept it later.
 func isRejection(err error) bool {
 	return err != nil && verdict.Of(err) == verdict.NotRun && !store.HasReason(err, store.ReasonFenced) && !store.HasReason(err, store.ReasonFull)
@@ -159,6 +249,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	remaining := make([]*request, 0, len(batch)+len(a.queued))
+	a.sending = false
 	for _, r := range batch {
 		r.inBatch = false
 		switch {
@@ -189,6 +280,7 @@
 func (a *Appender) nextBatch() []*request {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.sending = len(a.queued) > 0
 	var batch []*request
 	records, size := 0, 0
 	for len(a.queued) > 0 {
@@ -229,9 +321,12 @@
 		records = append(records, r.records...)
 	}
 	outcomeUnknown := false
-	for {
+	for delay := retryDelay; ; {
 		producer := store.Producer{Name: a.producerName, Epoch: a.epoch, Sequence: a.nextSequence}
+		sentAt := time.Now()
+		a.attempting(sentAt)
 		appended, err := a.store.Append(ctx, store.AppendRequest{Partition: a.partition, Records: records, Producer: &producer})
+		a.attempted(err)
 		if err == nil {
 			a.nextSequence++
 			return appended, nil
@@ -253,7 +348,10 @@
 		case !outcomeUnknown:
 			return store.AppendResult{}, err
 		}
-		sleep(ctx, retryDelay)
+		if time.Since(sentAt) >= slowAppend {
+			delay = min(2*delay, a.maxDelay())
+		}
+		sleep(ctx, delay)
 		if ctx.Err() != nil {
 			return store.AppendResult{}, verdict.New(verdict.MayHaveRun, ReasonCancelled, err)
 		}
--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -232,3 +233,119 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against callers that are held while it is known that the store accepts nothing: only one request waits and tries, the
+// others fail at once with nothing written. The first one after the outage succeeds.
+func TestAppendsFailAtOnceDuringLongOutage(t *testing.T) {
+	for name, during := range map[string]fault{"rejections": reject, "no replies": loseRequest} {
+		t.Run(name, func(t *testing.T) {
+			outage := make([]fault, 20)
+			for i := range outage {
+				outage[i] = during
+			}
+			f := &fakeStore{faults: outage}
+			runAppender(t, f, func(ctx context.Context, a *Appender) {
+				var group sync.WaitGroup
+				group.Go(func() { _, _ = a.Append(ctx, recordWithKey("probe")) }) // waits during the outage
+				time.Sleep(rejectedRetryTimeout + 200*time.Millisecond)
+				group.Go(func() { _, _ = a.Append(ctx, recordWithKey("probe")) })
+				time.Sleep(10 * time.Millisecond)
+				start := time.Now()
+				if _, err := a.Append(ctx, recordWithKey("refused")); verdict.Of(err) != verdict.NotRun {
+					t.Errorf("got verdict %v, want NotRun", verdict.Of(err))
+				}
+				if took := time.Since(start); took > 0 {
+					t.Errorf("Append returned after %v, want at once", took)
+				}
+				time.Sleep(3 * time.Second)
+				if _, err := a.Append(ctx, recordWithKey("after")); err != nil {
+					t.Error(err)
+				}
+				group.Wait()
+			})
+			for _, key := range f.keys {
+				if key == "refused" {
+					t.Error("a refused record was written")
+				}
+			}
+		})
+	}
+}
+
+// slowStore takes a fixed time for each append, and gives no reply if that is longer than the timeout of a call.
+type slowStore struct {
+	took  atomic.Int64
+	calls atomic.Int64
+}
+
+func newSlowStore(took time.Duration) *slowStore {
+	s := &slowStore{}
+	s.took.Store(int64(took))
+	return s
+}
+
+const storeTimeout = 1500 * time.Millisecond
+
+func (s *slowStore) Append(context.Context, store.AppendRequest) (store.AppendResult, error) {
+	s.calls.Add(1)
+	took := time.Duration(s.took.Load())
+	time.Sleep(min(took, storeTimeout))
+	if took > storeTimeout {
+		return store.AppendResult{}, verdict.New(verdict.MayHaveRun, store.ReasonNoAnswer, nil)
+	}
+	return store.AppendResult{}, nil
+}
+
+// Guards against nodes that go on appending on their own to a partition that is slow for all of them.
+func TestCongestionIsKnownWhileAppendsAreSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSlowStore(5 * time.Millisecond)
+		a := New(s, store.Partition{Topic: "t"}, "p", 1, 1<<20)
+		go func() { _ = a.Run(ctx) }() // ends with the context
+		appendOne := func() { _, _ = a.Append(ctx, recordWithKey("a")) }
+		appendOne()
+		if a.Congested() {
+			t.Error("congested after an append of 5 ms")
+		}
+		s.took.Store(int64(time.Second))
+		go appendOne()
+		time.Sleep(slowAppend + time.Millisecond)
+		if !a.Congested() {
+			t.Error("not congested while an append is slow")
+		}
+		time.Sleep(time.Second)
+		if !a.Congested() {
+			t.Error("not congested right after a slow append")
+		}
+		time.Sleep(congestionMemory)
+		if a.Congested() {
+			t.Error("still congested after the memory has passed")
+		}
+		a.ObserveLatency(slowAppend)
+		if !a.Congested() {
+			t.Error("not congested after another call was slow")
+		}
+		cancel()
+		time.Sleep(2 * storeTimeout) // the store's calls do not end with the context
+	})
+}
+
+// Guards against a slow partition that repeated appends keep busy: appends that are executed later than their callers wait
+// are repeated less and less often.
+func TestAppendsWithoutReplyAreRepeatedLessAndLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := newSlowStore(time.Minute)
+		a := New(s, store.Partition{Topic: "t"}, "p", 1, 1<<20)
+		go func() { _ = a.Run(ctx) }() // ends with the context
+		go func() { _, _ = a.Append(ctx, recordWithKey("a")) }()
+		time.Sleep(30 * time.Second)
+		// Each attempt takes storeTimeout, so that without longer delays there are 19 in 30 s.
+		if calls, most := s.calls.Load(), int64(11); calls > most {
+			t.Errorf("%d attempts, want at most %d", calls, most)
+		}
+		cancel()
+		time.Sleep(2 * storeTimeout) // the store's calls do not end with the context
+	})
+}
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/store"
 )
 
@@ -18,12 +19,14 @@
 func (n *Node) followConfig(ctx context.Context) error {
 	f := &follower{store: n.platform.Store, partition: n.platform.Topics.Config, wait: configReadWait}
 	for ctx.Err() == nil {
+		began := boottime.Now()
 		records, err := f.next(ctx)
 		if err != nil {
 			n.recordStoreFailure("read configuration", err)
 			sleep(ctx, readRetryDelay)
 			continue
 		}
+		n.jobsAppender.ObserveLatency(boottime.Now() - began - configReadWait)
 		for _, r := range records {
 			if r.Key == n.platform.Topics.ConfigKey {
 				n.putConfig(r)
--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -49,7 +49,7 @@
 )
 
 // Reasons for responses to callers and for errors from storing a record, used in logs and metrics.
-// reasonStoreUnavailable and reasonOwnerDidNotStore are only reasons of such errors, never of responses.
+// reasonStoreUnavailable, reasonOwnerRefused and reasonOwnerDidNotStore are only reasons of such errors, never of responses.
 // reasonDuplicate marks a successful response; all others mark error responses.
 const (
 	reasonNoConfig            = verdict.Reason("no_configuration")
@@ -65,6 +65,7 @@
 	// reasonDuplicate marks the successful response to a request that submits a job again.
 	reasonDuplicate        = verdict.Reason("accepted_before")
 	reasonOwnerDidNotStore = verdict.Reason("owner_did_not_store")
+	reasonOwnerRefused     = verdict.Reason("owner_refused_to_store")
 )
 
 // gateway serves callers' requests.
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -101,7 +101,7 @@
 	if kind != jobrecord.KindJob && kind != jobrecord.KindCancel || len(r.Value) > s.node.settings.MaxRecordBytes {
 		return nil, twirp.InvalidArgumentError("key", "names neither a job nor a cancellation, or the value is too large")
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, combinedStoreTimeout)
 	defer cancel()
 	key := r.Key
 	if kind == jobrecord.KindJob {
--- a/internal/cellnode/store_record.go
+++ b/internal/cellnode/store_record.go
@@ -16,6 +16,10 @@
 	"cactuswall.example/cactuswall/internal/verdict"
 )
 
+// combinedStoreTimeout is the timeout for storing a record by way of the owner while appends are slow: all the time that storing
+// a record may take, since an append may first wait for the owner's previous one.
+const combinedStoreTimeout = storeTimeout
+
 // settleDelay is the delay between two attempts to store a record.
 const settleDelay = 100 * time.Millisecond
 
@@ -47,7 +51,22 @@
 
 // attemptStore stores a record in the jobs topic. If this node's append fails or takes longer than forwardAfter, the owner of the
 // cell is asked to store the record as well. The error is as that of storeOrForward.
+//
+// While appends to the topic are slow, the owner alone stores the records of all nodes, as long as it does so.
 func (g gateway) attemptStore(ctx context.Context, cell int, r store.Record) error {
+	if g.node.jobsAppender.Congested() {
+		if address := g.node.ownerAddress(ctx, cell); address != "" {
+			g.node.metrics.GetOrCreateCounter("cactuswall_records_combined_total").Inc()
+			began := boottime.Now()
+			err := g.storeViaOwner(ctx, address, r, combinedStoreTimeout)
+			g.node.jobsAppender.ObserveLatency(boottime.Now() - began)
+			if err == nil || verdict.ReasonOf(err) == reasonOwnerRefused || ctx.Err() != nil {
+				return err // an append of this node would only make the owner's wait longer
+			}
+			g.node.ownerFailed(cell)
+			return worse(err, g.node.storeRecord(ctx, r))
+		}
+	}
 	results := make(chan error, 2)
 	go func() {
 		results <- g.node.guarded("store record", func() error { return g.node.storeRecord(ctx, r) })()
@@ -73,7 +92,7 @@
 	}
 	pendingResults++
 	go func() {
-		err := g.node.guarded("store record by the owner", func() error { return g.storeViaOwner(ctx, address, r) })()
+		err := g.node.guarded("store record by the owner", func() error { return g.storeViaOwner(ctx, address, r, peerCallTimeout) })()
 		if err != nil && verdict.Of(err) != verdict.NotRun {
 			g.node.ownerFailed(cell)
 		}
@@ -92,6 +111,18 @@
 	return worstErr
 }
 
+// worse returns nil if one of two attempts to store a record has succeeded, and otherwise the error that says less about the
+// outcome.
+func worse(first, second error) error {
+	switch {
+	case first == nil || second == nil:
+		return nil
+	case verdict.Of(first) != verdict.NotRun:
+		return first
+	}
+	return second
+}
+
 // storeRecord stores a record in the jobs topic. While storeFailing reports true nothing is sent, so that the caller
 // can be told at once that its request was not executed.
 func (n *Node) storeRecord(ctx context.Context, r store.Record) error {
@@ -106,8 +137,8 @@
 }
 
 // storeViaOwner asks the owner to store a record.
-func (g gateway) storeViaOwner(ctx context.Context, address string, r store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+func (g gateway) storeViaOwner(ctx context.Context, address string, r store.Record, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := g.node.peers.ownerClient(address).Accept(ctx, &cellrpc.AcceptRequest{Key: r.Key, Value: r.Value})
 	g.node.log.Info("asked owner to store record", zap.String("key", r.Key), zap.String("owner", address),
@@ -116,7 +147,9 @@
 	switch {
 	case err == nil && reply.Stored:
 		return nil
-	case err == nil && reply.Refused, errors.As(err, &opErr) && opErr.Op == "dial":
+	case err == nil && reply.Refused:
+		return verdict.New(verdict.NotRun, reasonOwnerRefused, nil)
+	case errors.As(err, &opErr) && opErr.Op == "dial":
 		return verdict.New(verdict.NotRun, reasonOwnerDidNotStore, err)
 	}
 	return verdict.New(verdict.MayHaveRun, reasonOwnerDidNotStore, err)
