--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -60,7 +60,8 @@
 		return false
 	}
 	r := w.runs[order.Start.Run]
-	return r != nil && r.state == runStartSent && !r.stopRequested && w.takesStarts() && !r.ofFormerIncarnation()
+	return r != nil && r.state == runStartSent && !r.stopRequested && w.takesStarts() && !r.ofFormerIncarnation() &&
+		!c.withholdsStart(w, withheldSending)
 }
 
 // startWithdrawn handles a start order that was not sent because it was no longer wanted. If an earlier start order for
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -9,6 +9,7 @@
 
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cpuinterference"
+	"cactuswall.example/cactuswall/internal/evacuation"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/overload"
@@ -22,6 +23,9 @@
 	MaxLease        time.Duration // length of the leases on workers, which is also the longest that a worker accepts
 	StatusRetention time.Duration // how long the state of an ended job is kept
 	MaxOverTarget   time.Duration // longest time without a break that a service may be over its latency target; 0 for no limit
+	// MaxEvacuationAge is the longest time since the evacuated failure domains were confirmed after which tasks may be started; 0
+	// for no limit.
+	MaxEvacuationAge time.Duration
 }
 
 // Cell is the in-memory state of one cell while this process owns it. It is not safe for concurrent use.
@@ -58,6 +62,10 @@
 	relocationCheckedAt time.Duration // when relocate last ran
 	// formerLeasesEnd is when every lease that a former owner extended has expired on all workers.
 	formerLeasesEnd time.Duration
+	// evacuations are the evacuated failure domains, nil for none. withheldSince is since when rounds have placed nothing because
+	// they were not confirmed, or 0.
+	evacuations   *evacuation.View
+	withheldSince time.Duration
 	// needsPlacement is set when the next Plan has to look for workers for waiting tasks.
 	needsPlacement bool
 	// load limits start and renewal orders to what the owner has processor time for; unansweredStarts is the number of
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -77,6 +77,9 @@
 	labels := make(map[string]bool)
 	memory, usedMemory := 0, 0
 	for _, w := range c.sortedWorkers() {
+		if c.evacuated(w) {
+			continue
+		}
 		load.Used += int64(w.reserved.MilliCPU)
 		usedMemory += w.reserved.MemoryMB
 		if !c.acceptsTasks(w) {
@@ -146,10 +149,10 @@
 	return shortage
 }
 
-// hasLabel reports whether a worker of the cell has a label.
+// hasLabel reports whether a worker of the cell outside the evacuated failure domains has a label.
 func (c *Cell) hasLabel(label string) bool {
 	for _, w := range c.workers {
-		if w.listed && hasLabel(w, label) {
+		if w.listed && !c.evacuated(w) && hasLabel(w, label) {
 			return true
 		}
 	}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -47,6 +47,12 @@
 	c.counters.get(c.set, "cactuswall_cell_starts_refused_total", "reason", reason).Inc()
 }
 
+// countWithheldStart counts a start that was withheld because of an evacuation, by reason. Outdated requests are counted once
+// for each round.
+func (c *Metrics) countWithheldStart(reason string) {
+	c.counters.get(c.set, "cactuswall_cell_starts_withheld_total", "reason", reason).Inc()
+}
+
 // countEndedRun counts the end of a run, by how it ended.
 func (c *Metrics) countEndedRun(how string) {
 	c.counters.get(c.set, "cactuswall_cell_runs_ended_total", "how", how).Inc()
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -249,6 +249,9 @@
 // stopped instead.
 func (c *Cell) retryStart(r *run, orders *Orders) {
 	if r.attempts < maxStartAttempts && r.worker.takesStarts() && r.task.group.job.live() && !r.task.done {
+		if c.withholdsRepeat(r) {
+			return
+		}
 		orders.Starts = append(orders.Starts, c.startOrder(r))
 		return
 	}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -152,6 +152,9 @@
 		// From now on the worker refuses older tokens and runs that were stopped or ended, so the start can no longer
 		// take effect. A start order of this owner still can.
 		c.abandonRun(r, "never_started")
+	case r.state == runUncertain && !r.stopRequested && c.evacuated(r.worker):
+		// Its start order is not repeated there. Once it is stopped it can't start any more, and the task runs elsewhere.
+		c.stopRun(r, stopRunUnknown)
 	}
 }
 
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -30,11 +30,13 @@
 // Plan places waiting tasks, relocates runs and returns what has to be stored. Unless the round is empty, the owner
 // calls RoundStored, PostponeStarts or RoundNotStored for it before the next Plan.
 func (c *Cell) Plan() *Round {
-	if c.needsPlacement {
-		c.needsPlacement = false
-		c.place()
+	if !c.withholdRound() {
+		if c.needsPlacement {
+			c.needsPlacement = false
+			c.place()
+		}
+		c.relocate()
 	}
-	c.relocate()
 	c.plannedRounds++
 	round := &Round{number: c.plannedRounds, starts: c.pendingStarts}
 	c.pendingStarts = nil
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -45,6 +45,8 @@
 	// start order can take effect any more.
 	startInDoubt, startRuledOut bool
 	attempts                    int // start orders sent
+	// repeatWithheld is set once the start order was not repeated because of an evacuation.
+	repeatWithheld bool
 	// probe is set when the run was placed to test a worker on which other tasks had failed.
 	probe bool
 	// stopRequested is set once the run has to be stopped, for stopReason.
@@ -76,6 +78,7 @@
 	stopThrottled      stopReason = "crawling"        // relocated because it was slow next to a service
 	stopWorkerDraining stopReason = "worker_leaves"   // relocated from a draining worker
 	stopJobFailed      stopReason = "job_failed"      // a task of the job has used all its attempts
+	stopEvacuated      stopReason = "evacuated"       // placed in a failure domain that is evacuated, and not started
 )
 
 // task is the state of one task of a group.
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -27,7 +27,8 @@
 	exclusionTokenNotAccepted = "token_not_taken"
 	exclusionSilent           = "silent" // it does not answer, or its newest report is too old
 	exclusionDraining         = "leaving"
-	exclusionCordoned         = "cordoned" // it is to be handed over to another cell
+	exclusionEvacuated        = "evacuated" // its failure domain is evacuated
+	exclusionCordoned         = "cordoned"  // it is to be handed over to another cell
 	exclusionRefusing         = "refusing"
 	exclusionQuarantine       = "quarantined"
 	exclusionService          = "other_service"
@@ -216,6 +217,8 @@
 		return exclusionTokenNotAccepted
 	case w.info.Draining:
 		return exclusionDraining
+	case c.evacuated(w):
+		return exclusionEvacuated
 	case w.cordoned:
 		return exclusionCordoned
 	case c.now < w.refusingUntil:
--- a/internal/cellnode/config.go
+++ b/internal/cellnode/config.go
@@ -14,20 +14,12 @@
 // of the disconnection.
 const configReadWait = 1400 * time.Millisecond
 
-// followConfig applies changes of the configuration as they are published.
+// followConfig applies changes of the configuration and requests of evacuations as they are published.
 func (n *Node) followConfig(ctx context.Context) error {
-	f := &follower{store: n.platform.Store, partition: n.platform.Topics.Config, wait: configReadWait}
 	for ctx.Err() == nil {
-		records, err := f.next(ctx)
-		if err != nil {
+		if err := n.operatorTopic.read(ctx, configReadWait); err != nil {
 			n.recordStoreFailure("read configuration", err)
 			sleep(ctx, readRetryDelay)
-			continue
-		}
-		for _, r := range records {
-			if r.Key == n.platform.Topics.ConfigKey {
-				n.putConfig(r)
-			}
 		}
 	}
 	return ctx.Err()
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -68,8 +68,9 @@
 type Settings struct {
 	Node           string // name of the node
 	FailureDomain  string
-	Rank           int   // of nodes of similar capacity, one with a lower rank claims a cell earlier
-	Capacity       int64 // processor capacity in thousandths of a core, 0: unknown
+	FailureDomains []string // of the deployment; empty if they are not known
+	Rank           int      // of nodes of similar capacity, one with a lower rank claims a cell earlier
+	Capacity       int64    // processor capacity in thousandths of a core, 0: unknown
 	CallerAddress  string
 	ReadyAddress   string
 	PeerAddress    string
@@ -117,6 +118,8 @@
 	cells     *cellTable
 	directory *directory
 	loads     *loadBoard
+	// operatorTopic follows the configuration and the requests of evacuations.
+	operatorTopic *operatorTopic
 	// membershipsMu protects memberships, which are by the number of the cell.
 	membershipsMu sync.Mutex
 	memberships   map[int]*membership
@@ -141,6 +144,7 @@
 		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), memberships: make(map[int]*membership),
 	}
 	n.cells = newCellTable(n)
+	n.operatorTopic = newOperatorTopic(n)
 	n.ownerMetrics = newOwnerMetrics(set, n.owners)
 	n.cellSettings.Store(&s.Cell)
 	return n
@@ -159,7 +163,7 @@
 	}
 	var group run.Group
 	for _, component := range []func(context.Context) error{
-		n.jobsAppender.Run, n.restarting("follow configuration", n.followConfig), n.restarting("follow cells", n.cells.follow),
+		n.jobsAppender.Run, n.restarting("follow configuration", n.followConfig), n.restarting("confirm evacuations", n.confirmEvacuations), n.restarting("follow cells", n.cells.follow),
 		n.restarting("memberships", n.manageMemberships), n.restarting("exchange loads", n.exchangeLoads),
 	} {
 		group.Add(func() error { return component(workCtx) }, func(error) { cancel() })
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -268,6 +268,7 @@
 func (o *owner) flush(ctx context.Context) (wait time.Duration) {
 	now := boottime.Now()
 	o.cell.SetTime(now, time.Now())
+	o.setEvacuations()
 	o.cell.Tick()
 	decide := o.loaded && o.member.mayDecide(o.epoch)
 	o.send(ctx, o.cell.TakeOrders(decide))
--- a/internal/cellnode/owner_orders.go
+++ b/internal/cellnode/owner_orders.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/verdict"
 	"cactuswall.example/cactuswall/internal/workercall"
@@ -80,5 +82,7 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.cell.SetTime(boottime.Now(), time.Now())
+	o.setEvacuations()
 	return o.cell.StartStillNeeded(order)
 }
--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -38,6 +38,9 @@
 	if err = group.Wait(); err != nil {
 		return 0, nil, err
 	}
+	if err = o.awaitEvacuations(ctx); err != nil {
+		return 0, nil, err
+	}
 	workers = newWorkerList(o.node, o.member.cell)
 	if err = o.retryStep(ctx, "read workers", func() error { return workers.read(ctx) }); err != nil {
 		return 0, nil, err
@@ -46,6 +49,7 @@
 	defer o.mu.Unlock()
 	o.cell.SetTime(boottime.Now(), time.Now())
 	o.cell.SetConfig(o.node.config.Get())
+	o.setEvacuations()
 	table := o.node.cells.table()
 	o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
 	o.cell.SetTasks(table.Tasks())
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -20,6 +20,7 @@
 
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/cellnode"
+	"cactuswall.example/cactuswall/internal/evacuation"
 	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/logsink"
 	"cactuswall.example/cactuswall/platform"
@@ -148,7 +149,7 @@
 // nodeSettings converts the settings of the platform to those of the node.
 func nodeSettings(s *platform.Settings, metricsPort int) cellnode.Settings {
 	return cellnode.Settings{
-		Node: s.Node, FailureDomain: s.FailureDomain, Rank: rankOf(s.Node), Capacity: int64(math.Round(s.Limits.Capacity() * 1000)),
+		Node: s.Node, FailureDomain: s.FailureDomain, FailureDomains: s.FailureDomains, Rank: rankOf(s.Node), Capacity: int64(math.Round(s.Limits.Capacity() * 1000)),
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
 		PeerAddress:    net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 		MetricsAddress: metricsAddress(s.IP, metricsPort),
@@ -156,6 +157,7 @@
 		StopGracePeriod: s.Bounds.Grace,
 		Cell: cell.Settings{
 			MaxLease: s.Bounds.MaxLease, StatusRetention: s.Bounds.StatusRetention + statusMargin, MaxOverTarget: s.Bounds.MaxOverTarget,
+			MaxEvacuationAge: evacuation.MaxAge(s.Bounds.Evacuate),
 		},
 	}
 }
