A late success of a former run ends its task beside a new run

A run is given up when the lease of its worker has lapsed, and the task starts elsewhere. If the worker came back and reported that the first run had succeeded, the owner acknowledged that end but did not record it, because a second run was under way. Where the second run was lost, the task started a third time.

The owner now marks the task as done and stops the second run, as after the success of a copy. Long-running tasks and gangs are treated as before. TestTaskIsDoneOnceFormerRunIsReportedAsDone failed before (3 starts, a violation) and passes.

--- a/internal/cell/lost_worker_test.go
+++ b/internal/cell/lost_worker_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -106,3 +107,42 @@
 		t.Errorf("%d runs on a worker that has been silent for a minute, want 0", runs)
 	}
 }
+
+// Guards against a third run of a task: the end of a first run, which was given up with the lease of its worker, was acknowledged
+// but not recorded because a second run was under way, and the worker of that one was lost.
+func TestTaskIsDoneOnceFormerRunIsReportedAsDone(t *testing.T) {
+	sim := newSimulation(15, 2)
+	o := sim.takeOver()
+	sim.run(time.Second)
+	sim.submit("j", testSpec(1))
+	for sim.running() == 0 {
+		sim.run(simTick)
+	}
+	for _, s := range sim.workers {
+		if len(s.running) > 0 {
+			s.unreachableBy[o] = true
+			sim.schedule(10*time.Second, func() { delete(s.unreachableBy, o) })
+		}
+	}
+	sim.run(3 * time.Second)
+	sim.taskRunTime = time.Minute
+	sim.run(10 * time.Second)
+	if starts := sim.startCounts[jobs.TaskID{Job: "j"}]; starts != 2 {
+		t.Fatalf("%d starts while the first worker was out of reach, want 2", starts)
+	}
+	for id, s := range sim.workers {
+		if len(s.running) > 0 {
+			sim.restartWorker(id)
+		}
+	}
+	sim.run(5 * time.Second)
+	if state := sim.state("j"); state != jobs.Completed {
+		t.Errorf("the job is %v, want it completed", state)
+	}
+	if starts := sim.startCounts[jobs.TaskID{Job: "j"}]; starts != 2 {
+		t.Errorf("%d starts, want 2", starts)
+	}
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -62,7 +62,8 @@
 }
 
 // handleEndOfUnknownRun processes the end of a run that this owner does not know, for instance because it was
-// abandoned. If the task succeeded in it, the task is marked as done, unless it has a new run or belongs to a gang.
+// abandoned. If the task succeeded in it, the task is marked as done and a new run of it stopped, unless it belongs to a gang or
+// is long-running and has a new run. The end is acknowledged in any case, so it would be lost if the new run were.
 func (c *Cell) handleEndOfUnknownRun(w *worker, e *workercall.EndedRun) {
 	j := c.jobs[e.Task.Job]
 	if j == nil || !j.live() {
@@ -75,8 +76,12 @@
 	g := t.group
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
-	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang {
+	stopsNewRun := len(t.runs) > 0 && !g.step.LongRunning && !t.done && !t.elsewhere
+	if e.Reason == workercall.Done && (t.needsRun() || stopsNewRun) && e.Number <= t.lastRunNumber && !g.step.Gang {
 		c.markDone(t)
+		for _, r := range append([]*run(nil), t.runs...) {
+			c.stopRun(r, stopRedundantRun)
+		}
 		c.advanceStep(g)
 	}
 }
