Simulation and fuzzers know requests of evacuations

The guards were tested one by one, but not under random faults of owners, workers and the reads of the requests.

The simulation now has failure domains, requests and owners that read them late or not at all. Its oracle reports a start in a failure domain that has been evacuated for longer than the bound; an order without a response may arrive late, but must not be sent after the bound. The cells under faults run with requests as well.

One guard of placement, sending or repeating alone is covered for by the others here; their own tests see each.

--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -225,10 +225,16 @@
 
 // TestCellsUnderFaults lets three owners run jobs, some of them submitted again through another cell, while workers change
 // their cells and owners are killed, cut off, suspended or lose an answer at each step of that. The workers say what ran.
-func TestCellsUnderFaults(t *testing.T) {
+func TestCellsUnderFaults(t *testing.T) { checkCellsUnderFaults(t, 0) }
+
+// TestEvacuationOfCellsUnderFaults is TestCellsUnderFaults with requests of evacuations.
+func TestEvacuationOfCellsUnderFaults(t *testing.T) { checkCellsUnderFaults(t, 5*time.Second) }
+
+func checkCellsUnderFaults(t *testing.T, evacuationBound time.Duration) {
 	rapid.Check(t, func(r *rapid.T) {
 		const cells, workers = 3, 6
 		sim := newCellsSimulation(rapid.Uint64().Draw(r, "seed"), cells, workers)
+		sim.setEvacuationBound(evacuationBound)
 		sim.failRate, sim.lossRate, sim.delayRate = 0.03, 0.02, 0.02
 		submitted := 0
 		job := func(label string) jobs.ID {
@@ -269,6 +275,9 @@
 					}
 				}
 			}
+			if evacuationBound > 0 && rapid.IntRange(0, 3).Draw(r, "request") == 0 {
+				sim.requestEvacuation(simDomain(rapid.IntRange(0, simDomains-1).Draw(r, "domain")), rapid.Bool().Draw(r, "active"))
+			}
 			sim.run(time.Duration(rapid.IntRange(0, 800).Draw(r, "pause")) * time.Millisecond)
 			for _, c := range sim.cells {
 				if c.owner.ended || c.owner.suspended {
@@ -277,6 +286,7 @@
 			}
 		}
 		sim.failRate, sim.lossRate, sim.delayRate = 0, 0, 0
+		sim.withdrawEvacuations()
 		sim.run(2 * time.Second)
 		for _, c := range sim.cells {
 			if c.owner.ended || c.owner.suspended || sim.now >= c.owner.decidesUntil {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -12,6 +12,7 @@
 
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/claim"
+	"cactuswall.example/cactuswall/internal/evacuation"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/queue"
@@ -67,6 +68,10 @@
 	submitPriority int
 	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
 	loadTime time.Duration
+	// evacuations are the requests of evacuations as the store has them, and evacuationBound is the time from a request until no
+	// task may start in its failure domain; 0: the owners do not read the requests.
+	evacuations     []simEvacuation
+	evacuationBound time.Duration
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
 	// receives and on each iteration of its loop; 0: none.
 	processorCost time.Duration
@@ -134,6 +139,7 @@
 	suspended    bool
 	ended        bool
 	processor    simProcessor
+	evacuations  simTopicReader
 }
 
 // newSimulation returns a simulation with the given number of workers, each of 4 cores, and without an owner.
@@ -166,7 +172,7 @@
 		sim: sim, clockOffset: time.Duration(sim.random.IntN(100000)) * time.Millisecond, running: make(map[jobs.TaskID]*simRun),
 		closedRuns: make(map[jobs.TaskID]int), up: true, unreachableBy: make(map[*simOwner]bool),
 		info: workercall.Worker{
-			ID: id, Service: "s", Address: id, FailureDomain: "d", Labels: []string{"a", "r1"}, Rack: "r1",
+			ID: id, Service: "s", Address: id, FailureDomain: sim.domainOf(id), Labels: []string{"a", "r1"}, Rack: "r1",
 			StartedAtMS: startUnixMS + sim.now.Milliseconds(),
 			Capacity:    jobs.Resources{MilliCPU: 4000, MemoryMB: 8000},
 		},
@@ -200,9 +206,11 @@
 	}
 	home.epoch++
 	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour}
-	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second},
+	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second,
+		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound)},
 		o.token, claim.LeasesExpiredBy(sim.now+claim.WorkerRenewalGrace-claim.LeaseDuration, maxLease), zap.NewNop(), NewMetrics(metrics.NewSet()))
 	o.cell.SetTime(sim.now, sim.wall())
+	sim.readEvacuations(o)
 	o.cell.SetConfig(sim.config)
 	o.cell.SetCell(home.number, len(sim.table.Plan().Cells))
 	o.cell.SetTasks(sim.table.Tasks())
@@ -400,6 +408,7 @@
 	}
 	o.cell.SetTime(sim.now, sim.wall())
 	o.cell.ObserveDelay(o.processor.loopDelay)
+	sim.readEvacuations(o)
 	if o == o.home.owner && len(o.detached) == 0 { // the list is not read while a hand-over is being stored
 		o.cell.SetCell(o.home.number, len(sim.table.Plan().Cells))
 		if o.tasksSetFrom != o.table {
@@ -481,8 +490,13 @@
 			o.cell.StartAnswered(order, workercall.Reply{}, verdict.New(verdict.NotRun, workercall.ReasonWithdrawn, nil))
 			continue
 		}
+		sentAt := sim.now
 		sim.call(o, order.To, func(s *simWorker) func() {
+			started := sim.startCounts[order.Start.Task]
 			answer, err := s.start(order.Start)
+			if sim.startCounts[order.Start.Task] > started {
+				sim.checkEvacuation(s, order.Start.Task, sentAt)
+			}
 			return func() { sim.endIfFenced(o, o.cell.StartAnswered(order, answer, err)) }
 		}, func(err error) { o.cell.StartAnswered(order, workercall.Reply{}, err) })
 	}
