Tests of running work, gangs and take-over under an evacuation

These tests cover running work that stays, ends or is cut off in an evacuated domain, draining workers there, a take-over with an unknown start, gangs, and an evacuation of all domains.

--- a/internal/cell/evacuate_test.go
+++ b/internal/cell/evacuate_test.go
@@ -184,3 +184,143 @@
 		})
 	})
 }
+
+// runningIn returns the number of tasks that run in a failure domain.
+func (sim *simulation) runningIn(domain string) int {
+	running := 0
+	for _, s := range sim.workers {
+		if s.info.FailureDomain == domain {
+			running += len(s.running)
+		}
+	}
+	return running
+}
+
+// Guards against an evacuation that disturbs running work, or lets it start again in the domain.
+func TestRunningWorkStaysInEvacuatedDomain(t *testing.T) {
+	Convey("Given long-running tasks in two failure domains", t, func() {
+		sim, o := newDomainSimulation(46, 2)
+		spec := testSpec(12)
+		spec.Steps[0].LongRunning = true
+		sim.submit("j", spec)
+		sim.run(time.Second)
+		before := sim.runningIn("d0")
+		So(before, ShouldBeGreaterThan, 3)
+		sim.evacuate(o, "d0")
+		Convey("they go on for longer than their leases last", func() {
+			sim.run(3 * maxLease)
+			So(sim.runningIn("d0"), ShouldEqual, before)
+			So(sim.startCounts[jobs.TaskID{Job: "j"}], ShouldEqual, 1)
+		})
+		Convey("those that end there start in the other domain as far as it has room, and there again after the withdrawal", func() {
+			sim.restartWorker("w0")
+			sim.workers["w0"].info.FailureDomain = "d0"
+			sim.run(4 * time.Second)
+			So(sim.runningIn("d0"), ShouldEqual, 0)
+			So(sim.runningIn("d1"), ShouldEqual, 8)
+			sim.evacuate(o)
+			sim.run(time.Second)
+			So(sim.runningIn("d0"), ShouldEqual, 4)
+		})
+		Convey("a new owner neither stops nor repeats them, and starts nothing new there", func() {
+			o.ended = true
+			next := sim.claim()
+			sim.evacuate(next, "d0")
+			sim.load(next)
+			sim.submit("k", testSpec(4))
+			sim.run(3 * maxLease)
+			So(sim.runningIn("d0"), ShouldEqual, before)
+			So(sim.workers["w0"].endCount, ShouldEqual, 0)
+			So(sim.violations, ShouldBeEmpty)
+		})
+		Convey("if the domain is cut off, they start in the other domain once their leases have expired", func() {
+			sim.workers["w0"].unreachableBy[o] = true
+			sim.run(3 * maxLease)
+			So(sim.runningIn("d0"), ShouldEqual, 0)
+			So(sim.runningIn("d1"), ShouldEqual, 8)
+			So(sim.violations, ShouldBeEmpty)
+		})
+		Convey("if their worker drains, they are relocated to the other domain only", func() {
+			sim.evacuate(o, "d1")
+			sim.workers["w0"].info.Draining = true
+			sim.run(3 * time.Second)
+			So(sim.runningIn("d0"), ShouldEqual, before) // no domain has room that may be used
+			sim.evacuate(o, "d0")
+			sim.run(3 * time.Second)
+			So(sim.runningIn("d1"), ShouldEqual, 8)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against a new owner that repeats a former owner's start order in an evacuated domain.
+func TestNewOwnerDoesNotRepeatStartInEvacuatedDomain(t *testing.T) {
+	Convey("Given an owner that is killed before its start order arrives", t, func() {
+		sim, o := newDomainSimulation(47, 2)
+		sim.submit("j", testSpec(1))
+		o.cell.ApplyJobRecord(sim.jobLog[0])
+		round := o.cell.Plan()
+		for _, r := range round.Records {
+			o.home.records[r.Key] = r
+		}
+		starts := o.cell.RoundStored(round)
+		So(starts, ShouldHaveLength, 1)
+		to := sim.workers[starts[0].To.ID]
+		o.ended = true
+		Convey("the next owner, which knows that the domain is evacuated, has the task run in the other one", func() {
+			next := sim.claim()
+			sim.evacuate(next, to.info.FailureDomain)
+			sim.load(next)
+			sim.run(8 * time.Second)
+			So(sim.state("j"), ShouldEqual, jobs.Completed)
+			So(to.endCount, ShouldEqual, 0)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
+
+// Guards against a gang of which a part is placed, or left running, in an evacuated domain.
+func TestGangIsPlacedOutsideEvacuatedDomain(t *testing.T) {
+	Convey("Given a gang that needs both of two failure domains", t, func() {
+		sim, o := newDomainSimulation(48, 3)
+		spec := testSpec(12)
+		spec.Steps[0].Gang = true
+		Convey("no member starts while one of them and the third are evacuated, and all do after a withdrawal", func() {
+			sim.evacuate(o, "d1", "d2")
+			sim.submit("j", spec)
+			sim.run(2 * time.Second)
+			So(sim.startCounts, ShouldBeEmpty)
+			sim.evacuate(o, "d2")
+			sim.run(200 * time.Millisecond)
+			So(sim.runningIn("d0")+sim.runningIn("d1"), ShouldEqual, 12)
+		})
+		Convey("if a domain is evacuated before the orders are sent, no member is left running", func() {
+			starts := sim.orderStarts(o, "j", spec)
+			So(starts, ShouldHaveLength, 12)
+			sim.evacuate(o, "d"+starts[0].To.ID[1:])
+			sim.sendStarts(o, starts)
+			sim.run(300 * time.Millisecond)
+			running := sim.running()
+			So(running == 0 || running == 12, ShouldBeTrue)
+			So(sim.runningIn("d"+starts[0].To.ID[1:]), ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against jobs that are lost, or started, while all failure domains are evacuated.
+func TestAllDomainsEvacuated(t *testing.T) {
+	Convey("Given that all failure domains are evacuated", t, func() {
+		sim, o := newDomainSimulation(49, 2)
+		sim.evacuate(o, "d0", "d1")
+		sim.submit("j", testSpec(2, 1))
+		sim.run(20 * time.Second)
+		Convey("jobs wait, and run once one of the requests is withdrawn", func() {
+			So(sim.startCounts, ShouldBeEmpty)
+			So(sim.state("j"), ShouldEqual, jobs.Queued)
+			sim.evacuate(o, "d0")
+			sim.run(4 * time.Second)
+			So(sim.state("j"), ShouldEqual, jobs.Completed)
+			So(sim.workers["w0"].endCount, ShouldEqual, 0)
+		})
+	})
+}
