Evacuation in the manifest

In the project's own deployments an operator could not keep new work out of a failure domain either.

The field evacuated of a failure domain in the manifest now withholds all placements and starts there; what runs goes on and is not moved within the domain. New jobs without a home domain get one outside. A node that has not read the manifest stream to its end starts nothing.

Guards that were removed in turn, each with a failing test: planning (TestEvacuatedDomainStartsNothing), starts (TestEvacuationEndsRepeatedStarts), the wait for a report (TestEvacuationWithdrawsStarts), moves (TestNoTaskIsMovedInEvacuatedDomain), reading the manifest stream (TestNothingStartsBeforeManifestStreamIsRead), homes of new jobs (TestHomeOfJobsWhileDomainIsEvacuated).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -124,7 +124,7 @@
 // is declared again gets a new origin.
 func (s *State) jobOrigins(m *manifest.Manifest, published time.Time, version Version) map[string]task.Origin {
 	origins := make(map[string]task.Origin, len(m.Jobs))
-	domains := m.DomainNames()
+	domains := m.HomeDomains()
 	for i := range m.Jobs {
 		j := &m.Jobs[i]
 		if s.active != nil {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -197,3 +197,34 @@
 	}
 	b.ReportMetric(float64(proto.Size(p)), "bytes")
 }
+
+// Guards against new jobs whose home is an evacuated failure domain, and against known jobs that get another home with it.
+func TestHomeOfJobsWhileDomainIsEvacuated(t *testing.T) {
+	Convey("Given jobs whose homes are in two failure domains", t, func() {
+		var s State
+		So(s.ApplyPublication(1, newTestPublication(t, testManifest("a", 1, 2, 3, 4), nil, 0)), ShouldEqual, Accepted)
+		before := s.Active().Origins
+		Convey("new jobs get homes outside the evacuated one, and known jobs keep theirs", func() {
+			evacuated := testManifest("b", 1, 2, 3, 4, 5, 6, 7, 8, 9, 10)
+			evacuated.SetEvacuated("north", true)
+			So(s.ApplyPublication(2, newTestPublication(t, evacuated, s.Active(), 1)), ShouldEqual, Accepted)
+			So(s.Active().Manifest.EvacuatedDomains(), ShouldResemble, []string{"north"})
+			for name, origin := range s.Active().Origins {
+				if known, ok := before[name]; ok {
+					So(origin, ShouldResemble, known)
+				} else {
+					So(origin.Home, ShouldEqual, "south")
+				}
+			}
+		})
+		Convey("new jobs get any home if all are evacuated", func() {
+			all := testManifest("b", 5, 6, 7, 8, 9, 10)
+			all.SetEvacuated("north", true)
+			all.SetEvacuated("south", true)
+			So(s.ApplyPublication(2, newTestPublication(t, all, s.Active(), 1)), ShouldEqual, Accepted)
+			for _, origin := range s.Active().Origins {
+				So(origin.Home, ShouldBeIn, "north", "south")
+			}
+		})
+	})
+}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -39,6 +40,8 @@
 type FailureDomain struct {
 	Name   string `json:"name" validate:"required,max=100"`
 	Region string `json:"region" validate:"required,max=100"`
+	// Evacuated withholds all starts in the failure domain. What runs there goes on.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // Team is a group of users with a quota that applies across all failure domains.
@@ -329,3 +332,43 @@
 	}
 	return names
 }
+
+// Evacuated reports whether no task may start in a failure domain.
+func (m *Manifest) Evacuated(domain string) bool {
+	return slices.ContainsFunc(m.FailureDomains, func(d FailureDomain) bool { return d.Name == domain && d.Evacuated })
+}
+
+// EvacuatedDomains returns the names of the evacuated failure domains in manifest order.
+func (m *Manifest) EvacuatedDomains() []string { return m.domainsWith(true) }
+
+// HomeDomains returns the names of the failure domains that may become the home of a new job: those that are not evacuated or, if
+// all are, all of them.
+func (m *Manifest) HomeDomains() []string {
+	if names := m.domainsWith(false); len(names) > 0 {
+		return names
+	}
+	return m.DomainNames()
+}
+
+func (m *Manifest) domainsWith(evacuated bool) []string {
+	var names []string
+	for _, d := range m.FailureDomains {
+		if d.Evacuated == evacuated {
+			names = append(names, d.Name)
+		}
+	}
+	return names
+}
+
+// SetEvacuated sets whether no task may start in a failure domain. changed is false if that is so already, and known is false if
+// there is no such failure domain.
+func (m *Manifest) SetEvacuated(domain string, evacuated bool) (changed, known bool) {
+	for i := range m.FailureDomains {
+		if d := &m.FailureDomains[i]; d.Name == domain {
+			changed = d.Evacuated != evacuated
+			d.Evacuated = evacuated
+			return changed, true
+		}
+	}
+	return false, false
+}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -47,7 +47,11 @@
 			continue
 		}
 		if w.Leaving {
-			e.withdrawStart(row, now)
+			e.withdrawStart(row, reasonLeaving, now)
+			continue
+		}
+		if e.withholdsStarts() {
+			e.withholdStart(w, row, now)
 			continue
 		}
 		if calls++; calls > maxCallsPerTick {
@@ -58,14 +62,14 @@
 	}
 }
 
-// withdrawStart ends the attempt of a task whose worker is leaving. If a start request may still take effect, the worker is asked
-// to stop the run first.
-func (e *engine) withdrawStart(row *task.Task, now time.Time) {
+// withdrawStart ends the attempt of a task that is not to be started on its worker any more. If a start request may still take
+// effect, the worker is asked to stop the run first.
+func (e *engine) withdrawStart(row *task.Task, reason string, now time.Time) {
 	if row.StartUncertain {
-		row.SetState(task.Stopping, reasonLeaving, now)
+		row.SetState(task.Stopping, reason, now)
 		return
 	}
-	e.endNotStarted(row, reasonLeaving)
+	e.endNotStarted(row, reason)
 }
 
 // start asks a worker to start a task's attempt, and applies the reply once it arrives.
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -71,6 +71,7 @@
 	// has applied.
 	config         config.State
 	activeManifest *config.ActiveManifest
+	evacuation     evacuation
 	members        *membership.Table
 	ledger         *ledger.Ledger
 	owner          *ownership.Owner
@@ -240,6 +241,7 @@
 	e.notifyPublisher(activeManifest.PublicationID, publicationResult{rejection: config.Accepted, version: activeManifest.Version})
 	e.logger.Info("manifest in force", zap.Uint64("version", uint64(activeManifest.Version)), zap.String("release", activeManifest.Manifest.Release))
 	e.members.Self().ManifestVersion = uint64(activeManifest.Version)
+	e.updateEvacuation(now)
 	e.syncTasks(now)
 	e.publishViews(now)
 }
--- /dev/null
+++ b/internal/node/evacuation_test.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+// evacuatedManifest returns the manifest of manifestJSON in which failure domain a is evacuated.
+func evacuatedManifest(jobs ...string) string {
+	return strings.Replace(manifestJSON(100000, jobs...), `"region": "r"`, `"region": "r", "evacuated": true`, 1)
+}
+
+// Guards against starts in an evacuated failure domain, against an evacuation that stops running tasks, and against tasks that
+// do not start after the withdrawal.
+func TestEvacuatedDomainStartsNothing(t *testing.T) {
+	runInDomain(t, 4, fixedRunTime(2*time.Minute), func(t *testing.T, d *testDomain) {
+		before, after := jobJSON("before", "t", "batch", 4, 1000, 100, false), jobJSON("after", "t", "urgent", 4, 1000, 100, false)
+		d.publish(t, manifestJSON(100000, before))
+		time.Sleep(20 * time.Second)
+		if got := d.stateCounts("before"); got["running"] != 4 {
+			t.Fatalf("the tasks do not run: %v", got)
+		}
+		d.publish(t, evacuatedManifest(before, after))
+		time.Sleep(3 * time.Minute)
+		if starts := d.startDelays("after", time.Now()); len(starts) > 0 {
+			t.Errorf("%d tasks started in an evacuated failure domain", len(starts))
+		}
+		for _, row := range d.nodes["n1"].Tasks() {
+			if strings.HasPrefix(row.ID, "after") && (row.Attempt > 0 || !strings.Contains(row.Reason, "waits under") && !strings.Contains(row.Reason, "evacuated")) {
+				t.Errorf("%s was placed %d times; reason: %s", row.ID, row.Attempt, row.Reason)
+			}
+		}
+		if got := d.stateCounts("before"); got["finished"] != 4 {
+			t.Errorf("running tasks did not finish: %v", got)
+		}
+		if starts := d.startDelays("before", time.Now()); len(starts) != 4 {
+			t.Errorf("4 tasks ran in %d attempts", len(starts))
+		}
+		d.killNode["n1"]()
+		d.killNode["n2"]()
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(time.Minute)
+		if starts := d.startDelays("after", time.Now()); len(starts) > 0 {
+			t.Errorf("%d tasks started in an evacuated failure domain after a restart of all nodes", len(starts))
+		}
+		d.publish(t, manifestJSON(100000, before, after))
+		time.Sleep(3 * time.Minute)
+		if got := d.stateCounts("after"); got["finished"] != 4 {
+			t.Errorf("tasks did not run after the withdrawal: %v", got)
+		}
+	})
+}
+
+// Guards against a placed task that is started, and against an unanswered start that is repeated, after the evacuation.
+func TestEvacuationWithdrawsStarts(t *testing.T) {
+	runInDomain(t, 3, fixedRunTime(time.Minute), func(t *testing.T, d *testDomain) {
+		job := jobJSON("j", "t", "batch", 6, 1000, 100, false)
+		for _, w := range d.workersByID {
+			w.DropReplies(4)
+		}
+		d.publish(t, manifestJSON(100000, job))
+		time.Sleep(300 * time.Millisecond) // orders are on their way, or without a reply
+		d.publish(t, evacuatedManifest(job))
+		time.Sleep(2 * time.Second)
+		evacuated := time.Now()
+		time.Sleep(5 * time.Minute)
+		for _, delay := range d.startDelays("j", evacuated) {
+			if delay > 0 {
+				t.Errorf("a task started %v after the evacuation was known", delay)
+			}
+		}
+		started := len(d.startDelays("j", evacuated))
+		if got := d.stateCounts("j"); got["finished"] != started || got["waiting"] != 6-started {
+			t.Errorf("%d tasks started before the evacuation; states: %v", started, got)
+		}
+		d.publish(t, manifestJSON(100000, job))
+		time.Sleep(5 * time.Minute)
+		if got := d.stateCounts("j"); got["finished"] != 6 {
+			t.Errorf("tasks did not finish after the withdrawal: %v", got)
+		}
+	})
+}
+
+// Guards against a task that is moved within an evacuated failure domain: it would be stopped, and could not start again.
+func TestNoTaskIsMovedInEvacuatedDomain(t *testing.T) {
+	runInDomain(t, 2, fixedRunTime(2*time.Minute), func(t *testing.T, d *testDomain) {
+		job := jobJSON("j", "t", "batch", 2, 1000, 100, false)
+		d.publish(t, manifestJSON(100000, job))
+		time.Sleep(20 * time.Second)
+		d.publish(t, evacuatedManifest(job))
+		time.Sleep(2 * time.Second)
+		for _, n := range d.nodes {
+			n.query(func(now time.Time) {
+				for _, row := range n.engine.taskTable.All() {
+					n.engine.evict(row, reasonInterference, now)
+				}
+			})
+		}
+		time.Sleep(3 * time.Minute)
+		if got := d.stateCounts("j"); got["finished"] != 2 {
+			t.Errorf("running tasks did not finish: %v", got)
+		}
+	})
+}
+
+// Guards against a start request that is repeated after the evacuation: until then all requests get no reply.
+func TestEvacuationEndsRepeatedStarts(t *testing.T) {
+	var calls atomic.Int32
+	synctest.Test(t, func(t *testing.T) {
+		d := newTestDomain(2, units.Resources{MilliProcessors: 8000, MemoryMiB: 4000}, fixedRunTime(time.Minute))
+		d.beforeStart = func(string) error {
+			calls.Add(1)
+			return verdict.New(verdict.MayHaveRun, "no_reply", nil)
+		}
+		d.start("n1")
+		time.Sleep(5 * time.Second)
+		job := jobJSON("j", "t", "batch", 2, 1000, 100, false)
+		d.publish(t, manifestJSON(100000, job))
+		time.Sleep(5 * time.Second)
+		if calls.Load() < 4 {
+			t.Errorf("%d start requests before the evacuation, want repeated ones", calls.Load())
+		}
+		d.publish(t, evacuatedManifest(job))
+		time.Sleep(time.Second)
+		before := calls.Load()
+		time.Sleep(time.Minute)
+		if repeated := calls.Load() - before; repeated > 0 {
+			t.Errorf("%d start requests in an evacuated failure domain", repeated)
+		}
+		if got := d.stateCounts("j"); got["waiting"] != 2 {
+			t.Errorf("the tasks do not wait for the withdrawal: %v", got)
+		}
+		d.stop()
+	})
+}
+
+// Guards against starts by a restarted node that knows an older manifest only.
+func TestNothingStartsBeforeManifestStreamIsRead(t *testing.T) {
+	e := newTestEngine(t, "n1")
+	if !e.withholdsStarts() {
+		t.Error("a node that has not read the manifest stream may start tasks")
+	}
+	e.manifestCaughtUp = true
+	if e.withholdsStarts() {
+		t.Error("a node that has read the manifest stream may start nothing")
+	}
+}
--- a/internal/node/evict.go
+++ b/internal/node/evict.go
@@ -29,6 +29,7 @@
 	reasonInterference = "moved_for_interference"
 	reasonOutgrown     = "moved_outgrown"
 	reasonLeaving      = "moved_worker_leaving"
+	reasonEvacuated    = "domain_evacuated"
 )
 
 // evict begins the eviction of a running task. A task that supports checkpoints takes one before it is
@@ -37,6 +38,9 @@
 	if row == nil || row.State != task.Running || row.Evicting() {
 		return
 	}
+	if e.evacuation.active && reason != reasonLeaving {
+		return // it could not start again
+	}
 	w := e.reachableWorker(row, now)
 	if w == nil {
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
 	n.engine = newEngine(ctx, o, set)
+	set.NewGauge("cactuswall_evacuations", n.engine.views.evacuations)
 	n.engine.failoverManager = newFailoverManager(n.engine, o.Log, set)
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:          o.Settings.Callers,
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -29,7 +29,7 @@
 
 // schedule computes a plan and carries it out, unless nothing has changed since the last plan.
 func (e *engine) schedule(now time.Time) {
-	if !e.domainStateComplete() || e.stopping || e.activeManifest == nil {
+	if !e.domainStateComplete() || e.stopping || e.activeManifest == nil || e.withholdsStarts() {
 		return
 	}
 	e.taskTable.EndDelays(now)
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -45,6 +45,7 @@
 	if activeManifest := e.activeManifest; activeManifest != nil {
 		s.ManifestVersion = uint64(activeManifest.Version)
 		s.Release = activeManifest.Manifest.Release
+		s.Evacuated = activeManifest.Manifest.EvacuatedDomains()
 	}
 	for shard := range uint32(failuredomain.ShardsPerDomain) {
 		if _, held := e.owner.Authority(shard, now); held {
@@ -140,6 +141,10 @@
 		}
 		reason += text
 	}
+	if e.evacuation.active {
+		add("the failure domain is evacuated")
+		return reason
+	}
 	if now.Before(row.NotBefore) {
 		add("held back until " + row.NotBefore.UTC().Format(time.RFC3339))
 		return reason
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,8 @@
 	ManifestVersion uint64 `json:"manifest_version"`
 	Release         string `json:"release"`
 	LogReachable    bool   `json:"log_reachable"`
+	// Evacuated are the evacuated failure domains, as the active manifest of the node names them.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// ListReadAt is when the node last read the platform's VM list.
 	ListReadAt time.Time `json:"list_read_at"`
 	// Shards lists the shards that the node owns. A shard is a set of workers and tasks of a failure domain.
