--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -30,6 +30,8 @@
 	workers []operator.Worker
 	nodes   []operator.Node
 	publish func(*fakeNode, operator.Publication) (operator.Decision, error)
+	// document is the active manifest; empty: one without content.
+	document string
 }
 
 func (f *fakeNode) Status() operator.Status {
@@ -42,7 +44,12 @@
 func (f *fakeNode) Endpoints() []endpoint.Info { return []endpoint.Info{} }
 func (f *fakeNode) Nodes() []operator.Node     { return f.nodes }
 func (f *fakeNode) Manifest() (operator.Manifest, bool) {
-	return operator.Manifest{Version: 7, Release: "r", Document: "{}"}, f.Status().ManifestVersion != 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.document != "" {
+		return operator.Manifest{Version: f.status.ManifestVersion, Release: "r", Document: f.document}, true
+	}
+	return operator.Manifest{Version: 7, Release: "r", Document: "{}"}, f.status.ManifestVersion != 0
 }
 
 func (f *fakeNode) Explain(id string) (operator.Explanation, bool) {
@@ -74,6 +81,8 @@
 	nodes     map[string]*fakeNode
 	servers   map[string]*httptest.Server
 	addresses map[string]string
+	// overtake has another publication accepted before the first one; see serveManifest.
+	overtake bool
 }
 
 func newDeployment() *deployment {
--- a/internal/command/manifest_publish.go
+++ b/internal/command/manifest_publish.go
@@ -24,8 +24,9 @@
 
 // publishFlags holds the flags of the manifest publish command.
 type publishFlags struct {
-	replaces uint64
-	timeout  time.Duration
+	replaces       uint64
+	timeout        time.Duration
+	endEvacuations bool
 }
 
 // publishResult is the output of the manifest publish command.
@@ -58,6 +59,7 @@
 		},
 	}
 	command.Flags().Uint64Var(&flags.replaces, "replaces", 0, "version that the manifest was generated against (default: the active version)")
+	command.Flags().BoolVar(&flags.endEvacuations, "end-evacuations", false, "publish even if that ends the evacuation of a failure domain")
 	command.Flags().DurationVar(&flags.timeout, "timeout", defaultPublishTimeout, "how long to wait until the manifest is active on all nodes")
 	return command
 }
@@ -71,6 +73,11 @@
 	if err != nil {
 		return err
 	}
+	if !flags.endEvacuations {
+		if err := checkEvacuationsKept(m, status.Evacuated); err != nil {
+			return err
+		}
+	}
 	replaces := status.ManifestVersion
 	if c.Flags().Changed("replaces") {
 		replaces = flags.replaces
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -103,7 +103,7 @@
 		"operator addresses of nodes as IP:PORT, tried in order; the other nodes are discovered through them ($"+nodesEnvVar+")")
 	root.PersistentFlags().StringVar(&o.output, "output", outputTable, "output format: table or json")
 	root.AddCommand(
-		newManifestCommand(o), newStatusCommand(o), newTasksCommand(o), newWorkersCommand(o),
+		newManifestCommand(o), newEvacuateCommand(o), newStatusCommand(o), newTasksCommand(o), newWorkersCommand(o),
 		newEndpointsCommand(o), newNodesCommand(o), newExplainCommand(o), newTraceCommand(o), newVersionCommand(),
 	)
 	return root
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -24,11 +24,13 @@
 	// Ready is the number of nodes that accept requests.
 	Ready int `json:"ready"`
 	// Shards is the number of shards of the domain that are owned by a node.
-	Shards          int            `json:"shards"`
-	ManifestVersion uint64         `json:"manifest_version"`
-	Release         string         `json:"release"`
-	LogReachable    bool           `json:"log_reachable"`
-	TasksByState    map[string]int `json:"tasks_by_state"`
+	Shards          int    `json:"shards"`
+	ManifestVersion uint64 `json:"manifest_version"`
+	Release         string `json:"release"`
+	LogReachable    bool   `json:"log_reachable"`
+	// Evacuated is set while no task may start in the domain.
+	Evacuated    bool           `json:"evacuated"`
+	TasksByState map[string]int `json:"tasks_by_state"`
 	// PredictedMisses is the number of batch tasks that are not expected to finish before their deadline.
 	PredictedMisses int `json:"predicted_misses"`
 	// Guarantees holds, for each guarantee, the highest number of violations that a node of the
@@ -85,9 +87,25 @@
 			d.Unreachable = append(d.Unreachable, a.Node)
 		}
 	}
+	markEvacuated(domains)
 	return domains
 }
 
+// markEvacuated marks the domains that the newest manifest of all nodes evacuates, also those whose own nodes do not answer.
+func markEvacuated(domains []domainStatus) {
+	var newest operator.Status
+	for _, d := range domains {
+		for _, s := range d.Nodes {
+			if s.ManifestVersion >= newest.ManifestVersion {
+				newest = s
+			}
+		}
+	}
+	for i := range domains {
+		domains[i].Evacuated = slices.Contains(newest.Evacuated, domains[i].FailureDomain)
+	}
+}
+
 // add merges the status of one node. TasksByState is added up, because each node counts only the tasks of the
 // shards that it owns there. For PredictedMisses and the violated guarantees the highest count of any node is
 // taken.
@@ -151,18 +169,23 @@
 		if !d.LogReachable {
 			log = "not reachable"
 		}
+		evacuation := "-"
+		if d.Evacuated {
+			evacuation = "yes"
+		}
 		rows[i] = []string{
 			d.FailureDomain,
 			fmt.Sprintf("%d of %d", d.Ready, len(d.Nodes)+len(d.Unreachable)),
 			dashIfEmpty(strings.Join(d.Unreachable, ",")),
 			fmt.Sprintf("%d %s", d.ManifestVersion, d.Release),
 			log,
+			evacuation,
 			fmt.Sprintf("%d of %d", d.Shards, failuredomain.ShardsPerDomain),
 			formatCounts(d.TasksByState),
 			fmt.Sprint(d.PredictedMisses),
 		}
 	}
-	header := []string{"DOMAIN", "READY", "SILENT", "MANIFEST", "LOG", "SHARDS OWNED", "TASKS", "EXPECTED LATE"}
+	header := []string{"DOMAIN", "READY", "SILENT", "MANIFEST", "LOG", "EVACUATED", "SHARDS OWNED", "TASKS", "EXPECTED LATE"}
 	if err := o.print(c.OutOrStdout(), domains, header, rows); err != nil || o.output == outputJSON {
 		return err
 	}
