Soak: evacuations of failure domains; tests of nodes under one

The soak played no request of an evacuation, and the tests with processes of nodes covered the take-over and the silent read only.

The soak's operator now evacuates failure domains at random times, and its oracle reports a start later than the bound after the store acknowledged the request. Two more tests of nodes: a restart of all nodes with the owner in the evacuated domain, and an owner that cannot read the topic of the operator while the store takes its records.

--- a/internal/cellnode/evacuations_test.go
+++ b/internal/cellnode/evacuations_test.go
@@ -147,3 +147,54 @@
 	}
 	return s.Store.Read(ctx, p, from, wait)
 }
+
+// Guards against starts in an evacuated domain after a restart of all nodes, by an owner in that domain, and against a node that
+// refuses jobs meanwhile.
+func TestRestartOfAllNodesDuringEvacuation(t *testing.T) {
+	d := newTestCluster(t, 0)
+	d.startProcess(testProcess{name: "n0", processNumber: 1, domain: "w"})
+	d.waitForOwner()
+	d.store.writeEvacuation("w", "{}")
+	for !d.nodes[0].node.operatorTopic.view.Load().Set.Contains("w") {
+		time.Sleep(5 * time.Millisecond)
+	}
+	id := testIDPrefix + "01"
+	d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+id, "spec", http.StatusOK, "")
+	d.nodes[0].cancel()
+	if err := <-d.nodes[0].done; err != nil {
+		t.Fatal(err)
+	}
+	d.nodes = nil
+	d.startProcess(testProcess{name: "n0", processNumber: 2, domain: "w"})
+	d.requestUntil(8*time.Second, 0, http.MethodGet, "/q/"+id, "", http.StatusOK, "queued")
+	time.Sleep(500 * time.Millisecond)
+	if count := d.worker.startCount(); count != 0 {
+		t.Fatalf("%d tasks were started in an evacuated failure domain", count)
+	}
+	d.store.writeEvacuation("w", "")
+	d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+}
+
+// Guards against an owner that goes on starting tasks while it cannot read the operator's topic, although the store takes its
+// records.
+func TestOwnerWithoutRecentRequestsStartsNothing(t *testing.T) {
+	d := newTestCluster(t, 0)
+	blocking := &blockingStore{Store: d.store}
+	d.wrapStore = func(Store) Store { return blocking }
+	d.startNode(0)
+	n := d.nodes[0].node
+	settings := *n.cellSettings.Load()
+	settings.MaxEvacuationAge = time.Second
+	n.cellSettings.Store(&settings)
+	d.waitForOwner()
+	blocking.blocked.Store(true)
+	time.Sleep(settings.MaxEvacuationAge + configReadWait) // a read that was in flight may still succeed
+	id := testIDPrefix + "02"
+	d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+id, "spec", http.StatusOK, "")
+	time.Sleep(time.Second)
+	if count := d.worker.startCount(); count != 0 {
+		t.Errorf("%d tasks were started", count)
+	}
+	blocking.blocked.Store(false)
+	d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+}
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -63,6 +63,7 @@
 	f.IntVar(&options.Capacity, "capacity", 20, "processor capacity that nodes are told, in thousandths of a core; the number of cells follows from it")
 	f.Float64Var(&options.JobRate, "rate", 5, "jobs a second")
 	f.IntVar(&options.Network, "network", 77, "second number of all addresses, 127.NETWORK.x.y; runs beside each other need different ones")
+	f.BoolVar(&options.Evacuations, "evacuations", true, "have the operator evacuate failure domains")
 	f.StringVar(&kinds, "kinds", "", "kinds of faults, separated by commas; all if empty")
 	f.StringVar(&options.Daemon, "daemon", "bin/cactuswalld", "path of cactuswalld")
 	f.StringVar(&options.KeepLogs, "keep-logs", "", "directory for the logs of all processes")
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -31,18 +31,19 @@
 
 // Promises that the oracle checks.
 const (
-	promiseOnce     = "a task runs in one place"
-	promiseResume   = "work that was reported as done is not done again"
-	promiseOrder    = "a step starts after those that it depends on"
-	promiseCapacity = "no worker is committed beyond its capacity"
-	promiseNotRun   = "a job that was refused does not run"
-	promiseKept     = "an accepted job is done"
-	promiseState    = "the state of a job is true"
-	promiseCancel   = "a cancelled job ends"
-	promiseLeaving  = "nothing new is started on a leaving worker"
-	promiseStop     = "a planned stop cuts no request"
-	promiseConfig   = "a configuration is in force everywhere and never reverts"
-	promiseProcess  = "no process ends by itself"
+	promiseOnce      = "a task runs in one place"
+	promiseResume    = "work that was reported as done is not done again"
+	promiseOrder     = "a step starts after those that it depends on"
+	promiseCapacity  = "no worker is committed beyond its capacity"
+	promiseNotRun    = "a job that was refused does not run"
+	promiseKept      = "an accepted job is done"
+	promiseState     = "the state of a job is true"
+	promiseCancel    = "a cancelled job ends"
+	promiseLeaving   = "nothing new is started on a leaving worker"
+	promiseStop      = "a planned stop cuts no request"
+	promiseConfig    = "a configuration is in force everywhere and never reverts"
+	promiseEvacuated = "nothing is started in an evacuated failure domain"
+	promiseProcess   = "no process ends by itself"
 )
 
 // oracle knows what workers and callers saw, and checks the promises from that alone.
@@ -55,8 +56,11 @@
 	drained      map[lifeKey]time.Duration
 	capacity     standin.Work
 	disturbances map[string][]*interval
-	violations   []Violation
-	done         int // ends of tasks
+	// domains are the failure domains of the workers, and evacuations when each was evacuated.
+	domains     map[string]string
+	evacuations map[string][]*interval
+	violations  []Violation
+	done        int // ends of tasks
 }
 
 type lifeKey struct {
@@ -97,6 +101,7 @@
 	return &oracle{
 		beganAt: beganAt, capacity: capacity, jobs: make(map[string]*jobHistory), runs: make(map[string][]*run), open: make(map[runKey]*run),
 		drained: make(map[lifeKey]time.Duration), disturbances: make(map[string][]*interval),
+		domains: make(map[string]string), evacuations: make(map[string][]*interval),
 	}
 }
 
@@ -299,6 +304,7 @@
 		}
 		o.checkRepetition(task, r, runs[:i])
 		o.checkDependencies(j, task, r)
+		o.checkEvacuation(task, r)
 		late := o.disturbed(r.worker, r.start-orderDelay, r.start)
 		if drainedAt, drained := o.drained[r.lifeKey]; drained && !late && r.start > drainedAt+entryDelay+standin.DrainTime &&
 			!o.disturbed(storeSubject, drainedAt, r.start) {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -14,6 +14,7 @@
 	o := newOracle(0, standin.Work{MilliCPU: 3000, MemoryMB: 1000})
 	work := standin.Work{MilliCPU: 1000, MemoryMB: 100, DurationMS: 500}
 	o.addJob(&jobHistory{id: "j", queue: mainQueue, accepted: time.Second, steps: []standin.Step{{Work: work, Count: 2}, {Work: work, Count: 1, After: []int{0}}}})
+	o.domains["w1"], o.domains["w2"] = "d1", "d2"
 	return history{o}
 }
 
@@ -63,6 +64,11 @@
 		"a state that nobody asked for":                                 {state("cancelled"), promiseState},
 		"a completed job with a task that was not done":                 {state("completed"), promiseState},
 		"a running job": {state("running"), ""},
+		"a task in a failure domain that has been evacuated":      {evacuated(2*s, 20*s, 8*s), promiseEvacuated},
+		"a task soon after the request":                           {evacuated(2*s, 20*s, 6*s), ""},
+		"a task after the withdrawal":                             {evacuated(2*s, 8*s, 9*s), ""},
+		"a task that a disturbed worker starts late":              {late(evacuated(2*s, 20*s, 8*s)), ""},
+		"a task in another failure domain than the evacuated one": {evacuated(2*s, 20*s, 3*s).run("w2", second, 1, 9*s, 10*s), ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -88,6 +94,18 @@
 	return h
 }
 
+// evacuated is a history in which failure domain d1 is evacuated, and a task starts there at a time.
+func evacuated(from, to, start time.Duration) history {
+	h := newHistory()
+	h.endDisturbance(h.evacuate("d1", from), to)
+	return h.run("w1", first, 1, start, start+s)
+}
+
+func late(h history) history {
+	h.disturb("w1", 7*s, 7*s)
+	return h
+}
+
 func cancelled(at time.Duration) history {
 	h := newHistory()
 	h.jobs["j"].cancelled, h.jobs["j"].cancelSent = at, true
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,10 +33,12 @@
 	// Capacity of a node in thousandths of a core. The number of cells follows from it.
 	Capacity int
 	JobRate  float64 // jobs a second
-	Kinds    []string
-	Daemon   string   // path of cactuswalld
-	Self     []string // command that runs the soak's own stand-ins
-	KeepLogs string   // directory, or empty
+	// Evacuations has the operator evacuate failure domains.
+	Evacuations bool
+	Kinds       []string
+	Daemon      string   // path of cactuswalld
+	Self        []string // command that runs the soak's own stand-ins
+	KeepLogs    string   // directory, or empty
 	// Network is the second number of all addresses, 127.NETWORK.x.y, so that several runs do not meet.
 	Network  int
 	Progress io.Writer
@@ -179,6 +181,7 @@
 			return trace.Wrap(err)
 		}
 		r.proxies = append(r.proxies, p)
+		s.oracle.domains[fmt.Sprintf("w-%s-%02d", domainName(domain), i)] = domainName(domain)
 		r.spec.Workers = append(r.spec.Workers, workerSpec{
 			ID: fmt.Sprintf("w-%s-%02d", domainName(domain), i), Listen: ip + ":9002", Address: ip + ":9001", FailureDomain: domainName(domain),
 			Rack: fmt.Sprintf("r%d-%d", domain, i/workersPerRack), ClockRate: 0.98 + 0.02*random.Float64(),
@@ -313,6 +316,13 @@
 	go s.callers.handIn(traffic, s.options.JobRate, rand.New(rand.NewPCG(s.options.Seed, 3)))
 	go s.operator.probe(ctx)
 	go s.showProgress(traffic, began)
+	evacuated := make(chan struct{})
+	go func() {
+		if s.options.Evacuations {
+			s.operator.evacuate(traffic, s.options.Seed)
+		}
+		close(evacuated)
+	}()
 	var open sync.WaitGroup
 	for _, f := range faults {
 		sleep(traffic, f.At-(boottime.Now()-began))
@@ -323,6 +333,7 @@
 	}
 	<-traffic.Done()
 	open.Wait()
+	<-evacuated
 	s.callers.open.Wait()
 	return faults
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,7 +39,7 @@
 	}
 	t.Setenv(standInVariable, "1")
 	report, err := Run(context.Background(), Options{
-		Seed: ciSeed, Duration: ciDuration, Domains: 3, Nodes: 6, Workers: 18, Capacity: 12, JobRate: 3, Kinds: Kinds(), Daemon: daemon,
+		Seed: ciSeed, Duration: ciDuration, Domains: 3, Nodes: 6, Workers: 18, Capacity: 12, JobRate: 3, Kinds: Kinds(), Evacuations: true, Daemon: daemon,
 		Self: []string{os.Args[0]}, KeepLogs: directory, Network: testNetwork, Progress: testWriter{t},
 	})
 	if err != nil {
@@ -52,7 +52,7 @@
 	if len(report.Violations) > 0 {
 		t.Fail()
 	}
-	if report.Counts["done"] == 0 || report.Counts["faults"] == 0 || report.Counts["take-overs"] < 2 {
+	if report.Counts["evacuations"] == 0 || report.Counts["done"] == 0 || report.Counts["faults"] == 0 || report.Counts["take-overs"] < 2 {
 		t.Errorf("the run showed nothing: %v", report.Counts)
 	}
 }
