--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -197,6 +197,27 @@
 	})
 }
 
+// Guards against new jobs for a cell all of whose workers are in an evacuated failure domain, and against a job without a cell.
+func TestChooseAvoidsCellWithoutCapacity(t *testing.T) {
+	Convey("Given the loads of two cells", t, func() {
+		plan := Plan{Cells: []PlannedCell{{FailureDomain: "a", Active: true}, {FailureDomain: "b", Active: true}}}
+		encoded, err := recordcodec.Encode(&plan)
+		So(err, ShouldBeNil)
+		table, _, _ := NewTable().With([]store.Record{{Key: PlanKey, Value: encoded}}, 1)
+		random := rand.New(rand.NewPCG(1, 1))
+		Convey("a cell without capacity gets no job while the other has room", func() {
+			loads := map[int]Load{0: {Cell: 0}, 1: {Cell: 1, CapacityMilliCPU: 8000, UsedMilliCPU: 4000}}
+			for range 100 {
+				So(table.Choose(Need{MilliCPU: 1000}, "a", loads, random.Float64), ShouldEqual, 1)
+			}
+		})
+		Convey("a job gets a cell if none has capacity", func() {
+			loads := map[int]Load{0: {Cell: 0, WaitingMilliCPU: 1000}, 1: {Cell: 1}}
+			So(table.Choose(Need{MilliCPU: 1000}, "a", loads, random.Float64), ShouldBeIn, 0, 1)
+		})
+	})
+}
+
 // Jobs that arrive unevenly filled one cell while the others had room.
 func TestChoose(t *testing.T) {
 	plan := Plan{Cells: []PlannedCell{{"a", true}, {"b", true}, {"c", true}, {"d", false}}}
--- a/internal/cellnode/evacuations.go
+++ b/internal/cellnode/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,9 @@
 func newOperatorTopic(n *Node) *operatorTopic {
 	t := &operatorTopic{node: n, tracker: evacuation.NewTracker(n.settings.FailureDomains)}
 	n.metrics.NewGauge("cactuswall_evacuations", t.count)
+	for _, domain := range n.settings.FailureDomains {
+		n.metrics.GetOrCreateGauge(`cactuswall_evacuated{domain=`+strconv.Quote(domain)+`}`, func() float64 { return t.evacuated(domain) })
+	}
 	return t
 }
 
@@ -139,6 +143,14 @@
 	return float64(count)
 }
 
+// evacuated returns 1 if a failure domain is evacuated, else 0.
+func (t *operatorTopic) evacuated(domain string) float64 {
+	if view := t.view.Load(); view != nil && view.Set.Contains(domain) {
+		return 1
+	}
+	return 0
+}
+
 // confirmEvacuations reads the operator's topic whenever the set of evacuated failure domains has not been confirmed for
 // confirmAge, while this node owns a cell and the deployment has a bound for evacuations.
 func (n *Node) confirmEvacuations(ctx context.Context) error {
