Fault test of the other entry point knows evacuations

The random faults of internal/node published no manifest that evacuates the failure domain.

TestFaultsWithEvacuations draws such publications and their withdrawal among the faults; the oracle of the workers reports a start later than manifests may take to become active. TestFaults draws as before, so its recorded cases stay valid.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"cactuswall.example/cactuswall/internal/guarantee"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/units"
 )
@@ -26,8 +28,15 @@
 	"kill node", "start node", "lose worker", "urgent job", "cancel job", "add job",
 }
 
-// drawEvents draws a random sequence of 4 to 16 events.
-func drawEvents(t *rapid.T) []faultEvent {
+// maxWorkerDelay is the longest delay of a slow worker.
+const maxWorkerDelay = 4 * 700 * time.Millisecond
+
+// evacuationBound is the longest time from the acceptance of a manifest that evacuates the failure domain until the last start there:
+// the time until the manifest is active on all nodes, and until a slow worker carries out a request.
+const evacuationBound = guarantee.MaxManifestDelay + maxWorkerDelay
+
+// drawEvents draws a random sequence of 4 to 16 events of the given kinds.
+func drawEvents(t *rapid.T, eventKinds []string) []faultEvent {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) faultEvent {
 		return faultEvent{
 			kind:  rapid.SampledFrom(eventKinds).Draw(t, "kind"),
@@ -44,6 +53,7 @@
 	jobs         map[string]string
 	names        []string
 	workers      []string
+	evacuated    bool
 	setupFailure string
 }
 
@@ -62,7 +72,28 @@
 			jobs = append(jobs, text)
 		}
 	}
-	f.publish(f, manifestJSON(100000, jobs...))
+	document := manifestJSON(100000, jobs...)
+	if f.evacuated {
+		document = evacuatedManifest(jobs...)
+	} else {
+		f.oracle.setEvacuated(false) // the withdrawal may take effect before it is known to be accepted
+	}
+	f.publish(f, document)
+	if f.evacuated {
+		f.oracle.setEvacuated(true)
+	}
+}
+
+// setEvacuated notes that the failure domain is evacuated from now on, if it was not, or not any more.
+func (o *oracle) setEvacuated(evacuated bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case !evacuated:
+		o.evacuatedAt = time.Time{}
+	case o.evacuatedAt.IsZero():
+		o.evacuatedAt = time.Now()
+	}
 }
 
 func (f *faultScenario) addJob(priority string, tasks int, checkpoints bool) {
@@ -103,7 +134,7 @@
 		if len(f.workers) > 2 {
 			f.loseWorker(e.index % len(f.workers))
 		}
-	case "urgent job", "add job", "cancel job":
+	case "urgent job", "add job", "cancel job", "evacuate", "withdraw evacuation":
 		f.changeManifest(e)
 	}
 	time.Sleep(e.wait)
@@ -119,6 +150,8 @@
 		f.addJob("batch", e.count, e.index%2 == 0)
 	case "cancel job":
 		f.jobs[f.names[e.index%len(f.names)]] = ""
+	case "evacuate", "withdraw evacuation":
+		f.evacuated = e.kind == "evacuate"
 	}
 	f.republish()
 }
@@ -166,6 +199,11 @@
 			f.apply(e)
 		}
 		f.clearFaults()
+		if f.evacuated {
+			time.Sleep(time.Minute)
+			f.evacuated = false
+			f.republish()
+		}
 		time.Sleep(10 * time.Minute)
 		violations = append(f.oracle.violations, f.finalViolations()...)
 		if f.setupFailure != "" {
@@ -199,9 +237,16 @@
 // urgent jobs and cancellations. Once the faults have ended, the oracle must have found no violation, every
 // declared task must have finished, and no guarantee other than the start of urgent tasks may be
 // violated.
-func TestFaults(t *testing.T) {
+func TestFaults(t *testing.T) { checkFaults(t, eventKinds) }
+
+// TestFaultsWithEvacuations is TestFaults with requests that evacuate the failure domain.
+func TestFaultsWithEvacuations(t *testing.T) {
+	checkFaults(t, append(slices.Clone(eventKinds), "evacuate", "evacuate", "withdraw evacuation"))
+}
+
+func checkFaults(t *testing.T, kinds []string) {
 	rapid.Check(t, func(r *rapid.T) {
-		events := drawEvents(r)
+		events := drawEvents(r, kinds)
 		if violations := runFaults(t, events); len(violations) > 0 {
 			r.Fatalf("%s", strings.Join(violations, "\n"))
 		}
--- a/internal/node/scheduling_test.go
+++ b/internal/node/scheduling_test.go
@@ -46,6 +46,8 @@
 	// lost holds the workers that were lost.
 	lost       map[string]bool
 	violations []string
+	// evacuatedAt is when a manifest that evacuates the failure domain was accepted, zero while none is.
+	evacuatedAt time.Time
 }
 
 func newOracle() *oracle {
@@ -71,6 +73,9 @@
 	if newest, any := o.checkpoints[req.Run.Task]; any && newest != req.Checkpoint {
 		o.addViolation("%v resumes from %q, its newest checkpoint is %q", req.Run, req.Checkpoint, newest)
 	}
+	if lasted := time.Since(o.evacuatedAt); !o.evacuatedAt.IsZero() && lasted > evacuationBound {
+		o.addViolation("%v starts on %s, whose failure domain has been evacuated for %v", req.Run, worker, lasted)
+	}
 	r := &runRecord{worker: worker, run: req.Run, size: req.Size, start: time.Now()}
 	o.runs = append(o.runs, r)
 	o.open[req.Run.Task] = r
