Tasks of a lost failure domain do not move to an evacuated one

The node that moves the tasks of a lost failure domain takes them into its own. In an evacuated one they would wait, although others could run them.

The responsible node is now chosen among the failure domains that are not evacuated. TestNoTaskMovesToEvacuatedDomain fails without that: the tasks are moved at once and wait there.

--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"context"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/units"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
@@ -152,3 +154,36 @@
 		t.Error("a node that has read the manifest stream may start nothing")
 	}
 }
+
+// Guards against tasks of a lost failure domain that are moved to an evacuated one, where they could not start.
+func TestNoTaskMovesToEvacuatedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTwoDomainDeployment(0)
+		a, killA := d.start("a", 1)
+		b, killB := d.start("b", 1)
+		time.Sleep(5 * time.Second)
+		publish := func(n *Node, document string) {
+			decision, err := n.Publish(context.Background(), operator.Publication{Document: document, Replaces: n.Status().ManifestVersion})
+			if err != nil || !decision.Accepted {
+				t.Fatalf("not accepted: %+v, %v", decision, err)
+			}
+		}
+		evacuated := strings.Replace(moveManifest, `"name": "b",`, `"name": "b", "evacuated": true,`, 1)
+		if evacuated == moveManifest {
+			t.Fatal("the manifest has no failure domain b")
+		}
+		publish(a, evacuated)
+		time.Sleep(30 * time.Second)
+		killA()
+		time.Sleep(7 * time.Minute)
+		if got := stateOf(b, "moves@1/0"); got != "" || len(d.runCounts()) > 0 {
+			t.Errorf("the task is %q in the evacuated domain; runs: %v", got, d.runCounts())
+		}
+		publish(b, moveManifest)
+		time.Sleep(3 * time.Minute)
+		if len(d.runCounts()) != 3 {
+			t.Errorf("runs after the withdrawal: %v, want 3", d.runCounts())
+		}
+		killB()
+	})
+}
--- a/internal/node/failover.go
+++ b/internal/node/failover.go
@@ -72,7 +72,7 @@
 	live := m.engine.liveNodes(now)
 	assigned := make(map[string]bool)
 	for _, lost := range m.lossDetector.Observe(domains, live, now) {
-		if failover.ResponsibleNode(lost, domains, live) == m.engine.self.Node && !m.engine.stopping {
+		if failover.ResponsibleNode(lost, activeManifest.Manifest.HomeDomains(), live) == m.engine.self.Node && !m.engine.stopping {
 			assigned[lost] = true
 		}
 	}
