--- a/internal/cellnode/evacuations_test.go
+++ b/internal/cellnode/evacuations_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/boottime"
+	"cactuswall.example/cactuswall/internal/evacuation"
 	"cactuswall.example/cactuswall/internal/queue"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -96,7 +97,7 @@
 	written := boottime.Now()
 	d.store.writeEvacuation("w", "{}")
 	for !n.operatorTopic.view.Load().Set.Contains("w") {
-		if boottime.Now()-written > confirmAge+2*confirmInterval+500*time.Millisecond {
+		if boottime.Now()-written > evacuation.MaxAge(5*time.Second) {
 			t.Fatal("the request is not known in time")
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/internal/joblog/waits.go
+++ b/internal/joblog/waits.go
@@ -120,10 +120,19 @@
 		return fmt.Sprintf("for the owner %s, whose newest reports of the full workers were %v old", room.Node, room.duration("report_age_median"))
 	case turn != nil && room == nil:
 		return fmt.Sprintf("for its turn at the owner %s, which had %v tasks to start", turn.Node, turn.Fields["waiting_tasks"])
+	case room != nil && room.evacuatedWorkers() > 0:
+		return fmt.Sprintf("for free resources outside the evacuated failure domains, which have %v workers", room.evacuatedWorkers())
 	}
 	return "for free resources"
 }
 
+// evacuatedWorkers returns how many workers a line counts that were not chosen because their failure domain is evacuated.
+func (e *Event) evacuatedWorkers() float64 {
+	workers, _ := e.Fields["workers"].(map[string]any)
+	count, _ := workers["evacuated"].(float64)
+	return count
+}
+
 // sameStep reports whether two lines are about tasks of the same step.
 func sameStep(a, b *Event) bool {
 	x, _ := a.Fields["task"].(map[string]any)
--- a/internal/joblog/waits_test.go
+++ b/internal/joblog/waits_test.go
@@ -9,17 +9,18 @@
 
 // The task of job j waits on node a from 10 s to 20 s.
 const (
-	waitStart    = `{"ts":20000,"msg":"start","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":3},"waited":10000}`
-	waitRoom     = `{"ts":15000,"msg":"step waiting for resources","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"report_age_median":300}`
-	waitRoomOld  = `{"ts":15000,"msg":"step waiting for resources","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"report_age_median":1900}`
-	waitTurn     = `{"ts":15000,"msg":"step waiting for its turn","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"position":70,"waiting_tasks":900}`
-	otherTurn    = `{"ts":15000,"msg":"step waiting for its turn","node":"a","task":{"job":"j","occurrence":0,"step":0,"index":0},"waited":5000,"position":70,"waiting_tasks":900}`
-	lateBefore   = `{"ts":1000,"msg":"owner late","node":"a","window":1000,"event_delay":16,"round_time":283,"sched_latency":29}`
-	lateDuring   = `{"ts":18000,"msg":"owner late","node":"a","window":1000,"event_delay":16,"round_time":283,"sched_latency":29}`
-	onTimeBefore = `{"ts":4000,"msg":"owner on time again","node":"a"}`
-	onTimeDuring = `{"ts":16000,"msg":"owner on time again","node":"a"}`
-	nextOwner    = `{"ts":4500,"msg":"owner","node":"b"}`
-	lateCause    = "for the owner a, which was late (at first its events waited 16ms, its rounds took 283ms, its goroutines waited 29ms for the processor)"
+	waitStart     = `{"ts":20000,"msg":"start","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":3},"waited":10000}`
+	waitRoom      = `{"ts":15000,"msg":"step waiting for resources","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"report_age_median":300}`
+	waitEvacuated = `{"ts":15000,"msg":"step waiting for resources","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"workers":{"evacuated":3,"room":2}}`
+	waitRoomOld   = `{"ts":15000,"msg":"step waiting for resources","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"report_age_median":1900}`
+	waitTurn      = `{"ts":15000,"msg":"step waiting for its turn","node":"a","task":{"job":"j","occurrence":0,"step":1,"index":0},"waited":5000,"position":70,"waiting_tasks":900}`
+	otherTurn     = `{"ts":15000,"msg":"step waiting for its turn","node":"a","task":{"job":"j","occurrence":0,"step":0,"index":0},"waited":5000,"position":70,"waiting_tasks":900}`
+	lateBefore    = `{"ts":1000,"msg":"owner late","node":"a","window":1000,"event_delay":16,"round_time":283,"sched_latency":29}`
+	lateDuring    = `{"ts":18000,"msg":"owner late","node":"a","window":1000,"event_delay":16,"round_time":283,"sched_latency":29}`
+	onTimeBefore  = `{"ts":4000,"msg":"owner on time again","node":"a"}`
+	onTimeDuring  = `{"ts":16000,"msg":"owner on time again","node":"a"}`
+	nextOwner     = `{"ts":4500,"msg":"owner","node":"b"}`
+	lateCause     = "for the owner a, which was late (at first its events waited 16ms, its rounds took 283ms, its goroutines waited 29ms for the processor)"
 )
 
 func TestWaitCause(t *testing.T) {
@@ -29,6 +30,8 @@
 		want      string
 	}{
 		{"workers are full by recent reports", []string{waitRoom, waitStart}, "for free resources"},
+		{"workers are in an evacuated failure domain", []string{waitEvacuated, waitStart},
+			"for free resources outside the evacuated failure domains, which have 3 workers"},
 		{"workers are full by old reports", []string{waitRoomOld, waitStart}, "for the owner a, whose newest reports of the full workers were 1.9s old"},
 		{"the owner was late all the time", []string{lateBefore, waitStart}, lateCause},
 		{"the owner was late all the time and its reports were old", []string{waitRoomOld, waitStart, lateBefore}, lateCause},
