The owner of a cell measures how its backlog drains

Nodes need figures to decide on new jobs. The cell records the work that it begins, the run times and the lack of workers by kind, and returns them with the useful backlog and the capacities of the workers that it has seen. Only groups of jobs with an objective are measured; nothing is stored.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -9,6 +9,7 @@
 
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cpuinterference"
+	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/overload"
@@ -62,8 +63,11 @@
 	needsPlacement bool
 	// load limits start and renewal orders to what the owner has processor time for; unansweredStarts is the number of
 	// start orders without a call of StartAnswered.
-	load             *overload.Controller
-	backlog          urgency.Backlog
+	load    *overload.Controller
+	backlog urgency.Backlog
+	// drain measures how waiting work is begun, and shapes are the capacities of all workers seen, by service.
+	drain            *drain.Meter
+	shapes           map[string][]jobs.Resources
 	unansweredStarts int
 	nextRetry        time.Duration // when placement is tried again; 0 if no retry is due
 	// dirtyGroups and dirtyJobs have changes that are not stored yet.
@@ -104,7 +108,7 @@
 		settings: s, epoch: epoch, cellCount: 1, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
 		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
-		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
+		endedJobs: btree.NewG(endedJobsDegree, endedBefore), drain: drain.NewMeter(), shapes: make(map[string][]jobs.Resources),
 	}
 }
 
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -231,6 +231,7 @@
 
 // workerListed adds or updates the worker of an entry in the store.
 func (c *Cell) workerListed(info workercall.Worker) {
+	c.noteShape(&info)
 	w := c.workers[info.ID]
 	if w == nil {
 		c.log.Info("worker registered", zap.String("worker", info.ID), zap.String("domain", info.FailureDomain),
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/placement"
 	"cactuswall.example/cactuswall/internal/quarantine"
@@ -110,6 +111,7 @@
 		i := c.chooseWorker(v, t, nil)
 		if i < 0 {
 			c.logWaiting(v, t)
+			c.noteNoRoom(v, g)
 			return placed, false
 		}
 		c.assign(v, t, i, t.lastRunNumber+1)
@@ -136,6 +138,7 @@
 		i := c.chooseWorker(v, t, pending)
 		if i < 0 {
 			c.logWaiting(v, t)
+			c.noteNoRoom(v, g)
 			copy(v.candidates, saved)
 			return 0, false
 		}
@@ -295,6 +298,7 @@
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
 	c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
+	c.drainMeter(t.group).Began(drain.TaskWork(t.group.step), c.now)
 	c.markGroupDirty(t.group)
 	c.log.Debug("placed", taskField(t.id), zap.Int("run", number), zap.String("worker", w.info.ID))
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/cpuinterference"
+	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/urgency"
@@ -132,6 +133,8 @@
 	waitReason waitReason
 	// finishedAt is when the last task of the group was done, if this owner saw it; it is used for Metrics.StepDelay.
 	finishedAt time.Duration
+	// drain measures the group's kind; nil until it is needed, see Cell.drainMeter.
+	drain *drain.KindMeter
 }
 
 // job is the state of one accepted job.
--- a/internal/drain/decide.go
+++ b/internal/drain/decide.go
@@ -35,9 +35,9 @@
 // Limit returns the age up to which the result of the job is worth something.
 func (j *Job) Limit() time.Duration { return usefulFactor * j.Objective }
 
-// criticalPath returns the estimated run time of the longest chain of dependent steps.
-func (j *Job) criticalPath() time.Duration {
-	steps := j.Spec.Steps
+// CriticalPath returns the estimated run time of the longest chain of dependent steps of a job.
+func CriticalPath(spec *jobs.Spec) time.Duration {
+	steps := spec.Steps
 	paths, longest := make([]time.Duration, len(steps)), time.Duration(0)
 	for i := len(steps) - 1; i >= 0; i-- {
 		paths[i] += steps[i].Estimate
@@ -81,7 +81,7 @@
 		ratio = defaultRunRatio
 	}
 	ratio = min(maxRunRatio, max(defaultRunRatio, ratio))
-	best.Done = best.Wait + time.Duration(float64(j.criticalPath())*ratio)
+	best.Done = best.Wait + time.Duration(float64(CriticalPath(j.Spec))*ratio)
 	return best
 }
 
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -40,11 +40,11 @@
 		for _, l := range loads {
 			step, ticks := &l.job.Spec.Steps[0], int(at/tick)
 			for range (ticks+1)*l.startsPerSecond/10 - ticks*l.startsPerSecond/10 {
-				m.Began(kindOfJob(l.job), TaskWork(step), at)
-				m.Ended(kindOfJob(l.job), step.Estimate, step.Estimate, at)
+				m.Of(kindOfJob(l.job), at).Began(TaskWork(step), at)
+				m.Of(kindOfJob(l.job), at).Ended(step.Estimate, step.Estimate, at)
 			}
 			if l.short > 0 && at >= testNow-l.short {
-				m.NoRoom(kindOfJob(l.job), Request(step), at)
+				m.Of(kindOfJob(l.job), at).NoRoom(Request(step), at)
 			}
 		}
 	}
@@ -120,7 +120,7 @@
 	rate := func(m *Meter, at time.Duration) float64 { return m.Figures(map[Kind]float64{k: 1}, at)[0].Rate }
 	begin := func(m *Meter, starts int, at time.Duration) {
 		for range starts {
-			m.Began(k, 1000, at)
+			m.Of(k, at).Began(1000, at)
 		}
 	}
 	Convey("Tasks that begin in batches, whose mean over the window may be half of their rate, count at least with that rate", t, func() {
@@ -165,17 +165,17 @@
 	Convey("The number of kinds is bounded, and unused ones make place", t, func() {
 		m := NewMeter()
 		for i := range 2 * maxKinds {
-			m.Began(Kind{Queue: "q", Size: i}, 1, time.Second)
+			m.Of(Kind{Queue: "q", Size: i}, time.Second).Began(1, time.Second)
 		}
 		So(m.kinds, ShouldHaveLength, maxKinds)
-		m.Began(Kind{Queue: "new"}, 1, time.Minute)
+		m.Of(Kind{Queue: "new"}, time.Minute).Began(1, time.Minute)
 		So(m.kinds, ShouldHaveLength, 1)
 	})
 	Convey("The smallest request without room is that of the last seconds: a small one that found none before may find some now", t, func() {
 		m := NewMeter()
-		m.NoRoom(k, jobs.Resources{MilliCPU: 600}, 10*time.Second)
+		m.Of(k, 10*time.Second).NoRoom(jobs.Resources{MilliCPU: 600}, 10*time.Second)
 		for at := 10 * time.Second; at <= 15*time.Second; at += 100 * time.Millisecond {
-			m.NoRoom(k, jobs.Resources{MilliCPU: 1000}, at)
+			m.Of(k, at).NoRoom(jobs.Resources{MilliCPU: 1000}, at)
 		}
 		f := m.Figures(map[Kind]float64{k: 1}, 15*time.Second)[0]
 		So(f.Shortest.MilliCPU, ShouldEqual, 1000)
--- a/internal/drain/meter.go
+++ b/internal/drain/meter.go
@@ -26,11 +26,12 @@
 
 // Meter measures how the waiting work of a cell drains. It is not safe for concurrent use.
 type Meter struct {
-	kinds map[Kind]*kindMeter
+	kinds map[Kind]*KindMeter
 	began time.Duration // when the first kind was measured
 }
 
-type kindMeter struct {
+// KindMeter measures one kind. A nil KindMeter measures nothing.
+type KindMeter struct {
 	slots [window + 1]meterSlot // the current one included
 	// shortSince and shortAt are the first and the last time of the current period in which no worker was found.
 	shortSince, shortAt time.Duration
@@ -49,10 +50,11 @@
 }
 
 // NewMeter returns an empty Meter.
-func NewMeter() *Meter { return &Meter{kinds: make(map[Kind]*kindMeter)} }
+func NewMeter() *Meter { return &Meter{kinds: make(map[Kind]*KindMeter)} }
 
-// kind returns the measurement of a kind, or nil if there are too many.
-func (m *Meter) kind(k Kind, now time.Duration) *kindMeter {
+// Of returns the measurement of a kind, or nil if there are too many. One that is not used for the length of the window may be
+// dropped to make place for others; what is recorded in it later is lost.
+func (m *Meter) Of(k Kind, now time.Duration) *KindMeter {
 	measured := m.kinds[k]
 	if measured == nil {
 		if len(m.kinds) >= maxKinds {
@@ -64,7 +66,7 @@
 		if len(m.kinds) == 0 {
 			m.began = now
 		}
-		measured = &kindMeter{}
+		measured = &KindMeter{}
 		m.kinds[k] = measured
 	}
 	measured.usedAt = now
@@ -80,7 +82,7 @@
 	}
 }
 
-func (k *kindMeter) slot(now time.Duration) *meterSlot {
+func (k *KindMeter) slot(now time.Duration) *meterSlot {
 	number := int64(now / slot)
 	s := &k.slots[number%int64(len(k.slots))]
 	if s.number != number {
@@ -90,42 +92,42 @@
 }
 
 // Began records that a task was begun.
-func (m *Meter) Began(k Kind, work float64, now time.Duration) {
-	if measured := m.kind(k, now); measured != nil {
-		s := measured.slot(now)
-		s.work += work
-		s.starts++
+func (k *KindMeter) Began(work float64, now time.Duration) {
+	if k == nil {
+		return
 	}
+	k.usedAt = now
+	s := k.slot(now)
+	s.work += work
+	s.starts++
 }
 
 // Ended records the run time of a task that succeeded.
-func (m *Meter) Ended(k Kind, ran, estimate time.Duration, now time.Duration) {
-	if estimate <= 0 || ran <= 0 {
+func (k *KindMeter) Ended(ran, estimate, now time.Duration) {
+	if k == nil || estimate <= 0 || ran <= 0 {
 		return
 	}
-	if measured := m.kind(k, now); measured != nil {
-		s := measured.slot(now)
-		s.ran += ran
-		s.estimated += estimate
-	}
+	k.usedAt = now
+	s := k.slot(now)
+	s.ran += ran
+	s.estimated += estimate
 }
 
 // NoRoom records that no worker was found for a task with the given request, whatever its other constraints.
-func (m *Meter) NoRoom(k Kind, request jobs.Resources, now time.Duration) {
-	measured := m.kind(k, now)
-	if measured == nil {
+func (k *KindMeter) NoRoom(request jobs.Resources, now time.Duration) {
+	if k == nil {
 		return
 	}
 	switch {
-	case measured.shortAt == 0 || now-measured.shortAt > shortGap:
-		measured.shortSince = now
-		measured.shortest, measured.shortestBefore, measured.shortestSince = request, request, now
-	case now-measured.shortestSince > shortGap:
-		measured.shortest, measured.shortestBefore, measured.shortestSince = request, measured.shortest, now
-	case measured.shortest.Contains(request):
-		measured.shortest = request
+	case k.shortAt == 0 || now-k.shortAt > shortGap:
+		k.shortSince = now
+		k.shortest, k.shortestBefore, k.shortestSince = request, request, now
+	case now-k.shortestSince > shortGap:
+		k.shortest, k.shortestBefore, k.shortestSince = request, k.shortest, now
+	case k.shortest.Contains(request):
+		k.shortest = request
 	}
-	measured.shortAt = now
+	k.shortAt, k.usedAt = now, now
 }
 
 // Figures returns the figures of all kinds that are in the window or in backlog, which holds the useful work that waits.
@@ -143,7 +145,7 @@
 }
 
 // figures returns the figures of a kind of a cell that has been measured since began. Slots that are not complete do not count.
-func (k *kindMeter) figures(now, began time.Duration) KindFigures {
+func (k *KindMeter) figures(now, began time.Duration) KindFigures {
 	var f KindFigures
 	current := int64(now / slot)
 	var works [window]float64 // by age
--- a/internal/drain/property_test.go
+++ b/internal/drain/property_test.go
@@ -30,11 +30,11 @@
 		}
 		c.busy[w] = max(now-simTick, c.busy[w]) + step.Estimate
 		c.done[c.waiting[0]], c.waiting = c.busy[w], c.waiting[1:]
-		c.meter.Began(kindOfJob(c.job), TaskWork(step), now)
-		c.meter.Ended(kindOfJob(c.job), step.Estimate, step.Estimate, now)
+		c.meter.Of(kindOfJob(c.job), now).Began(TaskWork(step), now)
+		c.meter.Of(kindOfJob(c.job), now).Ended(step.Estimate, step.Estimate, now)
 	}
 	if len(c.waiting) > 0 {
-		c.meter.NoRoom(kindOfJob(c.job), Request(step), now)
+		c.meter.Of(kindOfJob(c.job), now).NoRoom(Request(step), now)
 	}
 }
 
