Nodes refuse jobs that cannot be done in any useful time

Under overload every job was stored, and many were never done. Nodes now ask the owner for its figures while jobs arrive (JSON at /-/figures on the peers' server, in the turns of the exchange of loads), and answer 429 with Retry-After to a job that would be done later than three objectives in every cell. A request that is larger than every worker is refused without Retry-After.

A job that an owner knows, or that this node has tried to store, is not refused, nor one about which no owner answers, since a refusal says that it never runs. Test: two nodes under a real backlog; figures that must cause no refusal.

--- a/internal/cellnode/loads.go
+++ b/internal/cellnode/loads.go
@@ -139,7 +139,7 @@
 	return need
 }
 
-// exchangeLoads keeps the loads of the cells up to date, as long as there are several cells.
+// exchangeLoads keeps the loads of the cells up to date, as long as there are several cells, and the figures for admission.
 func (n *Node) exchangeLoads(ctx context.Context) error {
 	for ctx.Err() == nil {
 		interval := loadInterval
@@ -147,11 +147,11 @@
 			interval = ownerLoadInterval
 		}
 		sleep(ctx, interval/2+rand.N(interval))
-		plan := n.cells.table().Plan()
+		plan, owned := n.cells.table().Plan(), n.owners()
+		n.exchangeFigures(ctx, plan, owned)
 		if len(plan.Cells) == 1 {
 			continue
 		}
-		owned := n.owners()
 		switch {
 		case len(owned) > 0:
 			n.readOwnLoads(owned)
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -117,6 +117,7 @@
 	cells     *cellTable
 	directory *directory
 	loads     *loadBoard
+	admission *admission
 	// membershipsMu protects memberships, which are by the number of the cell.
 	membershipsMu sync.Mutex
 	memberships   map[int]*membership
@@ -138,7 +139,7 @@
 		writerID: strconv.FormatUint(xxhash.Sum64String(holder), 36), acceptedJobs: newAcceptedJobs(),
 		config: queue.NewActiveConfig(), metrics: set, counts: cell.NewMetrics(set),
 		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
-		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), memberships: make(map[int]*membership),
+		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), admission: newAdmission(), memberships: make(map[int]*membership),
 	}
 	n.cells = newCellTable(n)
 	n.ownerMetrics = newOwnerMetrics(set, n.owners)
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -253,6 +253,12 @@
 			if len(body) == 0 {
 				return nil, fmt.Errorf("empty body")
 			}
+			if string(body) == "half" { // of the worker
+				return &jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 8000}, Estimate: taskDuration}}}, nil
+			}
+			if string(body) == "too large" {
+				return &jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 16001}, Estimate: taskDuration}}}, nil
+			}
 			step := jobs.Step{Count: 2, Request: jobs.Resources{MilliCPU: 100}, Estimate: taskDuration}
 			return &jobs.Spec{Payload: string(body), Steps: []jobs.Step{step, {Count: 1, Estimate: taskDuration, DependsOn: []int{0}}}}, nil
 		},
@@ -305,7 +311,8 @@
 	topics := Topics{
 		Config: store.Partition{Topic: "config"}, ConfigKey: "config", Workers: store.Partition{Topic: "workers"},
 		DecodeConfig: func([]byte) (*queue.Config, error) {
-			return &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, CriticalPathFactor: 2}},
+			return &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, CriticalPathFactor: 2},
+				{Name: "objective", Host: "h", Prefix: "/o/", Service: "s", MaxAttempts: 2, CriticalPathFactor: 2, DeadlineSlack: time.Second}},
 				Services: []queue.Service{{Name: "s"}}, Limits: queue.Limits{BodyBytes: 100}}, nil
 		},
 		DecodeWorker: func(id string, _ []byte) (workercall.Worker, error) {
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -79,6 +79,8 @@
 	// cellLoad is the load of the cell at loadAt; mu protects both.
 	cellLoad cellmap.Load
 	loadAt   time.Duration
+	// figuresAt is when the figures of the cell were last read; mu protects it.
+	figuresAt time.Duration
 	// borrowedAt is when workers were last requested from another cell, and neededAt when borrowed ones were last needed.
 	// Only the goroutine of followWorkers uses them.
 	borrowedAt, neededAt time.Duration
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -82,7 +82,7 @@
 	}{
 		{"callers", n.settings.CallerAddress, gateway{n}},
 		{"ready", n.settings.ReadyAddress, http.HandlerFunc(n.serveReady)},
-		{"peers", n.settings.PeerAddress, cellrpc.NewCellServer(cellServer{n})},
+		{"peers", n.settings.PeerAddress, n.peerHandler(cellrpc.NewCellServer(cellServer{n}))},
 		{"metrics", n.settings.MetricsAddress, http.HandlerFunc(n.serveMetrics)},
 	} {
 		if err := add(s.name, s.address, s.handler); err != nil {
