--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -203,16 +203,21 @@
 // summarize returns a one-sentence summary of the outcome of the job and its likely causes.
 func summarize(events []Event) string {
 	var reasons []string
-	outcome, lastErrorResponse, failedRuns, ownerChanges, handedOver := "", "", 0, 0, 0
+	outcome, lastErrorResponse, refusalCause, failedRuns, ownerChanges, handedOver, refusals := "", "", "", 0, 0, 0, 0
 	var longest *Event
+	var lastStatus float64
 	for i, e := range events {
 		switch e.Message {
 		case "job ended":
 			outcome, _ = e.Fields["state"].(string)
 		case "answered":
 			if status, _ := e.Fields["status"].(float64); status >= 400 {
+				lastStatus = status
 				lastErrorResponse = fmt.Sprintf("%v to %v (%v)", status, e.Fields["method"], e.Fields["reason"])
 			}
+		case messageRefused:
+			refusals++
+			refusalCause, _ = e.Fields["cause"].(string)
 		case "start", messageRoom, messageTurn:
 			if longest == nil || e.duration("waited") > longest.duration("waited") {
 				longest = &events[i]
@@ -239,7 +244,10 @@
 	if handedOver > 0 {
 		reasons = append(reasons, fmt.Sprintf("tasks that went to another cell for resources: %d", handedOver))
 	}
-	if lastErrorResponse != "" {
+	if refusals > 0 {
+		reasons = append(reasons, fmt.Sprintf("refusals: %d, the last for this cause: %s", refusals, refusalCause))
+	}
+	if lastErrorResponse != "" && (refusals == 0 || lastStatus != statusRefused) {
 		reasons = append(reasons, "the last error response was "+lastErrorResponse)
 	}
 	if outcome == "" {
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -54,6 +54,15 @@
 		So(timeline.Summary, ShouldEqual, "The job has not ended: a task waited 1.5s for free resources; changes of owner: 1; "+
 			"tasks that went to another cell for resources: 1.")
 	})
+	// A refused job's timeline named the status only.
+	Convey("The summary names the cause of a refusal", t, func() {
+		timeline, err := Read("j1", strings.NewReader(`{"ts":1000,"msg":"job refused","node":"a","job":"j1","cause":"no room for this kind within its objective: next in 4.2 s"}
+{"ts":1000,"msg":"answered","node":"a","job":"j1","method":"POST","status":429,"reason":"no_capacity_in_time"}
+{"ts":6000,"msg":"answered","node":"a","job":"j1","method":"POST","status":200,"reason":"ok"}
+{"ts":9000,"msg":"job ended","node":"b","job":"j1","state":"completed"}`))
+		So(err, ShouldBeNil)
+		So(timeline.Summary, ShouldEqual, "The job completed: refusals: 1, the last for this cause: no room for this kind within its objective: next in 4.2 s.")
+	})
 	Convey("A job that appears in no log has an empty timeline", t, func() {
 		timeline, err := Read("none", strings.NewReader(testLog))
 		So(err, ShouldBeNil)
--- a/internal/joblog/waits.go
+++ b/internal/joblog/waits.go
@@ -11,6 +11,10 @@
 	messageOnTime = "owner on time again"
 	messageRoom   = "step waiting for resources"
 	messageTurn   = "step waiting for its turn"
+	// messageRefused is the line of a job that a node answered with statusRefused. It has the cause, so that the line of the
+	// response adds nothing to it.
+	messageRefused = "job refused"
+	statusRefused  = 429
 	// oldReportAge is the age from which on reports of workers with runs are older than they can be if the owner is on
 	// time, since these workers report at least every 0.8 s.
 	oldReportAge = 1500 * time.Millisecond
