--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -46,6 +46,12 @@
 	// it. Jobs are then better begun early or not at all: begun in the order of their slack, each would be begun when it is
 	// about to be late.
 	NewestFirst bool
+	// FinishFirst is set for a job of which something was started while there is more work than capacity. If it becomes late it
+	// still comes before jobs of which nothing was started: what it has used would be lost.
+	FinishFirst bool
+	// HasObjective is set if the configuration gives the job's queue both parts of an objective, so that its classes say what a
+	// result is worth. Without it, FinishFirst has no effect and an Expired item comes last in its priority only.
+	HasObjective bool
 	// Age is the time since the job arrived, Remaining the estimated time of the critical path of its remaining work,
 	// Objective the time within which the job should be done, counted from its arrival.
 	Age, Remaining, Objective time.Duration
@@ -77,25 +83,53 @@
 	return limit - i.Age - i.Remaining
 }
 
+// stage is the position of an item within its priority.
+type stage int
+
+// The stages, in the order in which they are served.
+const (
+	stageOnTime stage = iota
+	stageFinish       // late, but begun: see Item.FinishFirst
+	stageNewest       // on time, see Item.NewestFirst
+	stageLongRunning
+	stageLate
+	stageDoubtful // late, and done in time only if it takes less than estimated
+	stageExpired
+)
+
 // Rank is the position of an item at one time, computed once for many comparisons.
 type Rank struct {
-	interrupted bool
-	priority    int
-	longRunning bool
-	class       Class
-	newestFirst bool          // Item.NewestFirst of an OnTime item
-	work        float64       // Item.JobCPU of an Expired item, otherwise 0
-	slack       time.Duration // of an item that is not Expired, otherwise 0
+	interrupted  bool
+	worthless    bool // Expired, with Item.HasObjective
+	priority     int
+	class        Class
+	stage        stage
+	hasObjective bool
+	work         float64       // Item.JobCPU of an Expired item, otherwise 0
+	slack        time.Duration // of an item that is not Expired, otherwise 0
 }
 
 // Rank returns the item's rank.
 func (i *Item) Rank() Rank {
-	r := Rank{interrupted: i.Interrupted, priority: i.Priority, longRunning: i.LongRunning, class: i.Class()}
+	r := Rank{interrupted: i.Interrupted, priority: i.Priority, class: i.Class(), hasObjective: i.HasObjective}
 	if r.class == Expired {
-		r.work = i.JobCPU
-	} else {
-		r.slack = i.slack(r.class)
-		r.newestFirst = i.NewestFirst && r.class == OnTime && !i.LongRunning
+		r.work, r.stage, r.worthless = i.JobCPU, stageExpired, i.HasObjective
+		return r
+	}
+	r.slack = i.slack(r.class)
+	switch {
+	case i.LongRunning:
+		r.stage = stageLongRunning
+	case r.class == OnTime && i.NewestFirst:
+		r.stage = stageNewest
+	case r.class == OnTime:
+		r.stage = stageOnTime
+	case i.HasObjective && r.slack < 0:
+		r.stage = stageDoubtful
+	case i.HasObjective && i.FinishFirst:
+		r.stage = stageFinish
+	default:
+		r.stage = stageLate
 	}
 	return r
 }
@@ -108,29 +142,26 @@
 
 // Compare returns a negative number if a is served before b, a positive one if b is served before a, and otherwise 0.
 // Interrupted long-running tasks come before everything else: they are few, and a backlog of other work must not keep
-// them away. Then the higher priority, which has the lower number, comes first even when its job is late, since tasks of
-// priority 0 may preempt those of other priorities.
+// them away. Jobs whose results are worth nothing come after everything else, so that they take no capacity that a useful job of
+// any priority could use. Then the higher priority, which has the lower number, comes first even when its job is late, since
+// tasks of priority 0 may preempt those of other priorities.
 func Compare(a, b *Rank) int {
 	switch {
 	case a.interrupted && !b.interrupted:
 		return -1
 	case b.interrupted && !a.interrupted:
 		return 1
-	case a.priority != b.priority:
-		return cmp.Compare(a.priority, b.priority)
-	case a.class != b.class:
-		return cmp.Compare(a.class, b.class)
-	case a.longRunning && !b.longRunning:
+	case a.worthless && !b.worthless:
 		return 1
-	case b.longRunning && !a.longRunning:
+	case b.worthless && !a.worthless:
 		return -1
-	case a.newestFirst && b.newestFirst:
+	case a.priority != b.priority:
+		return cmp.Compare(a.priority, b.priority)
+	case a.stage != b.stage:
+		return cmp.Compare(a.stage, b.stage)
+	case a.stage == stageNewest:
 		return cmp.Compare(b.slack, a.slack)
-	case a.newestFirst:
-		return 1
-	case b.newestFirst:
-		return -1
-	case a.class == Expired:
+	case a.stage == stageExpired:
 		return cmp.Compare(a.work, b.work)
 	}
 	return cmp.Compare(a.slack, b.slack)
