Cell: late jobs get their share, workers are kept free for large steps

Applies urgency.Shares in placement rounds. A useful group that is first in turn without room, and was overtaken by as much capacity as it requests, has workers kept free, as interrupted tasks have; the oldest late group keeps its turn meanwhile.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -65,6 +65,8 @@
 	// start orders without a call of StartAnswered.
 	load    *overload.Controller
 	backlog urgency.Backlog
+	// shares accounts for late work among other work.
+	shares urgency.Shares
 	// drain measures how waiting work is begun, and shapes are the capacities of all workers seen, by service.
 	drain            *drain.Meter
 	shapes           map[string][]jobs.Resources
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -22,6 +22,8 @@
 	PlacementWait *metrics.Histogram
 	// waits are parts of PlacementWait, by waitReason.
 	waits [waitReasons]*metrics.Histogram
+	// LateStarts counts the jobs that were begun when they were late, and KeptFree the steps for which workers were kept free.
+	LateStarts, KeptFree *metrics.Counter
 	// StartLatency is the time from the creation of a start order to the worker's answer that the task runs.
 	StartLatency *metrics.Histogram
 }
@@ -38,6 +40,8 @@
 		StepDelay:         set.NewHistogram("cactuswall_cell_step_change_seconds"),
 		PlacementWait:     set.NewHistogram("cactuswall_cell_waiting_seconds"),
 		waits:             newWaitHistograms(set),
+		LateStarts:        set.NewCounter("cactuswall_cell_late_starts_total"),
+		KeptFree:          set.NewCounter("cactuswall_cell_kept_free_total"),
 		StartLatency:      set.NewHistogram("cactuswall_cell_starting_seconds"),
 	}
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -40,6 +40,7 @@
 	if len(groups) == 0 {
 		return
 	}
+	turns := c.takeTurns(groups)
 	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
 	v := c.newPlacementView()
 	placed, unplaced := 0, false
@@ -51,15 +52,18 @@
 		count, all := c.placeGroup(v, g, max(0, limit-placed))
 		placed += count
 		unplaced = unplaced || !all
+		turns.placed(v, g, count)
 		if g.waitReason == waitRoom {
 			c.reserveWorkers(v, g)
 		}
 		if g.waitReason == waitTurn {
 			c.load.Limited()
 			c.waitForTurn(groups, i)
+			turns.notReached(groups[i+1:])
 			break
 		}
 	}
+	turns.settle()
 	if unplaced {
 		c.scheduleRetry(c.now + placementRetryInterval)
 	}
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -12,11 +12,16 @@
 // until there are none. The workers with most free processor capacity are taken, so that the same ones are taken in the
 // next rounds, until enough of what runs there has ended.
 //
-// For other tasks no workers are kept free: they would make best-effort tasks wait, which need little but run beside them.
+// For other tasks no workers are kept free, except as roundTurns.placed says: they would make best-effort tasks wait, which need
+// little but run beside them.
 func (c *Cell) reserveWorkers(v *placementView, g *group) {
-	if !g.rank.Interrupted() || g.step.Gang {
-		return
+	if g.rank.Interrupted() && !g.step.Gang {
+		c.keepWorkersFree(v, g)
 	}
+}
+
+// keepWorkersFree keeps workers free for the tasks of a group.
+func (c *Cell) keepWorkersFree(v *placementView, g *group) {
 	t := g.firstToStart(c.now)
 	if t == nil {
 		return
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -65,6 +65,8 @@
 	submitNode string
 	// submitPriority is the priority of the queue to which new jobs are submitted.
 	submitPriority int
+	// submitSlack is the second part of the objective of new jobs; without it they have none.
+	submitSlack time.Duration
 	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
 	loadTime time.Duration
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
@@ -314,6 +316,7 @@
 	sim.specs[id] = spec
 	value, err := recordcodec.Encode(&jobrecord.Job{
 		Queue: "q", Service: "s", Priority: sim.submitPriority, MaxAttempts: sim.maxAttempts, CriticalPathFactor: 2, ReceivedMS: sim.wall().UnixMilli(), Spec: spec,
+		DeadlineSlackMS: sim.submitSlack.Milliseconds(),
 	})
 	if err != nil {
 		panic(err)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -133,6 +133,10 @@
 	waitReason waitReason
 	// finishedAt is when the last task of the group was done, if this owner saw it; it is used for Metrics.StepDelay.
 	finishedAt time.Duration
+	// overtaken is the processor capacity, in thousandths of a core, that went to groups behind this one while it was the first
+	// without room; keepsFree is set once workers were kept free for it.
+	overtaken int
+	keepsFree bool
 	// drain measures the group's kind; nil until it is needed, see Cell.drainMeter.
 	drain *drain.KindMeter
 }
--- a/internal/cell/waiting_groups.go
+++ b/internal/cell/waiting_groups.go
@@ -49,9 +49,11 @@
 // urgencyItem returns what the urgency package needs to order a waiting group.
 func (c *Cell) urgencyItem(g *group) urgency.Item {
 	j := g.job
+	scarce := c.load.Overloaded(c.now) || c.backlog.Present(c.now)
 	return urgency.Item{
 		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Interrupted: g.interrupted(), Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
-		Objective: j.objective, JobCPU: j.work, NewestFirst: !j.started && (c.load.Overloaded(c.now) || c.backlog.Present(c.now)),
+		Objective: j.objective, JobCPU: j.work, NewestFirst: !j.started && scarce,
+		FinishFirst: j.started && scarce, HasObjective: j.hasObjective(),
 	}
 }
 
