Cell: cheaper account of the turns in a round

The account of shares looked up each group's share in a map, and the lack of capacity was asked for each group.

--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -129,7 +129,7 @@
 	}
 	sort.Slice(expected, func(i, j int) bool { return expected[i].sequence < expected[j].sequence })
 	sort.SliceStable(expected, func(i, j int) bool {
-		a, b := c.urgencyItem(expected[i]), c.urgencyItem(expected[j])
+		a, b := c.urgencyItem(expected[i], c.scarce()), c.urgencyItem(expected[j], c.scarce())
 		return urgency.Before(&a, &b)
 	})
 	return expected
--- a/internal/cell/turns.go
+++ b/internal/cell/turns.go
@@ -45,14 +45,20 @@
 // oldestLate returns the oldest late group of each share.
 func oldestLate(groups []*group) map[urgency.Share]*group {
 	var oldest map[urgency.Share]*group
+	var last *group // the oldest one of the share that was last looked up
 	for _, g := range groups {
 		if !g.rank.IsLate() {
 			continue
 		}
-		if oldest == nil {
-			oldest = make(map[urgency.Share]*group)
+		share := shareOf(g)
+		if last == nil || shareOf(last) != share {
+			if oldest == nil {
+				oldest = make(map[urgency.Share]*group)
+			}
+			last = oldest[share]
 		}
-		if share := shareOf(g); oldest[share] == nil || g.receivedAt.Before(oldest[share].receivedAt) {
+		if last == nil || g.receivedAt.Before(last.receivedAt) {
+			last = g
 			oldest[share] = g
 		}
 	}
@@ -66,6 +72,11 @@
 	shares map[urgency.Share]*urgency.Round
 	// oldest holds the oldest late group of each share.
 	oldest map[urgency.Share]*group
+	// last holds the share that was last looked up in shares, for ordinary and for best-effort tasks.
+	last [2]struct {
+		share urgency.Share
+		round *urgency.Round
+	}
 	// blocked is the first group without room, if it may have workers kept free.
 	blocked *group
 }
@@ -145,17 +156,12 @@
 	if t.shares == nil {
 		return
 	}
-	share := shareOf(g)
-	r := t.shares[share]
-	if r == nil {
-		r = &urgency.Round{}
-		t.shares[share] = r
-	}
+	r := t.round(shareOf(g))
 	work := drain.TaskWork(g.step)
 	if count > 0 && g.rank.IsLate() {
 		// The whole job counts: from now on it has begun, so that the rest of it comes before new work.
 		r.Add(&g.rank, float64(count)*work+g.job.remainingWork(), 0)
-		if t.oldest[share] == g {
+		if t.oldest[shareOf(g)] == g {
 			r.BeganOldest = true
 		} else {
 			r.BeganOther = true
@@ -166,6 +172,24 @@
 	r.Add(&g.rank, float64(count)*work, float64(g.toStart)*work)
 }
 
+// round returns the account of a share. The groups of a share mostly follow each other, so that it is rarely looked up.
+func (t *roundTurns) round(share urgency.Share) *urgency.Round {
+	kind := 0
+	if share.BestEffort {
+		kind = 1
+	}
+	if last := &t.last[kind]; last.round != nil && last.share == share {
+		return last.round
+	}
+	r := t.shares[share]
+	if r == nil {
+		r = &urgency.Round{}
+		t.shares[share] = r
+	}
+	t.last[kind].share, t.last[kind].round = share, r
+	return r
+}
+
 // settle ends the round.
 func (t *roundTurns) settle() {
 	for share, r := range t.shares {
--- a/internal/cell/waiting_groups.go
+++ b/internal/cell/waiting_groups.go
@@ -26,9 +26,9 @@
 		g.waiting = g.mayStart()
 		return !g.waiting
 	})
-	becameLate := false
+	becameLate, scarce := false, c.scarce()
 	for _, g := range c.waiting {
-		item := c.urgencyItem(g)
+		item := c.urgencyItem(g, scarce)
 		rank := item.Rank()
 		waited := g.waitReason == waitRoom || g.waitReason == waitTurn
 		becameLate = becameLate || waited && g.rank.Class() == urgency.OnTime && rank.Class() != urgency.OnTime
@@ -46,10 +46,12 @@
 	return c.waiting
 }
 
-// urgencyItem returns what the urgency package needs to order a waiting group.
-func (c *Cell) urgencyItem(g *group) urgency.Item {
+// scarce reports whether there is more work than capacity or start orders for it.
+func (c *Cell) scarce() bool { return c.load.Overloaded(c.now) || c.backlog.Present(c.now) }
+
+// urgencyItem returns what the urgency package needs to order a waiting group. scarce is the result of Cell.scarce.
+func (c *Cell) urgencyItem(g *group, scarce bool) urgency.Item {
 	j := g.job
-	scarce := c.load.Overloaded(c.now) || c.backlog.Present(c.now)
 	return urgency.Item{
 		Priority: j.record.Priority, LongRunning: g.step.LongRunning, Interrupted: g.interrupted(), Age: c.age(g), Remaining: j.criticalPath[g.id.Step],
 		Objective: j.objective, JobCPU: j.work, NewestFirst: !j.started && scarce,
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -84,7 +84,7 @@
 }
 
 // stage is the position of an item within its priority.
-type stage int
+type stage int8
 
 // The stages, in the order in which they are served.
 const (
@@ -101,10 +101,10 @@
 type Rank struct {
 	interrupted  bool
 	worthless    bool // Expired, with Item.HasObjective
+	hasObjective bool
+	stage        stage
 	priority     int
 	class        Class
-	stage        stage
-	hasObjective bool
 	work         float64       // Item.JobCPU of an Expired item, otherwise 0
 	slack        time.Duration // of an item that is not Expired, otherwise 0
 }
