--- a/internal/cellnode/admission.go
+++ b/internal/cellnode/admission.go
@@ -91,11 +91,13 @@
 // hasObjective reports whether the configuration gives a queue both parts of an objective.
 func hasObjective(q *queue.Queue) bool { return q.CriticalPathFactor > 0 && q.DeadlineSlack > 0 }
 
-// newDrainJob returns the job for a decision, or nil if it is never refused.
+// mayBeRefused reports whether jobs like this one are ever refused for want of capacity.
+func mayBeRefused(q *queue.Queue, spec *jobs.Spec) bool {
+	return hasObjective(q) && !spec.LongRunning() && spec.OccurrenceCount == 0
+}
+
+// newDrainJob returns the job for a decision.
 func newDrainJob(q *queue.Queue, spec *jobs.Spec) *drain.Job {
-	if !hasObjective(q) || spec.LongRunning() || spec.OccurrenceCount > 0 {
-		return nil
-	}
 	return &drain.Job{Service: q.Service, Queue: q.Name, Priority: q.Priority, Spec: spec, Objective: q.DeadlineSlack +
 		time.Duration(float64(drain.CriticalPath(spec))*q.CriticalPathFactor)}
 }
@@ -129,41 +131,87 @@
 		cause: fmt.Sprintf("no room for this kind within its objective: next in %.1f s", math.Ceil(d.Next.Seconds()*10)/10)}
 }
 
-// admit decides whether a job is accepted. cell is where it would be done first if the cell that is chosen otherwise would do it too
-// late. refused is nil if the job is accepted.
-func (g gateway) admit(ctx context.Context, id jobs.ID, q *queue.Queue, spec *jobs.Spec) (redirect func(cell int) int, refused *response) {
-	n, same := g.node, func(cell int) int { return cell }
+// admitted is an accepted job. job is nil if nothing spoke against it.
+type admitted struct {
+	job      *drain.Job
+	decision drain.Decision
+}
+
+// admit decides whether a job is accepted. refused is nil if it is.
+func (g gateway) admit(ctx context.Context, id jobs.ID, q *queue.Queue, spec *jobs.Spec) (accepted admitted, refused *response) {
+	n := g.node
 	n.loads.lastSubmit.Store(int64(boottime.Now()))
-	j := newDrainJob(q, spec)
-	if j == nil {
-		return same, nil
+	plan := n.cells.table().Plan()
+	if !mayBeRefused(q, spec) || !n.admission.mayRefuse(q.Service, spec, plan, boottime.Now()) {
+		return admitted{}, nil
 	}
-	d := n.admission.decide(id, j, n.cells.table().Plan().Active(), boottime.Now())
+	j := newDrainJob(q, spec)
+	d := n.admission.decide(id, j, plan.Active(), boottime.Now())
 	if d.Refused {
-		refused := g.refuse(ctx, id, q, j, &d)
-		if refused != nil {
-			return same, refused
+		if refused := g.refuse(ctx, id, q, j, &d); refused != nil {
+			return admitted{}, refused
 		}
-		d = admissionResult{}
 	}
-	return func(cell int) int {
-		if d.Late[cell] && d.Known && !d.Late[d.Cell] {
-			cell = d.Cell
+	return admitted{job: j, decision: d.Decision}, nil
+}
+
+// mayRefuse reports whether the figures of the active cells may cause the refusal of a job. It is false for nearly all jobs, so it
+// allocates nothing.
+func (a *admission) mayRefuse(service string, spec *jobs.Spec, plan cellmap.Plan, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	short := true
+	for cell := range plan.Cells {
+		if !plan.Cells[cell].Active {
+			continue
 		}
-		n.admission.accepted(id, j, cell)
-		return cell
-	}, nil
+		entry := a.cells[cell]
+		if entry == nil || now-entry.at > maxLoadAge {
+			return false
+		}
+		short = short && entry.short
+	}
+	if short {
+		return true
+	}
+	for i := range spec.Steps {
+		if !a.fits(service, spec.Steps[i].Requested()) {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether a worker of any cell can hold a request. mu must be held.
+func (a *admission) fits(service string, request jobs.Resources) bool {
+	for _, entry := range a.cells {
+		for _, shape := range entry.figures.Shapes[service] {
+			if shape.Contains(request) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
-// accepted counts a job that is to be stored for a cell.
-func (a *admission) accepted(id jobs.ID, j *drain.Job, cell int) {
+// accepted notes that a job is to be stored for a cell, and returns the cell where it is to be stored: another one if it would be
+// done too late in this one and in time in that.
+func (a *admission) accepted(id jobs.ID, job admitted, cell int) int {
+	if job.job == nil {
+		a.attempted.add(id, cell)
+		return cell
+	}
+	if d := &job.decision; !d.Refused && d.Late[cell] && d.Known && !d.Late[d.Cell] {
+		cell = d.Cell
+	}
 	a.attempted.add(id, cell)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.line.Accepted(id)
 	if entry := a.cells[cell]; entry != nil && entry.short {
-		entry.figures.Assume(j)
+		entry.figures.Assume(job.job)
 	}
+	return cell
 }
 
 // refuse returns the response to a refused job. It returns nil if the job may have been accepted before: a refusal says that
--- a/internal/cellnode/admission_test.go
+++ b/internal/cellnode/admission_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/boottime"
+	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobs"
 )
@@ -92,7 +93,17 @@
 		Backlog: 1e6, Rate: 1000, Starts: 10, ShortMS: 60_000, Shortest: spec.Steps[0].Request}}}
 	now := boottime.Now()
 	a := newAdmission()
-	decide := func(cells ...int) bool { return a.decide("j", newDrainJob(q, spec), cells, now).Refused }
+	decide := func(cells ...int) bool {
+		plan := cellmap.Plan{Cells: make([]cellmap.PlannedCell, 2)}
+		for _, cell := range cells {
+			plan.Cells[cell].Active = true
+		}
+		refused := a.decide("j", newDrainJob(q, spec), cells, now).Refused
+		if refused && !a.mayRefuse(q.Service, spec, plan, now) {
+			t.Error("the check that allocates nothing passes a job that is refused")
+		}
+		return refused
+	}
 	a.put(0, figures, now-time.Second)
 	if !decide(0) {
 		t.Error("the job is not refused by recent figures")
@@ -121,7 +132,7 @@
 		t.Error("a job is refused although no owner says that it is unknown")
 	}
 	lasting := &jobs.Spec{Steps: []jobs.Step{{Count: 1, LongRunning: true}}}
-	if newDrainJob(q, lasting) != nil || newDrainJob(q, &jobs.Spec{Steps: spec.Steps, OccurrenceCount: 1}) != nil || newDrainJob(n.config.Get().Queue("q"), spec) != nil {
+	if !mayBeRefused(q, spec) || mayBeRefused(q, lasting) || mayBeRefused(q, &jobs.Spec{Steps: spec.Steps, OccurrenceCount: 1}) || mayBeRefused(n.config.Get().Queue("q"), spec) {
 		t.Error("a long-running or scheduled job, or one of a queue without an objective, may be refused")
 	}
 }
--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -215,11 +215,11 @@
 	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
 		return errorResponse(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
-	redirect, refused := g.admit(ctx, id, q, spec)
+	accepted, refused := g.admit(ctx, id, q, spec)
 	if refused != nil {
 		return *refused
 	}
-	cell := redirect(g.node.chooseCell(spec))
+	cell := g.node.admission.accepted(id, accepted, g.node.chooseCell(spec))
 	err = g.storeOrForward(ctx, cell, store.Record{Key: jobrecord.JobKey(id, g.node.nextWriter(), cell), Value: value})
 	if err == nil {
 		g.node.acceptedJobs.add(id, cell)
