Logs and trace name the class of a waiting job; late jobs are counted once

Lines about waits did not say whether the job was on time, late or worthless, and the trace said only that it waited for resources. A late job whose tasks were placed in several rounds was counted as late work in each. Tests: the phrases of the trace; owners of two cells exchange their figures.

--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -164,6 +164,8 @@
 	addedAt   time.Duration // when this owner added the job
 	// createdOccurrences is the number of occurrences that have groups.
 	createdOccurrences int
+	// beganLate is set once the job's work was counted as late work, see roundTurns.
+	beganLate bool
 	// deleting is set while the job's records are being deleted.
 	deleting bool
 	// guest is set if the job belongs to another cell and only some of its tasks, which are not elsewhere, to this one.
--- a/internal/cell/turns.go
+++ b/internal/cell/turns.go
@@ -158,6 +158,10 @@
 	}
 	r := t.round(shareOf(g))
 	work := drain.TaskWork(g.step)
+	if g.job.beganLate {
+		r.Add(&g.rank, 0, float64(g.toStart)*work) // all of it was counted
+		return
+	}
 	if count > 0 && g.rank.IsLate() {
 		// The whole job counts: from now on it has begun, so that the rest of it comes before new work.
 		r.Add(&g.rank, float64(count)*work+g.job.remainingWork(), 0)
@@ -166,6 +170,7 @@
 		} else {
 			r.BeganOther = true
 		}
+		g.job.beganLate = true
 		t.cell.metrics.LateStarts.Inc()
 		return
 	}
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -123,7 +123,7 @@
 	v.waitLogs++
 	counts, ages := c.countExclusions(v, t)
 	fields := []zap.Field{taskField(t.id), zap.Duration("waited", waited), zap.String("needs", t.group.step.Summary()),
-		zap.Object("workers", counts), zap.Duration("round_time", c.roundTime)}
+		zap.Object("workers", counts), zap.Duration("round_time", c.roundTime), zap.Stringer("class", t.group.rank.Class())}
 	if len(ages) > 0 {
 		slices.Sort(ages)
 		fields = append(fields, zap.Duration("report_age_median", ages[len(ages)/2]), zap.Duration("report_age_oldest", ages[len(ages)-1]))
@@ -175,7 +175,7 @@
 		total += g.toStart
 	}
 	c.log.Info("step waiting for its turn", taskField(t.id), zap.Duration("waited", waited), zap.Int("position", before+1),
-		zap.Int("waiting_tasks", total), zap.Duration("round_time", c.roundTime))
+		zap.Int("waiting_tasks", total), zap.Duration("round_time", c.roundTime), zap.Stringer("class", groups[i].rank.Class()))
 	return true
 }
 
--- a/internal/cellnode/admission_test.go
+++ b/internal/cellnode/admission_test.go
@@ -161,3 +161,32 @@
 		server.Close()
 	}
 }
+
+// With several cells, an owner knew the figures of its own cell only, so that no job was refused although all cells were full.
+func TestOwnersExchangeFiguresWhileWorkWaits(t *testing.T) {
+	d, _ := newCellsCluster(t)
+	for deadline := time.Now().Add(10 * time.Second); len(d.nodes[0].node.cells.table().Plan().Active()) < 2; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the deployment was not divided")
+		}
+	}
+	if d.nodes[0].node.cells.table().Plan().Cells[0].FailureDomain == "b" {
+		d.nodes[0], d.nodes[1] = d.nodes[1], d.nodes[0]
+	}
+	d.waitForOwners(10 * time.Second)
+	known := func(n *Node) bool {
+		n.admission.mu.Lock()
+		defer n.admission.mu.Unlock()
+		figures, _ := n.admission.recent([]int{0, 1}, boottime.Now())
+		return figures[0] != nil && figures[1] != nil && len(figures[0].Kinds) > 0 && len(figures[1].Kinds) > 0
+	}
+	for i, deadline := 0, time.Now().Add(20*time.Second); !known(d.nodes[0].node) || !known(d.nodes[1].node); i++ {
+		if time.Now().After(deadline) {
+			t.Fatal("the owners do not know each other's figures")
+		}
+		if status, _ := d.submit(i%2, fmt.Sprintf("%016d", i), "half"); status != http.StatusOK && status != http.StatusTooManyRequests {
+			t.Fatalf("status %d", status)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/drain/line.go
+++ b/internal/drain/line.go
@@ -20,10 +20,11 @@
 // ones. It is not safe for concurrent use.
 type Line struct {
 	jobs  map[jobs.ID]*refusedJob
-	order []jobs.ID // by the first attempt
+	order []*refusedJob // by the first attempt
 }
 
 type refusedJob struct {
+	id       jobs.ID
 	pool     Pool
 	priority int
 	work     float64
@@ -42,8 +43,8 @@
 	}
 	return func(pool Pool) float64 {
 		ahead := 0.0
-		for _, older := range l.order {
-			if r := l.jobs[older]; older != id && r.first < first && now < r.until && r.pool == pool && r.priority <= priority {
+		for i := len(l.order) - 1; i >= 0 && now-l.order[i].first < callerPatience; i-- {
+			if r := l.order[i]; r.id != id && r.first < first && now < r.until && r.pool == pool && r.priority <= priority {
 				ahead += r.work
 			}
 		}
@@ -59,9 +60,9 @@
 		if len(l.order) >= maxLine {
 			return
 		}
-		r = &refusedJob{first: now}
+		r = &refusedJob{id: id, first: now}
 		l.jobs[id] = r
-		l.order = append(l.order, id)
+		l.order = append(l.order, r)
 	}
 	r.pool, r.priority, r.work = PoolOf(j), j.Priority, WorkOf(j.Spec)
 	if r.until = min(now+after+minSpread, r.first+callerPatience); after >= callerPatience {
@@ -78,8 +79,8 @@
 
 func (l *Line) removeOld(now time.Duration) {
 	n := 0
-	for n < len(l.order) && now-l.jobs[l.order[n]].first > lineRetention {
-		delete(l.jobs, l.order[n])
+	for n < len(l.order) && now-l.order[n].first > lineRetention {
+		delete(l.jobs, l.order[n].id)
 		n++
 	}
 	l.order = l.order[n:]
--- a/internal/joblog/waits.go
+++ b/internal/joblog/waits.go
@@ -117,7 +117,7 @@
 		cause := fmt.Sprintf("for the owner %s, which was late (at first its events waited %v, its rounds took %v, its goroutines waited %v for the processor)",
 			longest.line.Node, longest.line.duration("event_delay"), longest.line.duration("round_time"), longest.line.duration("sched_latency"))
 		if room != nil && !reportsOld {
-			return "for free resources and " + cause
+			return "for free resources" + behind(room) + " and " + cause
 		}
 		return cause
 	case reportsOld:
@@ -125,7 +125,22 @@
 	case turn != nil && room == nil:
 		return fmt.Sprintf("for its turn at the owner %s, which had %v tasks to start", turn.Node, turn.Fields["waiting_tasks"])
 	}
-	return "for free resources"
+	return "for free resources" + behind(room)
+}
+
+// behind returns what the resources that a task waited for went to, if the last line about the wait says that the job was late by
+// then.
+func behind(room *Event) string {
+	if room == nil {
+		return ""
+	}
+	switch room.Fields["class"] {
+	case "late":
+		return ", which went to work that could still be on time"
+	case "expired":
+		return ", which went to work whose results were still worth something"
+	}
+	return ""
 }
 
 // sameStep reports whether two lines are about tasks of the same step.
--- a/internal/joblog/waits_test.go
+++ b/internal/joblog/waits_test.go
@@ -29,6 +29,10 @@
 		want      string
 	}{
 		{"workers are full by recent reports", []string{waitRoom, waitStart}, "for free resources"},
+		{"workers are full and the job is late", []string{strings.Replace(waitRoom, `"waited":5000`, `"waited":5000,"class":"late"`, 1), waitStart},
+			"for free resources, which went to work that could still be on time"},
+		{"workers are full and the result is worthless", []string{strings.Replace(waitRoom, `"waited":5000`, `"waited":5000,"class":"expired"`, 1), waitStart},
+			"for free resources, which went to work whose results were still worth something"},
 		{"workers are full by old reports", []string{waitRoomOld, waitStart}, "for the owner a, whose newest reports of the full workers were 1.9s old"},
 		{"the owner was late all the time", []string{lateBefore, waitStart}, lateCause},
 		{"the owner was late all the time and its reports were old", []string{waitRoomOld, waitStart, lateBefore}, lateCause},
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -24,6 +24,17 @@
 	Expired
 )
 
+// String returns the name of the class that is used in logs.
+func (c Class) String() string {
+	switch c {
+	case OnTime:
+		return "on_time"
+	case Late:
+		return "late"
+	}
+	return "expired"
+}
+
 const (
 	// lateFactor times the objective is the age from which on callers consider a job's result worthless. A job that is
 	// expected to be older than that when it ends is Expired.
