Tests: the cell that does a job in time, and the number of requests for figures

Redirection to another cell and the rule that figures are asked for only while jobs with objectives arrive had no test.

--- a/internal/cellnode/admission_test.go
+++ b/internal/cellnode/admission_test.go
@@ -190,3 +190,64 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Guards against a job that waits in a cell where it is too late, although another cell does it in time.
+func TestJobGoesToTheCellThatDoesItInTime(t *testing.T) {
+	a := newAdmission()
+	spec := &jobs.Spec{Steps: []jobs.Step{{Count: 1}}}
+	decision := drain.Decision{Late: map[int]bool{0: true, 1: false}, Cell: 1, Estimate: drain.Estimate{Known: true}}
+	job := admitted{job: &drain.Job{Spec: spec}, decision: decision}
+	if cell := a.accepted("a", job, 0); cell != 1 {
+		t.Errorf("the job goes to cell %d, want 1", cell)
+	}
+	if cell := a.accepted("b", job, 1); cell != 1 {
+		t.Errorf("the job goes to cell %d, want 1, which was chosen", cell)
+	}
+	job.decision.Late[1] = true
+	if cell := a.accepted("c", job, 0); cell != 0 {
+		t.Errorf("the job goes to cell %d, want 0: it is late in both", cell)
+	}
+	if cell := a.accepted("d", admitted{}, 0); cell != 0 {
+		t.Errorf("a job that nothing speaks against goes to cell %d, want 0", cell)
+	}
+}
+
+// Calls between nodes are paid for: guards against requests for figures while no job arrives or no queue has an objective, and
+// against more than are needed while tasks find workers.
+func TestFiguresAreAskedForOnlyWhileTheyAreNeeded(t *testing.T) {
+	n := newIdleNode(t)
+	n.loads.lastSubmit.Store(int64(boottime.Now()))
+	if n.wantsFigures() {
+		t.Error("figures are wanted without a configuration")
+	}
+	config, _ := n.platform.Topics.DecodeConfig(nil)
+	n.config.Update(config)
+	if !n.wantsFigures() {
+		t.Error("figures are not wanted while jobs arrive")
+	}
+	n.loads.lastSubmit.Store(int64(boottime.Now() - submitRecency))
+	if n.wantsFigures() {
+		t.Error("figures are wanted although no jobs arrive")
+	}
+	without := *config
+	without.Version++
+	without.Queues = config.Queues[:1]
+	n.config.Update(&without)
+	n.loads.lastSubmit.Store(int64(boottime.Now()))
+	if n.wantsFigures() {
+		t.Error("figures are wanted although no queue has an objective")
+	}
+	a, asked := newAdmission(), 0
+	for now := time.Minute; now < 2*time.Minute; now += loadInterval {
+		if a.due(now) {
+			asked++
+		}
+	}
+	if asked != int(time.Minute/calmFiguresInterval) {
+		t.Errorf("%d requests in a minute without a lack of workers", asked)
+	}
+	a.put(0, drain.Figures{Kinds: []drain.KindFigures{{ShortMS: 1}}}, time.Minute)
+	if now := 2*time.Minute - loadInterval; !a.due(now) || !a.due(now+loadInterval) {
+		t.Error("figures are not asked for in each turn while tasks find no workers")
+	}
+}
