Urgency: a sixteenth for late work, and none for jobs that barely make it

Late jobs with less slack than a quarter of their remaining time now come last, and the share is a sixteenth.

--- a/internal/urgency/shares.go
+++ b/internal/urgency/shares.go
@@ -9,8 +9,8 @@
 
 const (
 	// lateShare is the part of the work begun that is late work, as long as any waits. It is small, since a late result is worth
-	// less than one on time.
-	lateShare = 1.0 / 8
+	// less than one on time: with an eighth, twice as many jobs missed their objective because of it, and no fewer became worthless.
+	lateShare = 1.0 / 16
 	// maxPromoted is the number of late items of a Share that may be promoted at a time. If the first finds no worker, the next
 	// ones may.
 	maxPromoted = 8
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -42,6 +42,10 @@
 	// estimateFactor scales the estimated remaining time when a job is classified. Estimates are rough: a job is still
 	// worth starting when the time left is a little shorter than its estimate.
 	estimateFactor = 0.8
+	// doubtFactor times the estimated remaining time is the slack that a late job needs at least to be begun before other late
+	// ones. Jobs begun with less were often done just after their limit, so that their capacity was lost; the order by slack
+	// alone prefers exactly these.
+	doubtFactor = 0.25
 )
 
 // Item is a step of a job that waits for capacity.
@@ -104,7 +108,7 @@
 	stageNewest       // on time, see Item.NewestFirst
 	stageLongRunning
 	stageLate
-	stageDoubtful // late, and done in time only if it takes less than estimated
+	stageDoubtful // late, and done in time only if it takes no longer than estimated: see doubtFactor
 	stageExpired
 )
 
@@ -135,7 +139,7 @@
 		r.stage = stageNewest
 	case r.class == OnTime:
 		r.stage = stageOnTime
-	case i.HasObjective && r.slack < 0:
+	case i.HasObjective && r.slack < time.Duration(float64(i.Remaining)*doubtFactor):
 		r.stage = stageDoubtful
 	case i.HasObjective && i.FinishFirst:
 		r.stage = stageFinish
