--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/placement"
 	"cactuswall.example/cactuswall/internal/quarantine"
@@ -39,6 +40,7 @@
 	if len(groups) == 0 {
 		return
 	}
+	turns := c.takeTurns(groups)
 	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
 	v := c.newPlacementView()
 	placed, unplaced := 0, false
@@ -50,15 +52,18 @@
 		count, all := c.placeGroup(v, g, max(0, limit-placed))
 		placed += count
 		unplaced = unplaced || !all
+		turns.placed(v, g, count)
 		if g.waitReason == waitRoom {
 			c.reserveWorkers(v, g)
 		}
 		if g.waitReason == waitTurn {
 			c.load.Limited()
 			c.waitForTurn(groups, i)
+			turns.notReached(groups[i+1:])
 			break
 		}
 	}
+	turns.settle()
 	if unplaced {
 		c.scheduleRetry(c.now + placementRetryInterval)
 	}
@@ -110,6 +115,7 @@
 		i := c.chooseWorker(v, t, nil)
 		if i < 0 {
 			c.logWaiting(v, t)
+			c.noteNoRoom(v, g)
 			return placed, false
 		}
 		c.assign(v, t, i, t.lastRunNumber+1)
@@ -136,6 +142,7 @@
 		i := c.chooseWorker(v, t, pending)
 		if i < 0 {
 			c.logWaiting(v, t)
+			c.noteNoRoom(v, g)
 			copy(v.candidates, saved)
 			return 0, false
 		}
@@ -298,6 +305,7 @@
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
 	c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
+	c.drainMeter(t.group).Began(drain.TaskWork(t.group.step), c.now)
 	c.markGroupDirty(t.group)
 	c.log.Debug("placed", taskField(t.id), zap.Int("run", number), zap.String("worker", w.info.ID))
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactuswall.example/cactuswall/internal/cpuinterference"
+	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/urgency"
@@ -135,6 +136,12 @@
 	waitReason waitReason
 	// finishedAt is when the last task of the group was done, if this owner saw it; it is used for Metrics.StepDelay.
 	finishedAt time.Duration
+	// overtaken is the processor capacity, in thousandths of a core, that went to groups behind this one while it was the first
+	// without room; keepsFree is set once workers were kept free for it.
+	overtaken int
+	keepsFree bool
+	// drain measures the group's kind; nil until it is needed, see Cell.drainMeter.
+	drain *drain.KindMeter
 }
 
 // job is the state of one accepted job.
@@ -160,6 +167,8 @@
 	addedAt   time.Duration // when this owner added the job
 	// createdOccurrences is the number of occurrences that have groups.
 	createdOccurrences int
+	// beganLate is set once the job's work was counted as late work, see roundTurns.
+	beganLate bool
 	// deleting is set while the job's records are being deleted.
 	deleting bool
 	// guest is set if the job belongs to another cell and only some of its tasks, which are not elsewhere, to this one.
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -120,6 +120,7 @@
 	loads     *loadBoard
 	// operatorTopic follows the configuration and the requests of evacuations.
 	operatorTopic *operatorTopic
+	admission     *admission
 	// membershipsMu protects memberships, which are by the number of the cell.
 	membershipsMu sync.Mutex
 	memberships   map[int]*membership
@@ -141,7 +142,7 @@
 		writerID: strconv.FormatUint(xxhash.Sum64String(holder), 36), acceptedJobs: newAcceptedJobs(),
 		config: queue.NewActiveConfig(), metrics: set, counts: cell.NewMetrics(set),
 		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
-		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), memberships: make(map[int]*membership),
+		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), admission: newAdmission(), memberships: make(map[int]*membership),
 	}
 	n.cells = newCellTable(n)
 	n.operatorTopic = newOperatorTopic(n)
--- a/internal/joblog/waits.go
+++ b/internal/joblog/waits.go
@@ -11,6 +11,10 @@
 	messageOnTime = "owner on time again"
 	messageRoom   = "step waiting for resources"
 	messageTurn   = "step waiting for its turn"
+	// messageRefused is the line of a job that a node answered with statusRefused. It has the cause, so that the line of the
+	// response adds nothing to it.
+	messageRefused = "job refused"
+	statusRefused  = 429
 	// oldReportAge is the age from which on reports of workers with runs are older than they can be if the owner is on
 	// time, since these workers report at least every 0.8 s.
 	oldReportAge = 1500 * time.Millisecond
@@ -113,7 +117,7 @@
 		cause := fmt.Sprintf("for the owner %s, which was late (at first its events waited %v, its rounds took %v, its goroutines waited %v for the processor)",
 			longest.line.Node, longest.line.duration("event_delay"), longest.line.duration("round_time"), longest.line.duration("sched_latency"))
 		if room != nil && !reportsOld {
-			return "for free resources and " + cause
+			return "for free resources" + behind(room) + " and " + cause
 		}
 		return cause
 	case reportsOld:
@@ -123,7 +127,22 @@
 	case room != nil && room.evacuatedWorkers() > 0:
 		return fmt.Sprintf("for free resources outside the evacuated failure domains, which have %v workers", room.evacuatedWorkers())
 	}
-	return "for free resources"
+	return "for free resources" + behind(room)
+}
+
+// behind returns what the resources that a task waited for went to, if the last line about the wait says that the job was late by
+// then.
+func behind(room *Event) string {
+	if room == nil {
+		return ""
+	}
+	switch room.Fields["class"] {
+	case "late":
+		return ", which went to work that could still be on time"
+	case "expired":
+		return ", which went to work whose results were still worth something"
+	}
+	return ""
 }
 
 // evacuatedWorkers returns how many workers a line counts that were not chosen because their failure domain is evacuated.
