Tasks wait for a slot on their rack where they end sooner by that

A task whose data is on a full rack was started elsewhere at once, and a gang that is sensitive to racks was placed worker by worker, although both run bounds.far-factor times as long like that.

Where the settings have a factor above 1, the cell now decides with package placedelay whether such a task waits, and places a gang on one rack if one has room, with one decision for all members. Long-running tasks, tasks that had a run, and tasks that were ready at a take-over do not wait. bounds.far-factor is rejected outside of 1 to 100 and passed on through cell.Settings.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -22,6 +22,9 @@
 	MaxLease        time.Duration // length of the leases on workers, which is also the longest that a worker accepts
 	StatusRetention time.Duration // how long the state of an ended job is kept
 	MaxOverTarget   time.Duration // longest time without a break that a service may be over its latency target; 0 for no limit
+	// RemoteRackFactor is how many times as long a task takes on another rack than that of its data, and a gang that is
+	// sensitive to racks on several. Up to 1, racks make no difference, and no task waits for one.
+	RemoteRackFactor float64
 }
 
 // Cell is the in-memory state of one cell while this process owns it. It is not safe for concurrent use.
@@ -78,7 +81,8 @@
 	reports       int64 // number of reports whose runs were compared to the known ones
 	due           dueQueue
 	view          placementView // memory of newPlacementView
-	scheduledJobs []*job        // jobs with occurrences that are not due yet
+	rackDelay     rackDelay
+	scheduledJobs []*job // jobs with occurrences that are not due yet
 	// nextOccurrence is at or before the wall time when the next occurrence of scheduledJobs is due.
 	nextOccurrence time.Time
 	endedJobs      *btree.BTreeG[*job] // jobs whose outcome is stored, by endedBefore
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -47,6 +50,16 @@
 	c.counters.get(c.set, "cactuswall_cell_starts_refused_total", "reason", reason).Inc()
 }
 
+// countRackDecision counts the first decision about a wait for a rack: "wait", or the reason why a task did not wait.
+func (c *Metrics) countRackDecision(decision string) {
+	c.counters.get(c.set, "cactuswall_cell_rack_decisions_total", "decision", decision).Inc()
+}
+
+// observeRackWait records how long a task has waited for its rack in all when a wait ended, by how it ended.
+func (c *Metrics) observeRackWait(end string, waited time.Duration) {
+	c.set.GetOrCreateHistogram(fmt.Sprintf("%s{end=%q}", "cactuswall_cell_rack_wait_seconds", end)).Update(waited.Seconds())
+}
+
 // countEndedRun counts the end of a run, by how it ended.
 func (c *Metrics) countEndedRun(how string) {
 	c.counters.get(c.set, "cactuswall_cell_runs_ended_total", "how", how).Inc()
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -107,11 +107,20 @@
 			postponed = waitTurn
 			break
 		}
+		if c.keepsWaitingForRack(v, t) {
+			postponed = waitRack
+			continue
+		}
 		i := c.chooseWorker(v, t, nil)
 		if i < 0 {
+			c.endRackWaits(v, g)
 			c.logWaiting(v, t)
 			return placed, false
 		}
+		if c.waitsForRack(v, t, i) {
+			postponed = waitRack
+			continue
+		}
 		c.assign(v, t, i, t.lastRunNumber+1)
 		placed++
 	}
@@ -129,21 +138,15 @@
 		}
 		number = max(number, t.lastRunNumber+1)
 	}
-	var chosen []int
-	saved := append([]placement.Worker(nil), v.candidates...)
-	pending := make(map[int]int)
-	for _, t := range g.tasks {
-		i := c.chooseWorker(v, t, pending)
-		if i < 0 {
-			c.logWaiting(v, t)
-			copy(v.candidates, saved)
-			return 0, false
-		}
-		pending[i]++
-		c.reserve(v, g, i)
-		chosen = append(chosen, i)
+	chosen, waits := c.chooseGangWorkers(v, g)
+	switch {
+	case waits:
+		g.waitReason = waitRack
+		return 0, false
+	case chosen == nil:
+		c.endRackWaits(v, g)
+		return 0, false
 	}
-	copy(v.candidates, saved)
 	checkpoint := g.checkpoint()
 	for k, t := range g.tasks {
 		t.checkpoint = checkpoint
@@ -168,15 +171,8 @@
 // group that are chosen but not assigned yet.
 func (c *Cell) chooseWorker(v *placementView, t *task, pending map[int]int) int {
 	g := t.group
-	platformService := c.platformServiceOf(g.job)
-	need := placement.Need{
-		Kind: placementKind(g.step), Requested: g.step.Requested(), ExpectedMilliCPU: expectedStepCPU(g.step), DataRack: g.step.DataRack,
-		AvoidWorker: t.avoidWorker,
-	}
-	key := needKey{
-		kind: need.Kind, platformService: platformService, image: g.step.Image, label: g.step.RequiredLabel, rack: g.step.DataRack,
-		limited: g.step.MaxPerWorker > 0, mayProbe: c.mayProbe(t),
-	}
+	key, need := c.needOf(t)
+	platformService := key.platformService
 	if unplaceable, known := v.unplaceable[key]; known && unplaceable.ExpectedMilliCPU <= need.ExpectedMilliCPU && need.Requested.Contains(unplaceable.Requested) {
 		return -1
 	}
@@ -186,15 +182,29 @@
 	perWorker := c.runsPerWorker(g)
 	v.waitsForSuspect = false
 	i := placement.Best(v.candidates, need, func(i int) bool {
-		return c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
+		return (v.onlyRack == "" || v.candidates[i].Rack == v.onlyRack) &&
+			c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
 			(!g.step.BestEffort || c.fitsBesideServices(v, i, g.step))
 	})
-	if i < 0 && !key.limited && !v.waitsForSuspect {
+	if i < 0 && !key.limited && !v.waitsForSuspect && v.onlyRack == "" {
 		v.unplaceable[key] = need
 	}
 	return i
 }
 
+// needOf returns what a task needs of its worker, and the constraints that it has.
+func (c *Cell) needOf(t *task) (needKey, placement.Need) {
+	step := t.group.step
+	need := placement.Need{
+		Kind: placementKind(step), Requested: step.Requested(), ExpectedMilliCPU: expectedStepCPU(step), DataRack: step.DataRack,
+		AvoidWorker: t.avoidWorker,
+	}
+	return needKey{
+		kind: need.Kind, platformService: c.platformServiceOf(t.group.job), image: step.Image, label: step.RequiredLabel,
+		rack: step.DataRack, limited: step.MaxPerWorker > 0, mayProbe: c.mayProbe(t),
+	}, need
+}
+
 // eligible reports whether a task may run on the worker with index i, apart from the resources. sameStep is the number of
 // tasks of the step that are on the worker or chosen for it.
 func (c *Cell) eligible(v *placementView, t *task, i int, platformService string, sameStep int) bool {
@@ -291,6 +301,7 @@
 		task: t, number: number, worker: w, incarnation: w.info.StartedAtMS, state: runPlaced, stateSince: c.now,
 		pace: fullPace, probe: v.candidates[i].Probing,
 	}
+	c.endRackWait(v, t, rackWaitPlaced)
 	t.lastRunNumber = number
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -87,6 +87,7 @@
 	g := r.task.group
 	c.recordSuccess(r)
 	c.logRunTime(g, r, ran)
+	c.learnRunTime(r, ran)
 	if g.step.LongRunning {
 		r.task.waitingSince = c.now
 		return // the next call of Plan tries to place the task again
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -96,7 +96,9 @@
 	elsewhere    bool
 	settledRound int
 	avoidWorker  string // ID of the worker on which the task last failed, or from which it was relocated
-	relocations  int    // how often the task was relocated because it was slow; not counted for long-running tasks
+	// rackWait is the task's wait for its rack; nil if none was decided on.
+	rackWait    *rackWait
+	relocations int // how often the task was relocated because it was slow; not counted for long-running tasks
 }
 
 // needsRun reports whether the task has to be placed on a worker.
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -26,6 +26,10 @@
 	waitsForSuspect bool
 	// reserved contains the workers that reserveWorkers keeps free.
 	reserved map[*worker]bool
+	// racks is what decisions about waits for a rack have in common, and onlyRack, unless empty, the only rack that
+	// chooseWorker considers.
+	racks    rackView
+	onlyRack string
 	// unused holds the slices of an earlier view's headroom for use in this one.
 	unused [][]float64
 }
@@ -80,6 +84,7 @@
 	clear(v.headroom)
 	clear(v.unplaceable)
 	clear(v.reserved)
+	v.racks.reset()
 	v.workers, v.candidates, v.states, v.waitLogs = v.workers[:0], v.candidates[:0], v.states[:0], 0
 }
 
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -58,12 +58,13 @@
 	waitRoom                      // no worker was found for it or for an earlier task of its group
 	waitTurn                      // the round placed as many tasks as it may
 	waitBackoff                   // it failed, and the time until its next attempt had not passed
+	waitRack                      // it waits for a slot on its rack, see package placedelay
 	waitReasons                   // number of reasons
 )
 
 // newWaitHistograms registers the histograms of the time to placement by the last reason of the wait.
 func newWaitHistograms(set *metrics.Set) (waits [waitReasons]*metrics.Histogram) {
-	for reason, name := range []string{"none", "room", "turn", "backoff"} {
+	for reason, name := range []string{"none", "room", "turn", "backoff", "rack"} {
 		waits[reason] = set.NewHistogram(fmt.Sprintf("cactuswall_cell_waiting_reason_seconds{reason=%q}", name))
 	}
 	return waits
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -156,6 +156,7 @@
 		StopGracePeriod: s.Bounds.Grace,
 		Cell: cell.Settings{
 			MaxLease: s.Bounds.MaxLease, StatusRetention: s.Bounds.StatusRetention + statusMargin, MaxOverTarget: s.Bounds.MaxOverTarget,
+			RemoteRackFactor: s.Bounds.RemoteRackFactor,
 		},
 	}
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -96,7 +96,7 @@
 	DependsOn         []int
 	Checkpoints       bool          // a new run of a task can continue from a checkpoint of an earlier one
 	Gang              bool          // the tasks must run at the same time
-	RackSensitive     bool          // as specified by the caller; only used in Summary
+	RackSensitive     bool          // a gang runs faster with all its tasks on one rack
 	RequiredLabel     string        // label that a worker must have; empty: none
 	DataRack          string        // label of the rack that holds the tasks' data; empty: none
 	MaxPerWorker      int           // maximum number of tasks of the step on one worker; 0: unlimited
--- a/internal/placedelay/placedelay.go
+++ b/internal/placedelay/placedelay.go
@@ -104,6 +104,9 @@
 	return w.ended
 }
 
+// Deadline returns when the present wait ends although no slot became free.
+func (w *Wait) Deadline() time.Duration { return w.deadline }
+
 // Estimate returns how long the newest wait was expected to last when it began.
 func (w *Wait) Estimate() time.Duration { return w.estimate }
 
--- a/internal/placedelay/slots.go
+++ b/internal/placedelay/slots.go
@@ -38,9 +38,10 @@
 	observed   bool
 }
 
-// Observe records the share in use from now on, and returns the mean up to now.
+// Observe records the share in use from now on, and returns the mean up to now. An observation that is older than the memory
+// says nothing of the time since then, and is forgotten.
 func (l *Load) Observe(now time.Duration, inUse float64) float64 {
-	if !l.observed {
+	if !l.observed || now-l.at > loadMemory {
 		l.observed, l.mean = true, inUse
 	} else {
 		l.mean += (l.last - l.mean) * (1 - math.Exp(-float64(max(0, now-l.at))/float64(loadMemory)))
