manifest check compares a document with what it is to replace

A publication that is valid could still have entries that never match, limits that contradict each other, or changes that nobody meant, and this showed only once it was in force.

Exit codes: 0 no findings, 1 findings, 2 could not check.

The platform's nodes have no address for operators, so there the URL names the store, whose configuration, workers and active jobs are read.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -29,7 +29,9 @@
 	tasks   []operator.Task
 	workers []operator.Worker
 	nodes   []operator.Node
-	publish func(*fakeNode, operator.Publication) (operator.Decision, error)
+	// document is the active manifest; empty: "{}".
+	document string
+	publish  func(*fakeNode, operator.Publication) (operator.Decision, error)
 }
 
 func (f *fakeNode) Status() operator.Status {
@@ -42,7 +44,11 @@
 func (f *fakeNode) Endpoints() []endpoint.Info { return []endpoint.Info{} }
 func (f *fakeNode) Nodes() []operator.Node     { return f.nodes }
 func (f *fakeNode) Manifest() (operator.Manifest, bool) {
-	return operator.Manifest{Version: 7, Release: "r", Document: "{}"}, f.Status().ManifestVersion != 0
+	document := "{}"
+	if f.document != "" {
+		document = f.document
+	}
+	return operator.Manifest{Version: 7, Release: "r", Document: document}, f.Status().ManifestVersion != 0
 }
 
 func (f *fakeNode) Explain(id string) (operator.Explanation, bool) {
--- a/internal/command/manifest.go
+++ b/internal/command/manifest.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/exitcode"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/strictjson"
+	"cactuswall.example/cactuswall/platform"
 )
 
 func newManifestCommand(o *options) *cobra.Command {
@@ -29,12 +30,24 @@
 }
 
 func newManifestCheckCommand(o *options) *cobra.Command {
-	return &cobra.Command{
+	var against string
+	command := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check a manifest and report all problems",
+		Short: "Check a manifest, or the platform's configuration, and report all problems",
+		Long:  checkHelp,
 		Args:  exitcode.UsageArgs(cobra.ExactArgs(1)),
 		RunE: func(c *cobra.Command, args []string) error {
-			m, _, err := readManifest(args[0])
+			if against != "" {
+				return checkAgainst(c, o, args[0], against)
+			}
+			text, err := readDocument(args[0])
+			if err != nil {
+				return err
+			}
+			if platform.IsConfig(text) {
+				return checkConfig(c, o, args[0], text, "")
+			}
+			m, err := manifest.Parse(text)
 			if err != nil {
 				return reportProblems(c, o, err)
 			}
@@ -46,6 +59,8 @@
 			return nil
 		},
 	}
+	command.Flags().StringVar(&against, "against", "", "what the document is to replace: a file, or http://IP:PORT of a node (of the platform: of the store)")
+	return command
 }
 
 // reportProblems prints the problems of a document if the output format is JSON. It returns err, or the
@@ -70,21 +85,26 @@
 	return s
 }
 
-// readManifest reads and parses the manifest in the file at path, or on standard input if path is "-". It
-// reads at most one byte more than the maximum size, which is enough for the parser to reject a larger
-// document.
-func readManifest(path string) (*manifest.Manifest, []byte, error) {
+// readDocument reads the file at path, or standard input if path is "-". It reads at most one byte more than the maximum
+// size of a manifest, which is enough for the parser to reject a larger document.
+func readDocument(path string) ([]byte, error) {
 	file := os.Stdin
 	if path != "-" {
 		var err error
 		if file, err = os.Open(path); err != nil {
-			return nil, nil, trace.ConvertSystemError(err)
+			return nil, trace.ConvertSystemError(err)
 		}
 		defer func() { _ = file.Close() }()
 	}
 	data, err := io.ReadAll(io.LimitReader(file, manifest.MaxDocumentBytes+1))
+	return data, trace.ConvertSystemError(err)
+}
+
+// readManifest reads and parses a manifest; see readDocument.
+func readManifest(path string) (*manifest.Manifest, []byte, error) {
+	data, err := readDocument(path)
 	if err != nil {
-		return nil, nil, trace.ConvertSystemError(err)
+		return nil, nil, err
 	}
 	m, err := manifest.Parse(data)
 	return m, data, err
--- a/internal/exitcode/exitcode.go
+++ b/internal/exitcode/exitcode.go
@@ -35,8 +35,8 @@
 // Help describes the exit codes in the help text of a command.
 const Help = `Exit codes:
   0  success
-  1  the command failed
-  2  the command line, or a file that it names, is invalid
+  1  the command failed, or manifest check --against has findings
+  2  the command line, or a file that it names, is invalid, or manifest check --against could not be made
   3  the publication of a manifest was rejected
   4  a node did not answer, or the outcome is unknown
   5  the requested object does not exist
--- a/internal/strictjson/depth.go
+++ b/internal/strictjson/depth.go
@@ -5,6 +5,9 @@
 // maxDepth is the deepest nesting of arrays and objects in a document.
 const maxDepth = 100
 
+// TooDeep reports whether a document is nested so deep that Decode refuses it and a parser might fill the stack.
+func TooDeep(data []byte) bool { return tooDeep(data) }
+
 // tooDeep reports whether a document is nested deeper than maxDepth. The parser calls itself for each level, so that deep nesting
 // would fill the stack and end the process. The document need not be valid.
 func tooDeep(data []byte) bool {
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -92,6 +92,17 @@
 // IsZero reports whether every dimension is zero.
 func (r Resources) IsZero() bool { return r == Resources{} }
 
+// ParseResources parses what Resources.String returned, which is rounded to three digits.
+func ParseResources(text string) (Resources, error) {
+	var r Resources
+	var processors float64
+	if _, err := fmt.Sscanf(text, "%g processors, %d MiB, %d accelerators", &processors, &r.MemoryMiB, &r.Accelerators); err != nil {
+		return Resources{}, fmt.Errorf("%q is not an amount of resources: %w", text, err)
+	}
+	r.MilliProcessors = int64(processors*1000 + 0.5)
+	return r, nil
+}
+
 // String returns a human-readable form, such as "1.5 processors, 512 MiB, 0 accelerators".
 func (r Resources) String() string {
 	return fmt.Sprintf("%.3g processors, %d MiB, %d accelerators",
