Waits for racks cost less, and other tasks nothing

The hooks are now behind one check for each group, and a task that waits is looked at only if its decision is due or a worker of its rack has room, which is found once a round and request.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -94,7 +94,7 @@
 	if g.step.Gang && limit > 0 {
 		return c.placeGang(v, g)
 	}
-	postponed := waitNone
+	postponed, prefersRack := waitNone, c.prefersRack(g.step)
 	for _, t := range g.tasks {
 		if !t.needsRun() {
 			continue
@@ -107,17 +107,19 @@
 			postponed = waitTurn
 			break
 		}
-		if c.keepsWaitingForRack(v, t) {
+		if prefersRack && c.keepsWaitingForRack(v, t) {
 			postponed = waitRack
 			continue
 		}
 		i := c.chooseWorker(v, t, nil)
 		if i < 0 {
-			c.endRackWaits(v, g)
+			if prefersRack {
+				c.endRackWaits(v, g)
+			}
 			c.logWaiting(v, t)
 			return placed, false
 		}
-		if c.waitsForRack(v, t, i) {
+		if prefersRack && c.waitsForRack(v, t, i) {
 			postponed = waitRack
 			continue
 		}
@@ -171,8 +173,15 @@
 // group that are chosen but not assigned yet.
 func (c *Cell) chooseWorker(v *placementView, t *task, pending map[int]int) int {
 	g := t.group
-	key, need := c.needOf(t)
-	platformService := key.platformService
+	platformService := c.platformServiceOf(g.job)
+	need := placement.Need{
+		Kind: placementKind(g.step), Requested: g.step.Requested(), ExpectedMilliCPU: expectedStepCPU(g.step), DataRack: g.step.DataRack,
+		AvoidWorker: t.avoidWorker,
+	}
+	key := needKey{
+		kind: need.Kind, platformService: platformService, image: g.step.Image, label: g.step.RequiredLabel, rack: g.step.DataRack,
+		limited: g.step.MaxPerWorker > 0, mayProbe: c.mayProbe(t),
+	}
 	if unplaceable, known := v.unplaceable[key]; known && unplaceable.ExpectedMilliCPU <= need.ExpectedMilliCPU && need.Requested.Contains(unplaceable.Requested) {
 		return -1
 	}
@@ -192,19 +201,6 @@
 	return i
 }
 
-// needOf returns what a task needs of its worker, and the constraints that it has.
-func (c *Cell) needOf(t *task) (needKey, placement.Need) {
-	step := t.group.step
-	need := placement.Need{
-		Kind: placementKind(step), Requested: step.Requested(), ExpectedMilliCPU: expectedStepCPU(step), DataRack: step.DataRack,
-		AvoidWorker: t.avoidWorker,
-	}
-	return needKey{
-		kind: need.Kind, platformService: c.platformServiceOf(t.group.job), image: step.Image, label: step.RequiredLabel,
-		rack: step.DataRack, limited: step.MaxPerWorker > 0, mayProbe: c.mayProbe(t),
-	}, need
-}
-
 // eligible reports whether a task may run on the worker with index i, apart from the resources. sameStep is the number of
 // tasks of the step that are on the worker or chosen for it.
 func (c *Cell) eligible(v *placementView, t *task, i int, platformService string, sameStep int) bool {
@@ -301,7 +297,9 @@
 		task: t, number: number, worker: w, incarnation: w.info.StartedAtMS, state: runPlaced, stateSince: c.now,
 		pace: fullPace, probe: v.candidates[i].Probing,
 	}
-	c.endRackWait(v, t, rackWaitPlaced)
+	if t.rackWait != nil {
+		c.endRackWait(v, t, rackWaitPlaced)
+	}
 	t.lastRunNumber = number
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
--- a/internal/cell/place_delay.go
+++ b/internal/cell/place_delay.go
@@ -62,8 +62,9 @@
 	ahead    map[string]int // slots for which tasks wait that were considered before, by rack
 	// ends are the expected times until a slot becomes free, sorted, by rack and need; 0 for a free one.
 	ends map[rackNeed][]time.Duration
-	// full holds, by constraints, the last need for which there was no room on the rack.
-	full map[needKey]placement.Need
+	// full holds whether no worker of a rack has room for a need. Tasks that are placed only take room, so that a full rack
+	// stays so in the round.
+	full map[rackRoom]bool
 	logs int // lines about ended waits
 }
 
@@ -77,8 +78,19 @@
 	limited         *group // set if the number of tasks on one worker is limited
 }
 
+// rackRoom identifies tasks that need the same room on a rack.
+type rackRoom struct {
+	rack      string
+	kind      placement.Kind
+	requested jobs.Resources
+	milliCPU  int
+}
+
 func (v *rackView) reset() {
-	if v.observed || v.logs > 0 {
+	if v.full == nil {
+		v.ahead, v.ends, v.full = make(map[string]int), make(map[rackNeed][]time.Duration), make(map[rackRoom]bool)
+	}
+	if v.observed || v.logs > 0 || len(v.full) > 0 {
 		clear(v.ahead)
 		clear(v.ends)
 		clear(v.full)
@@ -99,33 +111,46 @@
 	return !g.step.LongRunning && t.lastRunNumber == 0 && g.readyAt > c.loadedAt
 }
 
-// waitsForRack reports whether a task waits for a slot on the rack of its data, although it could be placed on the worker
-// with index i now.
+// waitsForRack reports whether a task of a step that prefers a rack waits for a slot there, although it could be placed on the
+// worker with index i now.
 func (c *Cell) waitsForRack(v *placementView, t *task, i int) bool {
 	step := t.group.step
-	if !c.prefersRack(step) || v.candidates[i].Rack == step.DataRack || !c.mayWaitForRack(t) {
+	if v.candidates[i].Rack == step.DataRack || !c.mayWaitForRack(t) {
 		return false
 	}
-	key, need := c.needOf(t)
-	v.racks.noRoom(key, need)
 	c.observeRackLoads(v)
 	runTime := c.expectedRunTime(t.group)
 	slot, known := placedelay.SlotTime(c.rackEnds(v, t, step.DataRack, false), v.racks.ahead[step.DataRack], runTime)
 	return c.decideRackWait(v, t, i, step.DataRack, 1, &placedelay.Choice{RunTime: runTime, Slot: slot, HasSlot: known})
 }
 
-// keepsWaitingForRack reports whether a task waits for its rack, the decision is not due again, and there was no room on the
-// rack for a task like this one that was considered before in this round. Such a task needs no further look.
+// keepsWaitingForRack reports whether a task waits for its rack, the decision is not due again, and the rack has no room. Such
+// a task needs no further look.
 func (c *Cell) keepsWaitingForRack(v *placementView, t *task) bool {
 	if t.rackWait == nil || !t.rackWait.Waiting() || c.now >= t.rackWait.checkAt {
 		return false
 	}
-	key, need := c.needOf(t)
-	full, known := v.racks.full[key]
-	if !known || !need.Requested.Contains(full.Requested) || full.ExpectedMilliCPU > need.ExpectedMilliCPU {
+	step := t.group.step
+	if step.DataRack == "" || !v.rackFull(step) {
 		return false
 	}
-	v.racks.ahead[t.group.step.DataRack]++
+	v.racks.ahead[step.DataRack]++
+	return true
+}
+
+// rackFull reports whether no worker on the rack of a step's data has room for a task of the step.
+func (v *placementView) rackFull(step *jobs.Step) bool {
+	need := placement.Need{Kind: placementKind(step), Requested: step.Requested(), ExpectedMilliCPU: expectedStepCPU(step)}
+	key := rackRoom{rack: step.DataRack, kind: need.Kind, requested: need.Requested, milliCPU: need.ExpectedMilliCPU}
+	if v.racks.full[key] {
+		return true
+	}
+	for i := range v.candidates {
+		if v.candidates[i].Rack == step.DataRack && v.candidates[i].HasRoom(&need) {
+			return false
+		}
+	}
+	v.racks.full[key] = true
 	return true
 }
 
@@ -185,9 +210,6 @@
 
 // endRackWaits ends the waits of a group's tasks because there is no room on other racks either.
 func (c *Cell) endRackWaits(v *placementView, g *group) {
-	if !c.prefersRack(g.step) {
-		return
-	}
 	for _, t := range g.tasks {
 		c.endRackWait(v, t, rackWaitNoRoom)
 	}
@@ -204,25 +226,12 @@
 		zap.String("end", reason), zap.String("data_rack", t.group.step.DataRack))
 }
 
-// noRoom records that there is no room on the rack for a need.
-func (v *rackView) noRoom(key needKey, need placement.Need) {
-	if v.full == nil {
-		v.full, v.ahead, v.ends = make(map[needKey]placement.Need), make(map[string]int), make(map[rackNeed][]time.Duration)
-	}
-	if !key.limited {
-		v.full[key] = need
-	}
-}
-
 // observeRackLoads updates the loads of the racks, once in each round that needs them.
 func (c *Cell) observeRackLoads(v *placementView) {
 	if v.racks.observed {
 		return
 	}
 	v.racks.observed = true
-	if v.racks.ahead == nil {
-		v.racks.noRoom(needKey{limited: true}, placement.Need{})
-	}
 	type sums struct{ capacity, requested, expected int }
 	racks := make(map[string]sums)
 	for i := range v.candidates {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -102,6 +102,12 @@
 	return best
 }
 
+// HasRoom reports whether a worker has the free resources for a task and, for a best-effort task, the spare CPU capacity.
+// Best, which is called for each waiting task, has the same condition inline.
+func (w *Worker) HasRoom(n *Need) bool {
+	return w.Free.Contains(n.Requested) && (n.Kind != BestEffort || hasSpareCPU(w, n))
+}
+
 // hasSpareCPU reports whether a best-effort task would get most of the CPU time that it is expected to use.
 func hasSpareCPU(w *Worker, n *Need) bool {
 	return float64(w.SpareMilliCPU) >= minBestEffortShare*float64(n.ExpectedMilliCPU)
