Tests of waits for racks in a whole cell

The decision was tested by itself and in single situations, not with the reports, rounds and learned run times of a cell. TestMeanJobTime compares the mean job time of simulated cells with and without the feature; it fails if every task waits. Another test covers learned run times; it fails if nothing is learned or if runs elsewhere are learned as they are.

In the simulation, workers can now take longer away from the data's rack.

--- a/internal/cell/place_delay_test.go
+++ b/internal/cell/place_delay_test.go
@@ -157,6 +157,30 @@
 			So(sim.startCounts[jobs.TaskID{Job: "j"}], ShouldEqual, 1)
 			So(metricsPage(sim.owner), ShouldContainSubstring, `cactuswall_cell_rack_wait_seconds_count{end="rack"} 1`)
 		})
+		Convey("run times are learned by image, from runs on the rack and elsewhere, so that a bad estimate does not keep tasks from waiting", func() {
+			sim.remoteSlowdown, sim.taskRunTime = 3, time.Second
+			spec := onRack("r2", 1)
+			spec.Steps[0].Estimate, spec.Steps[0].Image = time.Millisecond, "i"
+			fillRack(sim, time.Second)
+			sim.submit("unknown", spec)
+			sim.run(150 * time.Millisecond)
+			So(sim.startCounts[jobs.TaskID{Job: "unknown"}], ShouldEqual, 1)
+			sim.run(5 * time.Second)
+			learned := spec
+			learned.Steps = append([]jobs.Step(nil), spec.Steps...)
+			learned.Steps[0].Count = 20
+			sim.submit("learned", learned)
+			sim.run(5 * time.Second)
+			for _, g := range sim.owner.cell.jobs["learned"].groups {
+				So(sim.owner.cell.expectedRunTime(g), ShouldBeBetween, 700*time.Millisecond, 1300*time.Millisecond)
+			}
+			filler := onRack("r2", 16)
+			sim.submit("filler", filler)
+			sim.run(200 * time.Millisecond)
+			sim.submit("known", spec)
+			sim.run(150 * time.Millisecond)
+			So(sim.startCounts[jobs.TaskID{Job: "known"}], ShouldEqual, 0)
+		})
 		Convey("a job that is cancelled while its task waits starts nothing", func() {
 			fillRack(sim, time.Second)
 			sim.submit("j", onRack("r2", 1))
@@ -310,3 +334,51 @@
 		So(with, ShouldEqual, play(0))
 	})
 }
+
+// TestMeanJobTime guards against waits that make jobs later in all than starts elsewhere at once do, with the workers' reports,
+// rounds and learned run times of a whole cell.
+func TestMeanJobTime(t *testing.T) {
+	// play returns the mean time from the arrival of a job to its end.
+	play := func(seed uint64, racks int, slowdown, factor float64, between time.Duration) time.Duration {
+		sim := newRackSimulation(seed, factor)
+		sim.remoteSlowdown, sim.taskRunTime = slowdown, 2*time.Second
+		lines := observeLog(sim.owner)
+		const submitted = 80
+		for i := range submitted {
+			spec := onRack(fmt.Sprint("r", 1+sim.random.IntN(racks)), 1+sim.random.IntN(8))
+			spec.Steps[0].Estimate, spec.Steps[0].Image = 500*time.Millisecond, "i" // a bad estimate, until the image is known
+			sim.submit(jobs.ID(fmt.Sprint("j", i)), spec)
+			sim.run(time.Duration(sim.random.Int64N(2 * int64(between))).Round(simTick))
+		}
+		sim.run(time.Minute)
+		So(sim.violations, ShouldBeEmpty)
+		ended := lines.FilterMessage("job ended").All()
+		So(ended, ShouldHaveLength, submitted)
+		total := time.Duration(0)
+		for _, line := range ended {
+			total += line.ContextMap()["after"].(time.Duration)
+		}
+		return total / submitted
+	}
+	for _, c := range []struct {
+		situation string
+		racks     int // that jobs name
+		slowdown  float64
+		between   time.Duration
+	}{
+		{"one rack in high demand", 1, 1.5, 350 * time.Millisecond},
+		{"few jobs", 3, 3, 800 * time.Millisecond},
+		{"a busy cell", 3, 3, 300 * time.Millisecond},
+		{"a busy cell and a factor of 1.5", 3, 1.5, 260 * time.Millisecond},
+		{"more jobs than the cell has room for", 3, 2, 150 * time.Millisecond},
+	} {
+		Convey("With "+c.situation+", jobs end at most a tenth later in the mean than if all tasks start at once", t, func() {
+			var atOnce, withWaits time.Duration
+			for seed := range uint64(2) {
+				atOnce += play(80+seed, c.racks, c.slowdown, 0, c.between)
+				withWaits += play(80+seed, c.racks, c.slowdown, c.slowdown, c.between)
+			}
+			So(float64(withWaits), ShouldBeLessThanOrEqualTo, 1.10*float64(atOnce))
+		})
+	}
+}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -65,8 +65,9 @@
 	submitNode string
 	// submitPriority is the priority of the queue to which new jobs are submitted.
 	submitPriority int
-	// remoteRackFactor is Settings.RemoteRackFactor of the owners. Workers run all tasks at the same speed.
-	remoteRackFactor float64
+	// remoteRackFactor is Settings.RemoteRackFactor of the owners, and remoteSlowdown how many times as long workers take for a
+	// task away from the rack of its data; 0: racks make no difference to them.
+	remoteRackFactor, remoteSlowdown float64
 	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
 	loadTime time.Duration
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
@@ -622,8 +623,11 @@
 		return answer, s.refuse(workercall.ReasonNoCapacity)
 	}
 	s.sim.checkStart(s, order.Task)
-	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + s.sim.taskRunTime/2 +
-		time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))}
+	runTime := s.sim.taskRunTime/2 + time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))
+	if s.sim.remoteSlowdown > 0 && step.DataRack != "" && step.DataRack != s.info.Rack {
+		runTime = time.Duration(float64(runTime) * s.sim.remoteSlowdown)
+	}
+	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + runTime}
 	return answer, nil
 }
 
