--- a/internal/placedelay/placedelay_test.go
+++ b/internal/placedelay/placedelay_test.go
@@ -1,6 +1,7 @@
 package placedelay
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -125,6 +126,18 @@
 		So(r.Expected(Kind{Queue: "no estimate"}, 0), ShouldEqual, 0)
 		So(r.Expected(Kind{Image: "never seen running"}, second), ShouldEqual, second)
 	})
+	Convey("Estimates and run times of any length cause no overflow", t, func() {
+		var r RunTimes
+		longest := time.Duration(math.MaxInt64)
+		So(r.Expected(Kind{Queue: "q"}, longest), ShouldEqual, maxRunTime)
+		r.Observe(Kind{Queue: "q"}, time.Nanosecond, longest)
+		So(r.Expected(Kind{Queue: "q"}, longest), ShouldEqual, maxRunTime)
+		slot, _ := SlotTime([]time.Duration{Residual(maxRunTime*100*100, 0)}, 20_000, maxRunTime)
+		choice := Choice{RunTime: maxRunTime, Factor: 100, Slot: slot, HasSlot: true, Elsewhere: Group{Free: 1, Load: 1}}
+		So(choice.MaxTotal(), ShouldBeGreaterThan, 0)
+		So(scale(slot, OverrunFactor), ShouldBeGreaterThan, slot)
+		So(new(Wait).Decide(0, &choice), ShouldEqual, Sooner)
+	})
 	Convey("The number of kinds is bounded", t, func() {
 		var r RunTimes
 		for i := range 3 * maxKinds {
--- a/internal/placedelay/slots.go
+++ b/internal/placedelay/slots.go
@@ -55,6 +55,9 @@
 	runTimeWeight = 0.1
 	// maxKinds bounds the memory of RunTimes. The deployments have some tens of images and queues.
 	maxKinds = 4096
+	// maxRunTime limits expected run times. Callers can estimate any time, and the sums and products of run times must not
+	// overflow; of tasks that take longer, waits need not be weighed more finely.
+	maxRunTime = 24 * time.Hour
 )
 
 // Kind is a kind of tasks whose run times are alike: those of an image or, without one, of a queue, whose run times are
@@ -82,14 +85,14 @@
 }
 
 // Expected returns the expected run time of a task: what was learned for its kind or, without that, the estimate, which
-// is 0 if it is unknown.
+// is 0 if it is unknown. It returns at most a day.
 func (r *RunTimes) Expected(kind Kind, estimate time.Duration) time.Duration {
 	if mean, known := r.means[kind]; known {
 		if unit := unitOf(kind, estimate); unit > 0 {
-			return scale(unit, mean)
+			return time.Duration(min(float64(unit)*mean, float64(maxRunTime)))
 		}
 	}
-	return estimate
+	return min(estimate, maxRunTime)
 }
 
 // unitOf returns the unit of the run times of a kind.
