--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -99,7 +99,7 @@
 	if g.step.Gang && limit > 0 {
 		return c.placeGang(v, g)
 	}
-	postponed := waitNone
+	postponed, prefersRack := waitNone, c.prefersRack(g.step)
 	for _, t := range g.tasks {
 		if !t.needsRun() {
 			continue
@@ -112,12 +112,23 @@
 			postponed = waitTurn
 			break
 		}
+		if prefersRack && c.keepsWaitingForRack(v, t) {
+			postponed = waitRack
+			continue
+		}
 		i := c.chooseWorker(v, t, nil)
 		if i < 0 {
+			if prefersRack {
+				c.endRackWaits(v, g)
+			}
 			c.logWaiting(v, t)
 			c.noteNoRoom(v, g)
 			return placed, false
 		}
+		if prefersRack && c.waitsForRack(v, t, i) {
+			postponed = waitRack
+			continue
+		}
 		c.assign(v, t, i, t.lastRunNumber+1)
 		placed++
 	}
@@ -135,22 +146,15 @@
 		}
 		number = max(number, t.lastRunNumber+1)
 	}
-	var chosen []int
-	saved := append([]placement.Worker(nil), v.candidates...)
-	pending := make(map[int]int)
-	for _, t := range g.tasks {
-		i := c.chooseWorker(v, t, pending)
-		if i < 0 {
-			c.logWaiting(v, t)
-			c.noteNoRoom(v, g)
-			copy(v.candidates, saved)
-			return 0, false
-		}
-		pending[i]++
-		c.reserve(v, g, i)
-		chosen = append(chosen, i)
+	chosen, waits := c.chooseGangWorkers(v, g)
+	switch {
+	case waits:
+		g.waitReason = waitRack
+		return 0, false
+	case chosen == nil:
+		c.endRackWaits(v, g)
+		return 0, false
 	}
-	copy(v.candidates, saved)
 	checkpoint := g.checkpoint()
 	for k, t := range g.tasks {
 		t.checkpoint = checkpoint
@@ -196,10 +200,11 @@
 	perWorker := c.runsPerWorker(g)
 	v.waitsForSuspect = false
 	i := placement.Best(v.candidates, need, func(i int) bool {
-		return c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
+		return (v.onlyRack == "" || v.candidates[i].Rack == v.onlyRack) &&
+			c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
 			(!g.step.BestEffort || c.fitsBesideServices(v, i, g.step))
 	})
-	if i < 0 && !key.limited && !v.waitsForSuspect {
+	if i < 0 && !key.limited && !v.waitsForSuspect && v.onlyRack == "" {
 		v.unplaceable[key] = need
 	}
 	return i
@@ -301,6 +306,9 @@
 		task: t, number: number, worker: w, incarnation: w.info.StartedAtMS, state: runPlaced, stateSince: c.now,
 		pace: fullPace, probe: v.candidates[i].Probing,
 	}
+	if t.rackWait != nil {
+		c.endRackWait(v, t, rackWaitPlaced)
+	}
 	t.lastRunNumber = number
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -93,6 +93,7 @@
 	c.recordSuccess(r)
 	c.logRunTime(g, r, ran)
 	c.noteEnd(g, ran)
+	c.learnRunTime(r, ran)
 	if g.step.LongRunning {
 		r.task.waitingSince = c.now
 		return // the next call of Plan tries to place the task again
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -68,6 +68,9 @@
 	submitPriority int
 	// submitSlack is the second part of the objective of new jobs; without it they have none.
 	submitSlack time.Duration
+	// remoteRackFactor is Settings.RemoteRackFactor of the owners, and remoteSlowdown how many times as long workers take for a
+	// task away from the rack of its data; 0: racks make no difference to them.
+	remoteRackFactor, remoteSlowdown float64
 	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
 	loadTime time.Duration
 	// evacuations are the requests of evacuations as the store has them, and evacuationBound is the time from a request until no
@@ -209,7 +212,7 @@
 	home.epoch++
 	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour}
 	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second,
-		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound)},
+		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound), RemoteRackFactor: sim.remoteRackFactor},
 		o.token, claim.LeasesExpiredBy(sim.now+claim.WorkerRenewalGrace-claim.LeaseDuration, maxLease), zap.NewNop(), NewMetrics(metrics.NewSet()))
 	o.cell.SetTime(sim.now, sim.wall())
 	sim.readEvacuations(o)
@@ -637,8 +640,11 @@
 		return answer, s.refuse(workercall.ReasonNoCapacity)
 	}
 	s.sim.checkStart(s, order.Task)
-	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + s.sim.taskRunTime/2 +
-		time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))}
+	runTime := s.sim.taskRunTime/2 + time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))
+	if s.sim.remoteSlowdown > 0 && step.DataRack != "" && step.DataRack != s.info.Rack {
+		runTime = time.Duration(float64(runTime) * s.sim.remoteSlowdown)
+	}
+	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + runTime}
 	return answer, nil
 }
 
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -158,6 +158,7 @@
 		Cell: cell.Settings{
 			MaxLease: s.Bounds.MaxLease, StatusRetention: s.Bounds.StatusRetention + statusMargin, MaxOverTarget: s.Bounds.MaxOverTarget,
 			MaxEvacuationAge: evacuation.MaxAge(s.Bounds.Evacuate),
+			RemoteRackFactor: s.Bounds.RemoteRackFactor,
 		},
 	}
 }
