--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -85,6 +85,7 @@
 	now            time.Duration       // current reading of the local clock, set by SetTime
 	wall           time.Time           // current wall time, set by SetTime
 	roundTime      time.Duration       // set by SetRoundTime
+	stragglers     stragglers
 	// plannedRounds is the number of calls of Plan, and storedRound the number of the newest round that was stored.
 	plannedRounds, storedRound int
 }
@@ -104,7 +105,7 @@
 		settings: s, epoch: epoch, cellCount: 1, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
 		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
-		endedJobs: btree.NewG(endedJobsDegree, endedBefore),
+		endedJobs: btree.NewG(endedJobsDegree, endedBefore), stragglers: newStragglers(),
 	}
 }
 
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -225,11 +225,31 @@
 	}
 }
 
+// TestRandomFaultsWithSlowTasks is TestRandomFaults with tasks of which some take much longer than others, so that copies are
+// started.
+func TestRandomFaultsWithSlowTasks(t *testing.T) {
+	for seed := uint64(201); seed <= 260; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaultsOn(t, newSlowSimulation(seed)) })
+	}
+}
+
+// newSlowSimulation returns a simulation in which one task of eight and one worker are slow.
+func newSlowSimulation(seed uint64) *simulation {
+	sim := newSimulation(seed, 5)
+	sim.slowRate = 0.125
+	sim.workers["w0"].slow = true
+	return sim
+}
+
 // runRandomFaults submits and cancels jobs between random faults, then stops the faults and checks the result. New owners
 // load the state within loadTime.
 func runRandomFaults(t *testing.T, seed uint64, loadTime time.Duration) {
 	sim := newSimulation(seed, 5)
 	sim.loadTime = loadTime
+	runRandomFaultsOn(t, sim)
+}
+
+func runRandomFaultsOn(t *testing.T, sim *simulation) {
 	sim.failRate, sim.lossRate, sim.delayRate = 0.05, 0.02, 0.02
 	sim.takeOver()
 	for i := range 40 {
@@ -237,6 +257,9 @@
 		case 0, 1, 2:
 			spec := testSpec(1+sim.random.IntN(4), 1+sim.random.IntN(4))
 			spec.Steps[1].LongRunning = sim.random.IntN(5) == 0
+			if sim.slowRate > 0 {
+				spec.Steps[0].Speculative, spec.Steps[1].Speculative = true, sim.random.IntN(2) == 0
+			}
 			sim.submit(jobs.ID(fmt.Sprintf("j%02d", i)), spec)
 		case 3:
 			sim.cancel(jobs.ID(fmt.Sprintf("j%02d", sim.random.IntN(i+1))))
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -166,6 +166,7 @@
 		pace: fullPace,
 	}
 	w.addRun(r)
+	c.copyLoaded(r)
 }
 
 // resumeJob marks the steps of a loaded job as ready if their dependencies are done. If the job has ended or was
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -57,6 +57,11 @@
 	c.counters.get(c.set, "cactuswall_cell_runs_lost_total", "reason", reason).Inc()
 }
 
+// countCopy counts a copy of a task's run, when it is placed and when a run of the task succeeds, by result.
+func (c *Metrics) countCopy(result string) {
+	c.counters.get(c.set, "cactuswall_cell_copies_total", "result", result).Inc()
+}
+
 // countStop counts a run that was ordered to stop, by reason. A run that the owner does not know is counted,
 // as stopRunUnknown, with each stop order; any other run is counted once.
 func (c *Metrics) countStop(reason string) {
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -89,6 +89,7 @@
 	w, g := r.worker, r.task.group
 	r.setState(runStartSent, c.now)
 	r.attempts++
+	r.fromCheckpoint = r.task.checkpoint != ""
 	c.unansweredStarts++
 	if !g.started {
 		g.started = true
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -294,7 +294,9 @@
 	t.lastRunNumber = number
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
-	c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
+	if r.copied = len(t.runs) > 1; !r.copied {
+		c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
+	}
 	c.markGroupDirty(t.group)
 	c.log.Debug("placed", taskField(t.id), zap.Int("run", number), zap.String("worker", w.info.ID))
 }
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -35,6 +35,7 @@
 		c.place()
 	}
 	c.relocate()
+	c.treatStragglers()
 	c.plannedRounds++
 	round := &Round{number: c.plannedRounds, starts: c.pendingStarts}
 	c.pendingStarts = nil
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -39,9 +39,7 @@
 	ran := r.runTime(c.now)
 	c.log.Info("run ended", taskField(t.id), zap.Int("run", e.Number), zap.String("worker", w.info.ID),
 		zap.Stringer("how", e.Reason), zap.Duration("ran", ran), zap.Int64("end", e.Sequence))
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	r.adoptCheckpoint(e.Checkpoint)
 	c.removeRun(r)
 	switch e.Reason {
 	case workercall.Done:
@@ -62,7 +60,7 @@
 }
 
 // handleEndOfUnknownRun processes the end of a run that this owner does not know, for instance because it was
-// abandoned. If the task succeeded in it, the task is marked as done, unless it has a new run or belongs to a gang.
+// abandoned. If the task succeeded in it, the task is marked as done, unless it belongs to a gang. A new run of it is stopped.
 func (c *Cell) handleEndOfUnknownRun(w *worker, e *workercall.EndedRun) {
 	j := c.jobs[e.Task.Job]
 	if j == nil || !j.live() {
@@ -75,6 +73,9 @@
 	g := t.group
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
+	if e.Reason == workercall.Done && c.unknownRunSucceeded(t, e.Number) {
+		return
+	}
 	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang {
 		c.markDone(t)
 		c.advanceStep(g)
@@ -87,6 +88,7 @@
 	g := r.task.group
 	c.recordSuccess(r)
 	c.logRunTime(g, r, ran)
+	c.learnRunTime(r, ran)
 	if g.step.LongRunning {
 		r.task.waitingSince = c.now
 		return // the next call of Plan tries to place the task again
@@ -96,11 +98,9 @@
 			c.markDone(t)
 		}
 	} else {
+		c.countCopyResult(r)
 		c.markDone(r.task)
-		// The other runs of the task are not needed any more.
-		for _, copy := range append([]*run(nil), r.task.runs...) {
-			c.stopRun(copy, stopRedundantRun)
-		}
+		c.stopRedundantRuns(r.task)
 	}
 	c.advanceStep(g)
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -28,6 +28,8 @@
 	maxLease = 6 * time.Second
 	// startUnixMS is the wall time at virtual time 0, in Unix milliseconds.
 	startUnixMS = 1_700_000_000_000
+	// slowFactor is how many times as long slow runs take.
+	slowFactor = 7
 )
 
 // simulation runs a store, workers and owners in virtual time. It records which tasks the workers really ran and, in
@@ -50,6 +52,7 @@
 	ackedFailures map[jobs.TaskID]int  // number of failed ends that an owner has acknowledged
 	startCounts   map[jobs.TaskID]int
 	taskRunTime   time.Duration
+	slowRate      float64 // probability that a run takes slowFactor times as long
 	delayRate     float64 // probability that an order is carried out late
 	lossRate      float64 // probability that an order or its answer is lost
 	failRate      float64
@@ -110,6 +113,7 @@
 	up            bool                // always set
 	failsTasks    bool                // fails every task except long-running ones
 	unreachableBy map[*simOwner]bool
+	slow          bool // runs that start take slowFactor times as long
 }
 
 type simRun struct {
@@ -620,11 +624,19 @@
 		return answer, s.refuse(workercall.ReasonNoCapacity)
 	}
 	s.sim.checkStart(s, order.Task)
-	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + s.sim.taskRunTime/2 +
-		time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))}
+	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + s.runTime()}
 	return answer, nil
 }
 
+// runTime returns how long a run that starts now takes.
+func (s *simWorker) runTime() time.Duration {
+	d := s.sim.taskRunTime/2 + time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))
+	if s.slow || s.sim.slowRate > 0 && s.sim.random.Float64() < s.sim.slowRate {
+		d *= slowFactor
+	}
+	return d
+}
+
 func (s *simWorker) stop(run workercall.Run, token int64) error {
 	if err := s.fence(token); err != nil {
 		return err
@@ -678,13 +690,19 @@
 	return tasks
 }
 
-// checkStart records a start and checks that it violates no rule: the task must not run elsewhere, be done, require a label
-// that the worker lacks, lack a dependency or have failed too often.
+// checkStart records a start and checks that it violates no rule: the task must not run elsewhere, except for one copy if its
+// step permits copies, be done, require a label that the worker lacks, lack a dependency or have failed too often.
 func (sim *simulation) checkStart(s *simWorker, task jobs.TaskID) {
 	sim.startCounts[task]++
+	allowed := 1
+	if sim.specs[task.Job].Steps[task.Step].Speculative {
+		allowed = 2
+	}
 	for _, other := range sim.sortedWorkers() {
 		if other != s && other.up && other.running[task] != nil {
-			sim.violation("task %v started on %s while it runs on %s", task, s.info.ID, other.info.ID)
+			if allowed--; allowed < 1 {
+				sim.violation("task %v started on %s while it runs on %s", task, s.info.ID, other.info.ID)
+			}
 		}
 	}
 	if sim.ackedDone[task] {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/cpuinterference"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/straggler"
 	"cactuswall.example/cactuswall/internal/urgency"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
@@ -63,6 +64,12 @@
 	slowSince time.Duration
 	// overTargetSince is since when a service run has been over its latency target; 0 while it is not.
 	overTargetSince time.Duration
+	// progress measures the speed of the run; watched is set once the run is in stragglers.watched.
+	progress straggler.Progress
+	watched  bool
+	// copied is set if the run was started while another run of the task was in progress.
+	copied         bool
+	fromCheckpoint bool // its start order named a checkpoint
 }
 
 // stopReason is why a run is stopped. Its values are written to metrics and to the log.
@@ -86,7 +93,9 @@
 	failures      int    // failed runs; for a gang, counted for its first task only
 	lastRunNumber int    // highest number of a run of the task; 0 for none
 	checkpoint    string // newest one that a worker reported; empty for none
-	runs          []*run
+	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
+	checkpointPercent int
+	runs              []*run
 	// notBefore is the earliest time of the next placement after a failure.
 	notBefore time.Duration
 	// waitingSince is when the task became ready to run or, if later, when its last run was removed.
@@ -132,6 +141,8 @@
 	waitReason waitReason
 	// finishedAt is when the last task of the group was done, if this owner saw it; it is used for Metrics.StepDelay.
 	finishedAt time.Duration
+	// runTimes are run times of the group's tasks, at most maxSiblings.
+	runTimes []time.Duration
 }
 
 // job is the state of one accepted job.
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -100,7 +100,7 @@
 	RequiredLabel     string        // label that a worker must have; empty: none
 	DataRack          string        // label of the rack that holds the tasks' data; empty: none
 	MaxPerWorker      int           // maximum number of tasks of the step on one worker; 0: unlimited
-	Speculative       bool          // as specified by the caller; only used in Summary
+	Speculative       bool          // a task may have two runs at a time, of which the first to succeed counts
 	LongRunning       bool          // the tasks run until the job is cancelled
 	Image             string        // name of the program that the tasks run
 	TargetTailLatency time.Duration // target for the tail latency of tasks that serve requests; 0: does not serve requests
