Stragglers: restarts, slow and cold workers, held acknowledgements

Runs of steps that permit no copies could not be helped, tasks were placed on workers on which all tasks take several times as long, and a start order of a copy that came late could start a task whose success was acknowledged. A run that saves progress or has only just begun is now stopped and its task started again elsewhere; workers whose runs are all slow and workers that have just started (cold-left-ms) are the last choice; the end of a task is acknowledged once no start order of another run can take effect.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -259,6 +259,7 @@
 			spec.Steps[1].LongRunning = sim.random.IntN(5) == 0
 			if sim.slowRate > 0 {
 				spec.Steps[0].Speculative, spec.Steps[1].Speculative = true, sim.random.IntN(2) == 0
+				spec.Steps[0].Checkpoints, spec.Steps[1].Checkpoints = sim.random.IntN(4) == 0, sim.random.IntN(2) == 0
 			}
 			sim.submit(jobs.ID(fmt.Sprintf("j%02d", i)), spec)
 		case 3:
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -208,6 +208,7 @@
 func (c *Cell) addWorker(info workercall.Worker) *worker {
 	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run), due: dueState{queue: &c.due}}
 	w.touch()
+	w.setCold(c.now + info.ColdLeft)
 	w.leaseExpiresBy, w.failureRate = c.formerLeasesEnd, c.health.FailureRate(info.ID)
 	c.workers[info.ID] = w
 	c.workersByID = nil
@@ -255,6 +256,7 @@
 	w.touch()
 	// An incarnation that was draining stays so, even if a later entry does not say so.
 	draining := w.info.Draining && info.StartedAtMS == w.info.StartedAtMS
+	c.observeCold(w, &info)
 	w.info, w.listed = info, true
 	if w.entryOutdated {
 		w.entryOutdated, c.needsPlacement = false, true
@@ -293,10 +295,11 @@
 		leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, c.settings.MaxLease))
 	}
 	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
-	w.lastEndSeen, w.lastEndStored, w.lastEndAcked, w.ackInFlight = 0, 0, 0, 0
+	w.lastEndSeen, w.lastEndStored, w.lastEndAcked, w.ackInFlight, w.heldEnds = 0, 0, 0, 0, nil
 	w.grantedUntil, w.nextRenewal = 0, c.now
 	c.health.RemoveWorker(w.info.ID) // the failures were those of the former incarnation
 	w.failureRate, w.lastFailure = 0, 0
+	w.forgetSpeed()
 	w.leaseExpiresBy, w.leaseExpired = leaseExpiresBy, false
 	w.touch()
 	w.info.Draining = false
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -15,6 +15,7 @@
 	UnreadableRecords *metrics.Counter // stored records, also of workers, that could not be decoded or do not fit their job
 	UnknownCells      *metrics.Counter // jobs whose record names a cell that does not exist
 	UnknownRuns       *metrics.Counter // runs in worker reports that the owner does not know, in each report again
+	SlowWorkers       *metrics.Counter // times that a worker became slow: all of its tasks take much longer than normal
 	// StepDelay is the time from the end of a step to the first start order of a step that depends on it. With several
 	// dependencies it is measured from the first listed one that ended under this owner.
 	StepDelay *metrics.Histogram
@@ -35,6 +36,7 @@
 		UnreadableRecords: set.NewCounter("cactuswall_cell_unreadable_records_total"),
 		UnknownCells:      set.NewCounter("cactuswall_cell_unknown_cells_total"),
 		UnknownRuns:       set.NewCounter("cactuswall_cell_foreign_runs_total"),
+		SlowWorkers:       set.NewCounter("cactuswall_cell_slow_workers_total"),
 		StepDelay:         set.NewHistogram("cactuswall_cell_step_change_seconds"),
 		PlacementWait:     set.NewHistogram("cactuswall_cell_waiting_seconds"),
 		waits:             newWaitHistograms(set),
@@ -62,6 +64,11 @@
 	c.counters.get(c.set, "cactuswall_cell_copies_total", "result", result).Inc()
 }
 
+// countRestart counts a straggler that is stopped in order to restart its task, and the result once the task succeeds.
+func (c *Metrics) countRestart(result string) {
+	c.counters.get(c.set, "cactuswall_cell_straggler_restarts_total", "result", result).Inc()
+}
+
 // countStop counts a run that was ordered to stop, by reason. A run that the owner does not know is counted,
 // as stopRunUnknown, with each stop order; any other run is counted once.
 func (c *Metrics) countStop(reason string) {
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -162,7 +162,7 @@
 	}
 	r.progressPercent, r.tailLatency, r.milliCPU = running.Percent, running.TailLatency, running.MilliCPU
 	c.trustProbedWorker(r)
-	r.progress.Observe(running.Percent, c.now)
+	c.observeProgress(r)
 	// The checkpoint is stored with the next change of the group. Until then a new owner learns it from the worker's report.
 	r.adoptCheckpoint(running.Checkpoint)
 }
@@ -190,7 +190,6 @@
 	if r.runningSince == 0 {
 		r.runningSince = c.now
 	}
-	c.watch(r)
 }
 
 // handleUnknownRun has a run stopped that the owner does not know, because the run was abandoned or its job has been
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -18,7 +18,8 @@
 	jobs    []*job   // jobs whose outcome is among the records
 	// deletions are the keys of the records that the round deletes.
 	deletions []string
-	// endsSeen is, for each worker, the sequence number of the last run end whose effect is in the round.
+	// endsSeen is, for each worker, the sequence number of the last run end whose effect is in the round and that may be
+	// acknowledged then.
 	endsSeen map[*worker]int64
 }
 
@@ -56,10 +57,14 @@
 	round.deletions = c.deletions
 	c.dirtyGroups, c.dirtyJobs, c.deletions = nil, nil, nil
 	for _, w := range c.due.unstoredEnds() {
+		end := w.lastStorableEnd()
+		if end <= w.lastEndStored {
+			continue
+		}
 		if round.endsSeen == nil {
 			round.endsSeen = make(map[*worker]int64)
 		}
-		round.endsSeen[w] = w.lastEndSeen
+		round.endsSeen[w] = end
 	}
 	return round
 }
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -44,6 +44,7 @@
 	switch e.Reason {
 	case workercall.Done:
 		c.taskSucceeded(r, ran)
+		w.holdEnd(e.Sequence, t)
 	case workercall.Failed:
 		c.taskFailed(w, r)
 	default: // stopped, or ended because the lease had expired
@@ -74,6 +75,7 @@
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
 	if e.Reason == workercall.Done && c.unknownRunSucceeded(t, e.Number) {
+		w.holdEnd(e.Sequence, t)
 		return
 	}
 	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -121,6 +122,7 @@
 	startedAt time.Duration
 	endsAt    time.Duration
 	step      jobs.Step
+	from      int // progress at the start, in percent, as the checkpoint of the order says
 }
 
 // simOwner is a process that owns the cell.
@@ -581,7 +583,7 @@
 	}
 	for task, r := range s.running {
 		report.Running = append(report.Running, workercall.RunStatus{
-			Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r),
+			Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r), Checkpoint: s.checkpoint(r),
 		})
 	}
 	return report, nil
@@ -595,7 +597,15 @@
 	if r.endsAt <= r.startedAt {
 		return servingPercent
 	}
-	return int(servingPercent * min(s.sim.now-r.startedAt, r.endsAt-r.startedAt) / (r.endsAt - r.startedAt))
+	return r.from + int(time.Duration(servingPercent-r.from)*min(s.sim.now-r.startedAt, r.endsAt-r.startedAt)/(r.endsAt-r.startedAt))
+}
+
+// checkpoint returns the newest checkpoint of a run, which is its progress in tens of percent.
+func (s *simWorker) checkpoint(r *simRun) string {
+	if percent := s.percent(r) / 10 * 10; r.step.Checkpoints && percent > 0 && percent < servingPercent {
+		return strconv.Itoa(percent)
+	}
+	return ""
 }
 
 func (s *simWorker) start(order workercall.Start) (workercall.Reply, error) {
@@ -624,7 +634,9 @@
 		return answer, s.refuse(workercall.ReasonNoCapacity)
 	}
 	s.sim.checkStart(s, order.Task)
-	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + s.runTime()}
+	from, _ := strconv.Atoi(order.Checkpoint)
+	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, from: from,
+		endsAt: s.sim.now + s.runTime()*time.Duration(servingPercent-from)/servingPercent}
 	return answer, nil
 }
 
@@ -653,7 +665,7 @@
 	delete(s.running, task)
 	s.endCount++
 	s.closedRuns[task] = max(s.closedRuns[task], r.number)
-	s.ended = append(s.ended, workercall.EndedRun{Sequence: s.endCount, Run: workercall.Run{Task: task, Number: r.number}, Reason: how})
+	s.ended = append(s.ended, workercall.EndedRun{Sequence: s.endCount, Run: workercall.Run{Task: task, Number: r.number}, Reason: how, Checkpoint: s.checkpoint(r)})
 	if how == workercall.Done {
 		s.sim.done[task] = true
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -64,9 +64,13 @@
 	slowSince time.Duration
 	// overTargetSince is since when a service run has been over its latency target; 0 while it is not.
 	overTargetSince time.Duration
-	// progress measures the speed of the run; watched is set once the run is in stragglers.watched.
+	// progress measures the speed of the run, from the first report on; toJudge is set while the run is in stragglers.toJudge.
 	progress straggler.Progress
-	watched  bool
+	observed bool
+	toJudge  bool
+	// ownResources is the result of hasOwnResources for the task's step.
+	ownResources bool
+	slow         bool // was seen to be slow, which counts once for the speed of its worker
 	// copied is set if the run was started while another run of the task was in progress.
 	copied         bool
 	fromCheckpoint bool // its start order named a checkpoint
@@ -83,6 +87,7 @@
 	stopThrottled      stopReason = "crawling"        // relocated because it was slow next to a service
 	stopWorkerDraining stopReason = "worker_leaves"   // relocated from a draining worker
 	stopJobFailed      stopReason = "job_failed"      // a task of the job has used all its attempts
+	stopStraggler      stopReason = "straggler"       // restarted elsewhere because it took much longer than normal
 )
 
 // task is the state of one task of a group.
@@ -93,9 +98,7 @@
 	failures      int    // failed runs; for a gang, counted for its first task only
 	lastRunNumber int    // highest number of a run of the task; 0 for none
 	checkpoint    string // newest one that a worker reported; empty for none
-	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
-	checkpointPercent int
-	runs              []*run
+	runs          []*run
 	// notBefore is the earliest time of the next placement after a failure.
 	notBefore time.Duration
 	// waitingSince is when the task became ready to run or, if later, when its last run was removed.
@@ -106,6 +109,11 @@
 	settledRound int
 	avoidWorker  string // ID of the worker on which the task last failed, or from which it was relocated
 	relocations  int    // how often the task was relocated because it was slow; not counted for long-running tasks
+	// copies and restarts count how often the task was copied and restarted as a straggler. restart is the last restart.
+	copies, restarts int
+	restart          restartForecast
+	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
+	checkpointPercent int
 }
 
 // needsRun reports whether the task has to be placed on a worker.
@@ -143,6 +151,7 @@
 	finishedAt time.Duration
 	// runTimes are run times of the group's tasks, at most maxSiblings.
 	runTimes []time.Duration
+	normal   normalTimes
 }
 
 // job is the state of one accepted job.
@@ -226,6 +235,12 @@
 	// refusingUntil is until when no tasks are placed on the worker after a start order was refused or did not reach
 	// it.
 	refusingUntil time.Duration
+	// speed is learned from the run times on the worker; coldUntil is until when it is slow because it has just started.
+	// slowUntil is until when it is slow for either reason.
+	speed                straggler.Speed
+	coldUntil, slowUntil time.Duration
+	// heldEnds are ends that must not be acknowledged yet, by sequence number.
+	heldEnds []heldEnd
 	// pacingPending is set when a report has brought measurements that paceWorker has not used yet.
 	pacingPending bool
 	// unknownRuns are runs that the worker reports but that this owner does not know; they are to be stopped.
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -44,6 +44,7 @@
 			state = c.health.State(w.info.ID, c.wall)
 		}
 		v.add(w, state)
+		v.candidates[len(v.candidates)-1].Slow = c.now < w.slowUntil
 	}
 	return v
 }
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -32,6 +32,7 @@
 	w.touch()
 	step := r.task.group.step
 	w.runs[r.key()] = r
+	r.ownResources = hasOwnResources(step)
 	if step.TargetTailLatency > 0 {
 		w.services = insertRun(w.services, r)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,6 +20,8 @@
 	MilliCPU int
 	// Probing is set while the worker is quarantined or being probed, so that a task there is a probe.
 	Probing bool
+	// Slow is set while tasks take much longer on the worker than on others.
+	Slow bool
 	// FailureRate is the recent share of failed runs, from 0 to 1.
 	FailureRate float64
 	// Interference is how much best-effort tasks on the worker interfere with the services there; it is not the
@@ -63,6 +65,8 @@
 const (
 	// otherRackPenalty outweighs any difference in spare CPU capacity.
 	otherRackPenalty = 1e6
+	// slowWorkerPenalty outweighs otherRackPenalty: slow workers take longer than those far from the data.
+	slowWorkerPenalty = 2e6
 	// avoidedWorkerPenalty keeps a task from Need.AvoidWorker, unless no other worker is eligible or only that worker is
 	// on the rack that holds the task's data.
 	avoidedWorkerPenalty = 1e5
@@ -123,6 +127,9 @@
 	if n.DataRack != "" && w.Rack != n.DataRack {
 		score -= otherRackPenalty
 	}
+	if w.Slow {
+		score -= slowWorkerPenalty
+	}
 	if n.AvoidWorker == w.ID {
 		score -= avoidedWorkerPenalty
 	}
--- a/internal/straggler/straggler.go
+++ b/internal/straggler/straggler.go
@@ -38,7 +38,7 @@
 	// minCopyGain and minRestartGain are the least gains of worth. A copy costs a start and its work, or that of the other
 	// run, is wasted.
 	minCopyGain    = 0.1
-	minRestartGain = 0.25
+	minRestartGain = 0.15
 )
 
 // Case is a run that may be a straggler.
--- a/internal/workercall/workercall.go
+++ b/internal/workercall/workercall.go
@@ -20,8 +20,10 @@
 	// TimeToShutdown is the minimum time between the publication of the entry and the shutdown of a draining worker; 0 if
 	// unknown.
 	TimeToShutdown time.Duration
-	Capacity       jobs.Resources
-	Labels         []string
+	// ColdLeft is for how long after the publication of the entry the worker is slow because it has just started.
+	ColdLeft time.Duration
+	Capacity jobs.Resources
+	Labels   []string
 	// Rack is the label that identifies the worker's rack, or empty.
 	Rack string
 	// StartedAtMS is the start time of the worker process, in Unix milliseconds; 0 if unknown.
