--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -67,7 +67,9 @@
 	// progress measures the speed of the run, from the first report on; toJudge is set while the run is in stragglers.toJudge.
 	progress straggler.Progress
 	observed bool
-	toJudge  bool
+	// normalUpTo is the longest normal run time of the task, as of the first report; 0 if it was not known.
+	normalUpTo time.Duration
+	toJudge    bool
 	// ownResources is the result of hasOwnResources for the task's step.
 	ownResources bool
 	slow         bool // was seen to be slow, which counts once for the speed of its worker
@@ -109,11 +111,11 @@
 	settledRound int
 	avoidWorker  string // ID of the worker on which the task last failed, or from which it was relocated
 	relocations  int    // how often the task was relocated because it was slow; not counted for long-running tasks
-	// copies and restarts count how often the task was copied and restarted as a straggler. restart is the last restart.
-	copies, restarts int
-	restart          restartForecast
+	// copies and restarts count how often the task was copied and restarted as a straggler; restart is the last restart.
+	copies, restarts uint8
 	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
-	checkpointPercent int
+	checkpointPercent int8
+	restart           restartForecast
 }
 
 // needsRun reports whether the task has to be placed on a worker.
@@ -149,9 +151,8 @@
 	waitReason waitReason
 	// finishedAt is when the last task of the group was done, if this owner saw it; it is used for Metrics.StepDelay.
 	finishedAt time.Duration
-	// runTimes are run times of the group's tasks, at most maxSiblings.
-	runTimes []time.Duration
-	normal   normalTimes
+	// runTimes is nil until the run times of the group's tasks are needed.
+	runTimes *groupRunTimes
 }
 
 // job is the state of one accepted job.
@@ -235,12 +236,9 @@
 	// refusingUntil is until when no tasks are placed on the worker after a start order was refused or did not reach
 	// it.
 	refusingUntil time.Duration
-	// speed is learned from the run times on the worker; coldUntil is until when it is slow because it has just started.
-	// slowUntil is until when it is slow for either reason.
-	speed                straggler.Speed
-	coldUntil, slowUntil time.Duration
-	// heldEnds are ends that must not be acknowledged yet, by sequence number.
-	heldEnds []heldEnd
+	// slowUntil is until when tasks take longer on the worker than on others: because it has just started, as coldUntil says,
+	// or because of its speed.
+	slowUntil time.Duration
 	// pacingPending is set when a report has brought measurements that paceWorker has not used yet.
 	pacingPending bool
 	// unknownRuns are runs that the worker reports but that this owner does not know; they are to be stopped.
@@ -252,6 +250,11 @@
 	cordoned bool
 	// settledRound is the number of the first round that stores that the last run which was removed is gone.
 	settledRound int
+	// speed is learned from the run times on the worker; coldUntil is until when it is slow because it has just started.
+	speed     straggler.Speed
+	coldUntil time.Duration
+	// heldEnds are ends that must not be acknowledged yet.
+	heldEnds []heldEnd
 }
 
 func (w *worker) target() workercall.Target {
--- a/internal/cell/stragglers.go
+++ b/internal/cell/stragglers.go
@@ -114,22 +114,32 @@
 	}
 }
 
-// observeProgress takes in the progress of a run that a report lists, and has the run judged in the next search.
+// observeProgress takes in the progress of a run that a report lists, and has the run judged in the next search unless it is
+// normal.
 func (c *Cell) observeProgress(r *run) {
 	if !r.ownResources {
 		return
 	}
 	if !r.observed {
-		r.observed = true
+		r.observed, r.normalUpTo = true, straggler.LongestNormal(c.learnedNormal(r.task.group))
 		if r.attempts > 0 && !r.fromCheckpoint {
 			r.progress.Observe(0, r.runningSince)
 		}
 	}
 	r.progress.Observe(r.progressPercent, c.now)
-	if !r.toJudge && c.now-r.runningSince >= straggler.MinElapsed {
-		r.toJudge = true
-		c.stragglers.toJudge = append(c.stragglers.toJudge, r)
+	elapsed := c.now - r.runningSince
+	if r.toJudge || elapsed < straggler.MinElapsed {
+		return
 	}
+	remaining, known := r.progress.Remaining(c.now)
+	switch {
+	case !known && (r.progressPercent > 0 || elapsed <= r.normalUpTo):
+		return // nothing is known of the run, or it takes no longer than others
+	case known && elapsed+remaining <= r.normalUpTo && !r.worker.speed.Suspect():
+		return
+	}
+	r.toJudge = true
+	c.stragglers.toJudge = append(c.stragglers.toJudge, r)
 }
 
 // adoptCheckpoint records a checkpoint that a run reported. While a task has several runs, the checkpoint of the run that
@@ -139,10 +149,11 @@
 	if checkpoint == "" || checkpoint == t.checkpoint {
 		return
 	}
-	if (len(t.runs) > 1 || r.copied) && r.progressPercent <= t.checkpointPercent {
+	percent := int8(max(0, min(servingPercent, r.progressPercent)))
+	if (len(t.runs) > 1 || r.copied) && percent <= t.checkpointPercent {
 		return
 	}
-	t.checkpoint, t.checkpointPercent = checkpoint, r.progressPercent
+	t.checkpoint, t.checkpointPercent = checkpoint, percent
 }
 
 // learnRunTime records the run time of a run that succeeded.
@@ -156,17 +167,28 @@
 	if kind, unit := runKind(g); unit > 0 {
 		c.stragglers.runTimes.Observe(kind, ran, unit)
 	}
-	if len(g.tasks) > 1 && len(g.runTimes) < maxSiblings {
-		g.runTimes = append(g.runTimes, ran)
+	if len(g.tasks) < 2 {
+		return
+	}
+	if known := g.knownRunTimes(); len(known.ended) < maxSiblings {
+		known.ended = append(known.ended, ran)
 	}
 }
 
-// observePace records how fast a run is or was for the speed of its worker, and returns it.
+// observePace records how fast a run is or was for the speed of its worker, and returns it. Where all tasks of a step take
+// longer than others of their kind, that says nothing about their workers.
 func (c *Cell) observePace(r *run, runTime, normal time.Duration) straggler.Pace {
+	g := r.task.group
 	pace := straggler.PaceOf(runTime, normal, func() time.Duration {
-		kind, unit := runKind(r.task.group)
+		kind, unit := runKind(g)
 		return c.stragglers.runTimes.Quantile(kind, straggler.UsualShare, unit)
 	})
+	if pace == straggler.SlowPace {
+		normal, _ = c.normalRunTime(g)
+		if straggler.IsNormal(runTime, normal) {
+			return straggler.UnknownPace
+		}
+	}
 	first := pace == straggler.SlowPace && !r.slow
 	r.slow = r.slow || first
 	w := r.worker
@@ -349,7 +371,7 @@
 	}
 	normal, rerun := c.normalRunTime(g)
 	if t.checkpoint != "" {
-		rerun = rerun * time.Duration(100-min(100, t.checkpointPercent)) / 100
+		rerun = rerun * time.Duration(servingPercent-t.checkpointPercent) / servingPercent
 	}
 	j := g.job
 	forecast := straggler.Case{
@@ -371,10 +393,18 @@
 	return len(t.runs) == 1 && t.group.job.live() && t.failures+1 < c.maxAttempts(t.group.job)
 }
 
-// normalTimes are the normal run times of a group's tasks as of one search.
-type normalTimes struct {
-	search        time.Duration // stragglers.checkedAt of the search
-	normal, rerun time.Duration
+// groupRunTimes is what is known of the run times of a group's tasks.
+type groupRunTimes struct {
+	ended []time.Duration // of tasks that succeeded, at most maxSiblings
+	// normal and rerun are the last results of normalRunTime, as of the search at that time.
+	normal, rerun, search time.Duration
+}
+
+func (g *group) knownRunTimes() *groupRunTimes {
+	if g.runTimes == nil {
+		g.runTimes = &groupRunTimes{}
+	}
+	return g.runTimes
 }
 
 // learnedNormal returns the normal run time of a group's tasks as learned from others of their kind; 0 if too few are known.
@@ -389,8 +419,9 @@
 // normalRunTime returns the normal run time of a group's tasks, and that of a new run with a margin; 0 if too little is known.
 // Estimates are rough, so where the other tasks of the step take longer than others of their kind, that is normal.
 func (c *Cell) normalRunTime(g *group) (normal, rerun time.Duration) {
-	if g.normal.search == c.stragglers.checkedAt && g.normal.search > 0 {
-		return g.normal.normal, g.normal.rerun
+	known := g.knownRunTimes()
+	if known.search == c.stragglers.checkedAt && known.search > 0 {
+		return known.normal, known.rerun
 	}
 	if normal = c.learnedNormal(g); normal > 0 {
 		kind, unit := runKind(g)
@@ -402,14 +433,14 @@
 			normal, rerun = median, time.Duration(unlearnedSpread*float64(median))
 		}
 	}
-	g.normal = normalTimes{search: c.stragglers.checkedAt, normal: normal, rerun: rerun}
+	known.search, known.normal, known.rerun = c.stragglers.checkedAt, normal, rerun
 	return normal, rerun
 }
 
 // siblingRunTimes returns the known run times of a group's tasks and those that its runs are expected to take, sorted. The
 // next call uses the slice again.
 func (c *Cell) siblingRunTimes(g *group) []time.Duration {
-	siblings := append(c.stragglers.siblings[:0], g.runTimes...)
+	siblings := append(c.stragglers.siblings[:0], g.knownRunTimes().ended...)
 	for _, t := range g.tasks {
 		if len(siblings) >= maxSiblings {
 			break
--- a/internal/straggler/speed.go
+++ b/internal/straggler/speed.go
@@ -38,7 +38,7 @@
 	switch {
 	case normal <= 0 || runTime <= 0:
 		return UnknownPace
-	case float64(runTime) <= normalRatio*float64(normal):
+	case IsNormal(runTime, normal):
 		return NormalPace
 	case float64(runTime) >= slowRatio*float64(normal) && float64(runTime) >= usualRatio*float64(usual()):
 		return SlowPace
@@ -46,6 +46,14 @@
 	return UnknownPace
 }
 
+// IsNormal reports whether a run time is that of a run that is not slow.
+func IsNormal(runTime, normal time.Duration) bool { return runTime <= LongestNormal(normal) }
+
+// LongestNormal returns the longest run time of a run that is not slow.
+func LongestNormal(normal time.Duration) time.Duration {
+	return time.Duration(normalRatio * float64(normal))
+}
+
 // Speed tells whether a worker is slow: all of its runs that say something are slow. The zero value is a worker of which
 // nothing is known.
 type Speed struct {
@@ -71,6 +79,9 @@
 	return false
 }
 
+// Suspect reports whether slow runs of the worker were seen since the last normal one.
+func (s *Speed) Suspect() bool { return s.slowRuns > 0 }
+
 // SlowUntil returns until when the worker counts as slow, or 0 if it does not.
 func (s *Speed) SlowUntil() time.Duration {
 	if s.slowRuns < minSlowRuns {
