--- a/internal/cell/interrupted_test.go
+++ b/internal/cell/interrupted_test.go
@@ -40,3 +40,35 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against a start after an acknowledged success: a start order without an answer was repeated after an abandoned run of
+// the task had succeeded, also where the step permits no copies.
+func TestStartIsNotRepeatedAfterAbandonedRunSucceeded(t *testing.T) {
+	sim := newSimulation(34, 2)
+	sim.takeOver()
+	sim.run(time.Second)
+	sim.taskRunTime = time.Minute
+	sim.submit("j", testSpec(1))
+	sim.run(300 * time.Millisecond)
+	task := jobs.TaskID{Job: "j"}
+	first := sim.workersRunning(task)[0]
+	first.unreachableBy[sim.owner] = true
+	first.running[task].endsAt = sim.now + 2*time.Second // before its lease ends
+	sim.runUntil(func() bool { return sim.task(task).runs[0].number == 2 })
+	second := sim.task(task).runs[0]
+	sim.lossRate = 1
+	sim.runUntil(func() bool { return second.state == runStartSent })
+	sim.run(2 * simTick)
+	sim.lossRate = 0
+	delete(first.unreachableBy, sim.owner)
+	sim.run(10 * time.Second)
+	if state := sim.state("j"); state != jobs.Completed {
+		t.Errorf("state %v, want completed", state)
+	}
+	if starts := sim.startCounts[task]; starts != 1 {
+		t.Errorf("%d starts, want 1", starts)
+	}
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
--- a/internal/cell/stragglers_test.go
+++ b/internal/cell/stragglers_test.go
@@ -41,6 +41,13 @@
 	sim.submit(id, spec)
 	sim.run(200 * time.Millisecond)
 	sim.slowRate = 0
+	for _, s := range sim.workers {
+		for task, r := range s.running {
+			if task.Job == id {
+				r.endsAt = r.startedAt + slowFactor*sim.taskRunTime
+			}
+		}
+	}
 	return jobs.TaskID{Job: id}
 }
 
@@ -143,26 +150,33 @@
 		Convey("it runs once while the other workers are needed by best-effort tasks", func() {
 			task := sim.startSlow("j", speculativeSpec(1))
 			sim.taskRunTime = time.Minute
-			spec := testSpec(32)
+			spec := testSpec(31) // with the task all processors are in use, and no task waits
 			spec.Steps[0].BestEffort = true
 			sim.submit("effort", spec)
 			sim.run(4 * time.Second)
+			So(sim.task(jobs.TaskID{Job: "effort", Index: 30}).runs, ShouldNotBeEmpty)
 			So(sim.startCounts[task], ShouldEqual, 1)
 		})
 		Convey("it runs once while a task waits that needs a whole worker", func() {
-			sim.taskRunTime = time.Minute
-			sim.submit("spread", testSpec(4))
+			spread := testSpec(8)
+			spread.Steps[0].LongRunning, spread.Steps[0].MaxPerWorker = true, 2
+			sim.submit("spread", spread)
 			sim.run(200 * time.Millisecond)
-			sim.taskRunTime = 800 * time.Millisecond
 			whole := testSpec(1)
 			whole.Steps[0].Request.MilliCPU = 4000
 			sim.submit("whole", whole)
 			task := sim.startSlow("j", speculativeSpec(1))
 			sim.run(4 * time.Second)
+			So(sim.task(jobs.TaskID{Job: "whole"}).runs, ShouldBeEmpty)
 			So(sim.startCounts[task], ShouldEqual, 1)
 		})
 		Convey("the number of copies of its job is limited", func() {
-			sim := newStragglerSimulation(59, 10)
+			sim := newStragglerSimulation(59, 24)
+			long := testSpec(150) // so many runs that the cell may have more copies
+			long.Steps[0].LongRunning = true
+			sim.submit("long", long)
+			sim.run(time.Second)
+			So(sim.owner.cell.maxCopies(), ShouldBeGreaterThan, maxJobCopies)
 			sim.startSlow("j", speculativeSpec(12))
 			// Run times of one job that are all long are normal, so that only the limit is left to test.
 			sim.owner.cell.jobs["j"].groups[jobs.GroupID{Job: "j"}].knownRunTimes().ended = slices.Repeat([]time.Duration{800 * time.Millisecond}, maxSiblings)
@@ -298,6 +312,9 @@
 			So(sim.workersRunning(task), ShouldBeEmpty)
 		})
 		Convey("a new owner stops the run that the former one had not stopped when it stored the success of the other", func() {
+			sim := newStragglerSimulation(61, 4)
+			task, first, second := sim.startCopied("j", speculativeSpec(1, 1))
+			sim.taskRunTime = time.Minute // of the second step, so that the job has not ended
 			first.unreachableBy[sim.owner] = true
 			second.finish(task)
 			sim.run(300 * time.Millisecond)
@@ -306,7 +323,8 @@
 			sim.takeOver()
 			sim.run(500 * time.Millisecond)
 			So(sim.workersRunning(task), ShouldBeEmpty)
-			So(sim.state("j"), ShouldEqual, jobs.Completed)
+			So(sim.state("j"), ShouldEqual, jobs.Running)
+			So(sim.violations, ShouldBeEmpty)
 		})
 		Convey("the success of a run that was abandoned counts, and the other run is stopped", func() {
 			first.unreachableBy[sim.owner] = true
