Test that new runs of stragglers pay

Copies and restarts cost starts. The test plays the same jobs with and without them and checks that more jobs are on time and that no more runs started anew than were slow.

--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -54,6 +54,7 @@
 	startCounts   map[jobs.TaskID]int
 	taskRunTime   time.Duration
 	slowRate      float64 // probability that a run takes slowFactor times as long
+	slowStarts    int     // number of such runs
 	delayRate     float64 // probability that an order is carried out late
 	lossRate      float64 // probability that an order or its answer is lost
 	failRate      float64
@@ -645,6 +646,7 @@
 	d := s.sim.taskRunTime/2 + time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))
 	if s.slow || s.sim.slowRate > 0 && s.sim.random.Float64() < s.sim.slowRate {
 		d *= slowFactor
+		s.sim.slowStarts++
 	}
 	return d
 }
--- a/internal/cell/stragglers_test.go
+++ b/internal/cell/stragglers_test.go
@@ -228,6 +228,56 @@
 	})
 }
 
+// Guards against copies and restarts that cost more than they gain: of the jobs on a cell with stragglers and a slow worker,
+// more must be on time, and no more runs started anew than were slow.
+func TestMoreJobsAreOnTimeWithNewRunsOfStragglers(t *testing.T) {
+	play := func(treated, speculative bool) (onTime int, sim *simulation) {
+		sim = newSimulation(71, 12)
+		sim.slowRate, sim.workers["w3"].slow = 1.0/30, true
+		sim.takeOver()
+		sim.run(500 * time.Millisecond)
+		begun := make(map[jobs.ID]time.Duration)
+		for step := range 8000 {
+			if step%40 == 0 && step < 6000 {
+				id := jobs.ID(fmt.Sprint("j", step))
+				spec := testSpec(5, 5)
+				for i := range spec.Steps {
+					spec.Steps[i].Speculative = speculative
+				}
+				begun[id] = sim.now
+				sim.submit(id, spec)
+			}
+			if !treated {
+				sim.owner.cell.stragglers.checkedAt = sim.now + time.Hour
+			}
+			sim.run(simTick)
+			for id, at := range begun {
+				if sim.state(id) == jobs.Completed {
+					delete(begun, id)
+					if sim.now-at <= sim.owner.cell.jobs[id].objective {
+						onTime++
+					}
+				}
+			}
+		}
+		return onTime, sim
+	}
+	Convey("Given jobs of two steps on a cell with stragglers and a slow worker", t, func() {
+		untreated, _ := play(false, true)
+		for _, speculative := range []bool{true, false} {
+			onTime, sim := play(true, speculative)
+			So(onTime, ShouldBeGreaterThan, untreated)
+			starts := 0
+			for _, count := range sim.startCounts {
+				starts += count
+			}
+			So(starts-len(sim.startCounts), ShouldBeBetween, 0, sim.slowStarts)
+			So(sim.violations, ShouldBeEmpty)
+			t.Logf("speculative %v: %d on time instead of %d, %d starts of %d tasks, %d slow", speculative, onTime, untreated, starts, len(sim.startCounts), sim.slowStarts)
+		}
+	})
+}
+
 // Guards against faults while a task has two runs: a task that is lost, done twice, or started too often.
 func TestFailuresWithTwoRuns(t *testing.T) {
 	Convey("Given a task with a copy", t, func() {
