--- a/internal/cell/stragglers.go
+++ b/internal/cell/stragglers.go
@@ -323,9 +323,9 @@
 	forecast straggler.Case
 }
 
-// treatStragglers judges the runs that reports have listed since the last search. Where one takes much longer than normal, it starts a copy of the task or has the
-// run stopped, so that the task starts again, if capacity is free that no waiting work could use. An owner that is short of
-// processor time does neither.
+// treatStragglers judges the runs that reports have listed since the last search. Where one takes much longer than normal, it
+// starts a copy of the task or has the run stopped, so that the task starts again, if capacity is free that no waiting work
+// could use. An owner that is short of processor time does neither.
 func (c *Cell) treatStragglers() {
 	s := &c.stragglers
 	if c.now-s.checkedAt < stragglerInterval {
