--- a/internal/cell/place_delay.go
+++ b/internal/cell/place_delay.go
@@ -415,9 +415,9 @@
 	return 1
 }
 
-// learnRunTime learns from the run time of a task that succeeded. Only first runs that this owner has seen from their start,
+// learnRackRunTime learns from the run time of a task that succeeded. Only first runs that this owner has seen from their start,
 // at full speed, are used.
-func (c *Cell) learnRunTime(r *run, ran time.Duration) {
+func (c *Cell) learnRackRunTime(r *run, ran time.Duration) {
 	g := r.task.group
 	if c.settings.RemoteRackFactor > 1 && !g.step.LongRunning && r.number == 1 && r.pace == fullPace && g.readyAt > c.loadedAt {
 		c.rackDelay.runTimes.Observe(g.runKind(), g.step.Estimate, time.Duration(float64(ran)/c.runFactor(r)))
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -165,11 +165,9 @@
 	}
 	r.progressPercent, r.tailLatency, r.milliCPU = running.Percent, running.TailLatency, running.MilliCPU
 	c.trustProbedWorker(r)
-	if running.Checkpoint != "" && running.Checkpoint != r.task.checkpoint {
-		// The checkpoint is stored with the next change of the group. Until then a new owner learns it from the
-		// worker's report.
-		r.task.checkpoint = running.Checkpoint
-	}
+	c.observeProgress(r)
+	// The checkpoint is stored with the next change of the group. Until then a new owner learns it from the worker's report.
+	r.adoptCheckpoint(running.Checkpoint)
 }
 
 // probeSuccessTime is how long a long-running probe run must have been running before its worker is trusted again.
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -39,13 +39,12 @@
 	ran := r.runTime(c.now)
 	c.log.Info("run ended", taskField(t.id), zap.Int("run", e.Number), zap.String("worker", w.info.ID),
 		zap.Stringer("how", e.Reason), zap.Duration("ran", ran), zap.Int64("end", e.Sequence))
-	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-	}
+	r.adoptCheckpoint(e.Checkpoint)
 	c.removeRun(r)
 	switch e.Reason {
 	case workercall.Done:
 		c.taskSucceeded(r, ran)
+		w.holdEnd(e.Sequence, t)
 	case workercall.Failed:
 		c.taskFailed(w, r)
 	default: // stopped, or ended because the lease had expired
@@ -76,12 +75,12 @@
 	g := t.group
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
-	stopsNewRun := len(t.runs) > 0 && !g.step.LongRunning && !t.done && !t.elsewhere
-	if e.Reason == workercall.Done && (t.needsRun() || stopsNewRun) && e.Number <= t.lastRunNumber && !g.step.Gang {
+	if e.Reason == workercall.Done && c.unknownRunSucceeded(t, e.Number) {
+		w.holdEnd(e.Sequence, t)
+		return
+	}
+	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang {
 		c.markDone(t)
-		for _, r := range append([]*run(nil), t.runs...) {
-			c.stopRun(r, stopRedundantRun)
-		}
 		c.advanceStep(g)
 	}
 }
@@ -94,6 +93,7 @@
 	c.logRunTime(g, r, ran)
 	c.noteEnd(g, ran)
 	c.learnRunTime(r, ran)
+	c.learnRackRunTime(r, ran)
 	if g.step.LongRunning {
 		r.task.waitingSince = c.now
 		return // the next call of Plan tries to place the task again
@@ -103,11 +103,9 @@
 			c.markDone(t)
 		}
 	} else {
+		c.countCopyResult(r)
 		c.markDone(r.task)
-		// The other runs of the task are not needed any more.
-		for _, copy := range append([]*run(nil), r.task.runs...) {
-			c.stopRun(copy, stopRedundantRun)
-		}
+		c.stopRedundantRuns(r.task)
 	}
 	c.advanceStep(g)
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,8 @@
 	maxLease = 6 * time.Second
 	// startUnixMS is the wall time at virtual time 0, in Unix milliseconds.
 	startUnixMS = 1_700_000_000_000
+	// slowFactor is how many times as long slow runs take.
+	slowFactor = 7
 )
 
 // simulation runs a store, workers and owners in virtual time. It records which tasks the workers really ran and, in
@@ -51,6 +54,8 @@
 	ackedFailures map[jobs.TaskID]int  // number of failed ends that an owner has acknowledged
 	startCounts   map[jobs.TaskID]int
 	taskRunTime   time.Duration
+	slowRate      float64 // probability that a run takes slowFactor times as long
+	slowStarts    int     // number of such runs
 	delayRate     float64 // probability that an order is carried out late
 	lossRate      float64 // probability that an order or its answer is lost
 	failRate      float64
@@ -120,6 +125,7 @@
 	up            bool                // always set
 	failsTasks    bool                // fails every task except long-running ones
 	unreachableBy map[*simOwner]bool
+	slow          bool // runs that start take slowFactor times as long
 }
 
 type simRun struct {
@@ -127,6 +133,7 @@
 	startedAt time.Duration
 	endsAt    time.Duration
 	step      jobs.Step
+	from      int // progress at the start, in percent, as the checkpoint of the order says
 }
 
 // simOwner is a process that owns the cell.
@@ -597,7 +604,7 @@
 	}
 	for task, r := range s.running {
 		report.Running = append(report.Running, workercall.RunStatus{
-			Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r),
+			Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r), Checkpoint: s.checkpoint(r),
 		})
 	}
 	return report, nil
@@ -611,7 +618,15 @@
 	if r.endsAt <= r.startedAt {
 		return servingPercent
 	}
-	return int(servingPercent * min(s.sim.now-r.startedAt, r.endsAt-r.startedAt) / (r.endsAt - r.startedAt))
+	return r.from + int(time.Duration(servingPercent-r.from)*min(s.sim.now-r.startedAt, r.endsAt-r.startedAt)/(r.endsAt-r.startedAt))
+}
+
+// checkpoint returns the newest checkpoint of a run, which is its progress in tens of percent.
+func (s *simWorker) checkpoint(r *simRun) string {
+	if percent := s.percent(r) / 10 * 10; r.step.Checkpoints && percent > 0 && percent < servingPercent {
+		return strconv.Itoa(percent)
+	}
+	return ""
 }
 
 func (s *simWorker) start(order workercall.Start) (workercall.Reply, error) {
@@ -640,14 +655,26 @@
 		return answer, s.refuse(workercall.ReasonNoCapacity)
 	}
 	s.sim.checkStart(s, order.Task)
-	runTime := s.sim.taskRunTime/2 + time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))
+	from, _ := strconv.Atoi(order.Checkpoint)
+	runTime := s.runTime()
 	if s.sim.remoteSlowdown > 0 && step.DataRack != "" && step.DataRack != s.info.Rack {
 		runTime = time.Duration(float64(runTime) * s.sim.remoteSlowdown)
 	}
-	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, endsAt: s.sim.now + runTime}
+	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, from: from,
+		endsAt: s.sim.now + runTime*time.Duration(servingPercent-from)/servingPercent}
 	return answer, nil
 }
 
+// runTime returns how long a run that starts now takes.
+func (s *simWorker) runTime() time.Duration {
+	d := s.sim.taskRunTime/2 + time.Duration(s.sim.random.Int64N(int64(s.sim.taskRunTime)))
+	if s.slow || s.sim.slowRate > 0 && s.sim.random.Float64() < s.sim.slowRate {
+		d *= slowFactor
+		s.sim.slowStarts++
+	}
+	return d
+}
+
 func (s *simWorker) stop(run workercall.Run, token int64) error {
 	if err := s.fence(token); err != nil {
 		return err
@@ -664,7 +691,7 @@
 	delete(s.running, task)
 	s.endCount++
 	s.closedRuns[task] = max(s.closedRuns[task], r.number)
-	s.ended = append(s.ended, workercall.EndedRun{Sequence: s.endCount, Run: workercall.Run{Task: task, Number: r.number}, Reason: how})
+	s.ended = append(s.ended, workercall.EndedRun{Sequence: s.endCount, Run: workercall.Run{Task: task, Number: r.number}, Reason: how, Checkpoint: s.checkpoint(r)})
 	if how == workercall.Done {
 		s.sim.done[task] = true
 	}
@@ -701,13 +728,19 @@
 	return tasks
 }
 
-// checkStart records a start and checks that it violates no rule: the task must not run elsewhere, be done, require a label
-// that the worker lacks, lack a dependency or have failed too often.
+// checkStart records a start and checks that it violates no rule: the task must not run elsewhere, except for one copy if its
+// step permits copies, be done, require a label that the worker lacks, lack a dependency or have failed too often.
 func (sim *simulation) checkStart(s *simWorker, task jobs.TaskID) {
 	sim.startCounts[task]++
+	allowed := 1
+	if sim.specs[task.Job].Steps[task.Step].Speculative {
+		allowed = 2
+	}
 	for _, other := range sim.sortedWorkers() {
 		if other != s && other.up && other.running[task] != nil {
-			sim.violation("task %v started on %s while it runs on %s", task, s.info.ID, other.info.ID)
+			if allowed--; allowed < 1 {
+				sim.violation("task %v started on %s while it runs on %s", task, s.info.ID, other.info.ID)
+			}
 		}
 	}
 	if sim.ackedDone[task] {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -11,6 +11,7 @@
 	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/straggler"
 	"cactuswall.example/cactuswall/internal/urgency"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
@@ -66,6 +67,18 @@
 	slowSince time.Duration
 	// overTargetSince is since when a service run has been over its latency target; 0 while it is not.
 	overTargetSince time.Duration
+	// progress measures the speed of the run, from the first report on; toJudge is set while the run is in stragglers.toJudge.
+	progress straggler.Progress
+	observed bool
+	// normalUpTo is the longest normal run time of the task, as of the first report; 0 if it was not known.
+	normalUpTo time.Duration
+	toJudge    bool
+	// ownResources is the result of hasOwnResources for the task's step.
+	ownResources bool
+	slow         bool // was seen to be slow, which counts once for the speed of its worker
+	// copied is set if the run was started while another run of the task was in progress.
+	copied         bool
+	fromCheckpoint bool // its start order named a checkpoint
 }
 
 // stopReason is why a run is stopped. Its values are written to metrics and to the log.
@@ -80,6 +93,7 @@
 	stopWorkerDraining stopReason = "worker_leaves"   // relocated from a draining worker
 	stopJobFailed      stopReason = "job_failed"      // a task of the job has used all its attempts
 	stopEvacuated      stopReason = "evacuated"       // placed in a failure domain that is evacuated, and not started
+	stopStraggler      stopReason = "straggler"       // restarted elsewhere because it took much longer than normal
 )
 
 // task is the state of one task of a group.
@@ -97,12 +111,18 @@
 	waitingSince time.Duration
 	// elsewhere is set while the task belongs to another cell, and settledRound is the number of the first round that stores
 	// that its last run, which was removed, is gone.
-	elsewhere    bool
-	settledRound int
-	avoidWorker  string // ID of the worker on which the task last failed, or from which it was relocated
+	elsewhere bool
+	// copies and restarts count how often the task was copied and restarted as a straggler.
+	copies, restarts uint8
+	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
+	checkpointPercent int8
+	settledRound      int
+	avoidWorker       string // ID of the worker on which the task last failed, or from which it was relocated
 	// rackWait is the task's wait for its rack; nil if none was decided on.
 	rackWait    *rackWait
 	relocations int // how often the task was relocated because it was slow; not counted for long-running tasks
+	// restart is the last restart as a straggler whose result is not known; nil for none.
+	restart *restartForecast
 }
 
 // needsRun reports whether the task has to be placed on a worker.
@@ -144,6 +164,8 @@
 	keepsFree bool
 	// drain measures the group's kind; nil until it is needed, see Cell.drainMeter.
 	drain *drain.KindMeter
+	// runTimes is nil until the run times of the group's tasks are needed.
+	runTimes *groupRunTimes
 }
 
 // job is the state of one accepted job.
@@ -232,6 +254,9 @@
 	// refusingUntil is until when no tasks are placed on the worker after a start order was refused or did not reach
 	// it.
 	refusingUntil time.Duration
+	// slowUntil is until when tasks take longer on the worker than on others: because it has just started, as coldUntil says,
+	// or because of its speed.
+	slowUntil time.Duration
 	// pacingPending is set when a report has brought measurements that paceWorker has not used yet.
 	pacingPending bool
 	// unknownRuns are runs that the worker reports but that this owner does not know; they are to be stopped.
@@ -243,6 +268,11 @@
 	cordoned bool
 	// settledRound is the number of the first round that stores that the last run which was removed is gone.
 	settledRound int
+	// speed is learned from the run times on the worker; coldUntil is until when it is slow because it has just started.
+	speed     straggler.Speed
+	coldUntil time.Duration
+	// heldEnds are ends that must not be acknowledged yet.
+	heldEnds []heldEnd
 }
 
 func (w *worker) target() workercall.Target {
