Package httpintake: limits on the connections and bodies of an HTTP server

Cause: the decisions of package intake need a place in net/http. A Listener bounds connections and the time of a write, and knows which connections wait for their callers; a Gate makes each body wait for memory before any of it is read, and interrupts those that stall by their read deadline.

Result: bodies arrive whole in every form; stalled ones give way; a shutdown does not wait for them. Not used yet.

--- /dev/null
+++ b/internal/httpintake/gate.go
@@ -0,0 +1,309 @@
+package httpintake
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/intake"
+	"cactuswall.example/cactuswall/internal/verdict"
+)
+
+// Reasons for which a body is not read. All have the verdict NotRun, and their response is a 503.
+const (
+	ReasonTooManyWaiting = verdict.Reason("bodies_waiting_full")
+	ReasonWaitedTooLong  = verdict.Reason("body_waited_too_long")
+	ReasonStalled        = verdict.Reason("body_stalled")
+	ReasonStopping       = verdict.Reason("bodies_stopped")
+)
+
+var reasons = map[intake.Refusal]verdict.Reason{
+	intake.TooManyWaiting: ReasonTooManyWaiting, intake.WaitedTooLong: ReasonWaitedTooLong, intake.MadeNoProgress: ReasonStalled, intake.Stopped: ReasonStopping,
+}
+
+// RefusedError is the error of a body that is not read for want of memory.
+type RefusedError struct{ Reason verdict.Reason }
+
+// Error implements error.
+func (e *RefusedError) Error() string { return "the body was not read: " + string(e.Reason) }
+
+// ErrTooLarge is the error of a body above its limit.
+var ErrTooLarge = errors.New("the body exceeds its limit")
+
+const (
+	// RequestBytes is what each request with a body is charged in addition to its body: buffers, headers and stacks.
+	RequestBytes = 4 << 10
+	// readBytes is the size of the reads of a body, and of the first buffer for a body without a length.
+	readBytes = 16 << 10
+	// minSettleDelay is the shortest time between two decisions that nothing but time has caused.
+	minSettleDelay = 10 * time.Millisecond
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Gate bounds the memory that the bodies of requests use.
+type Gate struct {
+	mu      sync.Mutex
+	budget  *intake.Budget
+	waiters map[*intake.Request]chan struct{}
+	timer   *time.Timer // nil while no decision depends on time
+	timerAt time.Duration
+}
+
+// NewGate returns a Gate.
+func NewGate(limits intake.BudgetLimits) *Gate {
+	return &Gate{budget: intake.NewBudget(limits), waiters: make(map[*intake.Request]chan struct{})}
+}
+
+// Usage is what requests use of a Gate.
+type Usage struct {
+	Bytes, Limit int64
+	Waiting      int
+}
+
+// Usage returns the current usage.
+func (g *Gate) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Usage{Bytes: g.budget.Used(), Limit: g.budget.Limit(), Waiting: g.budget.WaitingCount()}
+}
+
+// Stop has bodies that would have to wait refused, and those that stall interrupted.
+func (g *Gate) Stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Stop()
+	g.settle()
+}
+
+// Hold is the memory that a request uses. The zero value is none.
+type Hold struct {
+	gate    *Gate
+	request *intake.Request
+}
+
+// Release ends the use.
+func (h Hold) Release() {
+	if h.gate == nil {
+		return
+	}
+	h.gate.mu.Lock()
+	defer h.gate.mu.Unlock()
+	h.gate.budget.Release(h.request)
+	delete(h.gate.waiters, h.request)
+	h.gate.settle()
+}
+
+// Shrink reduces the use to a number of bytes in addition to RequestBytes, if that is less.
+func (h Hold) Shrink(size int) {
+	if h.gate == nil {
+		return
+	}
+	h.gate.mu.Lock()
+	defer h.gate.mu.Unlock()
+	h.gate.budget.Shrink(h.request, int64(size)+RequestBytes)
+	h.gate.settle()
+}
+
+// ReadBody reads the body of a request of at most limit bytes. It waits until there is memory for the body before it reads any
+// of it. The error is ErrTooLarge, a RefusedError, or that of reading; the rest of the body is not read then, and the response
+// must say that the connection will be closed. The Hold must be released in any case, once the body is not used any more.
+func (g *Gate) ReadBody(r *http.Request, limit int64) ([]byte, Hold, error) {
+	c := connOf(r)
+	body, hold, err := g.readBody(r, c, limit)
+	if err != nil && c != nil {
+		// Otherwise net/http would go on reading the body, to use the connection again.
+		_ = c.SetReadDeadline(past) // it fails if the connection is closed
+	}
+	return body, hold, err
+}
+
+func (g *Gate) readBody(r *http.Request, c *conn, limit int64) ([]byte, Hold, error) {
+	switch {
+	case r.ContentLength == 0:
+		return nil, Hold{}, nil
+	case r.ContentLength > limit:
+		return nil, Hold{}, ErrTooLarge
+	}
+	charged := limit // a body without a length may have any
+	if r.ContentLength > 0 {
+		charged = r.ContentLength
+	}
+	hold, err := g.acquire(r, c, charged+RequestBytes)
+	if err != nil {
+		return nil, hold, err
+	}
+	if c != nil {
+		c.awaitCaller()
+	}
+	body, err := hold.read(r, c, limit)
+	if c != nil && err == nil {
+		c.serve()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case hold.request.State() == intake.Interrupted:
+		return nil, hold, &RefusedError{Reason: reasons[hold.request.Refusal()]}
+	case err != nil:
+		return nil, hold, err
+	}
+	g.budget.Complete(hold.request, int64(len(body))+RequestBytes)
+	if r.ContentLength < 0 {
+		g.settle() // the whole limit was charged
+	}
+	return body, hold, nil
+}
+
+// read reads the body, and notes progress.
+func (h Hold) read(r *http.Request, c *conn, limit int64) ([]byte, error) {
+	size := int64(readBytes)
+	if r.ContentLength > 0 {
+		size = r.ContentLength
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) {
+			switch {
+			case r.ContentLength > 0:
+				return body, nil
+			case int64(len(body)) > limit:
+				return nil, ErrTooLarge
+			}
+			// One byte more than the limit tells a body of the limit from a larger one.
+			body = append(make([]byte, 0, min(2*int64(cap(body)), limit+1)), body...)
+		}
+		n, err := r.Body.Read(body[len(body):min(cap(body), len(body)+readBytes)])
+		body = body[:len(body)+n]
+		if len(body) < cap(body) || r.ContentLength < 0 {
+			h.progress(c, n)
+		}
+		switch {
+		case err == io.EOF && int64(len(body)) < r.ContentLength:
+			return nil, io.ErrUnexpectedEOF
+		case err == io.EOF && int64(len(body)) > limit:
+			return nil, ErrTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// progress notes that n bytes more were read.
+func (h Hold) progress(c *conn, n int) {
+	h.gate.mu.Lock()
+	marked := h.gate.budget.Progress(h.request, now(), int64(n))
+	h.gate.mu.Unlock()
+	if marked && c != nil {
+		c.awaitCaller()
+	}
+}
+
+// acquire waits until there is memory for a request.
+func (g *Gate) acquire(r *http.Request, c *conn, size int64) (Hold, error) {
+	caller := ""
+	if c != nil {
+		caller = c.caller
+	} else if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		caller = host
+	}
+	g.mu.Lock()
+	hold := Hold{gate: g, request: g.budget.Arrive(now(), caller, size)}
+	hold.request.User = c
+	if hold.request.State() != intake.Waiting {
+		g.settle() // once the gate is stopped, the body may stall without others that wait
+		err := hold.refusal()
+		g.mu.Unlock()
+		return hold, err
+	}
+	if c != nil {
+		c.serve() // it is not the caller that makes no progress
+	}
+	decided := make(chan struct{})
+	g.waiters[hold.request] = decided
+	g.settle()
+	g.mu.Unlock()
+	<-decided // at the latest after BudgetLimits.MaxWait
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return hold, hold.refusal()
+}
+
+// refusal returns the error of a request that was refused. The caller holds mu.
+func (h Hold) refusal() error {
+	if h.request.State() == intake.Refused {
+		return &RefusedError{Reason: reasons[h.request.Refusal()]}
+	}
+	return nil
+}
+
+// settle has the budget decide, carries the decisions out and sets the timer for the next one. The caller holds mu.
+func (g *Gate) settle() {
+	if _, needed := g.budget.Due(); !needed {
+		return // no request waits
+	}
+	changes := g.budget.Settle(now())
+	for _, requests := range [][]*intake.Request{changes.Granted, changes.Refused} {
+		for _, request := range requests {
+			close(g.waiters[request])
+			delete(g.waiters, request)
+		}
+	}
+	for _, request := range changes.Interrupted {
+		if c, _ := request.User.(*conn); c != nil {
+			_ = c.SetReadDeadline(past) // it fails if the connection is closed
+		}
+	}
+	due, needed := g.budget.Due()
+	if !needed {
+		return
+	}
+	delay := max(due-now(), minSettleDelay)
+	at := now() + delay
+	if g.timer != nil {
+		if g.timerAt <= at {
+			return
+		}
+		g.timer.Stop() // if it has fired, its call finds nothing to do
+	}
+	g.timerAt = at
+	g.timer = time.AfterFunc(delay, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.timer = nil
+		g.settle()
+	})
+}
+
+// Limit returns a handler that reads the bodies of requests through the gate before it calls next. refused is called with the
+// reason of each refusal.
+func (g *Gate) Limit(next http.Handler, limit int64, refused func(verdict.Reason)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, hold, err := g.ReadBody(r, limit)
+		defer hold.Release()
+		if err == nil {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			next.ServeHTTP(w, r)
+			return
+		}
+		status := http.StatusBadRequest
+		var refusal *RefusedError
+		switch {
+		case errors.As(err, &refusal):
+			refused(refusal.Reason)
+			w.Header().Set("Retry-After", "1")
+			status = http.StatusServiceUnavailable
+		case errors.Is(err, ErrTooLarge):
+			status = http.StatusRequestEntityTooLarge
+		}
+		w.Header().Set("Connection", "close")
+		http.Error(w, err.Error(), status)
+	})
+}
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -80,8 +80,8 @@
 
 // Request is a request that holds part of a Budget or waits for it.
 type Request struct {
-	// Interrupt is for the user of the package; it is called by nothing here.
-	Interrupt func()
+	// User is for the user of the package.
+	User any
 
 	caller     string
 	class      class
@@ -179,15 +179,16 @@
 	return r
 }
 
-// Progress notes that more of a request's body was read.
-func (b *Budget) Progress(r *Request, now time.Duration, bytes int64) {
+// Progress notes that more of a request's body was read. It reports whether that counts as progress.
+func (b *Budget) Progress(r *Request, now time.Duration, bytes int64) bool {
 	r.unmarked += bytes
 	if r.state != Reading || r.unmarked < b.limits.ProgressBytes {
-		return
+		return false
 	}
 	r.unmarked, r.progressAt = 0, now
 	r.links.remove()
 	b.reading.pushBack(r)
+	return true
 }
 
 // Complete notes that the body of a request was read. The request holds the given size from now on, if it is smaller, and is
