--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/httpintake"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/queue"
@@ -76,6 +76,7 @@
 	body       []byte         // nil: an empty JSON object
 	reason     verdict.Reason // empty: success without a particular reason, logged as "ok"
 	retryAfter time.Duration  // 0: no Retry-After header
+	close      bool           // the connection is closed after the response
 }
 
 // ServeHTTP answers a caller's request, and logs and counts the response.
@@ -83,7 +84,7 @@
 	start := time.Now()
 	config := g.node.config.Get()
 	resp, job := g.handle(r, config)
-	if g.node.stopping.Load() {
+	if g.node.stopping.Load() || resp.close {
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -192,15 +193,13 @@
 		limit = defaultMaxBodyBytes
 	}
 	received := time.Now().UnixMilli()
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return errorResponse(http.StatusRequestEntityTooLarge, reasonTooLarge)
-	}
+	body, hold, err := g.node.intake.callers.ReadBody(r, limit)
+	defer hold.Release()
 	if err != nil {
-		return errorResponse(http.StatusBadRequest, reasonBadRequest)
+		return g.bodyError(err)
 	}
-	spec, err := g.node.platform.CallerCodec.DecodeJob(body)
+	bodyBytes := len(body)
+	spec, err := g.decodeJob(body)
 	if err != nil {
 		g.node.log.Info("failed to decode job", zap.String("job", string(id)), zap.Error(err))
 		return errorResponse(http.StatusBadRequest, reasonBadRequest)
@@ -215,6 +214,9 @@
 	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
 		return errorResponse(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
+	if bodyBytes > smallBodyBytes {
+		hold.Shrink(len(value)) // the body is not used any more
+	}
 	cell := g.node.chooseCell(spec)
 	err = g.storeOrForward(ctx, cell, store.Record{Key: jobrecord.JobKey(id, g.node.nextWriter(), cell), Value: value})
 	if err == nil {
@@ -223,6 +225,29 @@
 	return g.storeResponse(err)
 }
 
+// bodyError returns the response to a request whose body was not read. The connection is closed after it.
+func (g gateway) bodyError(err error) response {
+	var refusal *httpintake.RefusedError
+	switch {
+	case errors.As(err, &refusal):
+		g.node.intake.refused("callers")(refusal.Reason)
+		return response{status: http.StatusServiceUnavailable, reason: refusal.Reason, retryAfter: minRetryAfter, close: true}
+	case errors.Is(err, httpintake.ErrTooLarge):
+		return response{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, close: true}
+	}
+	return response{status: http.StatusBadRequest, reason: reasonBadRequest, close: true}
+}
+
+// decodeJob decodes a job. A job may use many times the size of its body while it is decoded, so only maxDecodedJobs large ones are
+// decoded at a time.
+func (g gateway) decodeJob(body []byte) (*jobs.Spec, error) {
+	if len(body) > smallBodyBytes {
+		g.node.intake.decoding <- struct{}{}
+		defer func() { <-g.node.intake.decoding }()
+	}
+	return g.node.platform.CallerCodec.DecodeJob(body)
+}
+
 // cancel stores the cancellation of a job. If the owner answers that the job is unknown, nothing is stored and the
 // response has status 410. If no owner answers, the cancellation is stored.
 func (g gateway) cancel(ctx context.Context, id jobs.ID) response {
--- /dev/null
+++ b/internal/cellnode/limits_test.go
@@ -0,0 +1,102 @@
+package cellnode
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/httpintake"
+)
+
+// Ordinary load must never meet a limit: hundreds of callers with kept connections, most of them behind one address, and bodies
+// of up to 262,144 bytes, also on the smallest VM.
+func TestLimitsAreAboveOrdinaryLoad(t *testing.T) {
+	Convey("limits by VM", t, func() {
+		for _, megabytes := range []int64{160, 184, 284, 536} {
+			l := Limits{MemoryBytes: megabytes << 20, MaxDescriptors: 4096}
+			So(l.callerConnections()*3/4, ShouldBeGreaterThanOrEqualTo, 900)
+			So(l.callerConnections()+l.peerConnections()+readyConnections+metricsConnections, ShouldBeLessThan, 4096*3/4)
+			So(int64(l.callerConnections()*connectionBytes), ShouldBeLessThanOrEqualTo, l.memory()/8)
+			bodies := budget(l.memory()/callerMemoryDivisor, 1)
+			So(bodies.Bytes/4*3/4, ShouldBeGreaterThan, 500*(1000+httpintake.RequestBytes))                      // 500 small jobs at a time
+			So(bodies.Bytes*3/4*3/4, ShouldBeGreaterThan, 30*(defaultMaxBodyBytes+httpintake.RequestBytes))      // 30 of the largest
+			So(bodies.Bytes*3/4/8, ShouldBeGreaterThan, defaultMaxBodyBytes)                                     // no body is alone
+			So(l.memory()/peerMemoryDivisor*3/4, ShouldBeGreaterThan, 4*(defaultMaxBodyBytes+peerMessageMargin)) // messages with records
+		}
+	})
+	Convey("without settings there are limits as well", t, func() {
+		So(Limits{}.callerConnections(), ShouldEqual, 1536)
+		So(Limits{CallerConnections: 100}.callerConnections(), ShouldEqual, 100)
+	})
+}
+
+// Readiness checks must be answered while callers hold all connections that they may.
+func TestReadinessIsServedWhileCallersHoldConnections(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	n := d.nodes[0].node
+	head := "POST /q/" + testIDPrefix + "01 HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"
+	for _, address := range []string{n.settings.CallerAddress, n.settings.ReadyAddress} {
+		for range 200 {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = c.Write([]byte(head)) // it may be closed
+		}
+	}
+	time.Sleep(2 * stallTime)
+	resp, err := http.Get("http://" + n.settings.ReadyAddress + "/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// A body that is refused must be answered with 503 and a Retry-After, and its job must never run; one above the limit gets 413.
+func TestRefusedBodies(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	n := d.nodes[0].node
+	send := func(id string, length int, body string) string {
+		c, err := net.Dial("tcp", n.settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, err = fmt.Fprintf(c, "POST /q/%s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", id, length, body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		answer, _ := io.ReadAll(c) // until the node closes the connection
+		head, _, _ := strings.Cut(string(answer), "\r\n\r\n")
+		return head
+	}
+	head := send(testIDPrefix+"21", 1<<30, "x")
+	if !strings.HasPrefix(head, "HTTP/1.1 413") || !strings.Contains(head, "Connection: close") {
+		t.Errorf("a body above the limit: %q", head)
+	}
+	n.intake.callers.Stop()
+	head = send(testIDPrefix+"22", 60, "spec")
+	if !strings.HasPrefix(head, "HTTP/1.1 503") || !strings.Contains(head, "Retry-After: 1") || !strings.Contains(head, "Connection: close") {
+		t.Errorf("a body that stalled while the node stopped: %q", head)
+	}
+	d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+testIDPrefix+"22", "", http.StatusGone, "")
+	var text bytes.Buffer
+	n.metrics.WritePrometheus(&text)
+	if !strings.Contains(text.String(), `cactuswall_intake_refused_total{listener="callers",reason="bodies_stopped"} 1`) {
+		t.Errorf("the refusal was not counted: %s", text.String())
+	}
+}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -79,6 +79,7 @@
 	// StopGracePeriod is the time between the platform's request to stop and its killing of the process.
 	StopGracePeriod time.Duration
 	Cell            cell.Settings
+	Limits          Limits
 }
 
 // Platform holds the interfaces to everything outside the node.
@@ -105,6 +106,7 @@
 	jobsAppender *appender.Appender
 	acceptedJobs *acceptedJobs
 	peers        *peers
+	intake       *intakeLimits
 	// stopping is set once the process has been asked to stop.
 	stopping atomic.Bool
 	// lastStoreSuccess is when the store last served a call, in nanoseconds on the clock of package boottime.
@@ -140,6 +142,7 @@
 		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
 		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), memberships: make(map[int]*membership),
 	}
+	n.intake = newIntakeLimits(s.Limits, set, n.log)
 	n.cells = newCellTable(n)
 	n.ownerMetrics = newOwnerMetrics(set, n.owners)
 	n.cellSettings.Store(&s.Cell)
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/httpintake"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/store"
@@ -25,6 +26,9 @@
 	peerIdleTimeout = 10 * time.Second
 	// maxIdlePeerConnections is the maximum number of idle connections kept to each node.
 	maxIdlePeerConnections = 4
+	// maxPeerResponseBytes limits the body of another node's response. The largest are the loads with what was learned of
+	// interference.
+	maxPeerResponseBytes = 4 << 20
 	// pendingCacheTTL is how long a count of pending jobs is reused. It is below 2 s, the maximum permitted age of a
 	// count that is returned to a caller.
 	pendingCacheTTL = time.Second
@@ -57,7 +61,7 @@
 		IdleConnTimeout:     peerIdleTimeout,
 		DisableCompression:  true,
 	}
-	return &peers{client: &http.Client{Transport: transport}, pending: make(map[pendingKey]pendingCount)}
+	return &peers{client: &http.Client{Transport: httpintake.LimitResponses(transport, maxPeerResponseBytes)}, pending: make(map[pendingKey]pendingCount)}
 }
 
 func (p *peers) ownerClient(address string) cellrpc.Cell {
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -62,32 +62,31 @@
 // listen opens the listeners of all servers. The server for callers is the first in the list.
 func (n *Node) listen() ([]*server, error) {
 	var servers []*server
-	add := func(name, address string, handler http.Handler) error {
-		if address == "" {
-			return nil
-		}
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return trace.Wrap(err, "failed to listen on the %s address", name)
-		}
-		servers = append(servers, &server{name: name, listener: listener, http: &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(n.log),
-		}})
-		return nil
-	}
+	limits := n.settings.Limits
 	for _, s := range []struct {
-		name, address string
-		handler       http.Handler
+		name, address            string
+		connections, bufferBytes int
+		handler                  http.Handler
 	}{
-		{"callers", n.settings.CallerAddress, gateway{n}},
-		{"ready", n.settings.ReadyAddress, http.HandlerFunc(n.serveReady)},
-		{"peers", n.settings.PeerAddress, cellrpc.NewCellServer(cellServer{n})},
-		{"metrics", n.settings.MetricsAddress, http.HandlerFunc(n.serveMetrics)},
+		{"callers", n.settings.CallerAddress, limits.callerConnections(), callerBufferBytes, gateway{n}},
+		{"ready", n.settings.ReadyAddress, readyConnections, callerBufferBytes, http.HandlerFunc(n.serveReady)},
+		{"peers", n.settings.PeerAddress, limits.peerConnections(), peerBufferBytes,
+			n.intake.limitPeers(cellrpc.NewCellServer(cellServer{n}), n.settings.MaxRecordBytes)},
+		{"metrics", n.settings.MetricsAddress, metricsConnections, callerBufferBytes, http.HandlerFunc(n.serveMetrics)},
 	} {
-		if err := add(s.name, s.address, s.handler); err != nil {
-			return nil, err
+		if s.address == "" {
+			continue
+		}
+		listener, err := n.intake.listen(s.name, s.address, s.connections, s.bufferBytes)
+		if err != nil {
+			return nil, trace.Wrap(err, "failed to listen on the %s address", s.name)
 		}
+		added := &server{name: s.name, listener: listener, http: &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(n.log),
+		}}
+		listener.Configure(added.http)
+		servers = append(servers, added)
 	}
 	return servers, nil
 }
@@ -135,6 +134,7 @@
 	awaitRunning(workCtx)
 	shutdownCtx, cancel := context.WithTimeout(workCtx, n.settings.StopGracePeriod-exitMargin-(boottime.Now()-stopRequested))
 	defer cancel()
+	go n.intake.closeStalledUntil(shutdownCtx.Done(), servers[0].listener)
 	err := servers[0].http.Shutdown(shutdownCtx)
 	n.log.Info("caller server shut down", zap.Duration("took", boottime.Now()-stopRequested), zap.Error(err))
 	return nil
--- a/internal/daemoncmd/platform.go
+++ b/internal/daemoncmd/platform.go
@@ -154,6 +154,10 @@
 		MetricsAddress: metricsAddress(s.IP, metricsPort),
 		MaxRecordBytes: s.Store.MaxRecordBytes, MaxCallBytes: s.Store.MaxCallBytes,
 		StopGracePeriod: s.Bounds.Grace,
+		Limits: cellnode.Limits{
+			MemoryBytes: int64(s.Limits.MemoryMB) << 20, MaxDescriptors: s.Limits.MaxFileDescriptors,
+			CallerBytes: int64(s.Limits.CallerMemoryMB) << 20, CallerConnections: s.Limits.CallerConnections,
+		},
 		Cell: cell.Settings{
 			MaxLease: s.Bounds.MaxLease, StatusRetention: s.Bounds.StatusRetention + statusMargin, MaxOverTarget: s.Bounds.MaxOverTarget,
 		},
