Limits on callers: reports and shutdown move to httpintake

Cause: the product's other entry point needs the same counters, gauges, budget and shutdown. Also, a long response whose writes have pauses counted as one that is not read; it now does only while a write lasts, and after the request was handled.

Result: no change of the limits of a node on the platform.

--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -214,7 +214,7 @@
 	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
 		return errorResponse(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
-	if bodyBytes > smallBodyBytes {
+	if bodyBytes > httpintake.SmallBodyBytes {
 		hold.Shrink(len(value)) // the body is not used any more
 	}
 	cell := g.node.chooseCell(spec)
@@ -230,7 +230,7 @@
 	var refusal *httpintake.RefusedError
 	switch {
 	case errors.As(err, &refusal):
-		g.node.intake.refused("callers")(refusal.Reason)
+		g.node.intake.reporter.Refused("callers")(refusal.Reason)
 		return response{status: http.StatusServiceUnavailable, reason: refusal.Reason, retryAfter: minRetryAfter, close: true}
 	case errors.Is(err, httpintake.ErrTooLarge):
 		return response{status: http.StatusRequestEntityTooLarge, reason: reasonTooLarge, close: true}
@@ -241,7 +241,7 @@
 // decodeJob decodes a job. A job may use many times the size of its body while it is decoded, so only maxDecodedJobs large ones are
 // decoded at a time.
 func (g gateway) decodeJob(body []byte) (*jobs.Spec, error) {
-	if len(body) > smallBodyBytes {
+	if len(body) > httpintake.SmallBodyBytes {
 		g.node.intake.decoding <- struct{}{}
 		defer func() { <-g.node.intake.decoding }()
 	}
--- a/internal/cellnode/limits_test.go
+++ b/internal/cellnode/limits_test.go
@@ -24,7 +24,7 @@
 			So(l.callerConnections()*3/4, ShouldBeGreaterThanOrEqualTo, 900)
 			So(l.callerConnections()+l.peerConnections()+readyConnections+metricsConnections, ShouldBeLessThan, 4096*3/4)
 			So(int64(l.callerConnections()*connectionBytes), ShouldBeLessThanOrEqualTo, l.memory()/8)
-			bodies := budget(l.memory()/callerMemoryDivisor, 1)
+			bodies := httpintake.Budget(l.memory()/callerMemoryDivisor, 1)
 			So(bodies.Bytes/4*3/4, ShouldBeGreaterThan, 500*(1000+httpintake.RequestBytes))                      // 500 small jobs at a time
 			So(bodies.Bytes*3/4*3/4, ShouldBeGreaterThan, 30*(defaultMaxBodyBytes+httpintake.RequestBytes))      // 30 of the largest
 			So(bodies.Bytes*3/4/8, ShouldBeGreaterThan, defaultMaxBodyBytes)                                     // no body is alone
@@ -53,7 +53,7 @@
 			_, _ = c.Write([]byte(head)) // it may be closed
 		}
 	}
-	time.Sleep(2 * stallTime)
+	time.Sleep(2 * httpintake.StallTime)
 	resp, err := http.Get("http://" + n.settings.ReadyAddress + "/ready")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +13,7 @@
 
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/httpintake"
 )
 
 const (
@@ -42,7 +42,7 @@
 // server is an HTTP server with its listener.
 type server struct {
 	name     string
-	listener net.Listener
+	listener *httpintake.Listener
 	http     *http.Server
 }
 
@@ -134,8 +134,8 @@
 	awaitRunning(workCtx)
 	shutdownCtx, cancel := context.WithTimeout(workCtx, n.settings.StopGracePeriod-exitMargin-(boottime.Now()-stopRequested))
 	defer cancel()
-	go n.intake.closeStalledUntil(shutdownCtx.Done(), servers[0].listener)
-	err := servers[0].http.Shutdown(shutdownCtx)
+	n.intake.callers.Stop()
+	err := servers[0].listener.Shutdown(shutdownCtx, servers[0].http)
 	n.log.Info("caller server shut down", zap.Duration("took", boottime.Now()-stopRequested), zap.Error(err))
 	return nil
 }
--- a/internal/httpintake/gate.go
+++ b/internal/httpintake/gate.go
@@ -43,6 +43,26 @@
 	minSettleDelay = 10 * time.Millisecond
 )
 
+const (
+	// SmallBodyBytes is the size up to which a body counts as small.
+	SmallBodyBytes = 16 << 10
+	// StallTime is how long a caller may be without progress before it gives way to others, if there is no room for all. It is
+	// above the time to send a lost packet again, which is 200 ms at first.
+	StallTime = 250 * time.Millisecond
+	// progressBytes is what counts as progress within StallTime: 32 KB a second.
+	progressBytes = 8 << 10
+	// maxBodyWait is how long a body waits for memory. Callers wait some seconds for a response.
+	maxBodyWait = time.Second
+)
+
+// Budget returns the limits on bodies that may use a number of bytes, of at most maxWaiting requests that wait.
+func Budget(bytes int64, maxWaiting int) intake.BudgetLimits {
+	return intake.BudgetLimits{
+		Bytes: bytes, SmallBytes: SmallBodyBytes + RequestBytes, Stall: StallTime, ProgressBytes: progressBytes,
+		MaxWait: maxBodyWait, MaxWaiting: maxWaiting,
+	}
+}
+
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
--- a/internal/httpintake/httpintake_test.go
+++ b/internal/httpintake/httpintake_test.go
@@ -264,22 +264,9 @@
 	awaitOpen(t, s.listener, 4)
 	s.awaitUsage(t, func(u Usage) bool { return u.Bytes > testBodyLimit })
 	s.gate.Stop()
-	done := make(chan struct{})
-	go func() {
-		for ; ; time.Sleep(20 * time.Millisecond) {
-			select {
-			case <-done:
-				return
-			default:
-				s.listener.CloseStalled()
-			}
-		}
-	}()
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second) // ReadTimeout is 20 s
 	defer cancel()
-	err := s.http.Shutdown(ctx)
-	close(done)
-	if err != nil {
+	if err := s.listener.Shutdown(ctx, s.http); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/httpintake/listener.go
+++ b/internal/httpintake/listener.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -81,7 +82,17 @@
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// If the handler does not read the body, net/http does, before it sends the response. A Gate says when the body was read.
-		if c := connOf(r); c != nil && r.ContentLength != 0 {
+		c := connOf(r)
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		c.handling.Store(true)
+		defer func() {
+			c.handling.Store(false)
+			c.awaitCaller() // until the response was read, and after that for the next request
+		}()
+		if r.ContentLength != 0 {
 			c.awaitCaller()
 		}
 		next.ServeHTTP(w, r)
@@ -110,9 +121,31 @@
 	return l.table.Open(), l.table.Limit()
 }
 
-// CloseStalled closes the connections whose callers have made no progress for ConnectionLimits.Stall. It is called while the
-// server shuts down, which would otherwise wait for them. Responses that were written are delivered.
-func (l *Listener) CloseStalled() {
+// Shutdown shuts a server of the Listener down gracefully. Until then it closes connections whose callers have made no progress
+// for ConnectionLimits.Stall, for which the server would wait. Responses that were written are delivered. The Gate of the server
+// should be stopped before.
+func (l *Listener) Shutdown(ctx context.Context, s *http.Server) error {
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		ticker := time.NewTicker(stopCheckInterval)
+		defer ticker.Stop()
+		for {
+			l.closeStalled()
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return s.Shutdown(ctx)
+}
+
+// stopCheckInterval is the interval at which connections that have stalled are closed during a shutdown.
+const stopCheckInterval = 100 * time.Millisecond
+
+func (l *Listener) closeStalled() {
 	l.mu.Lock()
 	stalled := l.table.CloseStalled(now())
 	l.mu.Unlock()
@@ -173,16 +206,21 @@
 	listener *Listener
 	entry    *intake.Connection
 	caller   string
+	// handling is set while a request is being handled.
+	handling atomic.Bool
 }
 
-// Write implements net.Conn. The connection waits for its caller from then on: until the response was read, and after that for the
-// next request.
+// Write implements net.Conn. While it lasts, the connection waits for its caller.
 func (c *conn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.listener.options.WriteTimeout)); err != nil {
 		return 0, err
 	}
 	c.awaitCaller()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if c.handling.Load() {
+		c.serve()
+	}
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -193,8 +231,8 @@
 
 // CloseWrite is used by net/http before it closes a connection, so that the caller can read the response.
 func (c *conn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
 	}
 	return nil
 }
