Limits on callers, peers and operators of cactuswalld run

Cause: callers.max_buffered_bytes bounded the bodies of callers, but bodies that stop short kept their part for 10 s and everybody else was refused; connections, peers' messages and publications were not bounded in total.

Change: the three servers use httpintake. Bodies wait up to 1 s, and stalled ones give way (body_stalled, not_run); callers.max_connections (16,384) is new; a planned stop interrupts bodies that stall. A body without a length is charged as a small one until it is larger than 16 KB.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -16,6 +16,7 @@
 
 	"cactuswall.example/cactuswall/internal/admission"
 	"cactuswall.example/cactuswall/internal/endpoint"
+	"cactuswall.example/cactuswall/internal/httpintake"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/retry"
 	"cactuswall.example/cactuswall/internal/route"
@@ -34,7 +35,8 @@
 	nodes           func() int
 	idempotencyKeys IdempotencyKeys
 	callerRates     *admission.RateLimiter
-	bodyMemory      *memoryBudget
+	bodies          *httpintake.Gate
+	bodyRefused     func(verdict.Reason)
 	// stopping is set by Stop, which then closes stopped.
 	stopping  atomic.Bool
 	stopped   chan struct{}
@@ -54,11 +56,15 @@
 
 // Options configure a Handler.
 type Options struct {
-	Limits    settings.Callers
-	Directory *endpoint.Directory
-	Chooser   route.Chooser
-	Transport http.RoundTripper
-	Metrics   *metrics.Set
+	Limits settings.Callers
+	// Bodies bounds the memory of the bodies of requests. Nil means a gate with the limits in Limits.
+	Bodies *httpintake.Gate
+	// BodyRefused is called with the reason for which Bodies refused a body. It may be nil.
+	BodyRefused func(verdict.Reason)
+	Directory   *endpoint.Directory
+	Chooser     route.Chooser
+	Transport   http.RoundTripper
+	Metrics     *metrics.Set
 	// Manifest returns the current manifest, or nil if there is none yet.
 	Manifest func() *manifest.Manifest
 	// Nodes returns the number of nodes among which the rate limits of callers are divided. Nil means one node.
@@ -80,16 +86,20 @@
 		nodes:           o.Nodes,
 		idempotencyKeys: o.IdempotencyKeys,
 		callerRates:     admission.NewRateLimiter(o.Limits.MaxTrackedCallers),
-		bodyMemory:      &memoryBudget{max: o.Limits.MaxBufferedBytes},
+		bodies:          o.Bodies,
+		bodyRefused:     o.BodyRefused,
 		stopped:         make(chan struct{}),
 		services:        make(map[string]*serviceState),
 	}
+	if h.bodies == nil {
+		h.bodies = httpintake.NewGate(httpintake.Budget(o.Limits.MaxBufferedBytes, o.Limits.MaxRequests))
+	}
 	if h.nodes == nil {
 		h.nodes = func() int { return 1 }
 	}
 	o.Metrics.GetOrCreateGauge("cactuswall_requests_in_flight", func() float64 { return float64(h.InFlight()) })
 	o.Metrics.GetOrCreateGauge("cactuswall_listeners", func() float64 { return float64(h.Listeners()) })
-	o.Metrics.GetOrCreateGauge("cactuswall_buffered_bytes", func() float64 { return float64(h.bodyMemory.used.Load()) })
+	o.Metrics.GetOrCreateGauge("cactuswall_buffered_bytes", func() float64 { return float64(h.bodies.Usage().Bytes) })
 	return h
 }
 
@@ -97,6 +107,7 @@
 // Requests in flight continue.
 func (h *Handler) Stop() {
 	if h.stopping.CompareAndSwap(false, true) {
+		h.bodies.Stop()
 		close(h.stopped)
 	}
 }
@@ -218,8 +229,8 @@
 
 // serve handles a request that is not a listener.
 func (h *Handler) serve(w http.ResponseWriter, r *request) {
-	release, refusal := h.readBody(w, r)
-	defer release()
+	hold, refusal := h.readBody(w, r)
+	defer hold.Release()
 	if refusal != nil {
 		h.refuse(w, refusal)
 		return
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/httpintake"
 	"cactuswall.example/cactuswall/internal/manifest"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
@@ -49,64 +49,38 @@
 	return nil
 }
 
-// memoryBudget bounds the total size of the request bodies in memory, in bytes.
-type memoryBudget struct {
-	max  int64
-	used atomic.Int64
-}
-
-// reserve reserves n bytes. It returns false if they would exceed the budget.
-func (b *memoryBudget) reserve(n int64) bool {
-	if b.used.Add(n) > b.max {
-		b.used.Add(-n)
-		return false
-	}
-	return true
-}
-
-// bodyChunkBytes is the size of the chunks in which a body of unknown length is read, and the minimum that is
-// reserved for any body that is not empty.
-const bodyChunkBytes = 16 << 10
-
-// readBody reads the whole body of a request into r. The returned function releases the memory that was
-// reserved for it and must be called also after a refusal.
-func (h *Handler) readBody(w http.ResponseWriter, r *request) (release func(), refusal *verdict.Error) {
-	var reserved int64
-	release = func() { h.bodyMemory.used.Add(-reserved) }
+// readBody reads the whole body of a request into r. The returned hold must be released also after a refusal.
+func (h *Handler) readBody(w http.ResponseWriter, r *request) (hold httpintake.Hold, refusal *verdict.Error) {
 	limit := h.limits.MaxBodyBytes
 	if serviceLimit := r.service.Limits.MaxBodyBytes; serviceLimit > 0 {
 		limit = min(limit, serviceLimit)
 	}
-	if r.ContentLength > limit {
-		return release, verdict.New(verdict.NotRun, ReasonBodyTooLarge, nil)
-	}
-	if r.ContentLength == 0 {
-		return release, nil
-	}
-	var buffer bytes.Buffer
-	body := http.MaxBytesReader(w, r.Body, limit)
-	for chunk := max(r.ContentLength, bodyChunkBytes); ; chunk = bodyChunkBytes {
-		if !h.bodyMemory.reserve(chunk) {
-			return release, verdict.New(verdict.NotRun, ReasonBuffersFull, nil)
-		}
-		reserved += chunk
-		n, err := io.CopyN(&buffer, body, chunk)
-		if n == r.ContentLength || (err == io.EOF && r.ContentLength < 0) {
-			r.body = buffer.Bytes()
-			return release, nil
-		}
-		if err != nil {
-			return release, bodyFailure(err)
-		}
+	body, hold, err := h.bodies.ReadBody(r.Request, limit)
+	if err != nil {
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return hold, h.bodyFailure(err)
 	}
+	r.body = body
+	return hold, nil
 }
 
 // bodyFailure returns the refusal for an error that occurred while reading a request body.
-func bodyFailure(err error) *verdict.Error {
-	var tooLarge *http.MaxBytesError
+func (h *Handler) bodyFailure(err error) *verdict.Error {
+	var refused *httpintake.RefusedError
 	var timeout net.Error
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &refused):
+		if h.bodyRefused != nil {
+			h.bodyRefused(refused.Reason)
+		}
+		switch refused.Reason {
+		case httpintake.ReasonStalled:
+			return verdict.New(verdict.NotRun, refused.Reason, err)
+		case httpintake.ReasonStopping:
+			return verdict.New(verdict.NotRun, ReasonStopping, err)
+		}
+		return verdict.New(verdict.NotRun, ReasonBuffersFull, err)
+	case errors.Is(err, httpintake.ErrTooLarge):
 		return verdict.New(verdict.NotRun, ReasonBodyTooLarge, err)
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return verdict.New(verdict.NotRun, ReasonBodyTooSlow, err)
--- a/internal/httpintake/gate.go
+++ b/internal/httpintake/gate.go
@@ -37,7 +37,7 @@
 const (
 	// RequestBytes is what each request with a body is charged in addition to its body: buffers, headers and stacks.
 	RequestBytes = 4 << 10
-	// readBytes is the size of the reads of a body, and of the first buffer for a body without a length.
+	// readBytes is the size of the reads of a body.
 	readBytes = 16 << 10
 	// minSettleDelay is the shortest time between two decisions that nothing but time has caused.
 	minSettleDelay = 10 * time.Millisecond
@@ -58,7 +58,7 @@
 // Budget returns the limits on bodies that may use a number of bytes, of at most maxWaiting requests that wait.
 func Budget(bytes int64, maxWaiting int) intake.BudgetLimits {
 	return intake.BudgetLimits{
-		Bytes: bytes, SmallBytes: SmallBodyBytes + RequestBytes, Stall: StallTime, ProgressBytes: progressBytes,
+		Bytes: bytes, SmallBytes: SmallBodyBytes + 1 + RequestBytes, Stall: StallTime, ProgressBytes: progressBytes,
 		MaxWait: maxBodyWait, MaxWaiting: maxWaiting,
 	}
 }
@@ -150,70 +150,87 @@
 	case r.ContentLength > limit:
 		return nil, Hold{}, ErrTooLarge
 	}
-	charged := limit // a body without a length may have any
 	if r.ContentLength > 0 {
-		charged = r.ContentLength
+		hold, err := g.acquire(r, c, r.ContentLength+RequestBytes)
+		if err != nil {
+			return nil, hold, err
+		}
+		body, ended, err := hold.fill(r, c, make([]byte, 0, r.ContentLength))
+		if ended && int64(len(body)) < r.ContentLength {
+			err = io.ErrUnexpectedEOF
+		}
+		return hold.complete(c, body, err)
 	}
-	hold, err := g.acquire(r, c, charged+RequestBytes)
+	return g.readUnannounced(r, c, limit)
+}
+
+// readUnannounced reads a body without a length. Most are small, so it is charged as a small one until it turns out to be large,
+// and then as one of the limit.
+func (g *Gate) readUnannounced(r *http.Request, c *conn, limit int64) ([]byte, Hold, error) {
+	size := min(limit, SmallBodyBytes) + 1 // one byte more tells a body of that size from a larger one
+	hold, err := g.acquire(r, c, size+RequestBytes)
 	if err != nil {
 		return nil, hold, err
 	}
-	if c != nil {
-		c.awaitCaller()
+	body, ended, err := hold.fill(r, c, make([]byte, 0, size))
+	if err == nil && !ended && size <= limit {
+		if _, hold, err = hold.complete(c, body, nil); err != nil {
+			return nil, hold, err
+		}
+		first := hold
+		hold, err = g.acquire(r, c, limit+1+RequestBytes)
+		first.Release()
+		if err != nil {
+			return nil, hold, err
+		}
+		for !ended && err == nil && int64(len(body)) <= limit {
+			body = append(make([]byte, 0, min(2*int64(cap(body)), limit+1)), body...)
+			body, ended, err = hold.fill(r, c, body)
+		}
 	}
-	body, err := hold.read(r, c, limit)
+	if err == nil && int64(len(body)) > limit {
+		err = ErrTooLarge
+	}
+	return hold.complete(c, body, err)
+}
+
+// complete ends the reading of a body with err. The body is not interrupted any more.
+func (h Hold) complete(c *conn, body []byte, err error) ([]byte, Hold, error) {
 	if c != nil && err == nil {
 		c.serve()
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	h.gate.mu.Lock()
+	defer h.gate.mu.Unlock()
 	switch {
-	case hold.request.State() == intake.Interrupted:
-		return nil, hold, &RefusedError{Reason: reasons[hold.request.Refusal()]}
+	case h.request.State() == intake.Interrupted:
+		return nil, h, &RefusedError{Reason: reasons[h.request.Refusal()]}
 	case err != nil:
-		return nil, hold, err
-	}
-	g.budget.Complete(hold.request, int64(len(body))+RequestBytes)
-	if r.ContentLength < 0 {
-		g.settle() // the whole limit was charged
+		return nil, h, err
 	}
-	return body, hold, nil
+	h.gate.budget.Complete(h.request, int64(len(body))+RequestBytes)
+	h.gate.settle()
+	return body, h, nil
 }
 
-// read reads the body, and notes progress.
-func (h Hold) read(r *http.Request, c *conn, limit int64) ([]byte, error) {
-	size := int64(readBytes)
-	if r.ContentLength > 0 {
-		size = r.ContentLength
+// fill reads until body has its capacity or the body of the request has ended, and notes progress.
+func (h Hold) fill(r *http.Request, c *conn, body []byte) (filled []byte, ended bool, err error) {
+	if c != nil {
+		c.awaitCaller()
 	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) {
-			switch {
-			case r.ContentLength > 0:
-				return body, nil
-			case int64(len(body)) > limit:
-				return nil, ErrTooLarge
-			}
-			// One byte more than the limit tells a body of the limit from a larger one.
-			body = append(make([]byte, 0, min(2*int64(cap(body)), limit+1)), body...)
-		}
+	for len(body) < cap(body) {
 		n, err := r.Body.Read(body[len(body):min(cap(body), len(body)+readBytes)])
 		body = body[:len(body)+n]
-		if len(body) < cap(body) || r.ContentLength < 0 {
-			h.progress(c, n)
+		if err == io.EOF {
+			return body, true, nil
 		}
-		switch {
-		case err == io.EOF && int64(len(body)) < r.ContentLength:
-			return nil, io.ErrUnexpectedEOF
-		case err == io.EOF && int64(len(body)) > limit:
-			return nil, ErrTooLarge
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
+		if err != nil {
+			return nil, false, err
+		}
+		if len(body) < cap(body) {
+			h.progress(c, n)
 		}
 	}
+	return body, false, nil
 }
 
 // progress notes that n bytes more were read.
--- a/internal/httpintake/httpintake_test.go
+++ b/internal/httpintake/httpintake_test.go
@@ -175,6 +175,19 @@
 	s.awaitUsage(t, func(u Usage) bool { return u == Usage{Limit: 300_000} })
 }
 
+// A body without a length must not be charged as the largest one from the start: few of them would fit.
+func TestBodyWithoutLengthIsChargedAsSmall(t *testing.T) {
+	s := newTestServer(t, 20)
+	c := s.send(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+	s.awaitUsage(t, func(u Usage) bool { return u.Bytes == SmallBodyBytes+1+RequestBytes })
+	if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", SmallBodyBytes, strings.Repeat("x", SmallBodyBytes)); err != nil {
+		t.Fatal(err)
+	}
+	s.awaitUsage(t, func(u Usage) bool { return u.Bytes == testBodyLimit+1+RequestBytes })
+	_ = c.Close()
+	s.awaitUsage(t, func(u Usage) bool { return u.Bytes == 0 })
+}
+
 // Whatever callers do at random, an ordinary caller must be served in the end and nothing may stay charged.
 func TestManyCallersAtOnce(t *testing.T) {
 	s := newTestServer(t, 30)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 	settings settings.Settings
 	options  Options
 	metrics  *metrics.Set
+	intake   *intakeLimits
 	engine   *engine
 	caller   *caller.Handler
 	cancel   context.CancelFunc
@@ -81,8 +82,11 @@
 	n := &Node{settings: o.Settings, options: o, metrics: set, ctx: ctx, cancel: cancel}
 	n.engine = newEngine(ctx, o, set)
 	n.engine.failoverManager = newFailoverManager(n.engine, o.Log, set)
+	n.intake = newIntakeLimits(n)
 	n.caller = caller.NewHandler(caller.Options{
 		Limits:          o.Settings.Callers,
+		Bodies:          n.intake.callers,
+		BodyRefused:     n.intake.reporter.Refused("callers"),
 		Directory:       n.engine.directory,
 		Chooser:         route.Adaptive{FailureDomain: o.Settings.FailureDomain},
 		Transport:       o.Endpoints,
@@ -167,9 +171,12 @@
 	n.add(&group, n.followManifest)
 	n.add(&group, n.pollVMList)
 	n.add(&group, (&gossip{engine: n.engine}).run)
-	n.addServer(&group, caller.WithParseErrorVerdicts(n.options.Listeners.Callers), n.caller)
-	n.addServer(&group, n.options.Listeners.Operators, operator.NewHandler(n, n.metrics))
-	n.addServer(&group, n.options.Listeners.Peers, peer.NewHandler(peerServer{engine: n.engine}, n.settings.PeerKey, n.metrics))
+	n.addServer(&group, "callers", caller.WithParseErrorVerdicts(n.options.Listeners.Callers), n.settings.Callers.MaxConnections, n.caller)
+	operators, peers := operator.NewHandler(n, n.metrics), peer.NewHandler(peerServer{engine: n.engine}, n.settings.PeerKey, n.metrics)
+	n.addServer(&group, "operators", n.options.Listeners.Operators, maxOperatorConnections,
+		n.intake.operators.Limit(operators, operator.MaxPublicationBytes, n.intake.reporter.Refused("operators")))
+	n.addServer(&group, "peers", n.options.Listeners.Peers, maxPeerConnections,
+		n.intake.peers.Limit(peers, peer.MaxMessageBytes, n.intake.reporter.Refused("peers")))
 	group.Add(func() error { return n.awaitStop(ctx) }, func(error) { n.cancel() })
 	n.options.Logger.Info("node started", zap.String("failure_domain", n.settings.FailureDomain))
 	err := group.Run()
@@ -188,22 +195,6 @@
 // closeTimeout bounds the shutdown of each HTTP server.
 const closeTimeout = 2 * time.Second
 
-func (n *Node) addServer(group *run.Group, listener net.Listener, handler http.Handler) {
-	limits := n.settings.Callers
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: limits.ReadTimeout.Std(),
-		ReadTimeout:       limits.ReadTimeout.Std(),
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(n.options.Logger.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
-	group.Add(func() error { return server.Serve(listener) }, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	})
-}
-
 // ageSeconds returns the seconds since the time unixNano, or -1 when unixNano is zero.
 func ageSeconds(unixNano int64) float64 {
 	if unixNano == 0 {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -66,9 +66,12 @@
 // escaping enlarges the document.
 const maxEscapingFactor = 2
 
+// MaxPublicationBytes is the maximum size of a publication.
+const MaxPublicationBytes = maxEscapingFactor * manifest.MaxDocumentBytes
+
 func servePublish(w http.ResponseWriter, r *http.Request, source Source) {
 	var p Publication
-	body := http.MaxBytesReader(w, r.Body, maxEscapingFactor*manifest.MaxDocumentBytes)
+	body := http.MaxBytesReader(w, r.Body, MaxPublicationBytes)
 	if err := json.NewDecoder(body).Decode(&p); err != nil {
 		reply(w, http.StatusBadRequest, ErrorResponse{Message: "invalid publication: " + err.Error()})
 		return
--- a/internal/peer/auth.go
+++ b/internal/peer/auth.go
@@ -173,7 +173,7 @@
 		return nil, "", err
 	}
 	newest, mac, _ := strings.Cut(resp.Header.Get(authHeader), ".")
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	content, err := io.ReadAll(io.LimitReader(resp.Body, MaxMessageBytes))
 	_ = resp.Body.Close()
 	if err != nil {
 		return nil, "", trace.Wrap(err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,18 +16,18 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// maxMessageBytes is the maximum size of a message between nodes. A whole manifest has to fit into one message.
-const maxMessageBytes = 8 << 20
+// MaxMessageBytes is the maximum size of a message between nodes. A whole manifest has to fit into one message.
+const MaxMessageBytes = 8 << 20
 
 // NewHandler returns a handler that serves p to nodes that know the key. Requests that are not authenticated,
-// use a challenge that is no longer valid, are replayed, or are larger than maxMessageBytes are rejected with
+// use a challenge that is no longer valid, are replayed, or are larger than MaxMessageBytes are rejected with
 // status 401 and counted in set by reason.
 func NewHandler(p Peer, key string, set *metrics.Set) http.Handler {
 	server := NewPeerServer(p)
 	v := newVerifier(key)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		resp := &bufferedResponse{header: make(http.Header), status: http.StatusOK}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxMessageBytes))
 		reason := refusedTooLarge
 		if err == nil {
 			reason = v.verify(r.Header.Get(authHeader), r.URL.Path, body)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -85,7 +85,7 @@
 			So(err, ShouldNotBeNil)
 		})
 		Convey("a request that is too large is rejected and counted", func() {
-			_, err := client.Exchange(t.Context(), &View{From: string(make([]byte, maxMessageBytes+1))})
+			_, err := client.Exchange(t.Context(), &View{From: string(make([]byte, MaxMessageBytes+1))})
 			So(err, ShouldNotBeNil)
 			So(refused(refusedTooLarge), ShouldBeGreaterThan, 0)
 		})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,6 +94,8 @@
 	MaxRequests int `json:"max_requests" validate:"gt=0"`
 	// MaxListeners is the maximum number of open listeners.
 	MaxListeners int `json:"max_listeners" validate:"gt=0"`
+	// MaxConnections is the maximum number of open connections of callers, listeners included.
+	MaxConnections int `json:"max_connections" validate:"gte=16"`
 	// MaxHeaderBytes is the maximum size of a request header.
 	MaxHeaderBytes int `json:"max_header_bytes" validate:"gt=0"`
 	// MaxBodyBytes is the maximum size of a request body.
@@ -151,6 +153,7 @@
 		Callers: Callers{
 			MaxRequests:       4096,
 			MaxListeners:      4096,
+			MaxConnections:    16384,
 			MaxHeaderBytes:    32 << 10,
 			MaxBodyBytes:      4 << 20,
 			MaxBufferedBytes:  64 << 20,
