Soak: callers that ignore limits are a kind of fault

Cause: the limits on callers interact with planned stops, take-overs and a slow store, which the seven tests do not show.

Change: "abusive callers" opens 150 connections to a node by one of eight patterns, from an address of their own. The process must stay within its memory; jobs of requests that are never complete, or that were refused, must not run.

--- a/internal/soak/abuse.go
+++ b/internal/soak/abuse.go
@@ -1,13 +1,18 @@
 package soak
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/platform/standin"
 )
 
@@ -52,28 +57,42 @@
 )
 
 // abuse opens connections to an address and has each send by a pattern. It returns when all have sent what they could. The
-// returned function closes the connections.
-func abuse(pattern abusePattern, address string, connections int) (closeAll func()) {
+// returned function closes the connections. They come from an IP address if from is not nil, and have the numbers from first on.
+// answered, which may be nil, is called with the status of each response to a request that is complete.
+func abuse(pattern abusePattern, from net.IP, address string, first, connections int, answered func(number, status int)) (closeAll func()) {
+	dialer := net.Dialer{Timeout: abuseTimeout}
+	if from != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
 	var mu sync.Mutex
-	var open []net.Conn
+	open := make(map[int]net.Conn)
 	var senders sync.WaitGroup
-	for i := range connections {
+	for number := first; number < first+connections; number++ {
 		senders.Go(func() {
-			c, err := net.DialTimeout("tcp", address, abuseTimeout)
+			c, err := dialer.Dial("tcp", address)
 			if err != nil {
 				return // refused, which is allowed
 			}
 			mu.Lock()
-			open = append(open, c)
+			open[number] = c
 			mu.Unlock()
 			_ = c.SetDeadline(time.Now().Add(abuseTimeout)) // the connection is new
-			pattern.send(c, i)
+			pattern.send(c, number)
 		})
 	}
 	senders.Wait()
 	if pattern.finish != nil {
-		for _, c := range open {
-			senders.Go(func() { pattern.finish(c) })
+		for number, c := range open {
+			senders.Go(func() {
+				pattern.finish(c)
+				if answered == nil {
+					return
+				}
+				if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+					_ = resp.Body.Close() // nothing of it is used
+					answered(number, resp.StatusCode)
+				}
+			})
 		}
 		senders.Wait()
 	}
@@ -84,14 +103,74 @@
 	}
 }
 
+const (
+	// abusiveConnections is the number of connections of a fault. Their bodies exceed the memory that a node has for bodies.
+	abusiveConnections = 150
+	// pipeliningConnections is the number of connections that send as many requests as the node takes.
+	pipeliningConnections = 4
+)
+
+// abuseNode has callers ignore the limits of a node by one of the patterns. The process must stay within its memory.
+func (s *soak) abuseNode(n *soakNode, f Fault) {
+	p := n.current()
+	if p == nil {
+		return
+	}
+	pattern, connections := abusePatterns[f.Target%len(abusePatterns)], abusiveConnections
+	if pattern.name == slowReaders.name {
+		connections = pipeliningConnections
+	}
+	began := time.Now()
+	first := f.Target << 12 // each fault has other jobs
+	if pattern.finish != nil {
+		s.addAbusiveJobs(first, connections)
+	}
+	// Ordinary callers have another address, as they have outside the soak.
+	closeAll := abuse(pattern, net.ParseIP(s.address(200, 1)), n.settings.CallerAddress(), first, connections, func(number, status int) {
+		if status == http.StatusServiceUnavailable {
+			s.oracle.update(func() { s.oracle.jobs[abusiveID(number)].uncertain = false }) // it must not run
+		}
+	})
+	sleep(context.Background(), f.Duration-time.Since(began))
+	if used := residentBytes(p.command.Process.Pid); used > standin.DefaultMemoryMB<<20 {
+		s.oracle.report(promiseProcess, boottime.Now(), "%s uses %d MB of %d while callers send %s", p.name, used>>20, standin.DefaultMemoryMB, pattern.name)
+	}
+	closeAll()
+}
+
+// addAbusiveJobs tells the oracle of jobs that may be accepted. Those of requests that are never complete must not run, and the oracle
+// is not told of them.
+func (s *soak) addAbusiveJobs(first, count int) {
+	for number := first; number < first+count; number++ {
+		s.oracle.addJob(&jobHistory{id: abusiveID(number), queue: mainQueue, steps: abusiveSteps, uncertain: true})
+	}
+}
+
+// residentBytes returns the resident memory of a process, or 0 once it has ended.
+func residentBytes(pid int) int {
+	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid)) // empty once the process has ended
+	fields := strings.Fields(string(content))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(fields[1]) // a number
+	return pages * os.Getpagesize()
+}
+
 // abusiveHead returns the head of a request that submits a job, up to the header fields that describe the body.
 func abusiveHead(number int) string {
-	return fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 3000\r\n", standin.QueuePrefix(mainQueue), 0xabcd<<32+number, standin.QueueHost(mainQueue))
+	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nDeadline-Ms: 3000\r\n", standin.QueuePrefix(mainQueue), abusiveID(number), standin.QueueHost(mainQueue))
 }
 
+// abusiveID returns the ID of the job that the request with a number submits.
+func abusiveID(number int) string { return fmt.Sprintf("%016x", 0xabcd<<32+number) }
+
+// abusiveSteps are the steps of these jobs.
+var abusiveSteps = []standin.Step{{Work: standin.Work{MilliCPU: 100, MemoryMB: 1, DurationMS: 100}, Count: 1}}
+
 // abusiveBody returns a legal job, padded to a size.
 func abusiveBody(bytes int) []byte {
-	job := standin.Job([]standin.Step{{Work: standin.Work{MilliCPU: 100, MemoryMB: 1, DurationMS: 100}, Count: 1}})
+	job := standin.Job(abusiveSteps)
 	return append([]byte(strings.Repeat(" ", bytes-len(job))), job...)
 }
 
--- a/internal/soak/abuse_test.go
+++ b/internal/soak/abuse_test.go
@@ -77,7 +77,7 @@
 	Convey(pattern.name, t, func() {
 		n := startAbusedNode(t, descriptors)
 		u := n.watchUsage()
-		closeAll := abuse(pattern, n.settings.CallerAddress(), connections)
+		closeAll := abuse(pattern, nil, n.settings.CallerAddress(), 0, connections, nil)
 		defer closeAll()
 		status := n.submitOrdinaryJob(1)
 		maxMemory, maxDescriptors := u.stop()
@@ -207,17 +207,6 @@
 	return u.memory, u.descriptors
 }
 
-// residentBytes returns the resident memory of a process.
-func residentBytes(pid int) int {
-	content, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid)) // empty once the process has ended
-	fields := strings.Fields(string(content))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.Atoi(fields[1]) // a number
-	return pages * os.Getpagesize()
-}
-
 // unreadBytes returns the bytes that connections at an address have received and the process has not read. The platform counts
 // them towards the memory of the process.
 func unreadBytes(ip string) (total int) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -72,6 +72,7 @@
 	{"reset worker", func(s *soak, f Fault) { s.breakWorkerLink(f, (*proxy).reset) }},
 	{"silence worker", func(s *soak, f Fault) { s.breakWorkerLink(f, (*proxy).silence) }},
 	{"change queues", func(s *soak, f Fault) { s.operator.change(f.Target) }},
+	{"abusive callers", func(s *soak, f Fault) { s.abuseNode(s.node(f), f) }},
 }
 
 // Kinds returns the names of all kinds of faults.
