A planned stop answers stalled bodies before it closes connections

Cause: at a shutdown the connection of a stalled body could be closed before its 503 was sent. The kernel's buffers, the stop and the number of jobs decoded at a time had no test that saw them.

--- a/internal/cellnode/limits_test.go
+++ b/internal/cellnode/limits_test.go
@@ -7,13 +7,18 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/httpintake"
+	"cactuswall.example/cactuswall/internal/jobs"
 )
 
 // Ordinary load must never meet a limit: hundreds of callers with kept connections, most of them behind one address, and bodies
@@ -65,6 +70,47 @@
 	}
 }
 
+// Decoding allocates up to 20 times the size of a body, so only a few large jobs may be decoded at a time.
+func TestFewLargeJobsAreDecodedAtATime(t *testing.T) {
+	var running, most atomic.Int32
+	n := &Node{intake: newIntakeLimits(Limits{}, metrics.NewSet(), zap.NewNop())}
+	n.platform.CallerCodec.DecodeJob = func([]byte) (*jobs.Spec, error) {
+		now := running.Add(1)
+		for before := most.Load(); now > before && !most.CompareAndSwap(before, now); before = most.Load() {
+		}
+		time.Sleep(5 * time.Millisecond)
+		running.Add(-1)
+		return nil, nil
+	}
+	var callers sync.WaitGroup
+	for range 20 {
+		callers.Go(func() { _, _ = gateway{n}.decodeJob(make([]byte, httpintake.SmallBodyBytes+1)) })
+	}
+	callers.Wait()
+	if most.Load() > maxDecodedJobs {
+		t.Errorf("%d jobs were decoded at a time", most.Load())
+	}
+}
+
+// A body that stalls while the node stops must be refused, and not cut off without a response.
+func TestPlannedStopRefusesStalledBodies(t *testing.T) {
+	d := newTestCluster(t, 1)
+	d.waitForOwner()
+	c, err := net.Dial("tcp", d.nodes[0].node.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := fmt.Fprintf(c, "POST /q/%s23 HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx", testIDPrefix); err != nil {
+		t.Fatal(err)
+	}
+	d.nodes[0].cancel()
+	_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if answer, err := io.ReadAll(c); !strings.HasPrefix(string(answer), "HTTP/1.1 503") {
+		t.Errorf("%q, %v", answer, err)
+	}
+}
+
 // A body that is refused must be answered with 503 and a Retry-After, and its job must never run; one above the limit gets 413.
 func TestRefusedBodies(t *testing.T) {
 	d := newTestCluster(t, 1)
--- a/internal/httpintake/httpintake_test.go
+++ b/internal/httpintake/httpintake_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"cactuswall.example/cactuswall/internal/intake"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -225,6 +226,41 @@
 	}
 }
 
+// Bytes that were received and not read count towards the memory of the process, so the kernel's buffers must be limited.
+func TestKernelBuffersAreLimited(t *testing.T) {
+	const want = 32 << 10
+	l, err := Listen("127.0.0.1:0", want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	raw, err := accepted.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = raw.Control(func(fd uintptr) {
+		for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+			// Linux doubles the size, for its own bookkeeping.
+			if size, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, option); err != nil || size > 2*want {
+				t.Errorf("option %d: %d bytes, %v", option, size, err)
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Connections beyond the limit must take the place of those that wait for their callers, and the number must stay within the
 // limit.
 func TestConnectionsAreLimited(t *testing.T) {
--- a/internal/httpintake/listener.go
+++ b/internal/httpintake/listener.go
@@ -128,11 +128,11 @@
 		ticker := time.NewTicker(stopCheckInterval)
 		defer ticker.Stop()
 		for {
-			l.closeStalled()
 			select {
 			case <-done:
 				return
-			case <-ticker.C:
+			case <-ticker.C: // by then, bodies that the Gate has interrupted have got their responses
+				l.closeStalled()
 			}
 		}
 	}()
