Interrupted tasks of a full cell go where other work waits for the room

On the large deployment the cell of one failure domain is full after a fifth of its workers left, and its interrupted long-running tasks did not run for 12 s although others had room (LOST). The log shows that the same cell tried every 1.8 s and found no receiver: Table.Receiver subtracts the work that waits in another cell from its room, and work waited everywhere. An interrupted task comes before all of that work in its new cell, so now it counts only what runs there if no cell has room otherwise.

The test in internal/cellmap fails before.

--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -302,10 +302,27 @@
 	Convey("A task without room goes to a cell that has room for it, never back, and nowhere if none has", t, func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		for range 100 {
-			cell, found := table.Receiver(100, 0, loads(0, 950, 700), random.Float64)
+			cell, found := table.Receiver(100, false, 0, loads(0, 950, 700), random.Float64)
 			So([]any{cell, found}, ShouldResemble, []any{2, true})
 		}
-		_, found := table.Receiver(100, 0, loads(0, 950, 950), random.Float64)
+		_, found := table.Receiver(100, false, 0, loads(0, 950, 950), random.Float64)
+		So(found, ShouldBeFalse)
+	})
+	// A full cell found no receiver for its interrupted services for 12 s, since work waited everywhere for the room of the others.
+	Convey("An interrupted task goes to a cell with room although other work waits for it, and nowhere if what runs there leaves none", t, func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		board := loads(1000, 700, 950)
+		for cell, load := range board {
+			load.WaitingMilliCPU = 5000
+			board[cell] = load
+		}
+		_, found := table.Receiver(100, false, 0, board, random.Float64)
+		So(found, ShouldBeFalse)
+		for range 100 {
+			cell, found := table.Receiver(100, true, 0, board, random.Float64)
+			So([]any{cell, found}, ShouldResemble, []any{1, true})
+		}
+		_, found = table.Receiver(400, true, 0, board, random.Float64)
 		So(found, ShouldBeFalse)
 	})
 	// A hash of the ID gives a cut failure domain only one job in as many as there are cells.
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -113,17 +113,39 @@
 
 // Receiver returns the cell for a task that needs the given processor capacity, in thousandths of a core, and finds no room in
 // the cell where it is: another active one, each as likely as it has room. found is false if none has room for it.
-func (t *Table) Receiver(milliCPU int64, from int, loads map[int]Load, random func() float64) (cell int, found bool) {
+//
+// An interrupted task comes before all work that waits in its new cell. If no cell has room beside what waits there, such a task
+// goes to one where other work waits for the room.
+func (t *Table) Receiver(milliCPU int64, interrupted bool, from int, loads map[int]Load, random func() float64) (cell int, found bool) {
+	able := t.withRoom(milliCPU, from, loads)
+	if len(able) == 0 && interrupted {
+		able = t.withRoom(milliCPU, from, withoutWaiting(loads))
+	}
+	if len(able) == 0 {
+		return 0, false
+	}
+	return draw(able, from, random), true // able does not contain from
+}
+
+// withRoom returns the loads of the active cells other than from that have room for a processor capacity.
+func (t *Table) withRoom(milliCPU int64, from int, loads map[int]Load) []Load {
 	var able []Load
 	for _, number := range t.plan.Active() {
 		if load, known := loads[number]; known && number != from && load.room(100) >= milliCPU {
 			able = append(able, load)
 		}
 	}
-	if len(able) == 0 {
-		return 0, false
+	return able
+}
+
+// withoutWaiting returns the loads as they are for work that comes before all that waits.
+func withoutWaiting(loads map[int]Load) map[int]Load {
+	first := make(map[int]Load, len(loads))
+	for cell, load := range loads {
+		load.WaitingMilliCPU = 0
+		first[cell] = load
 	}
-	return draw(able, from, random), true // able does not contain from
+	return first
 }
 
 // able returns the loads of the active cells that have all labels.
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -156,7 +156,7 @@
 		records = append(records, assignmentRecord{key: key})
 	}
 	for _, t := range o.cell.TakeStrandedTasks() {
-		to, found := table.Receiver(t.MilliCPU, o.member.cell, loads, rand.Float64)
+		to, found := table.Receiver(t.MilliCPU, t.LastRun > 0, o.member.cell, loads, rand.Float64)
 		if !found {
 			o.cell.ReturnTask(t.Task)
 			continue
