Owners grant leases of at most 6.4 s

Workers accept leases of 10 s there, the owner granted as much, and a task of a lost worker may start elsewhere only once its lease has certainly expired.

A limit of 6.4 s, 6.8 s with the margin for clocks, keeps the 7 s within which an interrupted long-running task has to run again. Deployments whose workers accept 6 s are not affected. Bounds on leases of former owners stay as they are.

TestLeaseEndsInTime... fails before.

--- a/internal/cell/lost_worker_test.go
+++ b/internal/cell/lost_worker_test.go
@@ -146,3 +146,19 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against LOST: where workers accept leases of 10 s, the long-running tasks of a worker that was lost without a sign did not run
+// for 10 s, although others had room.
+func TestLeaseEndsInTimeForLongRunningTasksOfLostWorker(t *testing.T) {
+	sim := newSimulation(5, 1)
+	c := sim.takeOver().cell
+	sim.run(12 * time.Second)
+	c.SetSettings(Settings{MaxLease: 10 * time.Second, StatusRetention: time.Minute})
+	w := c.workers["w0"]
+	w.grantedUntil = 0
+	w.updateClock(w.clockNow(c.now), c.now)
+	c.extendLease(w)
+	if expiresIn := w.leaseExpiresBy - c.now; expiresIn > 7*time.Second {
+		t.Errorf("the lease expires in %v, want at most 7 s", expiresIn)
+	}
+}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -111,9 +111,15 @@
 	}}
 }
 
-// extendLease extends the lease on a worker by Settings.MaxLease from now and returns its end, on the worker's clock.
+// maxGrantedLease limits the leases where workers accept longer ones. What ran on a worker that is lost without a sign starts
+// elsewhere only once its lease has certainly expired, and a long-running task must run again within 7 s. With the margin
+// for clocks that is 6.8 s after the last renewal.
+const maxGrantedLease = 6400 * time.Millisecond
+
+// extendLease extends the lease on a worker by Settings.MaxLease, but at most maxGrantedLease, from now and returns its end, on the
+// worker's clock.
 func (c *Cell) extendLease(w *worker) time.Duration {
-	until := w.clockNow(c.now) + c.settings.MaxLease
+	until := w.clockNow(c.now) + min(c.settings.MaxLease, maxGrantedLease)
 	w.grantedUntil, w.leaseExpired = max(w.grantedUntil, until), false
 	w.updateLeaseExpiry()
 	return until
