Best-effort tasks that have waited run beside services while capacity is free

Images that press on all services found no worker whose services would stay below their limit, and the limit had no end.

While less than half of the capacity is in use, a task that has waited 8 s may run on any worker; pacing alone then keeps it from harming services. TestBestEffortTaskThatHasWaitedRunsBesideServices fails without the change.

--- a/internal/cell/interference_risk_test.go
+++ b/internal/cell/interference_risk_test.go
@@ -86,3 +86,32 @@
 	}
 	return -1
 }
+
+// Guards against LOST: best-effort jobs of an image that presses on all services waited without limit, although most of the capacity
+// was free.
+func TestBestEffortTaskThatHasWaitedRunsBesideServices(t *testing.T) {
+	Convey("Given workers whose services all are too near to their targets for an image", t, func() {
+		c, peak, trough := riskWorld()
+		c.interference.Restore(cpuinterference.Snapshot{Pairs: []cpuinterference.Pair{
+			{ServiceImage: "service", BestEffortImage: "heavy", Mean: 1.5, Deviation: 0.01},
+		}})
+		peak.services[0].reading.Utilization, trough.services[0].reading.Utilization = 0.84, 0.84
+		waiting := bestEffortGroup(c, "heavy").tasks[0]
+		waiting.waitingSince = c.now
+		Convey("a task waits at first", func() {
+			So(c.chooseWorker(c.newPlacementView(), waiting, nil), ShouldEqual, -1)
+		})
+		Convey("it runs once it has waited for overdueAfter", func() {
+			c.now += overdueAfter
+			peak.lastReport, trough.lastReport = c.now, c.now
+			So(c.chooseWorker(c.newPlacementView(), waiting, nil), ShouldBeGreaterThanOrEqualTo, 0)
+		})
+		Convey("it goes on waiting while more than half of the capacity is in use", func() {
+			c.now += overdueAfter
+			for _, w := range []*worker{peak, trough} {
+				w.lastReport, w.reserved.MilliCPU = c.now, w.info.Capacity.MilliCPU*6/10
+			}
+			So(c.chooseWorker(c.newPlacementView(), waiting, nil), ShouldEqual, -1)
+		})
+	})
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -31,6 +31,7 @@
 	label           string
 	rack            string
 	limited         bool // the number of tasks on one worker is limited
+	overdue         bool // may run beside services that it presses on; see Cell.overdueBestEffort
 	mayProbe        bool // may run on a worker that is being probed
 }
 
@@ -186,7 +187,7 @@
 	}
 	key := needKey{
 		kind: need.Kind, platformService: platformService, image: g.step.Image, label: g.step.RequiredLabel, rack: g.step.DataRack,
-		limited: g.step.MaxPerWorker > 0, mayProbe: c.mayProbe(t),
+		limited: g.step.MaxPerWorker > 0, mayProbe: c.mayProbe(t), overdue: c.overdueBestEffort(v, t),
 	}
 	if unplaceable, known := v.unplaceable[key]; known && unplaceable.ExpectedMilliCPU <= need.ExpectedMilliCPU && need.Requested.Contains(unplaceable.Requested) {
 		return -1
@@ -202,7 +203,7 @@
 	i := placement.Best(v.candidates, need, func(i int) bool {
 		return (v.onlyRack == "" || v.candidates[i].Rack == v.onlyRack) &&
 			c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
-			(!g.step.BestEffort || c.fitsBesideServices(v, i, g.step))
+			(!g.step.BestEffort || key.overdue || c.fitsBesideServices(v, i, g.step))
 	})
 	if i < 0 && !key.limited && !v.waitsForSuspect && v.onlyRack == "" {
 		v.unplaceable[key] = need
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -23,6 +23,10 @@
 	// minPlacementSpeed is the minimum speed, as a share of full speed, that a best-effort task must reach on the
 	// worker where it is placed.
 	minPlacementSpeed = 0.9
+	// overdueAfter is how long a best-effort task waits for a worker whose services it does not bring near their targets while
+	// less than half of the capacity is in use. After that it runs beside services, and pacing alone keeps it from harming them:
+	// jobs of images that press on all services would otherwise wait for as long as these run.
+	overdueAfter = 8 * time.Second
 	// minUtilizationLeft is the lowest utilization to its target that a service is taken to have left when the risk of placing a
 	// best-effort task beside it is computed. It is about the standard deviation of a reading.
 	minUtilizationLeft = 0.04
@@ -204,6 +208,22 @@
 	return c.headroomAt(v, i, step.Image) >= v.cpuShare(i, step)*minPlacementSpeed
 }
 
+// overdueBestEffort reports whether a best-effort task has waited for so long that it may run beside any services.
+func (c *Cell) overdueBestEffort(v *placementView, t *task) bool {
+	return t.group.step.BestEffort && len(t.runs) == 0 && c.now-max(t.waitingSince, t.group.readyAt) >= overdueAfter && v.mostlyFree()
+}
+
+// mostlyFree reports whether less than half of the processor capacity is requested by tasks.
+func (v *placementView) mostlyFree() bool {
+	if v.capacityMilliCPU == 0 {
+		for i := range v.candidates {
+			v.capacityMilliCPU += v.candidates[i].MilliCPU
+			v.freeMilliCPU += v.candidates[i].Free.MilliCPU
+		}
+	}
+	return 2*v.freeMilliCPU > v.capacityMilliCPU
+}
+
 // headroomAt returns the headroom of an image on the worker with index i. It computes the headroom when it is first
 // needed.
 func (c *Cell) headroomAt(v *placementView, i int, image string) float64 {
