--- /dev/null
+++ b/internal/cell/next_step_test.go
@@ -0,0 +1,87 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
+
+// Guards against LOST: a cell that has given its workers away keeps the jobs that it has accepted. Best-effort tasks were not
+// counted as a shortage, so that the cell borrowed no workers and the jobs never ran.
+func TestBestEffortJobOfCellWithoutWorkersRuns(t *testing.T) {
+	sim := newCellsSimulation(1, 2, 4)
+	sim.run(time.Second)
+	for _, id := range []string{"w1", "w3"} {
+		if !sim.handOver(sim.cells[1], id, 0, handOverCompletes) {
+			t.Fatalf("%s is not idle", id)
+		}
+		sim.run(time.Second)
+	}
+	spec := testSpec(10, 33)
+	for i := range spec.Steps {
+		spec.Steps[i].BestEffort, spec.Steps[i].Image = true, "press"
+	}
+	sim.submitTo(1, "rebuild", spec)
+	sim.runAndBorrow(20 * time.Second)
+	if state, _ := sim.stateOf("rebuild"); state != jobs.Completed {
+		t.Errorf("the job is %v, with %d workers idle in the other cell", state, len(sim.workers))
+	}
+	sim.checkCells(t)
+}
+
+// runAndBorrow advances the simulation by d. Each second cells borrow workers for tasks that wait.
+func (sim *simulation) runAndBorrow(d time.Duration) {
+	for end := sim.now + d; sim.now < end; {
+		sim.run(time.Second)
+		for _, home := range sim.cells {
+			sim.borrow(home)
+		}
+	}
+}
+
+// Guards against LOST: a long-running task ends by itself on a worker that the owner has given up. The end was taken for the
+// success of the task, and nothing started it again.
+func TestLongRunningTaskThatEndsOutOfTouchRunsAgain(t *testing.T) {
+	sim := newSimulation(1, 1)
+	sim.takeOver()
+	sim.run(12 * time.Second)
+	spec := testSpec(1)
+	spec.Steps[0].LongRunning = true
+	sim.submit("listener", spec)
+	sim.run(time.Second)
+	worker := sim.workers["w0"]
+	worker.unreachableBy[sim.owner] = true
+	worker.leaseEnd += time.Hour
+	for len(sim.owner.cell.workers["w0"].runs) > 0 {
+		sim.run(simTick)
+	}
+	worker.end(jobs.TaskID{Job: "listener"}, workercall.Done)
+	delete(worker.unreachableBy, sim.owner)
+	sim.run(5 * time.Second)
+	if state, running := sim.state("listener"), sim.running(); state != jobs.Running || running != 1 {
+		t.Errorf("the job is %v with %d runs, want 1", state, running)
+	}
+}
+
+// Guards against LOST: a long-running task that no other cell had room for was taken for one that has just begun to wait, each
+// time, so that it never had waited long enough to run on the only worker, one that had failed other tasks.
+func TestTaskThatNoCellReceivesKeepsItsWait(t *testing.T) {
+	sim := newCellsSimulation(1, 2, 2)
+	c := sim.cells[0].owner.cell
+	spec := testSpec(9) // a worker has room for eight
+	spec.Steps[0].LongRunning = true
+	sim.submitTo(0, "services", spec)
+	sim.run(4 * time.Second)
+	stranded := c.TakeStrandedTasks()
+	if len(stranded) != 1 {
+		t.Fatalf("%d tasks are to be handed over, want 1", len(stranded))
+	}
+	waiting := c.jobs["services"].task(stranded[0].Task)
+	since := waiting.waitingSince
+	c.ReturnTask(stranded[0].Task)
+	if waiting.waitingSince != since {
+		t.Errorf("the task waits since %v, want %v", waiting.waitingSince, since)
+	}
+}
