A long-running task is not done when a run that the owner gave up ends by itself

Callers saw a job completed whose tasks were to run until it is cancelled, and nothing ran any more, under all later owners: the success is stored. Cause: handleEndOfUnknownRun excluded gangs and, only with a new run, long-running steps.

--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -62,7 +62,7 @@
 
 // handleEndOfUnknownRun processes the end of a run that this owner does not know, for instance because it was
 // abandoned. If the task succeeded in it, the task is marked as done and a new run of it stopped, unless it belongs to a gang or
-// is long-running and has a new run. The end is acknowledged in any case, so it would be lost if the new run were.
+// is long-running. The end is acknowledged in any case, so it would be lost if the new run were.
 func (c *Cell) handleEndOfUnknownRun(w *worker, e *workercall.EndedRun) {
 	j := c.jobs[e.Task.Job]
 	if j == nil || !j.live() {
@@ -79,7 +79,7 @@
 		w.holdEnd(e.Sequence, t)
 		return
 	}
-	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang {
+	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang && !g.step.LongRunning {
 		c.markDone(t)
 		c.advanceStep(g)
 	}
