A task that no other cell has room for keeps its wait

TakeStrandedTasks and ReturnTask set the beginning of the wait anew, each 1.5 s, so that a task never had waited the 2 s after which a long-running task may run on the only worker that has failed others. The wait goes on; the next attempt follows 1.5 s later as before. The line 'task leaves the cell' is written once the assignment is stored, with the cell, and no more for tasks that stay.

--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -109,6 +109,8 @@
 	notBefore time.Duration
 	// waitingSince is when the task became ready to run or, if later, when its last run was removed.
 	waitingSince time.Duration
+	// returnedAt is when no other cell was last found to have room for the task.
+	returnedAt time.Duration
 	// elsewhere is set while the task belongs to another cell, and settledRound is the number of the first round that stores
 	// that its last run, which was removed, is gone.
 	elsewhere bool
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -120,26 +120,41 @@
 			continue
 		}
 		for _, t := range g.tasks {
-			if !t.needsRun() || c.now-max(t.waitingSince, g.readyAt) < taskHandOverAfter || c.storedRound < t.settledRound ||
-				len(stranded) >= maxTaskHandOvers {
+			since := max(t.waitingSince, t.returnedAt, g.readyAt)
+			if !t.needsRun() || c.now-since < taskHandOverAfter || c.storedRound < t.settledRound || len(stranded) >= maxTaskHandOvers {
 				continue
 			}
 			c.setElsewhere(t, true)
 			stranded = append(stranded, TaskHandOver{
 				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, MilliCPU: int64(g.step.Request.MilliCPU),
 			})
-			c.log.Info("task leaves the cell", taskField(t.id), zap.Int("last_run", t.lastRunNumber), zap.Duration("waited", c.now-t.waitingSince))
 		}
 	}
 	return stranded
 }
 
-// ReturnTask has a task that TakeStrandedTasks returned run in this cell again, since its assignment was not stored.
+// ReturnTask has a task that TakeStrandedTasks returned run in this cell again, since no cell has room for it or its assignment
+// was not stored. The task has waited all the while.
 func (c *Cell) ReturnTask(id jobs.TaskID) {
-	if j := c.jobs[id.Job]; j != nil {
-		if t := c.taskOf(j, id); t != nil {
-			c.setElsewhere(t, false)
-		}
+	j := c.jobs[id.Job]
+	if j == nil {
+		return
+	}
+	if t := c.taskOf(j, id); t != nil {
+		since := t.waitingSince
+		c.setElsewhere(t, false)
+		t.waitingSince, t.returnedAt = since, c.now
+	}
+}
+
+// TaskHandedOver is called once the assignment of a task that TakeStrandedTasks returned is stored.
+func (c *Cell) TaskHandedOver(id jobs.TaskID, to int) {
+	j := c.jobs[id.Job]
+	if j == nil {
+		return
+	}
+	if t := c.taskOf(j, id); t != nil {
+		c.log.Info("task leaves the cell", taskField(id), zap.Int("to", to), zap.Int("last_run", t.lastRunNumber), zap.Duration("waited", c.now-t.waitingSince))
 	}
 }
 
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -138,17 +138,25 @@
 	stored := o.storeAssignments(ctx, records)
 	o.node.metrics.GetOrCreateCounter(`cactuswall_tasks_handed_over_total{stored="` + boolLabel(stored) + `"}`).Add(len(tasks))
 	o.log.Info("tasks handed over", zap.Int("tasks", len(tasks)), zap.Int("deleted", len(records)-len(tasks)), zap.Bool("stored", stored))
-	if !stored {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		for _, t := range tasks {
-			o.cell.ReturnTask(t)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, t := range tasks {
+		if stored {
+			o.cell.TaskHandedOver(t.id, t.to)
+		} else {
+			o.cell.ReturnTask(t.id)
 		}
 	}
 }
 
+// taskMove is the hand-over of a task to a cell.
+type taskMove struct {
+	id jobs.TaskID
+	to int
+}
+
 // taskHandOvers returns the records of what handOverTasks does, and the tasks that they hand over.
-func (o *owner) taskHandOvers(table *cellmap.Table) (records []assignmentRecord, tasks []jobs.TaskID) {
+func (o *owner) taskHandOvers(table *cellmap.Table) (records []assignmentRecord, tasks []taskMove) {
 	loads := o.node.loads.recent()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -164,7 +172,7 @@
 		load := loads[to]
 		load.UsedMilliCPU += t.MilliCPU
 		loads[to] = load
-		tasks = append(tasks, t.Task)
+		tasks = append(tasks, taskMove{id: t.Task, to: to})
 		records = append(records, assignmentRecord{cellmap.TaskKey(t.Task), &cellmap.TaskAssignment{Cell: to, LastRun: t.LastRun, Checkpoint: t.Checkpoint}})
 	}
 	return records, tasks
