A cell borrows workers for best-effort tasks, too

Callers saw a job that was accepted and never ran, with most workers idle. A job belongs to the cell that accepted it; a cell that is not active gives its idle workers away, and CurrentShortage left best-effort tasks out, so such a job had no worker and nothing looked for one, under any later owner. Best-effort tasks now count after a wait of 1.5 s.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -119,12 +119,17 @@
 	c.interference.Add(cell, evidence)
 }
 
-// shortageAfter is how long a task must have waited for resources before the cell borrows workers for it.
-const shortageAfter = 300 * time.Millisecond
+const (
+	// shortageAfter is how long a task must have waited for resources before the cell borrows workers for it.
+	shortageAfter = 300 * time.Millisecond
+	// bestEffortShortageAfter is the same for a best-effort task, which mostly finds processor time beside other tasks by then.
+	bestEffortShortageAfter = 1500 * time.Millisecond
+)
 
 // Shortage is what the workers of the cell cannot provide.
 type Shortage struct {
-	// MilliCPU is the processor capacity, in thousandths of a core, that tasks have waited for longer than shortageAfter.
+	// MilliCPU is the processor capacity, in thousandths of a core, that tasks have waited for longer than shortageAfter or, of
+	// best-effort tasks, bestEffortShortageAfter.
 	MilliCPU int64
 	// Label is a label that one of these tasks requires and no worker of the cell has, or empty.
 	Label string
@@ -134,11 +139,15 @@
 func (c *Cell) CurrentShortage() Shortage {
 	var shortage Shortage
 	for _, g := range c.waiting {
-		if !g.mayStart() || g.waitReason != waitRoom || g.step.BestEffort {
+		if !g.mayStart() || g.waitReason != waitRoom {
 			continue
 		}
+		patience := shortageAfter
+		if g.step.BestEffort {
+			patience = bestEffortShortageAfter
+		}
 		t := g.firstToStart(c.now)
-		if t == nil || c.now-max(t.waitingSince, g.readyAt) < shortageAfter {
+		if t == nil || c.now-max(t.waitingSince, g.readyAt) < patience {
 			continue
 		}
 		shortage.MilliCPU += int64(g.toStart) * int64(g.step.Request.MilliCPU)
