A new owner does not take the runs of its predecessor to be at full speed

The pace of a loaded best-effort run is now unknown, is estimated from the CPU that the worker reports, and is ordered unless the run is at full speed as it should be. TestNewOwnerRaisesPaceOfStoppedRun failed before (running after 10 s); the simulation carries out pace orders now.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -149,6 +149,6 @@
 	return reason == workercall.ReasonFenced
 }
 
-// unknownPace is the value of run.pace, otherwise 0 to 100 percent, after a pace order failed or was not answered. It
-// differs from every computed pace, so that paceWorker sends a new order.
+// unknownPace is the value of run.pace, otherwise 0 to 100 percent, after a pace order failed or was not answered, and of a run
+// that a former owner may have paced. It differs from every computed pace, so that paceWorker sends a new order.
 const unknownPace = -1
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -165,6 +165,9 @@
 		task: t, number: stored.Number, worker: w, incarnation: stored.WorkerStartedAtMS, state: runUncertain, stateSince: c.now,
 		pace: fullPace,
 	}
+	if t.group.step.BestEffort {
+		r.pace = unknownPace
+	}
 	w.addRun(r)
 	c.copyLoaded(r)
 }
--- a/internal/cell/next_step_test.go
+++ b/internal/cell/next_step_test.go
@@ -85,3 +85,24 @@
 		t.Errorf("the task waits since %v, want %v", waiting.waitingSince, since)
 	}
 }
+
+// Guards against LOST: a new owner took the runs of its predecessor to be at full speed, so that a best-effort task that the
+// predecessor had paced to a standstill beside a service stood still for good.
+func TestNewOwnerRaisesPaceOfStoppedRun(t *testing.T) {
+	sim := newSimulation(1, 1)
+	sim.taskRunTime = 2 * time.Second
+	sim.takeOver()
+	sim.run(12 * time.Second)
+	spec := testSpec(4)
+	spec.Steps[0].BestEffort, spec.Steps[0].Image = true, "press"
+	sim.submit("rebuild", spec)
+	sim.run(500 * time.Millisecond)
+	for _, r := range sim.workers["w0"].running {
+		r.pace = 0
+	}
+	sim.takeOver()
+	sim.run(10 * time.Second)
+	if state := sim.state("rebuild"); state != jobs.Completed {
+		t.Errorf("the job is %v", state)
+	}
+}
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -30,6 +30,9 @@
 	// minUtilizationLeft is the lowest utilization to its target that a service is taken to have left when the risk of placing a
 	// best-effort task beside it is computed. It is about the standard deviation of a reading.
 	minUtilizationLeft = 0.04
+	// almostFullPace is the measured pace, in percent, from which on a run of unknown pace needs no order to run at full speed. It
+	// spares a new owner one for most runs.
+	almostFullPace = 90
 	// deviationWeight is the share of an interference coefficient's standard deviation that placement adds to its mean.
 	deviationWeight = 0.5
 )
@@ -112,6 +115,10 @@
 		if pace == r.pace {
 			continue
 		}
+		if pace == fullPace && r.pace == unknownPace && r.paceOrMeasured() >= almostFullPace {
+			r.setPace(fullPace)
+			continue
+		}
 		c.log.Info("pace", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
 			zap.Int("percent", pace), zap.Int("before", r.pace), zap.Duration("report_age", c.now-w.lastReport))
 		r.setPace(pace)
@@ -146,7 +153,16 @@
 func (c *Cell) bestEffortTask(w *worker, r *run) pacing.BestEffortTask {
 	capacity := float64(max(1, w.info.Capacity.MilliCPU))
 	full := float64(r.task.group.step.Request.MilliCPU) / capacity
-	return pacing.BestEffortTask{Image: r.task.group.step.Image, FullSpeedCPUShare: full, Pace: r.pace}
+	return pacing.BestEffortTask{Image: r.task.group.step.Image, FullSpeedCPUShare: full, Pace: r.paceOrMeasured()}
+}
+
+// paceOrMeasured returns the run's pace or, if it is not known, the share of its requested CPU that the worker last measured, in
+// percent.
+func (r *run) paceOrMeasured() int {
+	if r.pace != unknownPace {
+		return r.pace
+	}
+	return min(fullPace, fullPace*r.milliCPU/max(1, r.task.group.step.Request.MilliCPU))
 }
 
 // headroom returns the share of a worker's CPU time that a new best-effort task of an image may use without bringing a
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -134,6 +134,7 @@
 	endsAt    time.Duration
 	step      jobs.Step
 	from      int // progress at the start, in percent, as the checkpoint of the order says
+	pace      int // percent of full speed
 }
 
 // simOwner is a process that owns the cell.
@@ -450,6 +451,12 @@
 			return func() { sim.endIfFenced(o, o.cell.StopAnswered(order, err)) }
 		}, func(err error) { o.cell.StopAnswered(order, err) })
 	}
+	for _, order := range orders.Paces {
+		sim.call(o, order.To, func(s *simWorker) func() {
+			err := s.setPace(order)
+			return func() { sim.endIfFenced(o, o.cell.PaceAnswered(order, err)) }
+		}, func(err error) { o.cell.PaceAnswered(order, err) })
+	}
 	if decide && !o.storing {
 		sim.storeRound(o)
 	}
@@ -605,6 +612,7 @@
 	for task, r := range s.running {
 		report.Running = append(report.Running, workercall.RunStatus{
 			Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r), Checkpoint: s.checkpoint(r),
+			MilliCPU: r.step.Request.MilliCPU * r.pace / fullPace,
 		})
 	}
 	return report, nil
@@ -660,7 +668,7 @@
 	if s.sim.remoteSlowdown > 0 && step.DataRack != "" && step.DataRack != s.info.Rack {
 		runTime = time.Duration(float64(runTime) * s.sim.remoteSlowdown)
 	}
-	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, from: from,
+	s.running[order.Task] = &simRun{number: order.Number, step: step, startedAt: s.sim.now, from: from, pace: fullPace,
 		endsAt: s.sim.now + runTime*time.Duration(servingPercent-from)/servingPercent}
 	return answer, nil
 }
@@ -686,6 +694,16 @@
 	return nil
 }
 
+func (s *simWorker) setPace(order PaceOrder) error {
+	if err := s.fence(order.Token); err != nil {
+		return err
+	}
+	if r := s.running[order.Run.Task]; r != nil && r.number == order.Run.Number {
+		r.pace = order.Percent
+	}
+	return nil
+}
+
 func (s *simWorker) end(task jobs.TaskID, how workercall.EndReason) {
 	r := s.running[task]
 	delete(s.running, task)
@@ -704,6 +722,7 @@
 	leaseExpired := s.clock() >= s.leaseEnd
 	for _, task := range s.sortedTasks() {
 		r := s.running[task]
+		r.endsAt += simTick * time.Duration(fullPace-r.pace) / fullPace
 		switch {
 		case leaseExpired:
 			s.end(task, workercall.LeaseExpired)
