A small owner divides a deployment only once larger nodes had the time to ask for the cell

A node of 0.192 of a core that claimed cell 0 first knew of no larger one and stored a plan with three cells 1.5 s after its claim. Larger nodes ask for the cell 3 s after the claim (claim.requestAfter) and the plan had one active cell again, but jobs, services and workers of the others stayed there.

An owner whose largest known capacity is below that of a sufficient node (claim.Sufficient) now changes the plan only once it has held the claim for the time in which a larger one asks: requestAfter, the stagger of ranks and the way to the owner, 4.5 s. After a request that tells of a node that is too small as well it waits for one more request. Owners of sufficient capacity decide as before.

TestSmallOwnerWaitsForLargerNodesToAsk is the decision by itself; TestSmallFirstOwnerDoesNotDivideDeploymentWithLargeNodes failed without the wait (largest known capacity 2, want 800) and passes.

--- a/internal/cellnode/cells_test.go
+++ b/internal/cellnode/cells_test.go
@@ -51,6 +51,15 @@
 // newCellsCluster returns a deployment of two failure domains with two workers each, whose demand exceeds what one node may
 // spend on a cell. It has a node in each failure domain.
 func newCellsCluster(t *testing.T) (*testCluster, workerSet) {
+	d, workers := newClusterOfTwoDomains(t)
+	for _, domain := range []string{"a", "b"} {
+		d.startProcess(testProcess{name: "n" + domain, processNumber: 1, capacity: 2, domain: domain})
+	}
+	return d, workers
+}
+
+// newClusterOfTwoDomains returns a deployment of two failure domains with two workers each and without nodes.
+func newClusterOfTwoDomains(t *testing.T) (*testCluster, workerSet) {
 	d := newTestCluster(t, 0)
 	workers := workerSet{}
 	d.store.topics["workers"] = nil
@@ -59,9 +68,6 @@
 		d.store.topics["workers"] = append(d.store.topics["workers"], store.Record{Key: id, Value: []byte(id)})
 	}
 	d.workers = workers
-	for _, domain := range []string{"a", "b"} {
-		d.startProcess(testProcess{name: "n" + domain, processNumber: 1, capacity: 2, domain: domain})
-	}
 	return d, workers
 }
 
@@ -186,6 +192,30 @@
 	}
 }
 
+// Guards against cells that only a small first owner needs: their jobs and workers stay there when a large node has the cell.
+func TestSmallFirstOwnerDoesNotDivideDeploymentWithLargeNodes(t *testing.T) {
+	d, _ := newClusterOfTwoDomains(t)
+	d.startProcess(testProcess{name: "small", capacity: 2, domain: "a"})
+	d.waitForOwnerNode(0, 3*time.Second)
+	d.startProcess(testProcess{name: "large", rank: 1, capacity: largeCapacity, domain: "b"})
+	o := d.nodes[0].node.ownerOf(0)
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if capacity, settled := o.largestCapacity(); settled {
+			if capacity != largeCapacity {
+				t.Errorf("the largest known capacity is %d, want %d", capacity, int64(largeCapacity))
+			}
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the owner does not know how many cells are needed")
+		}
+	}
+	time.Sleep(2 * workersReadInterval)
+	if plan := d.nodes[0].node.cells.table().Plan(); len(plan.Cells) != 1 {
+		t.Errorf("the deployment was divided: %+v", plan)
+	}
+}
+
 // An owner that read a job of a new cell before the plan that has this cell ran the job as its own, and the new cell's owner
 // ran it too.
 func TestJobOfCellThatTheOwnerHasNotReadOf(t *testing.T) {
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -13,6 +13,7 @@
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/cellrpc"
+	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/recordcodec"
 	"cactuswall.example/cactuswall/internal/store"
@@ -74,9 +75,10 @@
 	if boottime.Now()-o.claimedAt < planDelay {
 		return
 	}
-	o.member.mu.Lock()
-	capacity := max(o.member.view.LargestCapacity(), o.node.settings.Capacity)
-	o.member.mu.Unlock()
+	capacity, settled := o.largestCapacity()
+	if !settled {
+		return
+	}
 	plan := o.node.cells.table().Plan()
 	next, changed := plan.Next(cellmap.Deployment{
 		Workers: list.count(), FailureDomains: list.failureDomains(), OwnerMilliCPU: capacity, OwnerDomain: o.node.settings.FailureDomain,
@@ -89,6 +91,15 @@
 		zap.Int("workers", list.count()), zap.Int64("capacity", capacity), zap.Bool("stored", stored))
 }
 
+// largestCapacity returns the processor capacity of the largest known node, in thousandths of a core. settled is false while
+// larger nodes may not have requested the cell yet: jobs and workers that other cells get meanwhile would stay there.
+func (o *owner) largestCapacity() (capacity int64, settled bool) {
+	o.member.mu.Lock()
+	defer o.member.mu.Unlock()
+	capacity = max(o.member.view.LargestCapacity(), o.node.settings.Capacity)
+	return capacity, claim.Sufficient(capacity) || o.member.view.LargerNodesHeard(boottime.Now())
+}
+
 // rackHandOvers returns the hand-overs of the idle racks that belong into other cells. Some of the others are emptied.
 func (o *owner) rackHandOvers(ctx context.Context, table *cellmap.Table) []handOver {
 	var racks []cell.Rack
--- a/internal/claim/capacity.go
+++ b/internal/claim/capacity.go
@@ -12,6 +12,8 @@
 	// sufficientCapacity is the processor capacity, in thousandths of a core, with which a candidate's own capacity is
 	// compared while it knows that of no other node.
 	sufficientCapacity = 700
+	// requestTransitTime is the time from which a node may request the cell until the owner has read the request.
+	requestTransitTime = 500 * time.Millisecond
 	// successorHeadStart is the extra delay of the other nodes after a release that names a successor.
 	successorHeadStart = 400 * time.Millisecond
 )
@@ -43,6 +45,20 @@
 // LargestCapacity returns the largest known capacity of a node for the cell, in thousandths of a core.
 func (v *View) LargestCapacity() int64 { return max(v.largest, v.capacity) }
 
+// Sufficient reports whether a node of the given processor capacity, in thousandths of a core, may act as the largest of a
+// deployment before others had the time to request the cell. An unknown capacity, 0, is none to wait for either.
+func Sufficient(capacity int64) bool { return !ClearlyLarger(sufficientCapacity, capacity) }
+
+// LargerNodesHeard reports whether this process has owned the cell for so long that a clearly larger node would have requested
+// it. While one has, a second one that is larger still lets requestInterval pass first.
+func (v *View) LargerNodesHeard(now time.Duration) bool {
+	wait := requestAfter + smallerNodeDelay + requestTransitTime
+	if v.request.Epoch == v.latest.Epoch {
+		wait += requestInterval
+	}
+	return v.owns && now >= v.epochReadAt+wait
+}
+
 // Details returns the details of the latest claim. They are zero if its owner has not stored any.
 func (v *View) Details() Details {
 	if !v.hasLatest || v.details.Epoch != v.latest.Epoch {
--- a/internal/claim/capacity_test.go
+++ b/internal/claim/capacity_test.go
@@ -156,3 +156,42 @@
 		So(v.NextDetails(), ShouldResemble, Details{Epoch: 6, Capacity: 110, Largest: 800})
 	})
 }
+
+// Guards against a division for a node that is far too small: it owned the cell first, divided the deployment before the larger
+// nodes had asked for the cell, and jobs and workers stayed in cells that were not active any more.
+func TestSmallOwnerWaitsForLargerNodesToAsk(t *testing.T) {
+	const lastRank = 7
+	latest := requestAfter + lastRank*delayPerRank
+	for _, c := range []struct {
+		name           string
+		capacity       int64
+		requests       []int64 // capacities of the nodes that request the cell, requestInterval apart
+		settled        time.Duration
+		largestSettled int64
+	}{
+		{"a node that suffices decides at once", 800, nil, 0, 800},
+		{"one of unknown capacity, too", 0, nil, 0, 0},
+		{"a small node waits for larger ones, and decides without any", 192, nil, latest + requestTransitTime + time.Second, 192},
+		{"a request tells of a large node", 192, []int64{800}, latest, 800},
+		{"after the request of a node that is a little larger comes that of a large one", 192, []int64{300, 800}, latest + requestInterval, 800},
+	} {
+		Convey(c.name, t, func() {
+			v := sizedView("s-1", "s", 0, c.capacity)
+			v.Observe(nil, 0, 0)
+			v.Accepted(v.NextClaim("s", "s:1"), store.AppendResult{End: 1}, 0, 0)
+			settledAt := time.Duration(-1)
+			for now := time.Duration(0); now < time.Minute && settledAt < 0; now += 10 * time.Millisecond {
+				for i, requested := range c.requests {
+					if now == latest+time.Duration(i)*requestInterval {
+						v.applyRequest(Request{Epoch: 1, Node: "l", Capacity: requested}, now)
+					}
+				}
+				if Sufficient(v.LargestCapacity()) || v.LargerNodesHeard(now) {
+					settledAt = now
+				}
+			}
+			So(settledAt, ShouldBeBetweenOrEqual, c.settled-time.Second, c.settled)
+			So(v.LargestCapacity(), ShouldEqual, c.largestSettled)
+		})
+	}
+}
