--- a/internal/cellnode/cells_test.go
+++ b/internal/cellnode/cells_test.go
@@ -51,6 +51,15 @@
 // newCellsCluster returns a deployment of two failure domains with two workers each, whose demand exceeds what one node may
 // spend on a cell. It has a node in each failure domain.
 func newCellsCluster(t *testing.T) (*testCluster, workerSet) {
+	d, workers := newClusterOfTwoDomains(t)
+	for _, domain := range []string{"a", "b"} {
+		d.startProcess(testProcess{name: "n" + domain, processNumber: 1, capacity: 2, domain: domain})
+	}
+	return d, workers
+}
+
+// newClusterOfTwoDomains returns a deployment of two failure domains with two workers each and without nodes.
+func newClusterOfTwoDomains(t *testing.T) (*testCluster, workerSet) {
 	d := newTestCluster(t, 0)
 	workers := workerSet{}
 	d.store.topics["workers"] = nil
@@ -59,9 +68,6 @@
 		d.store.topics["workers"] = append(d.store.topics["workers"], store.Record{Key: id, Value: []byte(id)})
 	}
 	d.workers = workers
-	for _, domain := range []string{"a", "b"} {
-		d.startProcess(testProcess{name: "n" + domain, processNumber: 1, capacity: 2, domain: domain})
-	}
 	return d, workers
 }
 
@@ -186,6 +192,78 @@
 	}
 }
 
+// Guards against cells that only a small first owner needs: their jobs and workers stay there when a large node has the cell.
+func TestSmallFirstOwnerDoesNotDivideDeploymentWithLargeNodes(t *testing.T) {
+	d, _ := newClusterOfTwoDomains(t)
+	d.startProcess(testProcess{name: "small", capacity: 2, domain: "a"})
+	d.waitForOwnerNode(0, 3*time.Second)
+	d.startProcess(testProcess{name: "large", rank: 1, capacity: largeCapacity, domain: "b"})
+	o := d.nodes[0].node.ownerOf(0)
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if capacity, settled := o.largestCapacity(); settled {
+			if capacity != largeCapacity {
+				t.Errorf("the largest known capacity is %d, want %d", capacity, int64(largeCapacity))
+			}
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the owner does not know how many cells are needed")
+		}
+	}
+	time.Sleep(2 * workersReadInterval)
+	if plan := d.nodes[0].node.cells.table().Plan(); len(plan.Cells) != 1 {
+		t.Errorf("the deployment was divided: %+v", plan)
+	}
+}
+
+// Guards against workers that nobody uses: a service kept the rack, and all workers on it, in a cell that was not active any more.
+func TestInactiveCellKeepsOnlyTheWorkerOfItsService(t *testing.T) {
+	d, workers := newClusterOfTwoDomains(t)
+	for _, w := range workers {
+		w.lasting = true
+	}
+	service := jobs.Step{Count: 1, Request: jobs.Resources{MilliCPU: 1000}, LongRunning: true}
+	for _, a := range []struct {
+		partition store.Partition
+		key       string
+		value     any
+	}{
+		{cellsPartition, cellmap.PlanKey, &cellmap.Plan{Cells: []cellmap.PlannedCell{{Active: true}, {FailureDomain: "b"}}}},
+		{cellsPartition, cellmap.RackKey("b", ""), &cellmap.Assignment{Cell: 1}},
+		{jobsPartition, jobrecord.JobKey(jobs.ID(testIDPrefix+"60"), "n", 1), &jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 2,
+			ReceivedMS: time.Now().UnixMilli(), Spec: jobs.Spec{Steps: []jobs.Step{service}}}},
+	} {
+		value, err := recordcodec.Encode(a.value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.store.Append(context.Background(), store.AppendRequest{Partition: a.partition, Records: []store.Record{{Key: a.key, Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, domain := range []string{"a", "b"} {
+		d.startProcess(testProcess{name: "n" + domain, processNumber: 1, capacity: largeCapacity, domain: domain})
+	}
+	count := func(cell int) int {
+		for _, n := range d.nodes {
+			if o := n.node.ownerOf(cell); o != nil && o.isLoaded() {
+				return len(d.workersOf(o))
+			}
+		}
+		return 0
+	}
+	for deadline := time.Now().Add(15 * time.Second); count(0) != 3 || count(1) != 1 || len(workers.starts()) == 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the cells have %d and %d workers, want 3 and 1", count(0), count(1))
+		}
+	}
+	for task, starts := range workers.starts() {
+		if starts != 1 {
+			t.Errorf("%v was started %d times", task, starts)
+		}
+	}
+}
+
 // An owner that read a job of a new cell before the plan that has this cell ran the job as its own, and the new cell's owner
 // ran it too.
 func TestJobOfCellThatTheOwnerHasNotReadOf(t *testing.T) {
