A declared task does not stay cancelled by an owner with an older manifest

Callers saw a service that was scaled down and up again within 5 s keep its former number of instances for good: 3 of 4 stood in state cancelled. The same happened to tasks of an accepted job when the owner of their shard had not read the manifest with the job: it stopped their runs and ended them as cancelled, and an instance that had exited by itself as finished, which the ledger never places again.

Cause: whether a task is cancelled was remembered from the end record, in which an owner states what its own manifest said at the time, instead of following from the active manifest.

Now the ledger's outcome "cancelled" counts only while the active manifest does not contain the task; a declared task waits and is placed again, also in the failover of a lost domain. An owner that has not read the manifest stream to its end neither stops nor ends a run that it does not know, and renews its lease. Whether a run is a service instance is read from its ID.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -156,10 +156,11 @@
 	return eligible
 }
 
-// isDone reports whether a task is not started again after its last attempt has ended.
+// isDone reports whether a task of the active manifest is not started again after its last attempt has ended. A cancelled attempt does
+// not matter: the manifest contains the task.
 func isDone(a *ledger.Attempt, spec task.Spec) bool {
 	switch a.Outcome {
-	case record.Outcome_OUTCOME_FINISHED, record.Outcome_OUTCOME_CANCELLED:
+	case record.Outcome_OUTCOME_FINISHED:
 		return true
 	case record.Outcome_OUTCOME_FAILED:
 		return a.Failures >= spec.MaxFailures
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -192,3 +192,15 @@
 		})
 	})
 }
+
+// Guards against LOST: a declared task whose attempt was ended as cancelled, by an owner with an older manifest, must move.
+func TestTasksThatAreDone(t *testing.T) {
+	for outcome, want := range map[record.Outcome]bool{
+		record.Outcome_OUTCOME_FINISHED: true, record.Outcome_OUTCOME_FAILED: true, record.Outcome_OUTCOME_CANCELLED: false,
+		record.Outcome_OUTCOME_LOST: false, record.Outcome_OUTCOME_EVICTED: false, record.Outcome_OUTCOME_NOT_STARTED: false,
+	} {
+		if got := isDone(&ledger.Attempt{Outcome: outcome, Failures: 3}, task.Spec{MaxFailures: 3}); got != want {
+			t.Errorf("%v: done %v, want %v", outcome, got, want)
+		}
+	}
+}
--- a/internal/node/evict.go
+++ b/internal/node/evict.go
@@ -30,6 +30,9 @@
 	reasonOutgrown     = "moved_outgrown"
 	reasonLeaving      = "moved_worker_leaving"
 	reasonEvacuated    = "domain_evacuated"
+	// reasonDeclaredAgain is no reason of an end record. A task waits with it after an attempt that ended while its owner knew no
+	// manifest with the task.
+	reasonDeclaredAgain = "declared_again"
 )
 
 // evict begins the eviction of a running task. A task that supports checkpoints takes one before it is
--- /dev/null
+++ b/internal/node/next_step_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/fake"
+	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/ownership"
+	"cactuswall.example/cactuswall/internal/platform"
+	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/units"
+	"cactuswall.example/cactuswall/internal/worker"
+)
+
+// serviceManifest returns a manifest with a service board of the given number of instances.
+func serviceManifest(instances int) string {
+	service := strings.Replace(boardService, `"instances": 2`, fmt.Sprintf(`"instances": %d`, instances), 1)
+	return strings.Replace(manifestJSON(100000), `"services": []`, `"services": [`+service+`]`, 1)
+}
+
+// Guards against LOST: a service instance that is withdrawn and declared again must not stay cancelled.
+func TestInstanceDeclaredAgainRuns(t *testing.T) {
+	for _, wait := range []time.Duration{100 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second, 20 * time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			runInDomain(t, 3, fixedRunTime(time.Hour), func(t *testing.T, d *testDomain) {
+				d.publish(t, serviceManifest(4))
+				time.Sleep(20 * time.Second)
+				d.publish(t, serviceManifest(1))
+				time.Sleep(wait)
+				d.publish(t, serviceManifest(4))
+				time.Sleep(30 * time.Second)
+				if got := d.stateCounts("board"); got["running"] != 4 {
+					t.Errorf("instances by state: %v, want 4 running", got)
+				}
+			})
+		})
+	}
+}
+
+// callCounter counts the stop requests to workers and the leases that are renewed.
+type callCounter struct {
+	directWorkers
+	stops, renewals atomic.Int32
+}
+
+func (w *callCounter) Renew(_ context.Context, _ string, req platform.RenewRequest) (platform.Report, error) {
+	w.renewals.Add(int32(len(req.Runs)))
+	return platform.Report{}, context.Canceled
+}
+
+func (w *callCounter) Stop(context.Context, string, platform.Offset, platform.RunID) error {
+	w.stops.Add(1)
+	return nil
+}
+
+// Guards against LOST: an owner that has not read the manifest must neither stop a run of a job that it does not know nor end it.
+func TestUnknownRunIsKeptUntilManifestIsRead(t *testing.T) {
+	for _, state := range []platform.RunState{platform.RunRunning, platform.RunStopped, platform.RunFinished} {
+		for _, read := range []bool{false, true} {
+			t.Run(fmt.Sprint(state, " read ", read), func(t *testing.T) {
+				e, now := newTestEngine(t, "a"), time.Now()
+				workers := &callCounter{}
+				e.workers, e.manifestCaughtUp = workers, read
+				w := openAttemptOfUnknownTask(e, "j@1/0", now)
+				report := platform.Report{Worker: "w", Capacity: units.Resources{MilliProcessors: 8000, MemoryMiB: 1000}}
+				report.Runs = []platform.Run{{ID: platform.RunID{Task: "j@1/0", Attempt: 1}, State: state}}
+				e.applyReport(w, report, now, false)
+				e.renew(w, now)
+				time.Sleep(20 * time.Millisecond)
+				if renewed, want := workers.renewals.Load() > 0, !read && state == platform.RunRunning; renewed != want {
+					t.Errorf("lease renewed: %v, want %v", renewed, want)
+				}
+				acted := workers.stops.Load() > 0 || e.domainWriter.UnappendedCount() > 0
+				if acted != read {
+					t.Errorf("stopped or ended: %v, want %v", acted, read)
+				}
+			})
+		}
+	}
+}
+
+// openAttemptOfUnknownTask makes the engine own the shard of worker w, with an open attempt of a task that no manifest names.
+func openAttemptOfUnknownTask(e *engine, id string, now time.Time) *worker.Worker {
+	shard := e.ledger.ShardOf(id)
+	w := &worker.Worker{ID: "w", Address: "w", Shard: shard}
+	e.workerTable.Put(w)
+	e.caughtUp = true
+	for _, r := range e.owner.Decide(e.ledger, ownCandidate(e), now) {
+		if r.GetClaim().GetShard() == shard {
+			results := e.ledger.Apply(1, batchOf(e, 1, r), now)
+			e.owner.Observe(e.ledger, results, now, true)
+		}
+	}
+	token := e.owner.Token(shard)
+	placement := &record.Placement{Task: id, Attempt: 1, Worker: "w", From: token, To: token}
+	for _, r := range e.ledger.Apply(2, batchOf(e, 2, &record.Record{Body: &record.Record_Placement{Placement: placement}}), now) {
+		e.applyResult(r, now)
+	}
+	w.Token = platform.Offset(token.GetToken())
+	return w
+}
+
+// ownCandidate returns the engine's node as the only one that may claim shards.
+func ownCandidate(e *engine) ownership.Candidates {
+	return ownership.Candidates{Live: []string{e.self.Node}}
+}
+
+// batchOf returns a batch of the engine's node with one record.
+func batchOf(e *engine, sequence uint64, r *record.Record) *record.Batch {
+	return &record.Batch{Node: e.self.Node, Incarnation: e.self.Incarnation, Sequence: sequence, Records: []*record.Record{r}}
+}
+
+// Guards against LOST: an owner that knows no manifest with a service must not end an instance as finished, since the ledger then
+// accepts no placement of it any more.
+func TestOutcomeOfUnknownTask(t *testing.T) {
+	for id, want := range map[string]record.Outcome{"board/north/0": record.Outcome_OUTCOME_FAILED, "j@1/0": record.Outcome_OUTCOME_FINISHED} {
+		e, now, log := newTestEngine(t, "a"), time.Now(), fake.NewLog()
+		e.domainWriter = journal.NewWriter(log, "s", "a", 1, journal.NewMetrics(metrics.NewSet(), "s"), zap.NewNop())
+		go func() { _ = e.domainWriter.Run(t.Context()) }()
+		e.manifestCaughtUp = true
+		w := openAttemptOfUnknownTask(e, id, now)
+		run := platform.Run{ID: platform.RunID{Task: id, Attempt: 1}, State: platform.RunFinished}
+		e.applyReport(w, platform.Report{Worker: "w", Runs: []platform.Run{run}}, now, false)
+		page, err := log.Read(t.Context(), "s", 1, 5*time.Second)
+		if err != nil || len(page.Entries) != 1 {
+			t.Fatalf("%s: read %d entries, %v", id, len(page.Entries), err)
+		}
+		batch, err := record.Decode(page.Entries[0].Data)
+		if got := batch.GetRecords()[0].GetEnd().GetOutcome(); err != nil || got != want {
+			t.Errorf("%s ends as %v, want %v (%v)", id, got, want, err)
+		}
+	}
+}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -126,7 +126,7 @@
 		row.Progress = 1
 		row.SetState(task.Finished, "", now)
 	case record.Outcome_OUTCOME_CANCELLED:
-		row.SetState(task.Cancelled, a.Reason, now)
+		e.cancelTask(row, a, now)
 	case record.Outcome_OUTCOME_FAILED:
 		e.failTask(row, a, now)
 	case record.Outcome_OUTCOME_NOT_STARTED:
@@ -136,6 +136,16 @@
 	}
 }
 
+// cancelTask updates a task whose attempt was ended because the manifest of the attempt's owner did not contain the task. The task is
+// cancelled only if the active manifest does not contain it either: that owner may have known an older one.
+func (e *engine) cancelTask(row *task.Task, a *ledger.Attempt, now time.Time) {
+	if row.Withdrawn {
+		row.SetState(task.Cancelled, a.Reason, now)
+		return
+	}
+	row.SetWaiting(reasonDeclaredAgain, time.Time{}, now)
+}
+
 // failTask decides whether to retry a task that has failed. Failures on workers that were quarantined at the
 // time do not count, up to MaxFailures of them.
 func (e *engine) failTask(row *task.Task, a *ledger.Attempt, now time.Time) {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -84,10 +84,12 @@
 		e.handleStrayRun(w, run, row, now)
 		return false
 	}
+	if row == nil && !e.manifestRead() {
+		return false // the next report shows the run again
+	}
 	if run.State.Final() {
 		withdrawn := row == nil || row.Withdrawn
-		service := row != nil && row.IsService()
-		e.sendEnd(a, outcomeOf(run, withdrawn, service), run, endReason(row, run))
+		e.sendEnd(a, outcomeOf(run, withdrawn, task.IsServiceInstance(run.ID.Task)), run, endReason(row, run))
 		return false
 	}
 	if row == nil {
--- a/internal/node/snapshots.go
+++ b/internal/node/snapshots.go
@@ -85,6 +85,10 @@
 	return e.activeManifest != nil && e.activeManifest == e.config.Active() && e.manifestReplay.Complete()
 }
 
+// manifestRead reports whether this process has read the whole manifest stream, so that a task that it does not know is not one of a
+// manifest that it has yet to read.
+func (e *engine) manifestRead() bool { return e.manifestCaughtUp && e.manifestReplay.Complete() }
+
 // forgetTasks writes records to forget the tasks of this node's shards that have no open attempt and that the
 // active manifest no longer contains.
 func (e *engine) forgetTasks(now time.Time) {
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -182,8 +182,7 @@
 func (e *engine) renew(w *worker.Worker, sent time.Time) {
 	req := platform.RenewRequest{Token: w.Token, Lease: e.settings.Scheduling.TaskLease.Std()}
 	for _, id := range w.RunIDs() {
-		row := e.taskTable.Get(id.Task)
-		if row != nil && row.Attempt == id.Attempt && row.State == task.Running && e.mayRenew(w, row, sent) {
+		if e.renews(w, id, sent) {
 			req.Runs = append(req.Runs, id)
 		}
 	}
@@ -197,6 +196,17 @@
 	})
 }
 
+// renews reports whether to renew the lease of a run on w. Open attempts of tasks that may be in a manifest that this process has yet
+// to read are renewed under a valid claim.
+func (e *engine) renews(w *worker.Worker, id platform.RunID, now time.Time) bool {
+	if row := e.taskTable.Get(id.Task); row != nil {
+		return row.Attempt == id.Attempt && row.State == task.Running && e.mayRenew(w, row, now)
+	}
+	a := e.openAttempt(id.Task)
+	token, held := e.owner.Authority(w.Shard, now)
+	return !e.manifestRead() && a != nil && a.Number == id.Attempt && held && token == w.Token
+}
+
 // forgetRun tells a worker to drop a final run from its reports. The runs of one tick are sent in one call.
 func (e *engine) forgetRun(w *worker.Worker, id platform.RunID) {
 	if w.Token != 0 && e.canForgetRun(w, id) {
--- a/internal/task/task.go
+++ b/internal/task/task.go
@@ -278,6 +278,9 @@
 	return id
 }
 
+// IsServiceInstance reports whether an ID is that of a service instance. Names of services and jobs contain no at sign.
+func IsServiceInstance(id string) bool { return !strings.Contains(id, "@") }
+
 // Evicting reports whether the open attempt is being evicted.
 func (t *Task) Evicting() bool { return t.EvictionReason != "" }
 
