Waiting tasks are checked against all workers every two seconds

Callers saw tasks that waited for room for good although a worker had plenty: with all workers leaving in the list and one of them live again, 2 to 6 of 8 tasks stood. They were in shards of the node that does not own the worker.

Cause: a group that found no room is skipped until the generation of the worker table grows. It grows when a worker of the node's own becomes eligible, but not when one of another node is listed again, no longer leaving or out of quarantine. The quarantine of a worker also stayed as it was when its shard passed to another node.

Now the schedule makes all groups be checked again every 2 s, whatever event was missed, and a node follows the quarantine of all workers.

Evidence: TestTasksMoveToWorkerThatIsUsableAgain failed for each of three workers without the change, TestQuarantineOfWorkersOfOtherNodesEnds likewise.

--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -100,6 +100,8 @@
 	// dirty requests a scheduling pass in the next tick.
 	dirty    bool
 	lastPlan planState
+	// recheckedAt is when all waiting groups were last made to be checked against every worker.
+	recheckedAt time.Time
 	// mayHaveWithdrawnTasks is set when tasks that the manifest no longer declares may still be running.
 	mayHaveWithdrawnTasks bool
 	policy                scheduler.Policy
--- a/internal/node/next_step_test.go
+++ b/internal/node/next_step_test.go
@@ -139,3 +139,40 @@
 		}
 	}
 }
+
+// putWorker lists the worker of a test domain with a state.
+func (d *testDomain) putWorker(id string, state platform.VMState) {
+	d.list.Put(platform.VM{ID: id, Kind: platform.WorkerVM, State: state, FailureDomain: "a", Rack: "r", Address: id})
+}
+
+// Guards against LOST: tasks in shards of a node without usable workers must move once a worker of another node can be used again.
+func TestTasksMoveToWorkerThatIsUsableAgain(t *testing.T) {
+	for _, id := range []string{"w0", "w1", "w2"} {
+		t.Run(id, func(t *testing.T) {
+			runInDomain(t, 3, fixedRunTime(time.Hour), func(t *testing.T, d *testDomain) {
+				for id := range d.workersByID {
+					d.putWorker(id, platform.Leaving)
+				}
+				time.Sleep(30 * time.Second)
+				d.publish(t, manifestJSON(100000, jobJSON("j", "t", "batch", 8, 1000, 100, false)))
+				time.Sleep(20 * time.Second)
+				d.putWorker(id, platform.Live)
+				time.Sleep(45 * time.Second)
+				if got := d.stateCounts("j"); got["running"] != 8 {
+					t.Errorf("tasks by state: %v, want 8 running", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against LOST: a worker that was in quarantine when its shard passed to another node must become a target of transfers again.
+func TestQuarantineOfWorkersOfOtherNodesEnds(t *testing.T) {
+	e, now := newTestEngine(t, "a"), time.Now()
+	w := &worker.Worker{ID: "w", Suspect: true, Probation: true}
+	e.workerTable.Put(w)
+	e.fenceWorkers(now)
+	if w.Suspect || w.Probation {
+		t.Error("the worker stays in quarantine for this node")
+	}
+}
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -31,6 +31,9 @@
 	asked := 0
 	for _, w := range e.workerTable.All() {
 		token, held := e.owner.Authority(w.Shard, now)
+		state := e.workerHealth.State(w.ID, now)
+		w.Suspect = state != quarantine.Trusted
+		w.Probation = state == quarantine.Probing
 		if !held {
 			if !e.mayUseExpiredClaim(w) {
 				e.releaseWorker(w, now)
@@ -45,7 +48,7 @@
 			w.FenceInFlight = true
 			e.fence(w, token)
 		}
-		e.updateEligibility(w, token, now)
+		e.updateEligibility(w, token, state, now)
 		if w.Leaving && w.Token == token {
 			e.drainWorker(w, now)
 		}
@@ -80,10 +83,7 @@
 }
 
 // updateEligibility decides whether a worker in a shard that this node holds may get new tasks.
-func (e *engine) updateEligibility(w *worker.Worker, token platform.Offset, now time.Time) {
-	state := e.workerHealth.State(w.ID, now)
-	w.Suspect = state != quarantine.Trusted
-	w.Probation = state == quarantine.Probing
+func (e *engine) updateEligibility(w *worker.Worker, token platform.Offset, state quarantine.State, now time.Time) {
 	usable := w.Token == token && !w.Leaving && w.UnlistedSince.IsZero() && !now.Before(w.NextCallAt)
 	e.workerTable.SetEligible(w, usable && state != quarantine.Quarantined)
 }
--- a/internal/scheduler/plan_bench_test.go
+++ b/internal/scheduler/plan_bench_test.go
@@ -136,7 +136,8 @@
 	}
 }
 
-func benchmarkFullFleet(b *testing.B, workers, tasks int) {
+// newFullFleet returns a fleet without room for the 2000 tasks that wait.
+func newFullFleet(workers, tasks int) *benchFleet {
 	s := newBenchFleet(workers, tasks)
 	for range 3*workers + 2000 {
 		s.arrive(false)
@@ -144,6 +145,24 @@
 	for len(s.plan().Placements) > 0 {
 		continue
 	}
+	return s
+}
+
+// BenchmarkRecheck measures a plan on a full fleet that checks every waiting group against every worker.
+func BenchmarkRecheck(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d-workers", size.workers), func(b *testing.B) {
+			s := newFullFleet(size.workers, size.tasks)
+			for b.Loop() {
+				s.tasks.ResetAllChecked()
+				s.plan()
+			}
+		})
+	}
+}
+
+func benchmarkFullFleet(b *testing.B, workers, tasks int) {
+	s := newFullFleet(workers, tasks)
 	for b.Loop() {
 		s.end()
 		if plan := s.plan(); len(plan.Placements) != 1 {
--- a/internal/task/group.go
+++ b/internal/task/group.go
@@ -96,6 +96,14 @@
 	return a.ID < b.ID
 }
 
+// ResetAllChecked makes the scheduler check every worker again for all waiting tasks.
+func (t *Table) ResetAllChecked() {
+	for _, g := range t.groups {
+		g.CheckedGeneration = 0
+	}
+	t.changeCount++
+}
+
 // ResetChecked makes the scheduler check every worker again for the waiting tasks of a kind, in all shards.
 func (t *Table) ResetChecked(kind string) {
 	for shard := range uint32(failuredomain.ShardsPerDomain) {
