Waiting tasks of an evacuated failure domain run in other domains

Callers saw accepted tasks of an evacuated failure domain wait without limit, also those of jobs that may run elsewhere and with room in all other domains.

While its domain is evacuated, a shard's owner now looks each second at the tasks that wait, and transfers those of run_elsewhere jobs to domains with live nodes whose workers report room and whose part of the team's quota is not used up. What has no room goes on waiting. Running work stays, and the withdrawal leaves where it is what has gone. What is to be transferred follows from the tables each time, so no event can be missed. A task moves only from its home, since no ledger takes a task a second time.

A transfer to a third domain whose home was lost before the arrival was written also had no next step: the rescuer repeated only arrivals in its own domain. It now repeats all of them.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -104,6 +104,12 @@
 	ReceivingDomain []*record.Record
 }
 
+// Arrival is an arrival record for the stream of a domain.
+type Arrival struct {
+	Domain string
+	Record *record.Record
+}
+
 // Decide returns the records to append at now. declared holds the lost domain's tasks under the
 // active manifest; receiverLedger is the ledger of this node's own domain.
 func (f *Failover) Decide(declared []task.Spec, receiverLedger *ledger.Ledger, now time.Time) Records {
@@ -200,6 +206,21 @@
 	return records
 }
 
+// ArrivalsElsewhere returns the arrival records, by task, of the tasks that were transferred to other domains than this node's. Their
+// home domain may have been lost before it wrote them. A repeated arrival has no effect.
+func (f *Failover) ArrivalsElsewhere() map[string]Arrival {
+	arrivals := make(map[string]Arrival)
+	if !f.caughtUp || !f.replay.Complete() {
+		return arrivals
+	}
+	for _, id := range f.lostLedger.TransferredOut() {
+		if to := f.lostLedger.TransferredTo(id); to != f.receivingDomain {
+			arrivals[id] = Arrival{Domain: to, Record: f.lostLedger.ArrivalRecord(id, f.lostDomain)}
+		}
+	}
+	return arrivals
+}
+
 // countWaitingTasks counts the tasks moved to the receiving domain that have had no attempt there, or whose
 // last attempt there was lost. The arrival record enters an earlier attempt in the lost domain as lost.
 func (f *Failover) countWaitingTasks(receiverLedger *ledger.Ledger) int {
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -204,3 +204,25 @@
 		}
 	}
 }
+
+// Guards against LOST: a task that its home domain had transferred to a third domain before the home was lost must arrive there.
+func TestArrivalsInOtherDomainsAreCompleted(t *testing.T) {
+	f := newFixture()
+	f.append(lostNode, claimAll()...)
+	var transfers []*record.Record
+	for id, to := range map[string]string{"job@1/0": "third", "job@1/1": "other"} {
+		shard := f.lostLedger.ShardOf(id)
+		from := &record.ShardToken{Shard: shard, Token: uint64(f.lostLedger.Claim(shard).Token)}
+		transfers = append(transfers, &record.Record{Body: &record.Record_Transfer{Transfer: &record.Transfer{Task: id, From: from, ToDomain: to}}})
+	}
+	f.append(lostNode, transfers...)
+	if got := f.failover.ArrivalsElsewhere(); len(got) != 0 {
+		t.Errorf("arrivals before the stream was read to its end: %v", got)
+	}
+	f.failover.Apply(nil, f.now)
+	got := f.failover.ArrivalsElsewhere()
+	arrival := got["job@1/0"]
+	if len(got) != 1 || arrival.Domain != "third" || arrival.Record.GetArrival().GetFromDomain() != "home" {
+		t.Errorf("arrivals: %v, want one of job@1/0 in third", got)
+	}
+}
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -72,9 +72,11 @@
 	config         config.State
 	activeManifest *config.ActiveManifest
 	evacuation     evacuation
-	members        *membership.Table
-	ledger         *ledger.Ledger
-	owner          *ownership.Owner
+	// evacuationTransfers transfers waiting tasks to other failure domains while this one is evacuated.
+	evacuationTransfers *evacuationTransfers
+	members             *membership.Table
+	ledger              *ledger.Ledger
+	owner               *ownership.Owner
 	// workerTable and taskTable are the tables of all workers and tasks of the failure domain.
 	workerTable *worker.Table
 	taskTable   *task.Table
@@ -199,6 +201,7 @@
 	e.advanceEvictions(now)
 	e.sendStops(now)
 	e.schedule(now)
+	e.evacuationTransfers.tick(now)
 	e.flushForgets()
 	e.failoverManager.tick(now)
 	e.writeSnapshots(now)
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -187,3 +187,71 @@
 		killB()
 	})
 }
+
+// tasksByDomain counts the runs of each job by failure domain.
+func (d *twoDomainDeployment) tasksByDomain() map[string]int {
+	count := make(map[string]int)
+	for key, runs := range d.runCounts() {
+		name, _, _ := strings.Cut(key, "@")
+		count[name] += runs
+	}
+	return count
+}
+
+// Guards against LOST: tasks that belong to an evacuated failure domain and may run elsewhere must run where there is room, once, and
+// the others after the withdrawal.
+func TestWaitingTasksLeaveEvacuatedDomain(t *testing.T) {
+	evacuated := strings.Replace(moveManifest, `"name": "a",`, `"name": "a", "evacuated": true,`, 1)
+	for _, c := range []struct {
+		name                                        string
+		milliProcessorsInB                          int64
+		quota                                       string
+		restart                                     bool
+		movedDuring, movedAfterwards, ranAfterwards int
+	}{
+		{"room elsewhere", 8000, "100000", false, 3, 3, 1},
+		{"room for one at a time", 1000, "100000", false, 3, 3, 1},
+		{"no room elsewhere", 500, "100000", false, 0, 0, 4},
+		{"no quota elsewhere", 8000, "1999", false, 0, 0, 4},
+		{"both nodes restart", 8000, "100000", true, 3, 3, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newTwoDomainDeployment(8000)
+				d.addWorker("b", c.milliProcessorsInB)
+				a, killA := d.start("a", 1)
+				b, killB := d.start("b", 1)
+				time.Sleep(5 * time.Second)
+				publish := func(document string) {
+					document = strings.Replace(document, `"milli_processors": 100000`, `"milli_processors": `+c.quota, 1)
+					decision, err := a.Publish(context.Background(), operator.Publication{Document: document, Replaces: a.Status().ManifestVersion})
+					if err != nil || !decision.Accepted {
+						t.Fatalf("not accepted: %+v, %v", decision, err)
+					}
+				}
+				publish(evacuated)
+				if c.restart {
+					time.Sleep(1200 * time.Millisecond)
+					killA()
+					killB()
+					a, killA = d.start("a", 2)
+					b, killB = d.start("b", 2)
+				}
+				time.Sleep(2 * time.Minute)
+				if got := d.tasksByDomain(); got["b moves"] != c.movedDuring || got["a moves"]+got["a stays"]+got["b stays"] > 0 {
+					t.Errorf("runs during the evacuation: %v, want %d of moves in b", got, c.movedDuring)
+				}
+				publish(moveManifest)
+				time.Sleep(2 * time.Minute)
+				if got := d.tasksByDomain(); got["b moves"] != c.movedAfterwards || got["a moves"]+got["a stays"] != c.ranAfterwards {
+					t.Errorf("runs after the withdrawal: %v, want %d in b and %d in a", got, c.movedAfterwards, c.ranAfterwards)
+				}
+				if state := stateOf(b, "moves@1/0"); c.movedDuring > 0 && state != "finished" {
+					t.Errorf("the transferred task is %q", state)
+				}
+				killA()
+				killB()
+			})
+		})
+	}
+}
--- a/internal/node/failover.go
+++ b/internal/node/failover.go
@@ -31,8 +31,8 @@
 	// writers holds one writer for each stream. They are kept as long as the node runs, so that no sequence
 	// number is used twice in a stream.
 	writers map[string]*journal.Writer
-	// arrivalsSent holds the IDs of the tasks transferred out of this failure domain for which this node has
-	// sent an arrival record to the receiving domain.
+	// arrivalsSent holds the IDs of the tasks transferred out of this failure domain or a lost one for which this
+	// node has sent an arrival record to the receiving domain.
 	arrivalsSent map[string]bool
 	nextDecision time.Time
 }
@@ -166,6 +166,11 @@
 		f.writer.Enqueue(snapshot)
 	}
 	m.engine.domainWriter.Enqueue(records.ReceivingDomain...)
+	for id, arrival := range f.ArrivalsElsewhere() {
+		if !m.arrivalsSent[id] {
+			m.arrivalsSent[id] = m.writer(journal.DomainStream(arrival.Domain)).Enqueue(arrival.Record)
+		}
+	}
 }
 
 // liveNodes returns, by failure domain, the nodes that are not known to be dead.
@@ -189,6 +194,9 @@
 		e.taskTable.SetShard(row, e.ledger.ShardOf(row.ID))
 		return
 	}
+	if r.Writer != e.self {
+		e.evacuationTransfers.transferredByOther(row, t.GetToDomain(), now)
+	}
 	row.SetState(task.Transferred, "moved to failure domain "+t.GetToDomain(), now)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 	writer := func(stream string) *journal.Writer {
 		return journal.NewWriter(o.Log, stream, s.Node, o.Incarnation, journal.NewMetrics(set, stream), o.Logger)
 	}
-	return &engine{
+	e := &engine{
 		settings:               s,
 		self:                   self,
 		workers:                o.Workers,
@@ -150,6 +150,8 @@
 		leavingSince:           make(map[string]time.Time),
 		peers:                  peer.NewClients(s.PeerKey, o.Peers).At,
 	}
+	e.evacuationTransfers = newEvacuationTransfers(e)
+	return e
 }
 
 func (n *Node) activeManifest() *manifest.Manifest {
--- a/internal/scheduler/evict.go
+++ b/internal/scheduler/evict.go
@@ -92,7 +92,7 @@
 func (p *planner) evictable(victim, t *task.Task) bool {
 	open := victim.State == task.Running || victim.State == task.Placed
 	return open && !victim.Evicting() && !p.victims[victim.ID] &&
-		rankOf(victim) > rankUrgent && rankOf(victim) > rankOf(t) &&
+		Rank(victim) > rankUrgent && Rank(victim) > Rank(t) &&
 		victim.Evictions < p.Limits.MaxEvictions
 }
 
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -78,7 +78,7 @@
 // updateKey computes the sort key of an item from its next task, stores it and returns it.
 func (p *planner) updateKey(item *queueItem) sortKey {
 	t := item.tasks[0]
-	item.key = sortKey{rank: rankOf(t)}
+	item.key = sortKey{rank: Rank(t)}
 	if t.IsService() {
 		return item.key
 	}
@@ -95,8 +95,8 @@
 	return item.key
 }
 
-// rankOf returns the priority rank of a task.
-func rankOf(t *task.Task) int {
+// Rank returns the priority rank of a task. Tasks with a lower rank are placed first.
+func Rank(t *task.Task) int {
 	switch {
 	case t.IsService():
 		return rankService
