Tasks that a domain can never run do not move there from a lost one

Callers saw accepted tasks of a lost failure domain wait with room for them elsewhere. A job of 70 tasks that is larger than every worker of the rescuing domain had its first 64 tasks moved there, where they waited for good; these are as many as may wait, so nothing else moved any more, and the big tasks could not go back when their own domain returned.

The rescuer now moves only what its own domain can ever run by its quotas and the capacity of its workers, as far as these are known.

Evidence: TestImpossibleTasksDoNotBlockFailover failed without the change (no task of the other job ran within 7 minutes).

--- a/internal/node/failover.go
+++ b/internal/node/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,6 +15,7 @@
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/task"
 )
 
@@ -84,11 +86,28 @@
 			m.close(lost, now)
 			continue
 		}
-		declared := task.SpecsForDomain(activeManifest.Manifest, activeManifest.Origins, lost)
+		declared := m.runnable(task.SpecsForDomain(activeManifest.Manifest, activeManifest.Origins, lost), now)
 		m.appendRecords(m.failovers[lost], m.failovers[lost].Decide(declared, m.engine.ledger, now), now)
 	}
 }
 
+// runnable returns the tasks that this failure domain can ever run. The others stay where they are: moved, they would take the places
+// of tasks that can run.
+func (m *failoverManager) runnable(specs []task.Spec, now time.Time) []task.Spec {
+	in := m.engine.planInput(now)
+	runnable := make(map[string]bool)
+	return slices.DeleteFunc(specs, func(spec task.Spec) bool {
+		if spec.IsService() {
+			return true
+		}
+		if _, checked := runnable[spec.Job]; !checked {
+			_, never := scheduler.Unschedulable(in, &task.Task{Spec: spec})
+			runnable[spec.Job] = !never
+		}
+		return !runnable[spec.Job]
+	})
+}
+
 func (m *failoverManager) activeDomains() []string {
 	domains := make([]string, 0, len(m.failovers))
 	for lost := range m.failovers {
--- a/internal/node/next_step_test.go
+++ b/internal/node/next_step_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,6 +14,7 @@
 
 	"cactuswall.example/cactuswall/internal/fake"
 	"cactuswall.example/cactuswall/internal/journal"
+	"cactuswall.example/cactuswall/internal/operator"
 	"cactuswall.example/cactuswall/internal/ownership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
@@ -176,3 +178,30 @@
 		t.Error("the worker stays in quarantine for this node")
 	}
 }
+
+// Guards against LOST: tasks of a lost domain that no worker of the receiving one can ever take must neither move nor keep others there.
+func TestImpossibleTasksDoNotBlockFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newTwoDomainDeployment(0)
+		a, killA := d.start("a", 1)
+		b, killB := d.start("b", 1)
+		time.Sleep(5 * time.Second)
+		impossible := `"jobs": [{"name": "big", "team": "t", "tasks": 70,
+			"size": {"milli_processors": 9000, "memory_mib": 10, "accelerators": 0}, "run_time": "1s", "deadline": "24h",
+			"priority": "batch", "home_domain": "a", "on_domain_loss": "run_elsewhere", "checkpoints": false, "max_failures": 3},`
+		document := strings.Replace(moveManifest, `"jobs": [`, impossible, 1)
+		if _, err := a.Publish(context.Background(), operator.Publication{Document: document}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Second)
+		killA()
+		time.Sleep(7 * time.Minute)
+		if got := d.tasksByDomain(); got["b moves"] != 3 {
+			t.Errorf("runs: %v, want 3 of moves in b", got)
+		}
+		if got := stateOf(b, "big@1/0"); got != "" {
+			t.Errorf("a task that cannot run in b was moved there and is %q", got)
+		}
+		killB()
+	})
+}
