--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -104,6 +104,12 @@
 	ReceivingDomain []*record.Record
 }
 
+// Arrival is an arrival record for the stream of a domain.
+type Arrival struct {
+	Domain string
+	Record *record.Record
+}
+
 // Decide returns the records to append at now. declared holds the lost domain's tasks under the
 // active manifest; receiverLedger is the ledger of this node's own domain.
 func (f *Failover) Decide(declared []task.Spec, receiverLedger *ledger.Ledger, now time.Time) Records {
@@ -156,10 +162,11 @@
 	return eligible
 }
 
-// isDone reports whether a task is not started again after its last attempt has ended.
+// isDone reports whether a task of the active manifest is not started again after its last attempt has ended. A cancelled attempt does
+// not matter: the manifest contains the task.
 func isDone(a *ledger.Attempt, spec task.Spec) bool {
 	switch a.Outcome {
-	case record.Outcome_OUTCOME_FINISHED, record.Outcome_OUTCOME_CANCELLED:
+	case record.Outcome_OUTCOME_FINISHED:
 		return true
 	case record.Outcome_OUTCOME_FAILED:
 		return a.Failures >= spec.MaxFailures
@@ -199,6 +206,21 @@
 	return records
 }
 
+// ArrivalsElsewhere returns the arrival records, by task, of the tasks that were transferred to other domains than this node's. Their
+// home domain may have been lost before it wrote them. A repeated arrival has no effect.
+func (f *Failover) ArrivalsElsewhere() map[string]Arrival {
+	arrivals := make(map[string]Arrival)
+	if !f.caughtUp || !f.replay.Complete() {
+		return arrivals
+	}
+	for _, id := range f.lostLedger.TransferredOut() {
+		if to := f.lostLedger.TransferredTo(id); to != f.receivingDomain {
+			arrivals[id] = Arrival{Domain: to, Record: f.lostLedger.ArrivalRecord(id, f.lostDomain)}
+		}
+	}
+	return arrivals
+}
+
 // countWaitingTasks counts the tasks moved to the receiving domain that have had no attempt there, or whose
 // last attempt there was lost. The arrival record enters an earlier attempt in the lost domain as lost.
 func (f *Failover) countWaitingTasks(receiverLedger *ledger.Ledger) int {
--- a/internal/failover/failover_test.go
+++ b/internal/failover/failover_test.go
@@ -192,3 +192,37 @@
 		})
 	})
 }
+
+// Guards against LOST: a declared task whose attempt was ended as cancelled, by an owner with an older manifest, must move.
+func TestTasksThatAreDone(t *testing.T) {
+	for outcome, want := range map[record.Outcome]bool{
+		record.Outcome_OUTCOME_FINISHED: true, record.Outcome_OUTCOME_FAILED: true, record.Outcome_OUTCOME_CANCELLED: false,
+		record.Outcome_OUTCOME_LOST: false, record.Outcome_OUTCOME_EVICTED: false, record.Outcome_OUTCOME_NOT_STARTED: false,
+	} {
+		if got := isDone(&ledger.Attempt{Outcome: outcome, Failures: 3}, task.Spec{MaxFailures: 3}); got != want {
+			t.Errorf("%v: done %v, want %v", outcome, got, want)
+		}
+	}
+}
+
+// Guards against LOST: a task that its home domain had transferred to a third domain before the home was lost must arrive there.
+func TestArrivalsInOtherDomainsAreCompleted(t *testing.T) {
+	f := newFixture()
+	f.append(lostNode, claimAll()...)
+	var transfers []*record.Record
+	for id, to := range map[string]string{"job@1/0": "third", "job@1/1": "other"} {
+		shard := f.lostLedger.ShardOf(id)
+		from := &record.ShardToken{Shard: shard, Token: uint64(f.lostLedger.Claim(shard).Token)}
+		transfers = append(transfers, &record.Record{Body: &record.Record_Transfer{Transfer: &record.Transfer{Task: id, From: from, ToDomain: to}}})
+	}
+	f.append(lostNode, transfers...)
+	if got := f.failover.ArrivalsElsewhere(); len(got) != 0 {
+		t.Errorf("arrivals before the stream was read to its end: %v", got)
+	}
+	f.failover.Apply(nil, f.now)
+	got := f.failover.ArrivalsElsewhere()
+	arrival := got["job@1/0"]
+	if len(got) != 1 || arrival.Domain != "third" || arrival.Record.GetArrival().GetFromDomain() != "home" {
+		t.Errorf("arrivals: %v, want one of job@1/0 in third", got)
+	}
+}
--- a/internal/node/failover.go
+++ b/internal/node/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,6 +15,7 @@
 	"cactuswall.example/cactuswall/internal/membership"
 	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/record"
+	"cactuswall.example/cactuswall/internal/scheduler"
 	"cactuswall.example/cactuswall/internal/task"
 )
 
@@ -31,8 +33,8 @@
 	// writers holds one writer for each stream. They are kept as long as the node runs, so that no sequence
 	// number is used twice in a stream.
 	writers map[string]*journal.Writer
-	// arrivalsSent holds the IDs of the tasks transferred out of this failure domain for which this node has
-	// sent an arrival record to the receiving domain.
+	// arrivalsSent holds the IDs of the tasks transferred out of this failure domain or a lost one for which this
+	// node has sent an arrival record to the receiving domain.
 	arrivalsSent map[string]bool
 	nextDecision time.Time
 }
@@ -84,11 +86,28 @@
 			m.close(lost, now)
 			continue
 		}
-		declared := task.SpecsForDomain(activeManifest.Manifest, activeManifest.Origins, lost)
+		declared := m.runnable(task.SpecsForDomain(activeManifest.Manifest, activeManifest.Origins, lost), now)
 		m.appendRecords(m.failovers[lost], m.failovers[lost].Decide(declared, m.engine.ledger, now), now)
 	}
 }
 
+// runnable returns the tasks that this failure domain can ever run. The others stay where they are: moved, they would take the places
+// of tasks that can run.
+func (m *failoverManager) runnable(specs []task.Spec, now time.Time) []task.Spec {
+	in := m.engine.planInput(now)
+	runnable := make(map[string]bool)
+	return slices.DeleteFunc(specs, func(spec task.Spec) bool {
+		if spec.IsService() {
+			return true
+		}
+		if _, checked := runnable[spec.Job]; !checked {
+			_, never := scheduler.Unschedulable(in, &task.Task{Spec: spec})
+			runnable[spec.Job] = !never
+		}
+		return !runnable[spec.Job]
+	})
+}
+
 func (m *failoverManager) activeDomains() []string {
 	domains := make([]string, 0, len(m.failovers))
 	for lost := range m.failovers {
@@ -166,6 +185,11 @@
 		f.writer.Enqueue(snapshot)
 	}
 	m.engine.domainWriter.Enqueue(records.ReceivingDomain...)
+	for id, arrival := range f.ArrivalsElsewhere() {
+		if !m.arrivalsSent[id] {
+			m.arrivalsSent[id] = m.writer(journal.DomainStream(arrival.Domain)).Enqueue(arrival.Record)
+		}
+	}
 }
 
 // liveNodes returns, by failure domain, the nodes that are not known to be dead.
@@ -189,6 +213,9 @@
 		e.taskTable.SetShard(row, e.ledger.ShardOf(row.ID))
 		return
 	}
+	if r.Writer != e.self {
+		e.evacuationTransfers.transferredByOther(row, t.GetToDomain(), now)
+	}
 	row.SetState(task.Transferred, "moved to failure domain "+t.GetToDomain(), now)
 }
 
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -31,6 +31,9 @@
 	asked := 0
 	for _, w := range e.workerTable.All() {
 		token, held := e.owner.Authority(w.Shard, now)
+		state := e.workerHealth.State(w.ID, now)
+		w.Suspect = state != quarantine.Trusted
+		w.Probation = state == quarantine.Probing
 		if !held {
 			if !e.mayUseExpiredClaim(w) {
 				e.releaseWorker(w, now)
@@ -45,7 +48,7 @@
 			w.FenceInFlight = true
 			e.fence(w, token)
 		}
-		e.updateEligibility(w, token, now)
+		e.updateEligibility(w, token, state, now)
 		if w.Leaving && w.Token == token {
 			e.drainWorker(w, now)
 		}
@@ -80,10 +83,7 @@
 }
 
 // updateEligibility decides whether a worker in a shard that this node holds may get new tasks.
-func (e *engine) updateEligibility(w *worker.Worker, token platform.Offset, now time.Time) {
-	state := e.workerHealth.State(w.ID, now)
-	w.Suspect = state != quarantine.Trusted
-	w.Probation = state == quarantine.Probing
+func (e *engine) updateEligibility(w *worker.Worker, token platform.Offset, state quarantine.State, now time.Time) {
 	usable := w.Token == token && !w.Leaving && w.UnlistedSince.IsZero() && !now.Before(w.NextCallAt)
 	e.workerTable.SetEligible(w, usable && state != quarantine.Quarantined)
 }
@@ -182,8 +182,7 @@
 func (e *engine) renew(w *worker.Worker, sent time.Time) {
 	req := platform.RenewRequest{Token: w.Token, Lease: e.settings.Scheduling.TaskLease.Std()}
 	for _, id := range w.RunIDs() {
-		row := e.taskTable.Get(id.Task)
-		if row != nil && row.Attempt == id.Attempt && row.State == task.Running && e.mayRenew(w, row, sent) {
+		if e.renews(w, id, sent) {
 			req.Runs = append(req.Runs, id)
 		}
 	}
@@ -197,6 +196,17 @@
 	})
 }
 
+// renews reports whether to renew the lease of a run on w. Open attempts of tasks that may be in a manifest that this process has yet
+// to read are renewed under a valid claim.
+func (e *engine) renews(w *worker.Worker, id platform.RunID, now time.Time) bool {
+	if row := e.taskTable.Get(id.Task); row != nil {
+		return row.Attempt == id.Attempt && row.State == task.Running && e.mayRenew(w, row, now)
+	}
+	a := e.openAttempt(id.Task)
+	token, held := e.owner.Authority(w.Shard, now)
+	return !e.manifestRead() && a != nil && a.Number == id.Attempt && held && token == w.Token
+}
+
 // forgetRun tells a worker to drop a final run from its reports. The runs of one tick are sent in one call.
 func (e *engine) forgetRun(w *worker.Worker, id platform.RunID) {
 	if w.Token != 0 && e.canForgetRun(w, id) {
