A job of which nothing runs gets a run within 2 s while most of the room is free

Callers saw best-effort jobs that were accepted and had nothing running for minutes, with most of the workers' room free.

While less than half of the capacity of the service's workers is requested, one task of a job without runs now starts after 1.5 s on the worker where it presses least; a run that the owner stopped begins no new wait. Pacing keeps the services to their targets. Where too little processor time is unused the run is held at 10% until there is enough, so that more urgent runs lose little; while jobs become late and new ones arrive, only worthless jobs start there, and they leave unused processor time to others. A worker within the limits is taken first where there is one. Further tasks of the job wait as before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -76,6 +76,8 @@
 	// start orders without a call of StartAnswered.
 	load    *overload.Controller
 	backlog urgency.Backlog
+	// newestJobAt is when the newest job was added.
+	newestJobAt time.Duration
 	// shares accounts for late work among other work.
 	shares urgency.Shares
 	// drain measures how waiting work is begun, and shapes are the capacities of all workers seen, by service.
@@ -162,7 +164,7 @@
 		criticalPath: criticalPaths(&record.Spec), addedAt: c.now,
 	}
 	j.estimate()
-	c.jobs[id] = j
+	c.jobs[id], c.newestJobAt = j, c.now
 	if c.earlyCancels[id] {
 		delete(c.earlyCancels, id)
 		j.cancelled = true
@@ -306,6 +308,9 @@
 	if !t.done && len(t.runs) == 0 {
 		t.waitingSince = c.now
 	}
+	if j := t.group.job; j.runs == 0 && r.runningSince > 0 && !r.stopRequested {
+		j.idleSince = c.now
+	}
 	c.addWaiting(t.group)
 	c.needsPlacement = true
 	c.markGroupDirty(t.group)
--- a/internal/cell/interference_risk_test.go
+++ b/internal/cell/interference_risk_test.go
@@ -97,7 +97,8 @@
 		}})
 		peak.services[0].reading.Utilization, trough.services[0].reading.Utilization = 0.84, 0.84
 		waiting := bestEffortGroup(c, "heavy").tasks[0]
-		waiting.waitingSince = c.now
+		waiting.waitingSince, waiting.group.readyAt = c.now, c.now
+		waiting.group.job.runs = 1 // of another task
 		Convey("a task waits at first", func() {
 			So(c.chooseWorker(c.newPlacementView(), waiting, nil), ShouldEqual, -1)
 		})
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -56,6 +56,12 @@
 	c.counters.get(c.set, "cactuswall_cell_starts_refused_total", "reason", reason).Inc()
 }
 
+// countPastLimits counts a start of a best-effort task beyond one of its limits: "services" near their targets, or "processors" in
+// use.
+func (c *Metrics) countPastLimits(limit string) {
+	c.counters.get(c.set, "cactuswall_cell_starts_past_limits_total", "limit", limit).Inc()
+}
+
 // countWithheldStart counts a start that was withheld because of an evacuation, by reason. Outdated requests are counted once
 // for each round.
 func (c *Metrics) countWithheldStart(reason string) {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -31,7 +31,7 @@
 	label           string
 	rack            string
 	limited         bool // the number of tasks on one worker is limited
-	overdue         bool // may run beside services that it presses on; see Cell.overdueBestEffort
+	limits          placementLimits
 	mayProbe        bool // may run on a worker that is being probed
 }
 
@@ -177,17 +177,31 @@
 }
 
 // chooseWorker returns the index of the best worker for a task, or -1. pending counts, by worker index, tasks of the
-// group that are chosen but not assigned yet.
+// group that are chosen but not assigned yet. Without a worker within the limits of best-effort tasks, it chooses the one that the
+// task harms least, if Cell.limitsOf lets it.
 func (c *Cell) chooseWorker(v *placementView, t *task, pending map[int]int) int {
+	t.pastLimits = false
+	i := c.bestWorker(v, t, pending, placementLimits{})
+	if i < 0 && t.group.step.BestEffort {
+		if limits := c.limitsOf(v, t); limits != (placementLimits{}) {
+			i = c.bestWorker(v, t, pending, limits)
+			t.pastLimits = i >= 0
+		}
+	}
+	return i
+}
+
+// bestWorker returns the index of the best worker for a task within limits, or -1.
+func (c *Cell) bestWorker(v *placementView, t *task, pending map[int]int, limits placementLimits) int {
 	g := t.group
 	platformService := c.platformServiceOf(g.job)
 	need := placement.Need{
 		Kind: placementKind(g.step), Requested: g.step.Requested(), ExpectedMilliCPU: expectedStepCPU(g.step), DataRack: g.step.DataRack,
-		AvoidWorker: t.avoidWorker,
+		AvoidWorker: t.avoidWorker, WithoutSpareCPU: limits.withoutSpareCPU,
 	}
 	key := needKey{
 		kind: need.Kind, platformService: platformService, image: g.step.Image, label: g.step.RequiredLabel, rack: g.step.DataRack,
-		limited: g.step.MaxPerWorker > 0, mayProbe: c.mayProbe(t), overdue: c.overdueBestEffort(v, t),
+		limited: g.step.MaxPerWorker > 0, mayProbe: c.mayProbe(t), limits: limits,
 	}
 	if unplaceable, known := v.unplaceable[key]; known && unplaceable.ExpectedMilliCPU <= need.ExpectedMilliCPU && need.Requested.Contains(unplaceable.Requested) {
 		return -1
@@ -203,7 +217,7 @@
 	i := placement.Best(v.candidates, need, func(i int) bool {
 		return (v.onlyRack == "" || v.candidates[i].Rack == v.onlyRack) &&
 			c.eligible(v, t, i, platformService, perWorker[v.workers[i]]+pending[i]) &&
-			(!g.step.BestEffort || key.overdue || c.fitsBesideServices(v, i, g.step))
+			(!g.step.BestEffort || limits.besideServices || c.fitsBesideServices(v, i, g.step))
 	})
 	if i < 0 && !key.limited && !v.waitsForSuspect && v.onlyRack == "" {
 		v.unplaceable[key] = need
@@ -302,10 +316,11 @@
 // assign creates a run of a task on the worker with index i. The run is started once the next round is stored.
 func (c *Cell) assign(v *placementView, t *task, i, number int) {
 	w := v.workers[i]
+	crowded := t.pastLimits && c.notePastLimits(v, t, i)
 	c.reserve(v, t.group, i)
 	r := &run{
 		task: t, number: number, worker: w, incarnation: w.info.StartedAtMS, state: runPlaced, stateSince: c.now,
-		pace: fullPace, probe: v.candidates[i].Probing,
+		pace: fullPace, probe: v.candidates[i].Probing, crowded: crowded,
 	}
 	if t.rackWait != nil {
 		c.endRackWait(v, t, rackWaitPlaced)
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -27,6 +27,12 @@
 	// less than half of the capacity is in use. After that it runs beside services, and pacing alone keeps it from harming them:
 	// jobs of images that press on all services would otherwise wait for as long as these run.
 	overdueAfter = 8 * time.Second
+	// idleJobOverdueAfter is the same for a task of a job of which nothing runs. With the time until the next placement and for
+	// the start order, the job has a run within 2 s.
+	idleJobOverdueAfter = 1500 * time.Millisecond
+	// crowdedPace is the pace, in percent, of a run that was placed where too little CPU is unused. It takes little from the runs
+	// beside it, which were more urgent.
+	crowdedPace = 10
 	// minUtilizationLeft is the lowest utilization to its target that a service is taken to have left when the risk of placing a
 	// best-effort task beside it is computed. It is about the standard deviation of a reading.
 	minUtilizationLeft = 0.04
@@ -109,6 +115,9 @@
 	}
 	for i, pace := range pacing.Paces(c.appendServices(serviceSpace[:0], w), bestEffortTasks, c.interference.Coefficient) {
 		r := runs[i]
+		if r.crowded {
+			pace = c.crowdedRunPace(r, pace)
+		}
 		if pace == r.pace {
 			continue
 		}
@@ -208,22 +217,6 @@
 	return c.headroomAt(v, i, step.Image) >= v.cpuShare(i, step)*minPlacementSpeed
 }
 
-// overdueBestEffort reports whether a best-effort task has waited for so long that it may run beside any services.
-func (c *Cell) overdueBestEffort(v *placementView, t *task) bool {
-	return t.group.step.BestEffort && len(t.runs) == 0 && c.now-max(t.waitingSince, t.group.readyAt) >= overdueAfter && v.mostlyFree()
-}
-
-// mostlyFree reports whether less than half of the processor capacity is requested by tasks.
-func (v *placementView) mostlyFree() bool {
-	if v.capacityMilliCPU == 0 {
-		for i := range v.candidates {
-			v.capacityMilliCPU += v.candidates[i].MilliCPU
-			v.freeMilliCPU += v.candidates[i].Free.MilliCPU
-		}
-	}
-	return 2*v.freeMilliCPU > v.capacityMilliCPU
-}
-
 // headroomAt returns the headroom of an image on the worker with index i. It computes the headroom when it is first
 // needed.
 func (c *Cell) headroomAt(v *placementView, i int, image string) float64 {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -78,6 +78,8 @@
 	remoteRackFactor, remoteSlowdown float64
 	// loadTime is the longest time that a new owner of replaceOwner needs to load the state.
 	loadTime time.Duration
+	// serviceTail is the tail latency that tasks with a latency target report; 0: none.
+	serviceTail time.Duration
 	// evacuations are the requests of evacuations as the store has them, and evacuationBound is the time from a request until no
 	// task may start in its failure domain; 0: the owners do not read the requests.
 	evacuations     []simEvacuation
@@ -603,9 +605,13 @@
 		}
 	}
 	for task, r := range s.running {
-		report.Running = append(report.Running, workercall.RunStatus{
+		status := workercall.RunStatus{
 			Run: workercall.Run{Task: task, Number: r.number}, Percent: s.percent(r), Checkpoint: s.checkpoint(r),
-		})
+		}
+		if r.step.TargetTailLatency > 0 {
+			status.TailLatency = s.sim.serviceTail
+		}
+		report.Running = append(report.Running, status)
 	}
 	return report, nil
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -76,6 +76,8 @@
 	// ownResources is the result of hasOwnResources for the task's step.
 	ownResources bool
 	slow         bool // was seen to be slow, which counts once for the speed of its worker
+	// crowded is set while a best-effort run is kept at crowdedPace since it was placed where too little CPU is unused.
+	crowded bool
 	// copied is set if the run was started while another run of the task was in progress.
 	copied         bool
 	fromCheckpoint bool // its start order named a checkpoint
@@ -121,7 +123,9 @@
 	settledRound      int
 	avoidWorker       string // ID of the worker on which the task last failed, or from which it was relocated
 	// rackWait is the task's wait for its rack; nil if none was decided on.
-	rackWait    *rackWait
+	rackWait *rackWait
+	// pastLimits is set if the worker that was last chosen for the task was chosen without placementLimits.
+	pastLimits  bool
 	relocations int // how often the task was relocated because it was slow; not counted for long-running tasks
 	// restart is the last restart as a straggler whose result is not known; nil for none.
 	restart *restartForecast
@@ -195,6 +199,10 @@
 	createdOccurrences int
 	// beganLate is set once the job's work was counted as late work, see roundTurns.
 	beganLate bool
+	// runs is the number of runs of the job's tasks, and idleSince when the last one ended that was not stopped and left none; 0
+	// for never. A job whose run was stopped does not begin to wait anew.
+	runs      int
+	idleSince time.Duration
 	// deleting is set while the job's records are being deleted.
 	deleting bool
 	// guest is set if the job belongs to another cell and only some of its tasks, which are not elsewhere, to this one.
--- a/internal/cell/worker_runs.go
+++ b/internal/cell/worker_runs.go
@@ -49,6 +49,7 @@
 		t.group.toStart--
 	}
 	t.runs = append(t.runs, r)
+	t.group.job.runs++
 }
 
 // deleteRun removes a run from its worker and its task, and does nothing where it is missing.
@@ -57,6 +58,7 @@
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			t.group.job.runs--
 			if t.needsRun() {
 				t.group.toStart++
 			}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,8 @@
 	Requested jobs.Resources
 	// ExpectedMilliCPU is the CPU capacity that the task is expected to use, in thousandths of a core.
 	ExpectedMilliCPU int
+	// WithoutSpareCPU is set if a best-effort task may also run where little of that capacity is unused.
+	WithoutSpareCPU bool
 	// DataRack is the rack that holds the task's data, or empty; on any other rack the task takes longer, by the factor
 	// in the platform's setting bounds.far-factor.
 	DataRack string
@@ -115,9 +117,9 @@
 	return w.Free.Contains(n.Requested) && (n.Kind != BestEffort || hasSpareCPU(w, n))
 }
 
-// hasSpareCPU reports whether a best-effort task would get most of the CPU time that it is expected to use.
+// hasSpareCPU reports whether a best-effort task would get most of the CPU time that it is expected to use, or does not need that.
 func hasSpareCPU(w *Worker, n *Need) bool {
-	return float64(w.SpareMilliCPU) >= minBestEffortShare*float64(n.ExpectedMilliCPU)
+	return n.WithoutSpareCPU || float64(w.SpareMilliCPU) >= minBestEffortShare*float64(n.ExpectedMilliCPU)
 }
 
 // score rates a worker for a task, without the mismatch penalty and the risk; higher is better.
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -152,6 +152,9 @@
 // Class returns the class of the item's job.
 func (r *Rank) Class() Class { return r.class }
 
+// Worthless reports whether the result of the item's job will be too late to be worth anything, by the objective of its queue.
+func (r *Rank) Worthless() bool { return r.worthless }
+
 // Interrupted reports whether the item is an interrupted long-running task.
 func (r *Rank) Interrupted() bool { return r.interrupted }
 
