An owner derives again what has each task looked at, and puts differences right

What callers saw: tasks of accepted jobs that stood still, each time by another way, until the cell changed its owner.

Cause: whether a task runs again depends on counters, flags and timers that single events set (toStart, unfinished, ready, waiting, needsPlacement and nextRetry, elsewhere, pendingStarts, mayHaveUnresolved, dirty marks, the queues of due workers). Nothing noticed an event that was missed.

Cell.nextStep says, without a change of state, which one thing has a task looked at again, or that nothing has. Cell.audit derives the counters, flags and timers from the state, all jobs in 500 ms, in parts of at least 20 ms and about 8,192 tasks, while the owner's claim allows decisions. A difference is counted by kind (cactuswall_cell_index_corrections_total), logged (index corrected) and put right. A cell now knows the round that is being stored.

Not derived again: docs/PROMISES.md, "Next steps".

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -310,3 +310,34 @@
 		}
 	}
 }
+
+// BenchmarkAudit measures one complete audit of a cell with running and waiting tasks, in parts as they follow each other
+// while the owner is busy.
+func BenchmarkAudit(b *testing.B) {
+	world := newBenchWorld(b, benchLoad{waiting: 17_000})
+	for world.waitingTasks() < world.load.waiting {
+		world.submitTasks()
+		world.flush()
+	}
+	c, tasks := world.cell, 0
+	for _, j := range c.jobs {
+		for _, g := range j.groups {
+			tasks += len(g.tasks)
+		}
+	}
+	longest := time.Duration(0)
+	b.ResetTimer()
+	for range b.N {
+		for end := c.now + auditPeriod; c.now < end; {
+			c.now += auditInterval
+			start := time.Now()
+			c.audit()
+			longest = max(longest, time.Since(start))
+		}
+	}
+	b.ReportMetric(float64(tasks), "tasks")
+	b.ReportMetric(float64(longest.Nanoseconds()), "ns/longest_part")
+	if c.auditor.found > 0 {
+		b.Errorf("%d differences: %v", c.auditor.found, corrections(c))
+	}
+}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -104,6 +104,9 @@
 	wall           time.Time           // current wall time, set by SetTime
 	roundTime      time.Duration       // set by SetRoundTime
 	stragglers     stragglers
+	auditor        auditor
+	// storing is the round that is being stored; nil if none is.
+	storing *Round
 	// plannedRounds is the number of calls of Plan, and storedRound the number of the newest round that was stored.
 	plannedRounds, storedRound int
 }
@@ -163,6 +166,7 @@
 	}
 	j.estimate()
 	c.jobs[id] = j
+	c.auditor.jobs = append(c.auditor.jobs, j)
 	if c.earlyCancels[id] {
 		delete(c.earlyCancels, id)
 		j.cancelled = true
@@ -213,18 +217,22 @@
 func (c *Cell) markReady(j *job, occurrence int) {
 	for step := range j.record.Spec.Steps {
 		g := j.groups[jobs.GroupID{Job: j.id, Occurrence: occurrence, Step: step}]
-		if g == nil || g.ready || !c.dependenciesDone(g) {
-			continue
-		}
-		g.ready, g.readyAt = true, c.now
-		for _, t := range g.tasks {
-			t.waitingSince = c.now
+		if g != nil && !g.ready && c.dependenciesDone(g) {
+			c.setReady(g)
 		}
-		c.addWaiting(g)
-		c.needsPlacement = true
 	}
 }
 
+// setReady marks a group as ready to run.
+func (c *Cell) setReady(g *group) {
+	g.ready, g.readyAt = true, c.now
+	for _, t := range g.tasks {
+		t.waitingSince = c.now
+	}
+	c.addWaiting(g)
+	c.needsPlacement = true
+}
+
 // dependenciesDone reports whether the steps that the group's step depends on are done in the same occurrence.
 func (c *Cell) dependenciesDone(g *group) bool {
 	for _, dep := range g.step.DependsOn {
--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -14,7 +14,7 @@
 	"cactuswall.example/cactuswall/internal/store"
 )
 
-// FuzzStoredRecords loads records as anybody could have written them into an owner, which then schedules. Only a panic is a fault.
+// FuzzStoredRecords loads records as anybody could have written them into an owner, which then schedules. Only a panic, or a task of a live job without a next step, is a fault.
 func FuzzStoredRecords(f *testing.F) {
 	encode := func(value any) []byte {
 		content, err := recordcodec.Encode(value)
@@ -31,7 +31,7 @@
 	f.Add(job, group, outcome, 0, 0)
 	f.Add(job, group, []byte(nil), 1, 7)
 	f.Add([]byte{0x91}, []byte{0xff}, []byte("x"), -1, -1)
-	f.Fuzz(func(_ *testing.T, job, group, outcome []byte, step, index int) {
+	f.Fuzz(func(t *testing.T, job, group, outcome []byte, step, index int) {
 		const id = jobs.ID("0000000000000001")
 		sim := newSimulation(1, 2)
 		c := New(Settings{MaxLease: maxLease, StatusRetention: time.Minute}, 1, 0, zap.NewNop(), NewMetrics(metrics.NewSet()))
@@ -53,5 +53,8 @@
 			c.RoundStored(c.Plan())
 			c.TakeStrandedTasks()
 		}
+		for _, missed := range c.tasksWithoutNextStep() {
+			t.Errorf("task %v has no next step", missed.id)
+		}
 	})
 }
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -28,6 +28,9 @@
 				for _, o := range append([]*simOwner{sim.owner}, sim.formerOwners...) {
 					checkIndexes(t, o.cell, step%5 == 0)
 				}
+				for _, violation := range sim.standing {
+					t.Error(violation)
+				}
 				if t.Failed() {
 					t.Fatalf("step %d, time %v", step, sim.now)
 				}
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -92,6 +92,11 @@
 	c.counters.get(c.set, "cactuswall_cell_straggler_restarts_total", "result", result).Inc()
 }
 
+// countCorrection counts a difference that the audit of the indexes found, by kind.
+func (c *Metrics) countCorrection(kind string) {
+	c.counters.get(c.set, "cactuswall_cell_index_corrections_total", "kind", kind).Inc()
+}
+
 // countStop counts a run that was ordered to stop, by reason. A run that the owner does not know is counted,
 // as stopRunUnknown, with each stop order; any other run is counted once.
 func (c *Metrics) countStop(reason string) {
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -126,9 +126,13 @@
 }
 
 // TakeOrders returns the orders that are due and marks them as sent. mayDecide is true while the owner's claim on the
-// cell, see package cellnode, allows decisions; if it is false, or before Load, TakeOrders only returns renewal orders.
+// cell, see package cellnode, allows decisions; if it is false, or before Load, TakeOrders only returns renewal orders. Otherwise
+// it checks a part of the indexes as well, see Cell.audit.
 func (c *Cell) TakeOrders(mayDecide bool) Orders {
 	var orders Orders
+	if mayDecide && c.loaded {
+		c.audit()
+	}
 	for _, w := range c.due.ordersDue(c.now) {
 		if !w.renewable() {
 			continue
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -68,6 +68,9 @@
 		}
 		round.endsSeen[w] = end
 	}
+	if !round.Empty() {
+		c.storing = round
+	}
 	return round
 }
 
@@ -94,7 +97,7 @@
 // RoundStored is called once a round's records are stored. It returns the start orders of the round, without those of
 // runs that were removed or are to be stopped.
 func (c *Cell) RoundStored(round *Round) []StartOrder {
-	c.storedRound = round.number
+	c.storedRound, c.storing = round.number, nil
 	for w, seen := range round.endsSeen {
 		// lastEndSeen is lower than seen if the worker has restarted since Plan.
 		w.lastEndStored = max(w.lastEndStored, min(seen, w.lastEndSeen))
@@ -116,6 +119,7 @@
 // RoundNotStored is called if the records of a round were certainly not stored. The records and start orders go into
 // the next round.
 func (c *Cell) RoundNotStored(round *Round) {
+	c.storing = nil
 	for _, r := range round.starts {
 		if r.state == runPlaced && !r.stopRequested {
 			c.pendingStarts = append(c.pendingStarts, r)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -85,6 +85,10 @@
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
 	// receives and on each iteration of its loop; 0: none.
 	processorCost time.Duration
+	// correctionsExpected is set if the test has changed the indexes of an owner.
+	correctionsExpected bool
+	// standing are the violations that checkNextSteps has found.
+	standing []string
 }
 
 // simCell is what the store and the owners know of one cell.
@@ -389,6 +393,7 @@
 			for _, o := range append(append([]*simOwner(nil), home.formerOwners...), home.owner) {
 				if o != nil && !o.suspended && !o.ended {
 					sim.scheduleOwner(o)
+					sim.checkNextSteps(o)
 				}
 			}
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -114,6 +114,8 @@
 	// elsewhere is set while the task belongs to another cell, and settledRound is the number of the first round that stores
 	// that its last run, which was removed, is gone.
 	elsewhere bool
+	// leaving is set from the time when TakeStrandedTasks returns the task until its assignment is read or ReturnTask is called.
+	leaving bool
 	// copies and restarts count how often the task was copied and restarted as a straggler.
 	copies, restarts uint8
 	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
@@ -140,8 +142,9 @@
 	toStart    int // number of tasks for which needsRun holds
 	// sequence numbers the groups of the cell in the order of their creation.
 	sequence int
-	// waiting is set while the group is in Cell.waiting.
-	waiting bool
+	// waiting is set while the group is in Cell.waiting. Its index there was waitingAt when a round last began.
+	waiting   bool
+	waitingAt int
 	// rank is the group's rank in the latest placement round.
 	rank urgency.Rank
 	// receivedAt is when the job was received or, if later, when the occurrence was due, in wall time.
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -52,7 +52,11 @@
 		if j == nil {
 			continue
 		}
-		if t := c.taskOf(j, id); t != nil && t.elsewhere == here {
+		t := c.taskOf(j, id)
+		if t == nil {
+			continue
+		}
+		if t.leaving = false; t.elsewhere == here {
 			if here && assignment.LastRun >= t.lastRunNumber {
 				t.lastRunNumber, t.checkpoint = assignment.LastRun, assignment.Checkpoint
 			}
@@ -78,6 +82,7 @@
 	}
 	j.estimate()
 	c.jobs[id], c.guests[id] = j, j
+	c.auditor.jobs = append(c.auditor.jobs, j)
 	c.createDueGroups(j)
 	for _, g := range j.groups {
 		for _, t := range g.tasks {
@@ -96,6 +101,15 @@
 	return c.ensureGroup(j, id.Group()).tasks[id.Index]
 }
 
+// assignedTask returns the task of an assignment, or nil if this cell does not have it.
+func (c *Cell) assignedTask(key string) *task {
+	id, err := jobs.ParseTaskKey(key)
+	if err != nil || c.jobs[id.Job] == nil {
+		return nil
+	}
+	return c.taskOf(c.jobs[id.Job], id)
+}
+
 // setElsewhere sets whether a task belongs to another cell.
 func (c *Cell) setElsewhere(t *task, elsewhere bool) {
 	needed := t.needsRun()
@@ -125,6 +139,7 @@
 				continue
 			}
 			c.setElsewhere(t, true)
+			t.leaving = true
 			stranded = append(stranded, TaskHandOver{
 				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, MilliCPU: int64(g.step.Request.MilliCPU),
 			})
@@ -142,6 +157,7 @@
 	}
 	if t := c.taskOf(j, id); t != nil {
 		since := t.waitingSince
+		t.leaving = false
 		c.setElsewhere(t, false)
 		t.waitingSince, t.returnedAt = since, c.now
 	}
--- a/internal/cell/waiting_groups.go
+++ b/internal/cell/waiting_groups.go
@@ -11,7 +11,7 @@
 // addWaiting adds a group to those that the next placement considers, unless it has no task that may start.
 func (c *Cell) addWaiting(g *group) {
 	if !g.waiting && g.mayStart() {
-		g.waiting = true
+		g.waiting, g.waitingAt = true, len(c.waiting)
 		c.waiting = append(c.waiting, g)
 	}
 }
@@ -43,6 +43,9 @@
 		}
 		return cmp.Compare(a.sequence, b.sequence)
 	})
+	for i, g := range c.waiting {
+		g.waitingAt = i
+	}
 	return c.waiting
 }
 
