An open attempt always gets its reservation back

Callers saw a task stand for good after an owner had changed: placed on a worker that had never got the start, and ended by nobody. A report is compared with the reservations on the worker, so an attempt without one is never missed.

Both are mended, and every 2 s each open attempt of the ledger without a reservation gets one again, whatever took it; that is counted (cactuswall_state_corrections_total) and logged with the task.

--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -102,7 +102,7 @@
 	// dirty requests a scheduling pass in the next tick.
 	dirty    bool
 	lastPlan planState
-	// recheckedAt is when all waiting groups were last made to be checked against every worker.
+	// recheckedAt is the time of the last reconcile.
 	recheckedAt time.Time
 	// mayHaveWithdrawnTasks is set when tasks that the manifest no longer declares may still be running.
 	mayHaveWithdrawnTasks bool
@@ -200,6 +200,7 @@
 	e.stopWithdrawn(now)
 	e.advanceEvictions(now)
 	e.sendStops(now)
+	e.reconcile(now)
 	e.schedule(now)
 	e.evacuationTransfers.tick(now)
 	e.flushForgets()
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -48,6 +48,7 @@
 		return
 	}
 	if row == nil {
+		e.reserveOpen(e.ledger.Attempt(p.GetTask()))
 		return
 	}
 	reserved := row.Reserved
@@ -75,7 +76,9 @@
 	if r.Writer.Node != e.self.Node || r.Rejection == ledger.DuplicateBatch {
 		return
 	}
-	if w := e.workerTable.Get(p.GetWorker()); w != nil {
+	a := e.openAttempt(p.GetTask())
+	accepted := a != nil && a.Number == p.GetAttempt() && a.Worker == p.GetWorker() // an earlier copy of the placement
+	if w := e.workerTable.Get(p.GetWorker()); w != nil && !accepted {
 		e.workerTable.Release(w, platform.RunID{Task: p.GetTask(), Attempt: p.GetAttempt()})
 	}
 	if row := e.taskTable.Get(p.GetTask()); row != nil && row.State == task.Placing {
--- a/internal/node/schedule.go
+++ b/internal/node/schedule.go
@@ -17,10 +17,6 @@
 // transferInterval is the minimum time between two transfers of a waiting task to other shards.
 const transferInterval = 2 * time.Second
 
-// recheckInterval is the longest time for which a waiting group is skipped because no table has changed. The generation of the worker
-// table tells nothing of workers of other nodes that may be used again.
-const recheckInterval = 2 * time.Second
-
 // planState identifies the state of the tables from which a plan was computed.
 type planState struct {
 	// tasks and workers are the change counters of the two tables.
@@ -37,10 +33,6 @@
 		return
 	}
 	e.taskTable.EndDelays(now)
-	if now.Sub(e.recheckedAt) >= recheckInterval {
-		e.recheckedAt = now
-		e.taskTable.ResetAllChecked()
-	}
 	state := planState{tasks: e.taskTable.ChangeCount(), workers: e.workerTable.Generation()}
 	if !e.dirty && !e.lastPlan.replan && state == e.lastPlan {
 		return
