A worker that the list has never shown has all its open attempts

Callers saw tasks started on a worker without room for them, or standing placed on one, after an owner had changed while the platform's list was behind. addUnlisted gave only the first open attempt of such a worker its reservation; when the list showed the worker again, the others were missing, so the room counted as free and no report missed their runs.

Evidence: TestUnlistedWorkerHasAllItsAttempts failed (1 of 2).

--- a/internal/node/next_step_test.go
+++ b/internal/node/next_step_test.go
@@ -254,3 +254,23 @@
 		t.Error("a rejected placement took the reservation of the open attempt")
 	}
 }
+
+// Guards against LOST and against tasks beyond a worker's capacity: a worker that the list has never shown has all its open attempts.
+func TestUnlistedWorkerHasAllItsAttempts(t *testing.T) {
+	e, now := newTestEngine(t, "a"), time.Now()
+	w := openAttemptOfUnknownTask(e, "j@1/0", now)
+	other := platform.RunID{}
+	for i := 1; other.Task == ""; i++ {
+		if id := fmt.Sprintf("j@1/%d", i); e.ledger.ShardOf(id) == w.Shard {
+			other = platform.RunID{Task: id, Attempt: 1}
+		}
+	}
+	token := e.owner.Token(w.Shard)
+	placement := &record.Placement{Task: other.Task, Attempt: 1, Worker: "w", From: token, To: token}
+	e.ledger.Apply(3, batchOf(e, 3, &record.Record{Body: &record.Record_Placement{Placement: placement}}), now)
+	e.workerTable.Remove("w")
+	e.applyVMList(nil, now)
+	if got := e.workerTable.Get("w").ReservationCount(); got != 2 {
+		t.Errorf("%d of 2 open attempts have a reservation", got)
+	}
+}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -128,13 +128,17 @@
 // ledger but that this node has never seen in the list, so that the attempt ends once the worker counts as
 // gone.
 func (e *engine) addUnlisted(now time.Time) {
+	added := false
 	e.ledger.Attempts(func(a *ledger.Attempt) {
 		if !a.Open || e.workerTable.Get(a.Worker) != nil {
 			return
 		}
 		e.workerTable.Put(&worker.Worker{ID: a.Worker, Shard: a.Shard, UnlistedSince: now})
-		e.reserveOpen(a)
+		added = true
 	})
+	if added {
+		e.ledger.Attempts(e.reserveOpen)
+	}
 }
 
 // reserveOpen reserves the declared size of an open attempt on its worker, unless a non-zero reservation
