The fault fuzzer of nodes changes the list and scales a service

Its events now include workers that leave, that the list does not show and that it shows again, and a service whose number of instances changes; at the end all declared instances must run, and no state may have had to be corrected. Before, it had neither services nor a worker that can be used again.

--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"cactuswall.example/cactuswall/internal/guarantee"
+	"cactuswall.example/cactuswall/internal/platform"
 	"cactuswall.example/cactuswall/internal/task"
 	"cactuswall.example/cactuswall/internal/units"
 )
@@ -26,6 +27,7 @@
 var eventKinds = []string{
 	"wait", "drop replies", "slow worker", "worker down", "worker up", "log down", "log up", "drop appends",
 	"kill node", "start node", "lose worker", "urgent job", "cancel job", "add job",
+	"worker leaving", "worker live", "worker unlisted", "scale service",
 }
 
 // maxWorkerDelay is the longest delay of a slow worker.
@@ -54,6 +56,7 @@
 	names        []string
 	workers      []string
 	evacuated    bool
+	instances    int // of service board
 	setupFailure string
 }
 
@@ -75,7 +78,11 @@
 	document := manifestJSON(100000, jobs...)
 	if f.evacuated {
 		document = evacuatedManifest(jobs...)
-	} else {
+	}
+	if f.instances > 0 {
+		document = withService(document, f.instances)
+	}
+	if !f.evacuated {
 		f.oracle.setEvacuated(false) // the withdrawal may take effect before it is known to be accepted
 	}
 	f.publish(f, document)
@@ -134,7 +141,13 @@
 		if len(f.workers) > 2 {
 			f.loseWorker(e.index % len(f.workers))
 		}
-	case "urgent job", "add job", "cancel job", "evacuate", "withdraw evacuation":
+	case "worker leaving":
+		f.putWorker(f.workers[e.index%len(f.workers)], platform.Leaving)
+	case "worker live":
+		f.putWorker(f.workers[e.index%len(f.workers)], platform.Live)
+	case "worker unlisted":
+		f.list.Remove(f.workers[e.index%len(f.workers)])
+	case "urgent job", "add job", "cancel job", "evacuate", "withdraw evacuation", "scale service":
 		f.changeManifest(e)
 	}
 	time.Sleep(e.wait)
@@ -150,6 +163,8 @@
 		f.addJob("batch", e.count, e.index%2 == 0)
 	case "cancel job":
 		f.jobs[f.names[e.index%len(f.names)]] = ""
+	case "scale service":
+		f.instances = e.index
 	case "evacuate", "withdraw evacuation":
 		f.evacuated = e.kind == "evacuate"
 	}
@@ -172,6 +187,7 @@
 	for _, id := range f.workers {
 		f.workersByID[id].SetDown(false)
 		f.workersByID[id].SetDelay(0)
+		f.putWorker(id, platform.Live)
 	}
 	for _, name := range []string{"n1", "n2"} {
 		if f.killNode[name] == nil {
@@ -214,16 +230,25 @@
 	return violations
 }
 
-// finalViolations returns a message for each task of the active manifest that has not finished, and for each
-// violated guarantee. The guarantee on the start of urgent tasks is exempt.
+// finalViolations returns a message for each task of the active manifest that has not finished, for instances that do not run, for
+// state that had to be corrected, and for each violated guarantee. The guarantee on the start of urgent tasks is exempt.
 func (f *faultScenario) finalViolations() (violations []string) {
 	finished := f.oracle.finished()
+	if running := f.stateCounts("board")["running"]; running != f.instances {
+		violations = append(violations, fmt.Sprintf("%d of %d instances run", running, f.instances))
+	}
 	for _, row := range f.nodes["n1"].Tasks() {
+		if task.IsServiceInstance(row.ID) {
+			continue
+		}
 		if finished[row.ID] == 0 || row.State != string(task.Finished) {
 			violations = append(violations, fmt.Sprintf("%s finished %d times and is %s: %s", row.ID, finished[row.ID], row.State, row.Reason))
 		}
 	}
 	for name, n := range f.nodes {
+		if corrections := n.engine.metrics.set.GetOrCreateCounter(`cactuswall_state_corrections_total{kind="reservation"}`).Get(); corrections > 0 {
+			violations = append(violations, fmt.Sprintf("%s: %d missing reservations were restored", name, corrections))
+		}
 		for _, p := range n.Status().Guarantees {
 			if p.Violations > 0 && !strings.HasPrefix(p.Name, "urgent") {
 				violations = append(violations, fmt.Sprintf("%s: guarantee %s violated %d times, last by %s", name, p.Name, p.Violations, p.LastSubject))
--- a/internal/node/next_step_test.go
+++ b/internal/node/next_step_test.go
@@ -23,12 +23,14 @@
 	"cactuswall.example/cactuswall/internal/worker"
 )
 
-// serviceManifest returns a manifest with a service board of the given number of instances.
-func serviceManifest(instances int) string {
+// withService adds a service board of the given number of instances to a manifest.
+func withService(document string, instances int) string {
 	service := strings.Replace(boardService, `"instances": 2`, fmt.Sprintf(`"instances": %d`, instances), 1)
-	return strings.Replace(manifestJSON(100000), `"services": []`, `"services": [`+service+`]`, 1)
+	return strings.Replace(document, `"services": []`, `"services": [`+service+`]`, 1)
 }
 
+func serviceManifest(instances int) string { return withService(manifestJSON(100000), instances) }
+
 // Guards against LOST: a service instance that is withdrawn and declared again must not stay cancelled.
 func TestInstanceDeclaredAgainRuns(t *testing.T) {
 	for _, wait := range []time.Duration{100 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second, 20 * time.Second} {
