Claims and releases that the log's queue refuses leave no shard without an owner

Callers saw the tasks of a shard wait although its only node was healthy, after an outage of the log had filled the node's queue. The owner notes a claim as pending and a release as made when it returns the record, and the queue's refusal was ignored. A refused claim was made again only in a moment without any batch in flight, in the failover of a lost domain never; a refused release, whose heir went away, left a claim that its owner neither renewed nor replaced.

The owner is now told of refused records, and claims or renews again at its next decision.

--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -143,6 +143,9 @@
 	return &record.Record{Body: &record.Record_DomainSnapshot{DomainSnapshot: body}}
 }
 
+// NotSent tells the failover that records for the lost domain's stream will not be written.
+func (f *Failover) NotSent(records ...*record.Record) { f.owner.NotSent(records...) }
+
 // Release returns the records that release the shards held by the failover, for a domain that is no longer
 // lost.
 func (f *Failover) Release(now time.Time) []*record.Record { return f.owner.Release(nil, now) }
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -228,9 +228,12 @@
 	e.enqueueAll(e.owner.Decide(e.ledger, ownership.Candidates{Live: live, Stable: stable}, now))
 }
 
+// enqueueAll appends records of the owner to the domain stream, as far as the queue takes them.
 func (e *engine) enqueueAll(records []*record.Record) {
 	for _, r := range records {
-		e.domainWriter.Enqueue(r)
+		if !e.domainWriter.Enqueue(r) {
+			e.owner.NotSent(r)
+		}
 	}
 }
 
--- a/internal/node/failover.go
+++ b/internal/node/failover.go
@@ -180,7 +180,9 @@
 }
 
 func (m *failoverManager) appendRecords(f *domainFailover, records failover.Records, now time.Time) {
-	f.writer.Enqueue(records.LostDomain...)
+	if !f.writer.Enqueue(records.LostDomain...) {
+		f.NotSent(records.LostDomain...)
+	}
 	if snapshot := f.Snapshot(m.engine.settings.Log.SnapshotPeriod.Std(), now); snapshot != nil {
 		f.writer.Enqueue(snapshot)
 	}
--- a/internal/node/next_step_test.go
+++ b/internal/node/next_step_test.go
@@ -276,3 +276,16 @@
 		t.Errorf("%d of 2 open attempts have a reservation", got)
 	}
 }
+
+// Guards against LOST: claims that do not fit into the queue of the log must be made again.
+func TestClaimsRefusedByFullQueueAreMadeAgain(t *testing.T) {
+	e, now := newTestEngine(t, "a"), time.Now()
+	e.caughtUp = true
+	for e.domainWriter.Enqueue(&record.Record{Body: &record.Record_End{End: &record.End{Task: "j@1/0"}}}) {
+		continue
+	}
+	e.updateClaims(now)
+	if records := e.owner.Decide(e.ledger, ownCandidate(e), now); len(records) == 0 {
+		t.Error("no shard is claimed again")
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -114,6 +114,21 @@
 // in flight.
 func (o *Owner) ClearPendingClaims() { o.claimPending = [failuredomain.ShardsPerDomain]bool{} }
 
+// NotSent tells the owner that records which it returned will not be written, because the queue of the log does not take them. Claims
+// may be made again, and a claim that was to be released is renewed again.
+func (o *Owner) NotSent(records ...*record.Record) {
+	for _, r := range records {
+		switch body := r.GetBody().(type) {
+		case *record.Record_Claim:
+			o.claimPending[body.Claim.GetShard()] = false
+		case *record.Record_Release:
+			for _, t := range body.Release.GetClaims() {
+				o.releasedTokens[t.GetShard()] = 0
+			}
+		}
+	}
+}
+
 // Observe updates the authority from the results of one batch that was read from the log. own is set if this
 // node wrote the batch, and sent is when it started to append it.
 func (o *Owner) Observe(l *ledger.Ledger, results []ledger.Result, sent time.Time, own bool) {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -320,3 +320,25 @@
 		})
 	})
 }
+
+// Guards against LOST: a claim or a release that the queue of the log refused must not leave a shard without an owner for good.
+func TestRefusedRecordsLeaveNoShardWithoutOwner(t *testing.T) {
+	for name, before := range map[string]time.Duration{"claims": 0, "releases": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(1, 1)
+			n := c.nodes[0]
+			c.runFor(before, 0)
+			refused := 0
+			for range 100 {
+				c.elapsed += 100 * time.Millisecond
+				records := n.Decide(n.ledger, Candidates{Live: c.names[:1], Stable: c.names}, c.now(n))
+				refused += len(records)
+				n.NotSent(records...)
+			}
+			c.runFor(3*testLease, 0)
+			if held := c.heldShards(0); refused == 0 || held != failuredomain.ShardsPerDomain {
+				t.Errorf("after %d refused records the node holds %d of %d shards", refused, held, failuredomain.ShardsPerDomain)
+			}
+		})
+	}
+}
