A higher limit on failures starts failed tasks again

Callers saw a task stay failed after a manifest that allows it more attempts, until another node or a restarted one owned its shard: those decide by the manifest, the owner that had seen the task fail by the former one. A new manifest now decides anew about tasks that have failed.

Evidence: TestFailedTaskRunsAgainUnderHigherLimit failed before (2 tasks failed after 3 minutes).

--- a/internal/node/next_step_test.go
+++ b/internal/node/next_step_test.go
@@ -289,3 +289,25 @@
 		t.Error("no shard is claimed again")
 	}
 }
+
+// Guards against LOST: a failed task whose job gets a higher limit on failures must be started again by the owner that saw it fail.
+func TestFailedTaskRunsAgainUnderHigherLimit(t *testing.T) {
+	failing := func(req platform.StartRequest) fake.Behavior {
+		behavior := fixedRunTime(time.Second)(req)
+		behavior.Fails = req.Run.Attempt <= 3
+		return behavior
+	}
+	runInDomain(t, 3, failing, func(t *testing.T, d *testDomain) {
+		job := jobJSON("j", "t", "batch", 2, 1000, 100, false)
+		d.publish(t, manifestJSON(100000, job))
+		time.Sleep(3 * time.Minute)
+		if got := d.stateCounts("j"); got["failed"] != 2 {
+			t.Fatalf("tasks by state: %v, want 2 failed", got)
+		}
+		d.publish(t, manifestJSON(100000, strings.Replace(job, `"max_failures": 3`, `"max_failures": 5`, 1)))
+		time.Sleep(3 * time.Minute)
+		if got := d.stateCounts("j"); got["finished"] != 2 {
+			t.Errorf("tasks by state: %v, want 2 finished", got)
+		}
+	})
+}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -31,6 +31,9 @@
 			e.restoreTask(row, now)
 		}
 		e.taskTable.SetSpec(row, spec, false)
+		if a := e.ledger.Attempt(row.ID); row.State == task.Failed && a != nil {
+			e.failTask(row, a, now) // the limit may be higher now
+		}
 	}
 	for _, row := range e.taskTable.All() {
 		if declared[row.ID] {
