--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -27,7 +27,7 @@
 var eventKinds = []string{
 	"wait", "drop replies", "slow worker", "worker down", "worker up", "log down", "log up", "drop appends",
 	"kill node", "start node", "lose worker", "urgent job", "cancel job", "add job",
-	"worker leaving", "worker live", "worker unlisted", "scale service",
+	"worker leaving", "worker live", "worker unlisted", "scale service", "declare instances again",
 }
 
 // maxWorkerDelay is the longest delay of a slow worker.
@@ -147,7 +147,7 @@
 		f.putWorker(f.workers[e.index%len(f.workers)], platform.Live)
 	case "worker unlisted":
 		f.list.Remove(f.workers[e.index%len(f.workers)])
-	case "urgent job", "add job", "cancel job", "evacuate", "withdraw evacuation", "scale service":
+	case "urgent job", "add job", "cancel job", "evacuate", "withdraw evacuation", "scale service", "declare instances again":
 		f.changeManifest(e)
 	}
 	time.Sleep(e.wait)
@@ -165,6 +165,12 @@
 		f.jobs[f.names[e.index%len(f.names)]] = ""
 	case "scale service":
 		f.instances = e.index
+	case "declare instances again":
+		instances := f.instances
+		f.instances = 0
+		f.republish()
+		time.Sleep(time.Duration(e.count) * 700 * time.Millisecond)
+		f.instances = instances
 	case "evacuate", "withdraw evacuation":
 		f.evacuated = e.kind == "evacuate"
 	}
