--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -102,7 +102,7 @@
 	// dirty requests a scheduling pass in the next tick.
 	dirty    bool
 	lastPlan planState
-	// recheckedAt is when all waiting groups were last made to be checked against every worker.
+	// recheckedAt is the time of the last reconcile.
 	recheckedAt time.Time
 	// mayHaveWithdrawnTasks is set when tasks that the manifest no longer declares may still be running.
 	mayHaveWithdrawnTasks bool
@@ -200,6 +200,7 @@
 	e.stopWithdrawn(now)
 	e.advanceEvictions(now)
 	e.sendStops(now)
+	e.reconcile(now)
 	e.schedule(now)
 	e.evacuationTransfers.tick(now)
 	e.flushForgets()
@@ -227,9 +228,12 @@
 	e.enqueueAll(e.owner.Decide(e.ledger, ownership.Candidates{Live: live, Stable: stable}, now))
 }
 
+// enqueueAll appends records of the owner to the domain stream, as far as the queue takes them.
 func (e *engine) enqueueAll(records []*record.Record) {
 	for _, r := range records {
-		e.domainWriter.Enqueue(r)
+		if !e.domainWriter.Enqueue(r) {
+			e.owner.NotSent(r)
+		}
 	}
 }
 
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -31,6 +31,9 @@
 			e.restoreTask(row, now)
 		}
 		e.taskTable.SetSpec(row, spec, false)
+		if a := e.ledger.Attempt(row.ID); row.State == task.Failed && a != nil {
+			e.failTask(row, a, now) // the limit may be higher now
+		}
 	}
 	for _, row := range e.taskTable.All() {
 		if declared[row.ID] {
@@ -128,13 +131,17 @@
 // ledger but that this node has never seen in the list, so that the attempt ends once the worker counts as
 // gone.
 func (e *engine) addUnlisted(now time.Time) {
+	added := false
 	e.ledger.Attempts(func(a *ledger.Attempt) {
 		if !a.Open || e.workerTable.Get(a.Worker) != nil {
 			return
 		}
 		e.workerTable.Put(&worker.Worker{ID: a.Worker, Shard: a.Shard, UnlistedSince: now})
-		e.reserveOpen(a)
+		added = true
 	})
+	if added {
+		e.ledger.Attempts(e.reserveOpen)
+	}
 }
 
 // reserveOpen reserves the declared size of an open attempt on its worker, unless a non-zero reservation
