--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -213,6 +213,7 @@
 
 // TestRandomFaults injects random faults into owners and workers and checks for violations, once for each seed.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 60; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, 0) })
 	}
@@ -220,6 +221,7 @@
 
 // TestRandomFaultsWithSlowLoading is TestRandomFaults with owners that need time to load the state.
 func TestRandomFaultsWithSlowLoading(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(101); seed <= 130; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, 3*time.Second) })
 	}
@@ -228,6 +230,7 @@
 // TestRandomFaultsWithSlowTasks is TestRandomFaults with tasks of which some take much longer than others, so that copies are
 // started.
 func TestRandomFaultsWithSlowTasks(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(201); seed <= 260; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaultsOn(t, newSlowSimulation(seed)) })
 	}
--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -18,7 +18,7 @@
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
-func TestMain(m *testing.M) { testseed.MainWithChecks(m, "60") }
+func TestMain(m *testing.M) { testseed.ParallelMainWithChecks(m, "60") }
 
 // newCellsSimulation returns a simulation with the given numbers of cells and workers. Each cell has an owner, and worker i
 // belongs to the cell with the number i modulo the number of cells.
@@ -225,10 +225,16 @@
 
 // TestCellsUnderFaults lets three owners run jobs, some of them submitted again through another cell, while workers change
 // their cells and owners are killed, cut off, suspended or lose an answer at each step of that. The workers say what ran.
-func TestCellsUnderFaults(t *testing.T) { checkCellsUnderFaults(t, 0) }
+func TestCellsUnderFaults(t *testing.T) {
+	t.Parallel()
+	checkCellsUnderFaults(t, 0)
+}
 
 // TestEvacuationOfCellsUnderFaults is TestCellsUnderFaults with requests of evacuations.
-func TestEvacuationOfCellsUnderFaults(t *testing.T) { checkCellsUnderFaults(t, 5*time.Second) }
+func TestEvacuationOfCellsUnderFaults(t *testing.T) {
+	t.Parallel()
+	checkCellsUnderFaults(t, 5*time.Second)
+}
 
 func checkCellsUnderFaults(t *testing.T, evacuationBound time.Duration) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/internal/cell/evacuation_faults_test.go
+++ b/internal/cell/evacuation_faults_test.go
@@ -123,6 +123,7 @@
 // Guards against a start in a failure domain after the bound, under random faults of owners, workers and the reads of the
 // requests, and against tasks that do not start after the withdrawal.
 func TestEvacuationUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 60; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runEvacuationFaults(t, seed) })
 	}
--- a/internal/testseed/testseed.go
+++ b/internal/testseed/testseed.go
@@ -19,6 +19,13 @@
 // Unless the command line sets the flags, package rapid uses a fixed seed and writes no failure files. For longer
 // random runs pass -rapid.seed=0 and -rapid.checks.
 func Main(m *testing.M) {
+	setDefaults()
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// setDefaults sets the flags of package rapid that the command line does not set.
+func setDefaults() {
 	flag.Parse()
 	explicit := make(map[string]bool)
 	flag.Visit(func(f *flag.Flag) { explicit[f.Name] = true })
@@ -29,6 +36,4 @@
 	}
 	setDefault("rapid.seed", seed)
 	setDefault("rapid.nofailfile", "true")
-	runtime.GOMAXPROCS(1)
-	os.Exit(m.Run())
 }
