--- a/internal/cell/idle_jobs.go
+++ b/internal/cell/idle_jobs.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/placement"
@@ -13,6 +14,16 @@
 	withoutSpareCPU bool // it may run where too little CPU is unused; see run.crowded
 }
 
+// serviceRoom says whether most of the room of a platform service is free; see placementView.mostlyFree.
+type serviceRoom struct {
+	platformService string
+	at              time.Duration
+	mostlyFree      bool
+}
+
+// serviceRoomAge is for how long a serviceRoom is used: computing it in each round costs a large cell some percent of the round.
+const serviceRoomAge = 100 * time.Millisecond
+
 // arrivalsEndAfter is how long after the latest new job no more are expected.
 const arrivalsEndAfter = 5 * time.Second
 
@@ -20,12 +31,12 @@
 // most of the room is free, so that an accepted job does not wait for as long as images that press on all services, or other
 // best-effort tasks, run. Only one task of a job, or one gang, is started without regard to unused CPU. While new jobs arrive and
 // others become late, it must be of a worthless job: it takes little, and the order of urgency says which useful jobs are begun.
-func (c *Cell) limitsOf(v *placementView, t *task) placementLimits {
-	if len(t.runs) > 0 {
+func (c *Cell) limitsOf(v *placementView, t *task, platformService string) placementLimits {
+	if len(t.runs) > 0 || !v.mostlyFree(platformService, c.now) {
 		return placementLimits{}
 	}
 	idle := c.idleTime(t) >= idleJobOverdueAfter
-	if !idle && c.now-max(t.waitingSince, t.group.readyAt) < overdueAfter || !c.mostlyFree(v, c.platformServiceOf(t.group.job)) {
+	if !idle && c.now-max(t.waitingSince, t.group.readyAt) < overdueAfter {
 		return placementLimits{}
 	}
 	inOrder := c.scarce() && c.now-c.newestJobAt < arrivalsEndAfter && !t.group.rank.Worthless()
@@ -46,10 +57,15 @@
 }
 
 // mostlyFree reports whether tasks request less than half of the processor capacity of the workers of a platform service that
-// accept tasks. What was placed in the same round may be left out.
-func (c *Cell) mostlyFree(v *placementView, platformService string) bool {
-	if free, known := v.mostlyFree[platformService]; known {
-		return free
+// accept tasks. The result may be up to serviceRoomAge old.
+func (v *placementView) mostlyFree(platformService string, now time.Duration) bool {
+	k := slices.IndexFunc(v.serviceRoom, func(r serviceRoom) bool { return r.platformService == platformService })
+	switch {
+	case k < 0:
+		k = len(v.serviceRoom)
+		v.serviceRoom = append(v.serviceRoom, serviceRoom{platformService: platformService})
+	case now-v.serviceRoom[k].at < serviceRoomAge:
+		return v.serviceRoom[k].mostlyFree
 	}
 	capacity, requested := 0, 0
 	for _, w := range v.workers {
@@ -58,9 +74,8 @@
 			requested += w.reserved.MilliCPU
 		}
 	}
-	free := 2*requested < capacity
-	v.mostlyFree[platformService] = free
-	return free
+	v.serviceRoom[k].at, v.serviceRoom[k].mostlyFree = now, 2*requested < capacity
+	return v.serviceRoom[k].mostlyFree
 }
 
 // notePastLimits counts a start that the limits of best-effort tasks do not allow on the worker with index i, before the task is
--- a/internal/cell/idle_jobs_test.go
+++ b/internal/cell/idle_jobs_test.go
@@ -190,11 +190,11 @@
 			if c.scarce {
 				cell.backlog.BecameLate(cell.now)
 			}
-			if got := cell.limitsOf(cell.newPlacementView(), g.tasks[0]); got != c.want {
+			if got := cell.limitsOf(cell.newPlacementView(), g.tasks[0], g.job.record.Service); got != c.want {
 				t.Errorf("got %+v, want %+v", got, c.want)
 			}
 			g.job.runs = 1
-			if got := cell.limitsOf(cell.newPlacementView(), g.tasks[1]); got.withoutSpareCPU {
+			if got := cell.limitsOf(cell.newPlacementView(), g.tasks[1], g.job.record.Service); got.withoutSpareCPU {
 				t.Errorf("got %+v for a job of which a task runs", got)
 			}
 		})
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -180,21 +180,26 @@
 // group that are chosen but not assigned yet. Without a worker within the limits of best-effort tasks, it chooses the one that the
 // task harms least, if Cell.limitsOf lets it.
 func (c *Cell) chooseWorker(v *placementView, t *task, pending map[int]int) int {
-	t.pastLimits = false
-	i := c.bestWorker(v, t, pending, placementLimits{})
-	if i < 0 && t.group.step.BestEffort {
-		if limits := c.limitsOf(v, t); limits != (placementLimits{}) {
-			i = c.bestWorker(v, t, pending, limits)
-			t.pastLimits = i >= 0
-		}
+	platformService := c.platformServiceOf(t.group.job)
+	i := c.bestWorker(v, t, platformService, pending, placementLimits{})
+	if i >= 0 {
+		t.pastLimits = false
+		return i
 	}
-	return i
+	if !t.group.step.BestEffort {
+		return -1
+	}
+	limits := c.limitsOf(v, t, platformService)
+	if limits == (placementLimits{}) {
+		return -1
+	}
+	t.pastLimits = true
+	return c.bestWorker(v, t, platformService, pending, limits)
 }
 
 // bestWorker returns the index of the best worker for a task within limits, or -1.
-func (c *Cell) bestWorker(v *placementView, t *task, pending map[int]int, limits placementLimits) int {
+func (c *Cell) bestWorker(v *placementView, t *task, platformService string, pending map[int]int, limits placementLimits) int {
 	g := t.group
-	platformService := c.platformServiceOf(g.job)
 	need := placement.Need{
 		Kind: placementKind(g.step), Requested: g.step.Requested(), ExpectedMilliCPU: expectedStepCPU(g.step), DataRack: g.step.DataRack,
 		AvoidWorker: t.avoidWorker, WithoutSpareCPU: limits.withoutSpareCPU,
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -22,9 +22,8 @@
 	// unplaceable holds, by constraints, the last need for which no worker was found. chooseWorker returns -1 at once
 	// for a task with the same constraints that needs at least as much.
 	unplaceable map[needKey]placement.Need
-	// mostlyFree holds the results of Cell.mostlyFree by platform service.
-	mostlyFree map[string]bool
-	waitLogs   int // lines that logWaiting has written for this view
+	serviceRoom []serviceRoom // results of mostlyFree
+	waitLogs    int           // lines that logWaiting has written for this view
 	// waitsForSuspect is set if the task for which a worker was last chosen may run on a quarantined worker later, which
 	// depends on how long it has waited.
 	waitsForSuspect bool
@@ -82,7 +81,7 @@
 	if v.headroom == nil {
 		v.headroom, v.risk = make(map[string][]float64), make(map[string][]float64)
 		v.unplaceable = make(map[needKey]placement.Need)
-		v.reserved, v.mostlyFree = make(map[*worker]bool), make(map[string]bool)
+		v.reserved = make(map[*worker]bool)
 	}
 	for _, byImage := range []map[string][]float64{v.headroom, v.risk} {
 		for _, values := range byImage {
@@ -91,7 +90,6 @@
 		clear(byImage)
 	}
 	clear(v.unplaceable)
-	clear(v.mostlyFree)
 	clear(v.reserved)
 	v.racks.reset()
 	v.workers, v.candidates, v.states, v.waitLogs = v.workers[:0], v.candidates[:0], v.states[:0], 0
