A former owner tells its successor when the leases on workers end

Callers saw: long-running tasks of a worker that had left did not run for 10 to 18 s when the owner changed meanwhile (planned stops, hand-overs, claims that expired while the store was away).

Cause: a new owner starts what ran on a worker that it does not reach only when every lease that former owners may have extended has ended: 6.7 s after a release, up to 11.7 s after the last renewal. Each change of owner started this wait anew.

Evidence: in TestTaskOfWorkerThatLeftRunsInTimeDuringRollingRestart (three processes, two planned stops after the worker has left) the task was started again after 9.9 s. Four of five cases of TestTaskOfWorkerThatLeftRunsInTimeAlthoughOwnersChange fail without the change.

Fix: a new owner asks the former one, in a call between nodes, when the lease on each worker ends. It is answered once the run of the former owner has ended: no order is created any more, and each order that was created has its lease end noted, so these ends hold. For workers that the former owner did not reach it hands on what it waited for itself, so the chain of owners is closed. Only durations are sent; they count from the arrival of the answer, with a margin for both clocks. What is known of one incarnation of a worker is not used for another. Without an answer (crash, older program, forgotten, panic) the wait holds as before.

Workers that were removed while their lease ran are remembered: an owner may find runs on them when it loads the state.

Tests: each part of the answer was taken out alone, and TestTaskOfUnreachedWorkerRunsOnceWhileOwnersChange or TestEndOfLeaseOfFormerOwners failed (docs/PROMISES.md). The simulation of the cell asks former owners in all of its tests, with late, repeated and missing answers.

docs/design/former-leases.md weighs the other sources.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -66,6 +66,9 @@
 	relocationCheckedAt time.Duration // when relocate last ran
 	// formerLeasesEnd is when every lease that a former owner extended has expired on all workers.
 	formerLeasesEnd time.Duration
+	// formerLeases are the leases as the former owner knows them, and those on workers that were removed under this owner. Where
+	// they say nothing, formerLeasesEnd holds.
+	formerLeases LeaseEnds
 	// evacuations are the evacuated failure domains, nil for none. withheldSince is since when rounds have placed nothing because
 	// they were not confirmed, or 0.
 	evacuations   *evacuation.View
@@ -121,7 +124,8 @@
 func New(s Settings, epoch int64, formerLeasesEnd time.Duration, log *zap.Logger, metrics *Metrics) *Cell {
 	return &Cell{
 		settings: s, epoch: epoch, cellCount: 1, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
-		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
+		formerLeases: LeaseEnds{Others: formerLeasesEnd, Workers: make(map[string]WorkerLease)},
+		jobs:         make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
 		endedJobs: btree.NewG(endedJobsDegree, endedBefore), drain: drain.NewMeter(), shapes: make(map[string][]jobs.Resources), stragglers: newStragglers(),
 	}
@@ -405,6 +409,7 @@
 func (c *Cell) WorkerCount() int { return len(c.workers) }
 
 func (c *Cell) removeWorker(w *worker) {
+	c.keepLease(w)
 	delete(c.workers, w.info.ID)
 	c.health.RemoveWorker(w.info.ID)
 	w.due.removed = true
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -204,12 +204,13 @@
 const fullPace = 100
 
 // addWorker adds a worker that has an entry in the store or to which a stored run refers. Until the worker reports, its
-// lease is assumed to last until formerLeasesEnd.
+// lease is assumed to last for as long as former owners may have extended it.
 func (c *Cell) addWorker(info workercall.Worker) *worker {
 	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run), due: dueState{queue: &c.due}}
 	w.touch()
 	w.setCold(c.now + info.ColdLeft)
-	w.leaseExpiresBy, w.failureRate = c.formerLeasesEnd, c.health.FailureRate(info.ID)
+	w.formerLeaseEnd, w.failureRate = c.formerLeaseEnd(info.ID, info.StartedAtMS), c.health.FailureRate(info.ID)
+	w.leaseExpiresBy = w.formerLeaseEnd
 	c.workers[info.ID] = w
 	c.workersByID = nil
 	return w
@@ -258,6 +259,7 @@
 	// An incarnation that was draining stays so, even if a later entry does not say so.
 	draining := w.info.Draining && info.StartedAtMS == w.info.StartedAtMS
 	c.observeCold(w, &info)
+	c.learnIncarnation(w, info.StartedAtMS)
 	w.info, w.listed = info, true
 	if w.entryOutdated {
 		w.entryOutdated, c.needsPlacement = false, true
@@ -302,6 +304,7 @@
 	w.failureRate, w.lastFailure = 0, 0
 	w.forgetSpeed()
 	w.leaseExpiresBy, w.leaseExpired = leaseExpiresBy, false
+	w.formerLeaseEnd, w.restarted = c.formerLeasesEnd, true
 	w.touch()
 	w.info.Draining = false
 }
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -82,6 +82,16 @@
 	c.counters.get(c.set, "cactuswall_cell_runs_lost_total", "reason", reason).Inc()
 }
 
+// countFormerLease counts a worker whose runs were abandoned before it had accepted the owner's token, by where the end of its lease
+// was known from: the former owner, or the wait for all leases of former owners.
+func (c *Metrics) countFormerLease(known bool) {
+	from := "wait"
+	if known {
+		from = "former_owner"
+	}
+	c.counters.get(c.set, "cactuswall_cell_former_leases_total", "from", from).Inc()
+}
+
 // countCopy counts a copy of a task's run, when it is placed and when a run of the task succeeds, by result.
 func (c *Metrics) countCopy(result string) {
 	c.counters.get(c.set, "cactuswall_cell_copies_total", "result", result).Inc()
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -312,7 +312,7 @@
 // removes unlisted workers without runs.
 func (c *Cell) expireLeases() {
 	for _, w := range c.due.leasesDue(c.now) {
-		if !w.leaseExpired && c.now >= w.leaseExpiresBy && (w.tokenAccepted || c.now >= c.formerLeasesEnd) {
+		if !w.leaseExpired && c.now >= w.leaseExpiresBy && (w.tokenAccepted || c.formerLeaseEnded(w)) {
 			c.expireLease(w)
 		}
 		if w.disposable() {
@@ -334,6 +334,9 @@
 		return
 	}
 	w.leaseExpired = true
+	if !w.tokenAccepted {
+		c.metrics.countFormerLease(w.formerLeaseEnd < c.formerLeasesEnd)
+	}
 	c.log.Warn("lease on a worker has lapsed", zap.String("worker", w.info.ID), zap.Int("runs", len(expired)),
 		zap.Duration("last_report_age", c.now-w.lastReport))
 	for _, r := range expired {
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -85,6 +85,8 @@
 	// processorCost is the processor time that an owner spends on each order that it sends, on each answer that it
 	// receives and on each iteration of its loop; 0: none.
 	processorCost time.Duration
+	// leaseAnswers is how former owners answer their successors about leases.
+	leaseAnswers simLeaseAnswers
 }
 
 // simCell is what the store and the owners know of one cell.
@@ -115,6 +117,7 @@
 	sim           *simulation
 	info          workercall.Worker
 	clockOffset   time.Duration // of its clock from virtual time
+	clockSlow     bool          // its clock is 2% slow
 	token         int64
 	leaseEnd      time.Duration // end of its lease, on its clock
 	running       map[jobs.TaskID]*simRun
@@ -123,6 +126,7 @@
 	lastAcked     int64
 	closedRuns    map[jobs.TaskID]int // highest run number that was stopped or ended
 	up            bool                // always set
+	unlisted      bool                // has no entry in the store
 	failsTasks    bool                // fails every task except long-running ones
 	unreachableBy map[*simOwner]bool
 	slow          bool // runs that start take slowFactor times as long
@@ -158,7 +162,7 @@
 // Simulations with the same seed make the same random choices.
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(seed, 7)), table: cellmap.NewTable(), workers: make(map[string]*simWorker),
+		random: rand.New(rand.NewPCG(seed, 7)), leaseAnswers: newSimLeaseAnswers(seed), table: cellmap.NewTable(), workers: make(map[string]*simWorker),
 		specs: make(map[jobs.ID]jobs.Spec), done: make(map[jobs.TaskID]bool), ackedDone: make(map[jobs.TaskID]bool),
 		ackedFailures: make(map[jobs.TaskID]int), startCounts: make(map[jobs.TaskID]int), taskRunTime: 800 * time.Millisecond,
 		now: time.Hour, appendTime: 10 * time.Millisecond, statusRetention: time.Hour, maxAttempts: 3,
@@ -213,8 +217,9 @@
 
 // claimCell starts a new owner of a cell that has not loaded the state yet.
 func (sim *simulation) claimCell(home *simCell) *simOwner {
-	if home.owner != nil {
-		home.formerOwners = append(home.formerOwners, home.owner)
+	former := home.owner
+	if former != nil {
+		home.formerOwners = append(home.formerOwners, former)
 	}
 	home.epoch++
 	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour}
@@ -228,6 +233,7 @@
 	o.cell.SetTasks(sim.table.Tasks())
 	o.cell.SetWorkers(sim.workersOf(o))
 	home.owner = o
+	sim.askFormerOwner(o, former)
 	return o
 }
 
@@ -310,7 +316,7 @@
 func (sim *simulation) currentWorkers() []workercall.Worker {
 	var list []workercall.Worker
 	for _, worker := range sim.sortedWorkers() {
-		if worker.up {
+		if worker.up && !worker.unlisted {
 			list = append(list, worker.info)
 		}
 	}
@@ -564,7 +570,12 @@
 	sim.addWorker(id)
 }
 
-func (s *simWorker) clock() time.Duration { return s.sim.now + s.clockOffset }
+func (s *simWorker) clock() time.Duration {
+	if s.clockSlow {
+		return s.sim.now - s.sim.now/50 + s.clockOffset
+	}
+	return s.sim.now + s.clockOffset
+}
 
 func (s *simWorker) refuse(reason verdict.Reason) error {
 	return verdict.New(verdict.NotRun, reason, nil)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -242,6 +242,10 @@
 	grantedUntil time.Duration
 	// leaseExpiresBy is the latest local time at which the worker's lease has expired and its tasks have stopped.
 	leaseExpiresBy time.Duration
+	// formerLeaseEnd is when the lease has ended by what former owners may have extended. restarted is set once a restart of the
+	// worker was seen under this owner: what former owners knew of its lease says nothing of the new incarnation.
+	formerLeaseEnd time.Duration
+	restarted      bool
 	// lastReport is when the newest report arrived; failingSince is since when renewal orders have failed, or 0.
 	lastReport   time.Duration
 	failingSince time.Duration
--- a/internal/cellnode/admission.go
+++ b/internal/cellnode/admission.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/drain"
 	"cactuswall.example/cactuswall/internal/jobs"
 	"cactuswall.example/cactuswall/internal/queue"
@@ -415,12 +417,16 @@
 }
 
 // peerHandler serves calls from other nodes.
-func (n *Node) peerHandler(calls http.Handler) http.Handler {
+func (n *Node) peerHandler() http.Handler {
+	calls, formerCalls := cellrpc.NewCellServer(cellServer{n}), cellrpc.NewFormerOwnerServer(formerOwnerServer{n})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == figuresPath {
+		switch {
+		case r.URL.Path == figuresPath:
 			n.serveFigures(w, r)
-			return
+		case strings.HasPrefix(r.URL.Path, formerCalls.PathPrefix()):
+			formerCalls.ServeHTTP(w, r)
+		default:
+			calls.ServeHTTP(w, r)
 		}
-		calls.ServeHTTP(w, r)
 	})
 }
--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -136,7 +136,7 @@
 	confirmed := m.takeConfirmedClaim(now)
 	m.mu.Unlock()
 	if confirmed != nil {
-		m.startOwner(ownerCtx, confirmed.record, confirmed.leasesEnd)
+		m.startOwner(ownerCtx, *confirmed)
 	}
 	if requested {
 		go m.answerRequest(ownerCtx, request)
@@ -150,19 +150,23 @@
 			m.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", m.node.settings.Capacity))
 		}
 	case shouldClaim && m.node.config.Get() != nil:
-		m.sentClaim = &sentClaim{record: nextClaim, leasesEnd: leasesEnd}
+		sent := sentClaim{record: nextClaim, former: latest, leasesEnd: leasesEnd}
+		m.sentClaim = &sent
 		if m.writeClaim(ctx, nextClaim, &nextDetails, end) {
 			m.sentClaim = nil
-			m.startOwner(ownerCtx, nextClaim, leasesEnd)
+			m.startOwner(ownerCtx, sent)
 		}
 	case shouldRequest && m.node.ready():
 		m.requestCell(ctx, nextRequest, latest.Node, end)
 	}
 }
 
-// sentClaim is a claim of this node whose outcome is not known. leasesEnd is as for startOwner.
+// sentClaim is a claim of this node.
 type sentClaim struct {
-	record    claim.Record
+	record claim.Record
+	// former is the latest claim before it, with an empty Address if there is none.
+	former claim.Record
+	// leasesEnd is when all leases on workers that previous owners renewed have expired, on the clock of package boottime.
 	leasesEnd time.Duration
 }
 
@@ -247,22 +251,25 @@
 	return appended, true
 }
 
-// startOwner starts the owner of the cell under an accepted claim. leasesEnd is the time, on the clock of package
-// boottime, by which all leases on workers that previous owners renewed have expired.
-func (m *membership) startOwner(ctx context.Context, r claim.Record, leasesEnd time.Duration) {
-	m.log.Info("owner", zap.Int64("epoch", r.Epoch), zap.Duration("leases_end_in", leasesEnd-boottime.Now()),
+// startOwner starts the owner of the cell under an accepted claim.
+func (m *membership) startOwner(ctx context.Context, c sentClaim) {
+	epoch := c.record.Epoch
+	m.log.Info("owner", zap.Int64("epoch", epoch), zap.Duration("leases_end_in", c.leasesEnd-boottime.Now()),
 		zap.Int64("capacity", m.node.settings.Capacity))
-	o := newOwner(m, r.Epoch, leasesEnd)
+	o := newOwner(m, epoch, c.leasesEnd)
+	o.former = c.former
 	ctx, o.stop = context.WithCancel(ctx)
 	m.owner.Store(o)
 	go func() {
 		err := m.node.guarded("owner", func() error { return o.run(ctx) })()
 		if errors.Is(err, errPanicked) || o.panicked.Load() {
 			m.ownerPanicked(boottime.Now())
+		} else {
+			m.keepLeases(o)
 		}
 		m.owner.CompareAndSwap(o, nil)
 		m.ownerStopped(o)
-		m.log.Info("owner no more", zap.Int64("epoch", r.Epoch), zap.Error(err))
+		m.log.Info("owner no more", zap.Int64("epoch", epoch), zap.Error(err))
 	}()
 }
 
--- a/internal/cellnode/membership.go
+++ b/internal/cellnode/membership.go
@@ -49,6 +49,9 @@
 	// owner is nil while this node does not own the cell.
 	owner atomic.Pointer[owner]
 
+	// ended is the latest owner on this node whose run has ended without a panic, nil if there is none.
+	ended atomic.Pointer[endedOwner]
+
 	// stop ends the goroutines that follow the claim and claim the cell; nil while there are none. Only the goroutine of
 	// manageMemberships uses it.
 	stop context.CancelFunc
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -16,6 +16,7 @@
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
@@ -60,6 +61,8 @@
 	claimedAt   time.Duration
 	// formerLeasesEnd is when all leases on workers that previous owners renewed have expired.
 	formerLeasesEnd time.Duration
+	// former is the claim before the one of this owner, with an empty Address if there is none.
+	former claim.Record
 	// startsInFlight is the number of start orders that are queued or not answered yet.
 	startsInFlight atomic.Int64
 	// panicked is set when a call to a worker or the store has panicked.
@@ -117,6 +120,7 @@
 func (o *owner) run(ctx context.Context) error {
 	defer close(o.done)
 	defer o.stop()
+	o.spawn("former leases", func() { o.learnFormerLeases(ctx) })
 	progressEnd, workers, err := o.fenceFormerOwners(ctx)
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/cellnode/owner_test.go
+++ b/internal/cellnode/owner_test.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	// The claim is in force, so that the owner does not end by itself before it is looked at.
-	n.membership(0).startOwner(ctx, claim.Record{Epoch: n.membership(0).owner.Load().epoch}, 0)
+	n.membership(0).startOwner(ctx, sentClaim{record: claim.Record{Epoch: n.membership(0).owner.Load().epoch}})
 	o := n.membership(0).owner.Load()
 	if o == nil || o.stop == nil {
 		t.Fatal("a published owner cannot be stopped")
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -68,6 +68,10 @@
 	return cellrpc.NewCellProtobufClient("http://"+address, p.client)
 }
 
+func (p *peers) formerOwnerClient(address string) cellrpc.FormerOwner {
+	return cellrpc.NewFormerOwnerProtobufClient("http://"+address, p.client)
+}
+
 // cellServer serves calls from other nodes.
 type cellServer struct{ node *Node }
 
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/boottime"
-	"cactuswall.example/cactuswall/internal/cellrpc"
 	"cactuswall.example/cactuswall/internal/httpintake"
 )
 
@@ -71,7 +70,7 @@
 		{"callers", n.settings.CallerAddress, limits.callerConnections(), callerBufferBytes, gateway{n}},
 		{"ready", n.settings.ReadyAddress, readyConnections, callerBufferBytes, http.HandlerFunc(n.serveReady)},
 		{"peers", n.settings.PeerAddress, limits.peerConnections(), peerBufferBytes,
-			n.intake.limitPeers(n.peerHandler(cellrpc.NewCellServer(cellServer{n})), n.settings.MaxRecordBytes)},
+			n.intake.limitPeers(n.peerHandler(), n.settings.MaxRecordBytes)},
 		{"metrics", n.settings.MetricsAddress, metricsConnections, callerBufferBytes, http.HandlerFunc(n.serveMetrics)},
 	} {
 		if s.address == "" {
