Test that a lease extended before the state is loaded outlives the entry of its worker

What callers could see: a task ran twice. While an owner loads the state, it extends the leases on all workers that have answered. If the entry of one is gone before the state is loaded, the worker was removed, since no runs were known there, and added again with the runs of the state, as if only former owners had extended its lease.

Cell.keepLease, added with the leases of former owners, remembers such a lease. With it taken out, the test sees both tasks of the worker started elsewhere while they run.

--- a/internal/cell/former_leases_test.go
+++ b/internal/cell/former_leases_test.go
@@ -223,3 +223,29 @@
 		}
 	}
 }
+
+// Guards against TWICE: an owner extends the lease on a worker whose entry goes before the state is loaded, forgets the worker, finds its
+// runs in the state and takes the lease for one that former owners extended.
+func TestLeaseExtendedBeforeLoadIsKeptWithoutEntry(t *testing.T) {
+	sim := newSimulation(3, 2)
+	sim.leaseAnswers.silent = true
+	sim.takeOver()
+	spec := testSpec(2)
+	spec.Steps[0].LongRunning = true
+	sim.submit("j", spec)
+	sim.run(2 * time.Second)
+	sim.owner.ended = true
+	o := sim.claim()
+	sim.run(5 * time.Second)
+	cut := sim.workers["w0"]
+	cut.unreachableBy[o], cut.unlisted = true, true
+	sim.run(simTick)
+	sim.load(o)
+	sim.run(10 * time.Second)
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+	if running := sim.running(); running != 2 {
+		t.Errorf("%d runs, want 2", running)
+	}
+}
