A long-running task changes its cell by its label and by the processors that it needs, and leaves an inactive cell at once

What callers saw: tasks that are to last and do not run, with room for them. A task without room in its cell went to any cell with processors that nobody requested, also to one without the label that it requires, where it waited 1.5 s more for each further cell. A best-effort one needs none of these processors, and stayed where it was while others were requested, although idle. A cell that is not active has no workers to spare since they leave one by one: a service of it borrowed a worker, or waited 1.5 s for an active cell with room beside all that waits there.

Receiver now takes the labels and, for best-effort tasks, the room that is left unused. Loads do not name racks: a label that none of them names is looked up among the racks. From a cell that is not active, tasks go as soon as they find no room, also to a full cell, where they wait by their urgency as in a deployment of one cell, and the cell borrows no workers for them.

TestReceiver failed on each of: no labels compared ([1 2], want [1]), requested room for best-effort tasks (none, want 1), no way to a full cell (none). TestServiceOfInactiveCellGoesToAnActiveOneAtOnce failed with the wait of 1.5 s (0 tasks leave, want 1) and with the shortage ({MilliCPU:500}).

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -41,6 +41,7 @@
 	epoch    int64 // of this owner; part of its fencing tokens
 	// number is the number of the cell, and cellCount that of the cells that exist.
 	number, cellCount int
+	inactive          bool // see SetActive
 	log               *zap.Logger
 	metrics           *Metrics
 	config            *queue.Config // nil until SetConfig is called
--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -16,6 +16,9 @@
 // does not exist.
 func (c *Cell) SetCell(number, count int) { c.number, c.cellCount = number, count }
 
+// SetActive sets whether the cell is active, see cellmap.PlannedCell.
+func (c *Cell) SetActive(active bool) { c.inactive = !active }
+
 // foreignJob is a job that belongs to another cell.
 type foreignJob struct {
 	cell      int
@@ -139,8 +142,8 @@
 func (c *Cell) CurrentShortage() Shortage {
 	var shortage Shortage
 	for _, g := range c.waiting {
-		if !g.mayStart() || g.waitReason != waitRoom {
-			continue
+		if !g.mayStart() || g.waitReason != waitRoom || c.inactive && g.step.LongRunning && !g.step.Gang {
+			continue // the last go to another cell, see TakeStrandedTasks
 		}
 		patience := shortageAfter
 		if g.step.BestEffort {
--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -193,3 +193,31 @@
 		}
 	}
 }
+
+// Guards against LOST: a cell that is not active has no workers to spare, so that its interrupted services waited for a borrowed one
+// or, after 1.5 s, for room in an active cell.
+func TestServiceOfInactiveCellGoesToAnActiveOneAtOnce(t *testing.T) {
+	sim := newTwoRackCells(1, 4)
+	spec := testSpec(1, 1)
+	spec.Steps[1].LongRunning = true
+	sim.submitTo(1, "service", spec)
+	sim.run(3 * time.Second)
+	sim.setActive(false)
+	sim.runAndDepart(3 * time.Second)
+	task := sim.cells[1].owner.cell.jobs["service"].task(jobs.TaskID{Job: "service", Step: 1})
+	for id := range sim.cells[1].owner.cell.workers {
+		delete(sim.workers, id)
+	}
+	for len(task.runs) > 0 {
+		sim.run(simTick)
+	}
+	sim.run(time.Second)
+	if shortage := sim.cells[1].owner.cell.CurrentShortage(); shortage.MilliCPU > 0 {
+		t.Errorf("the cell borrows workers: %+v", shortage)
+	}
+	if tasks := sim.handOverTasks(sim.cells[1], 0, handOverCompletes); tasks != 1 {
+		t.Errorf("%d tasks leave the cell, want 1", tasks)
+	}
+	sim.run(2 * time.Second)
+	sim.checkLongRunning(t)
+}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -225,6 +225,7 @@
 	sim.readEvacuations(o)
 	o.cell.SetConfig(sim.config)
 	o.cell.SetCell(home.number, len(sim.table.Plan().Cells))
+	o.cell.SetActive(sim.table.Plan().Cells[home.number].Active)
 	o.cell.SetTasks(sim.table.Tasks())
 	o.cell.SetWorkers(sim.workersOf(o))
 	home.owner = o
@@ -424,6 +425,7 @@
 	sim.readEvacuations(o)
 	if o == o.home.owner && len(o.detached) == 0 { // the list is not read while a hand-over is being stored
 		o.cell.SetCell(o.home.number, len(sim.table.Plan().Cells))
+		o.cell.SetActive(o.table.Plan().Cells[o.home.number].Active)
 		if o.tasksSetFrom != o.table {
 			o.tasksSetFrom = o.table
 			o.cell.SetTasks(o.table.Tasks())
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -23,7 +23,7 @@
 	Task       jobs.TaskID
 	LastRun    int
 	Checkpoint string
-	MilliCPU   int64 // processor capacity that the task requests
+	Need       cellmap.Need
 }
 
 // SetTasks sets the assignments of tasks to other cells than that of their job. Only long-running tasks are assigned, which
@@ -111,22 +111,36 @@
 	}
 }
 
-// TakeStrandedTasks returns long-running tasks that have waited for resources for long. They do not run in this cell any more
+// needOf returns what a task of a step needs of a cell.
+func needOf(step *jobs.Step) cellmap.Need {
+	need := cellmap.Need{MilliCPU: int64(step.Request.MilliCPU), BestEffort: step.BestEffort}
+	if step.RequiredLabel != "" {
+		need.Labels = []string{step.RequiredLabel}
+	}
+	return need
+}
+
+// TakeStrandedTasks returns long-running tasks that have waited for resources for long or, in a cell that is not active, at all:
+// its workers are in other cells. They do not run in this cell any more
 // unless ReturnTask is called.
 func (c *Cell) TakeStrandedTasks() []TaskHandOver {
 	var stranded []TaskHandOver
+	patience := taskHandOverAfter
+	if c.inactive {
+		patience = 0
+	}
 	for _, g := range c.waiting {
 		if !g.mayStart() || !g.step.LongRunning || g.step.Gang || g.waitReason != waitRoom {
 			continue
 		}
 		for _, t := range g.tasks {
 			since := max(t.waitingSince, t.returnedAt, g.readyAt)
-			if !t.needsRun() || c.now-since < taskHandOverAfter || c.storedRound < t.settledRound || len(stranded) >= maxTaskHandOvers {
+			if !t.needsRun() || c.now-since < patience || c.storedRound < t.settledRound || len(stranded) >= maxTaskHandOvers {
 				continue
 			}
 			c.setElsewhere(t, true)
 			stranded = append(stranded, TaskHandOver{
-				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, MilliCPU: int64(g.step.Request.MilliCPU),
+				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, Need: needOf(g.step),
 			})
 		}
 	}
--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -302,10 +304,10 @@
 	Convey("A task without room goes to a cell that has room for it, never back, and nowhere if none has", t, func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		for range 100 {
-			cell, found := table.Receiver(100, false, 0, loads(0, 950, 700), random.Float64)
+			cell, found := table.Receiver(Need{MilliCPU: 100}, false, 0, loads(0, 950, 700), random.Float64)
 			So([]any{cell, found}, ShouldResemble, []any{2, true})
 		}
-		_, found := table.Receiver(100, false, 0, loads(0, 950, 950), random.Float64)
+		_, found := table.Receiver(Need{MilliCPU: 100}, false, 0, loads(0, 950, 950), random.Float64)
 		So(found, ShouldBeFalse)
 	})
 	// A full cell found no receiver for its interrupted services for 12 s, since work waited everywhere for the room of the others.
@@ -316,13 +318,13 @@
 			load.WaitingMilliCPU = 5000
 			board[cell] = load
 		}
-		_, found := table.Receiver(100, false, 0, board, random.Float64)
+		_, found := table.Receiver(Need{MilliCPU: 100}, false, 0, board, random.Float64)
 		So(found, ShouldBeFalse)
 		for range 100 {
-			cell, found := table.Receiver(100, true, 0, board, random.Float64)
+			cell, found := table.Receiver(Need{MilliCPU: 100}, true, 0, board, random.Float64)
 			So([]any{cell, found}, ShouldResemble, []any{1, true})
 		}
-		_, found = table.Receiver(400, true, 0, board, random.Float64)
+		_, found = table.Receiver(Need{MilliCPU: 400}, true, 0, board, random.Float64)
 		So(found, ShouldBeFalse)
 	})
 	// A hash of the ID gives a cut failure domain only one job in as many as there are cells.
@@ -365,3 +367,52 @@
 		})
 	}
 }
+
+// Guards against LOST: a long-running task went to a cell without the label that it requires, or to none because others requested
+// the processors beside which it would have run, or waited in a cell that is not active and has no workers.
+func TestReceiver(t *testing.T) {
+	plan := Plan{Cells: []PlannedCell{{"a", true}, {"b", true}, {"c", true}, {"d", false}}}
+	table, _, _ := NewTable().With([]store.Record{record(PlanKey, 0, &plan), record(RackKey("b", "r1"), 1, &Assignment{Cell: 1}),
+		record(RackKey("d", "r3"), 1, &Assignment{Cell: 3})}, 2)
+	load := func(cell int, used, bestEffort int64, labels ...string) Load {
+		return Load{Cell: cell, CapacityMilliCPU: 1000, UsedMilliCPU: used, Labels: labels, BestEffort: Room{CapacityMilliCPU: 1000, UsedMilliCPU: bestEffort}}
+	}
+	free := []Load{load(0, 0, 0, "x", "y"), load(1, 0, 0, "x"), load(2, 0, 0)}
+	full := []Load{load(0, 1000, 900), load(1, 1000, 500, "x"), load(2, 1000, 900)}
+	const none = -1
+	for _, c := range []struct {
+		name     string
+		need     Need
+		from     int
+		loads    []Load
+		receiver []int
+	}{
+		{"any with room", Need{MilliCPU: 100}, 0, free, []int{1, 2}},
+		{"the one with the label", Need{MilliCPU: 100, Labels: []string{"x"}}, 0, free, []int{1}},
+		{"none has it but the cell itself", Need{MilliCPU: 100, Labels: []string{"y"}}, 0, free, []int{none}},
+		{"the cell of the rack", Need{MilliCPU: 100, Labels: []string{"r1"}}, 0, free, []int{1}},
+		{"any has workers of the rack of a cell that is not active", Need{MilliCPU: 100, Labels: []string{"r3"}}, 3, free, []int{0, 1, 2}},
+		{"none has room", Need{MilliCPU: 100}, 0, full, []int{none}},
+		{"best-effort, by what is left unused", Need{MilliCPU: 400, BestEffort: true}, 0, full, []int{1}},
+		{"from a cell that is not active to a full one", Need{MilliCPU: 100}, 3, full, []int{0, 1, 2}},
+		{"and its label", Need{MilliCPU: 100, Labels: []string{"x"}}, 3, full, []int{1}},
+		{"nothing is known", Need{MilliCPU: 100}, 3, nil, []int{none}},
+	} {
+		Convey(c.name, t, func() {
+			loads := make(map[int]Load)
+			for _, l := range c.loads {
+				loads[l.Cell] = l
+			}
+			random := rand.New(rand.NewPCG(1, 2))
+			seen := make(map[int]bool)
+			for range 100 {
+				cell, found := table.Receiver(c.need, false, c.from, loads, random.Float64)
+				if !found {
+					cell = none
+				}
+				seen[cell] = true
+			}
+			So(slices.Sorted(maps.Keys(seen)), ShouldResemble, c.receiver)
+		})
+	}
+}
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -88,7 +88,7 @@
 	return cell, milliCPU
 }
 
-// Need is what a new job needs of its cell.
+// Need is what a new job, or a task that changes its cell, needs of it.
 type Need struct {
 	// Labels are the labels that its steps require.
 	Labels []string
@@ -101,6 +101,16 @@
 	BestEffort bool
 }
 
+// With returns the load once a task has come to the cell.
+func (l Load) With(need Need) Load {
+	if need.BestEffort {
+		l.BestEffort.UsedMilliCPU += need.MilliCPU
+	} else {
+		l.UsedMilliCPU += need.MilliCPU
+	}
+	return l
+}
+
 // loadsFor returns the loads with the room that a job competes for.
 func loadsFor(need Need, loads map[int]Load) map[int]Load {
 	if !need.BestEffort {
@@ -142,15 +152,19 @@
 	return draw(able, home, random)
 }
 
-// Receiver returns the cell for a task that needs the given processor capacity, in thousandths of a core, and finds no room in
-// the cell where it is: another active one, each as likely as it has room. found is false if none has room for it.
+// Receiver returns the cell for a task that finds no room in the cell where it is: another active one that has the labels it needs,
+// each as likely as it has room. found is false if none has room for it.
 //
 // An interrupted task comes before all work that waits in its new cell. If no cell has room beside what waits there, such a task
-// goes to one where other work waits for the room.
-func (t *Table) Receiver(milliCPU int64, interrupted bool, from int, loads map[int]Load, random func() float64) (cell int, found bool) {
-	able := t.withRoom(milliCPU, from, loads)
+// goes to one where other work waits for the room. A task of a cell that is not active goes to an active one in any case, to wait there
+// by its urgency like all others.
+func (t *Table) Receiver(need Need, interrupted bool, from int, loads map[int]Load, random func() float64) (cell int, found bool) {
+	able := t.withRoom(need, from, loads)
 	if len(able) == 0 && interrupted {
-		able = t.withRoom(milliCPU, from, withoutWaiting(loads))
+		able = t.withRoom(need, from, withoutWaiting(loads))
+	}
+	if len(able) == 0 && !t.plan.Cells[from].Active {
+		able = slices.DeleteFunc(t.receivers(need, from, loads), func(l Load) bool { return l.CapacityMilliCPU == 0 })
 	}
 	if len(able) == 0 {
 		return 0, false
@@ -158,11 +172,30 @@
 	return draw(able, from, random), true // able does not contain from
 }
 
-// withRoom returns the loads of the active cells other than from that have room for a processor capacity.
-func (t *Table) withRoom(milliCPU int64, from int, loads map[int]Load) []Load {
+// withRoom returns the loads of the cells other than from that a task may go to and that have room for it.
+func (t *Table) withRoom(need Need, from int, loads map[int]Load) []Load {
+	return slices.DeleteFunc(t.receivers(need, from, loads), func(l Load) bool { return l.room(100) < need.MilliCPU })
+}
+
+// receivers returns the loads of the active cells other than from that may have the labels of a task. Loads do not name racks,
+// so that a label which none of them names may be that of a rack: it is in the cell of the rack or, while that cell is not active and
+// hands its workers over, in any.
+func (t *Table) receivers(need Need, from int, loads map[int]Load) []Load {
+	named := make(map[string]bool)
+	for _, load := range loads {
+		for _, label := range load.Labels {
+			named[label] = true
+		}
+	}
+	lacks := func(l *Load, label string) bool {
+		cell, isRack := t.dataRacks[label]
+		return named[label] && !slices.Contains(l.Labels, label) || !named[label] && isRack && t.plan.Cells[cell].Active && cell != l.Cell
+	}
 	var able []Load
+	room := loadsFor(need, loads)
 	for _, number := range t.plan.Active() {
-		if load, known := loads[number]; known && number != from && load.room(100) >= milliCPU {
+		load, known := room[number]
+		if known && number != from && !slices.ContainsFunc(need.Labels, func(label string) bool { return lacks(&load, label) }) {
 			able = append(able, load)
 		}
 	}
@@ -173,7 +206,7 @@
 func withoutWaiting(loads map[int]Load) map[int]Load {
 	first := make(map[int]Load, len(loads))
 	for cell, load := range loads {
-		load.WaitingMilliCPU = 0
+		load.WaitingMilliCPU, load.BestEffort.WaitingMilliCPU = 0, 0
 		first[cell] = load
 	}
 	return first
@@ -227,7 +260,7 @@
 		}
 	}
 	if !slices.ContainsFunc(loads, func(l Load) bool { return l.Cell == home }) {
-		return loads[0].Cell
+		return loads[int(random()*float64(len(loads)))].Cell
 	}
 	return home
 }
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -198,14 +198,12 @@
 		records = append(records, assignmentRecord{key: key})
 	}
 	for _, t := range o.cell.TakeStrandedTasks() {
-		to, found := table.Receiver(t.MilliCPU, t.LastRun > 0, o.member.cell, loads, rand.Float64)
+		to, found := table.Receiver(t.Need, t.LastRun > 0, o.member.cell, loads, rand.Float64)
 		if !found {
 			o.cell.ReturnTask(t.Task)
 			continue
 		}
-		load := loads[to]
-		load.UsedMilliCPU += t.MilliCPU
-		loads[to] = load
+		loads[to] = loads[to].With(t.Need)
 		tasks = append(tasks, taskMove{id: t.Task, to: to})
 		records = append(records, assignmentRecord{cellmap.TaskKey(t.Task), &cellmap.TaskAssignment{Cell: to, LastRun: t.LastRun, Checkpoint: t.Checkpoint}})
 	}
--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -52,6 +52,7 @@
 	o.setEvacuations()
 	table := o.node.cells.table()
 	o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
+	o.cell.SetActive(table.Plan().Cells[o.member.cell].Active)
 	o.cell.SetTasks(table.Tasks())
 	o.cell.SetWorkers(workers.list())
 	return progressEnd, workers, nil
--- a/internal/cellnode/worker_list.go
+++ b/internal/cellnode/worker_list.go
@@ -30,6 +30,7 @@
 			}
 			table := o.node.cells.table()
 			o.cell.SetCell(o.member.cell, len(table.Plan().Cells))
+			o.cell.SetActive(table.Plan().Cells[o.member.cell].Active)
 			o.cell.SetTasks(table.Tasks())
 			o.cell.SetConfig(o.node.config.Get())
 			o.cell.SetSettings(*o.node.cellSettings.Load())
