A cell without workers gets one although services are on all workers of the others

What callers saw: a job that is accepted and never runs, with most of the workers' room free. Found by the generator of faults in several cells once it made services and cells without workers: workers with long-running tasks are not lent, so that nothing runs in a cell without workers once the other cells have a service on each worker, as is usual; under every later owner.

A cell that is not active, or has no capacity, depends on loans (Table.DependsOnLoans). For it, a lender without any other worker vacates the one with fewest long-running tasks: they move as from a draining worker, if there is room for them, and the worker is handed over when idle.

--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"cactuswall.example/cactuswall/internal/cellmap"
+	"cactuswall.example/cactuswall/internal/jobs"
 )
 
 // maxLentPercent is the share of its workers that a cell lends at one request.
@@ -68,19 +69,15 @@
 
 // hasLongRunning reports whether a long-running task is on the worker.
 func (w *worker) hasLongRunning() bool {
-	for _, r := range w.runs {
-		if r.task.group.step.LongRunning {
-			return true
-		}
-	}
-	return false
+	tasks, _ := w.longRunning()
+	return tasks > 0
 }
 
 // SetCordoned stops or permits the placement of tasks on workers. What runs there goes on.
 func (c *Cell) SetCordoned(workers []string, cordoned bool) {
 	for _, id := range workers {
 		if w := c.workers[id]; w != nil && w.cordoned != cordoned {
-			w.cordoned = cordoned
+			w.cordoned, w.vacating = cordoned, w.vacating && cordoned
 			c.needsPlacement = c.needsPlacement || !cordoned
 		}
 	}
@@ -120,3 +117,42 @@
 	}
 	return lent
 }
+
+// Vacate chooses and cordons a worker for another cell although long-running tasks are on it, and returns its ID, or an empty string
+// if there is none. These tasks move to other workers of the cell, as from a draining one, so that there must be room for them. The
+// worker has the label, unless that is empty. The one with fewest such tasks is taken.
+func (c *Cell) Vacate(label string) string {
+	var best *worker
+	var free jobs.Resources
+	fewest := 0
+	for _, w := range c.sortedWorkers() {
+		if !c.acceptsTasks(w) {
+			continue
+		}
+		free = free.Add(w.info.Capacity.Sub(w.reserved))
+		if tasks, movable := w.longRunning(); movable && (label == "" || hasLabel(w, label)) && (best == nil || tasks < fewest) {
+			best, fewest = w, tasks
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	toMove := best.info.Capacity.Sub(best.emptied())
+	if others := free.Sub(best.info.Capacity.Sub(best.reserved)); others.MilliCPU <= 0 || !others.Contains(toMove) {
+		return ""
+	}
+	best.cordoned, best.vacating = true, true
+	return best.info.ID
+}
+
+// longRunning returns the number of long-running tasks on the worker, and whether each may move by itself.
+func (w *worker) longRunning() (tasks int, movable bool) {
+	movable = true
+	for _, r := range w.runs {
+		if step := r.task.group.step; step.LongRunning {
+			tasks++
+			movable = movable && !step.Gang
+		}
+	}
+	return tasks, movable
+}
--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -21,7 +21,7 @@
 )
 
 // relocate has runs stopped for which another worker has room: best-effort runs that are slow next to a service and
-// would run at minPlacementSpeed or faster elsewhere, and runs of long-running tasks on draining workers. Once a run
+// would run at minPlacementSpeed or faster elsewhere, and runs of long-running tasks on draining or vacating workers. Once a run
 // has ended, its task is placed again.
 func (c *Cell) relocate() {
 	if c.now-c.relocationCheckedAt < relocateInterval {
@@ -42,7 +42,7 @@
 // relocatableRuns returns the worker's runs that are relocated if another worker has room, sorted by task.
 func (w *worker) relocatableRuns(c *Cell) []*run {
 	candidates := w.bestEffort // the only ones that can be throttled
-	if w.info.Draining {
+	if w.info.Draining || w.vacating {
 		candidates = w.sortedRuns()
 	}
 	var runs []*run
@@ -54,11 +54,11 @@
 	return runs
 }
 
-// onDrainingWorker reports whether a run belongs to a long-running task whose worker is draining. Without a relocation
+// onDrainingWorker reports whether a run belongs to a long-running task whose worker is draining or vacating. Without a relocation
 // the task would not run from the end of the worker until its lease has expired: that the worker has no entry in the
 // store does not prove that it has ended, since the entry may only be delayed.
 func (c *Cell) onDrainingWorker(r *run) bool {
-	if !r.worker.info.Draining || r.stopRequested || r.state != runRunning {
+	if !r.worker.info.Draining && !r.worker.vacating || r.stopRequested || r.state != runRunning {
 		return false
 	}
 	step := r.task.group.step
@@ -97,7 +97,7 @@
 	c.log.Info("relocating run", taskField(t.id), zap.Int("run", r.number), zap.String("worker", r.worker.info.ID),
 		zap.Int("pace", r.pace), zap.Int("percent", r.progressPercent), zap.String("to", v.workers[i].info.ID))
 	reason := stopThrottled
-	if r.worker.info.Draining {
+	if r.worker.info.Draining || r.worker.vacating {
 		reason = stopWorkerDraining
 	}
 	c.stopRun(r, reason)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -268,6 +268,8 @@
 	leaseExpired bool
 	// cordoned is set while no tasks are placed on the worker because it is to be handed over to another cell.
 	cordoned bool
+	// vacating is set while its long-running tasks move to other workers, too.
+	vacating bool
 	// settledRound is the number of the first round that stores that the last run which was removed is gone.
 	settledRound int
 	// speed is learned from the run times on the worker; coldUntil is until when it is slow because it has just started.
--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -354,6 +354,7 @@
 		{"none to spare: an active cell gets nothing", 2, "", []Load{load(0, 900, 0), load(1, 900, 0), load(2, 1000, 9000)}, 0, 0},
 		{"none to spare: one that is not active borrows where least waits", 1, "", []Load{load(0, 900, 500), load(1, 1000, 9000), load(2, 900, 300)}, 2, 1000},
 		{"as long as more waits there", 1, "", []Load{load(0, 900, 500), load(1, 1000, 300), load(2, 900, 600)}, 0, 0},
+		{"an active cell without capacity borrows, too", 2, "", []Load{load(0, 900, 0), {Cell: 2, WaitingMilliCPU: 100}}, 0, 1000},
 		{"also for best-effort tasks", 1, "", []Load{load(0, 900, 0), bestEffort}, 0, 1000},
 		{"nothing is known", 1, "", nil, 0, 0},
 	} {
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -57,11 +57,17 @@
 // Lendable returns the processor capacity, in thousandths of a core, that the cell can do without.
 func (l *Load) Lendable() int64 { return l.room(lendPercent) }
 
+// DependsOnLoans reports whether a cell gets no workers unless others lend some: it is not active, or has no capacity.
+func (t *Table) DependsOnLoans(cell int, loads map[int]Load) bool {
+	load, known := loads[cell]
+	return !t.plan.Cells[cell].Active || known && load.CapacityMilliCPU == 0
+}
+
 // Lender returns the cell from which another one borrows workers, with a label unless that is empty, and how much of its processor
 // capacity, in thousandths of a core: the one that can do without most. 0: none can.
 //
-// A cell that is not active has no other way to get workers. If none can do without some, it borrows from an active cell for as
-// long as less waits there than in the borrower, as a share of the capacity.
+// If none can do without some, a cell that depends on loans borrows from an active cell for as long as less waits there than in the
+// borrower, as a share of the capacity.
 func (t *Table) Lender(borrower int, label string, loads map[int]Load) (cell int, milliCPU int64) {
 	var able []Load
 	for number := range t.plan.Cells {
@@ -74,7 +80,7 @@
 			cell, milliCPU = able[i].Cell, lendable
 		}
 	}
-	if milliCPU > 0 || t.plan.Cells[borrower].Active {
+	if milliCPU > 0 || !t.DependsOnLoans(borrower, loads) {
 		return cell, milliCPU
 	}
 	own := loads[borrower]
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -397,7 +397,8 @@
 		return nil, twirp.NewError(twirp.Unavailable, "the owner has not loaded its state")
 	}
 	lendable, timeout := min(r.MilliCpu, load.Lendable()), loanTimeout
-	if lendable == 0 && !s.node.cells.table().Plan().Cells[r.Borrower].Active {
+	depends := s.node.cells.table().DependsOnLoans(int(r.Borrower), s.node.loads.recent())
+	if lendable == 0 && depends {
 		lendable, timeout = r.MilliCpu, busyLoanTimeout
 	}
 	o.mu.Lock()
@@ -406,6 +407,11 @@
 		return &cellrpc.LendReply{Owner: true}, nil
 	}
 	workers := o.cell.Lend(lendable, r.Label)
+	if len(workers) == 0 && depends {
+		if worker := o.cell.Vacate(r.Label); worker != "" {
+			workers, timeout = []string{worker}, busyLoanTimeout
+		}
+	}
 	for _, worker := range workers {
 		o.loans[worker] = loan{borrower: int(r.Borrower), until: boottime.Now() + timeout}
 	}
