--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -198,14 +198,12 @@
 		records = append(records, assignmentRecord{key: key})
 	}
 	for _, t := range o.cell.TakeStrandedTasks() {
-		to, found := table.Receiver(t.MilliCPU, t.LastRun > 0, o.member.cell, loads, rand.Float64)
+		to, found := table.Receiver(t.Need, t.LastRun > 0, o.member.cell, loads, rand.Float64)
 		if !found {
 			o.cell.ReturnTask(t.Task)
 			continue
 		}
-		load := loads[to]
-		load.UsedMilliCPU += t.MilliCPU
-		loads[to] = load
+		loads[to] = loads[to].With(t.Need)
 		tasks = append(tasks, taskMove{id: t.Task, to: to})
 		records = append(records, assignmentRecord{cellmap.TaskKey(t.Task), &cellmap.TaskAssignment{Cell: to, LastRun: t.LastRun, Checkpoint: t.Checkpoint}})
 	}
@@ -399,7 +397,8 @@
 		return nil, twirp.NewError(twirp.Unavailable, "the owner has not loaded its state")
 	}
 	lendable, timeout := min(r.MilliCpu, load.Lendable()), loanTimeout
-	if lendable == 0 && !s.node.cells.table().Plan().Cells[r.Borrower].Active {
+	depends := s.node.cells.table().DependsOnLoans(int(r.Borrower), s.node.loads.recent())
+	if lendable == 0 && depends {
 		lendable, timeout = r.MilliCpu, busyLoanTimeout
 	}
 	o.mu.Lock()
@@ -408,6 +407,11 @@
 		return &cellrpc.LendReply{Owner: true}, nil
 	}
 	workers := o.cell.Lend(lendable, r.Label)
+	if len(workers) == 0 && depends {
+		if worker := o.cell.Vacate(r.Label); worker != "" {
+			workers, timeout = []string{worker}, busyLoanTimeout
+		}
+	}
 	for _, worker := range workers {
 		o.loans[worker] = loan{borrower: int(r.Borrower), until: boottime.Now() + timeout}
 	}
