A gang that succeeds out of its owner's touch is done

Callers could see a gang run a second time after it had succeeded. Its members ended as done while their workers were out of touch and the owner had given the runs up; handleEndOfUnknownRun left gangs out, so the ends were acknowledged without an effect. The members of a run succeed together, so an end of one of them marks all as done and stops a newer run. TestGangThatSucceedsOutOfTouchIsDone failed before (the job is running).

--- a/internal/cell/next_step_test.go
+++ b/internal/cell/next_step_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,33 @@
 		t.Errorf("the job is %v", state)
 	}
 }
+
+// Guards against TWICE: a gang ends as done on workers that the owner has given up. The ends were acknowledged and the gang was
+// started again.
+func TestGangThatSucceedsOutOfTouchIsDone(t *testing.T) {
+	sim := newSimulation(1, 4)
+	sim.taskRunTime = time.Hour
+	sim.takeOver()
+	sim.run(12 * time.Second)
+	spec := testSpec(2)
+	spec.Steps[0].Gang, spec.Steps[0].Request.MilliCPU = true, 3000 // one member on each worker
+	sim.submit("gang", spec)
+	sim.run(time.Second)
+	for id, worker := range sim.workers {
+		worker.unreachableBy[sim.owner] = len(worker.running) > 0
+		worker.leaseEnd += time.Hour
+		if len(worker.running) > 0 {
+			sim.schedule(7500*time.Millisecond, func() { worker.end(worker.sortedTasks()[0], workercall.Done) })
+			sim.schedule(8*time.Second, func() { delete(sim.workers[id].unreachableBy, sim.owner) })
+		}
+	}
+	sim.run(20 * time.Second)
+	if state := sim.state("gang"); state != jobs.Completed {
+		t.Errorf("the job is %v", state)
+	}
+	for _, violation := range sim.violations {
+		if !strings.Contains(violation, "while it runs on") { // the leases are longer than any owner allows
+			t.Error(violation)
+		}
+	}
+}
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -61,7 +61,7 @@
 }
 
 // handleEndOfUnknownRun processes the end of a run that this owner does not know, for instance because it was
-// abandoned. If the task succeeded in it, the task is marked as done and a new run of it stopped, unless it belongs to a gang or
+// abandoned. If the task succeeded in it, the task, or all tasks of a gang, are marked as done and new runs stopped, unless the task
 // is long-running. The end is acknowledged in any case, so it would be lost if the new run were.
 func (c *Cell) handleEndOfUnknownRun(w *worker, e *workercall.EndedRun) {
 	j := c.jobs[e.Task.Job]
@@ -75,16 +75,34 @@
 	g := t.group
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
+	if e.Reason == workercall.Done && g.step.Gang {
+		c.unknownGangRunSucceeded(w, t, e)
+		return
+	}
 	if e.Reason == workercall.Done && c.unknownRunSucceeded(t, e.Number) {
 		w.holdEnd(e.Sequence, t)
 		return
 	}
-	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.Gang && !g.step.LongRunning {
+	if e.Reason == workercall.Done && t.needsRun() && e.Number <= t.lastRunNumber && !g.step.LongRunning {
 		c.markDone(t)
 		c.advanceStep(g)
 	}
 }
 
+// unknownGangRunSucceeded marks the tasks of a gang as done of which an abandoned run has succeeded. The members of a run succeed
+// together, so that the end of one of them stands for all.
+func (c *Cell) unknownGangRunSucceeded(w *worker, t *task, e *workercall.EndedRun) {
+	if t.done || t.group.step.LongRunning || e.Number > t.lastRunNumber {
+		return
+	}
+	for _, member := range t.group.tasks {
+		c.markDone(member)
+		c.stopRedundantRuns(member)
+		w.holdEnd(e.Sequence, member)
+	}
+	c.advanceStep(t.group)
+}
+
 // taskSucceeded marks the task of a run as done. For a gang, the success of one member completes all tasks. A
 // long-running task is not marked as done, but waits for its next start.
 func (c *Cell) taskSucceeded(r *run, ran time.Duration) {
