Workers with tasks that limit how many may be away are not vacated

Vacating a worker stops its long-running tasks, which counts against the number of tasks of a step that may be unavailable at once. Found by reading.

--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -145,13 +145,13 @@
 	return best.info.ID
 }
 
-// longRunning returns the number of long-running tasks on the worker, and whether each may move by itself.
+// longRunning returns the number of long-running tasks on the worker, and whether each may be stopped and moved by itself.
 func (w *worker) longRunning() (tasks int, movable bool) {
 	movable = true
 	for _, r := range w.runs {
 		if step := r.task.group.step; step.LongRunning {
 			tasks++
-			movable = movable && !step.Gang
+			movable = movable && !step.Gang && !step.HasMaxUnavailable
 		}
 	}
 	return tasks, movable
