A cancellation that overtakes its job is carried out

Callers saw a job run to its end that they had cancelled: the cancellation, sent after the job's 200, was answered "no such job" and dropped. The owner's "unknown" may rest on a read that is up to 2.5 s old, so it may not have read the job.

A node now looks an unknown job up in the store, by one listing that begins at the job's key, and stores the cancellation if the job is there, for the cell that the job's key names; owners keep a cancellation that they read before the job. A job that is not in the store either is denied with 410 as before.

--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -253,16 +253,6 @@
 	return g.node.platform.CallerCodec.DecodeJob(body)
 }
 
-// cancel stores the cancellation of a job. If the owner answers that the job is unknown, nothing is stored and the
-// response has status 410. If no owner answers, the cancellation is stored.
-func (g gateway) cancel(ctx context.Context, id jobs.ID) response {
-	status, ok := g.queryStatus(ctx, id, 0)
-	if ok && !status.known {
-		return errorResponse(http.StatusGone, reasonNoJob)
-	}
-	return g.storeResponse(g.storeOrForward(ctx, status.cell, store.Record{Key: jobrecord.CancelKey(id), Value: []byte{1}}))
-}
-
 // status responds with the state of a job.
 func (g gateway) status(ctx context.Context, id jobs.ID) response {
 	status, ok := g.queryStatus(ctx, id, statusQueryTimeout)
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -106,8 +106,10 @@
 	writerID     string
 	jobsAppender *appender.Appender
 	acceptedJobs *acceptedJobs
-	peers        *peers
-	intake       *intakeLimits
+	// jobLookups holds a value for each lookup of a job in the store that is in progress.
+	jobLookups chan struct{}
+	peers      *peers
+	intake     *intakeLimits
 	// stopping is set once the process has been asked to stop.
 	stopping atomic.Bool
 	// lastStoreSuccess is when the store last served a call, in nanoseconds on the clock of package boottime.
@@ -142,7 +144,8 @@
 	n := &Node{
 		settings: s, platform: p, log: log.With(zap.String("node", s.Node)), holder: holder,
 		writerID: strconv.FormatUint(xxhash.Sum64String(holder), 36), acceptedJobs: newAcceptedJobs(),
-		config: queue.NewActiveConfig(), metrics: set, counts: cell.NewMetrics(set),
+		jobLookups: make(chan struct{}, maxJobLookups),
+		config:     queue.NewActiveConfig(), metrics: set, counts: cell.NewMetrics(set),
 		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
 		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), admission: newAdmission(), memberships: make(map[int]*membership),
 	}
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -101,7 +101,7 @@
 	}
 }
 
-func (m *memoryStore) List(_ context.Context, p store.Partition, _ string) (store.ListPage, error) {
+func (m *memoryStore) List(_ context.Context, p store.Partition, after string) (store.ListPage, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
@@ -112,7 +112,10 @@
 		latest[r.Key] = r
 	}
 	listing := store.ListPage{End: store.Offset(len(m.topics[topicKey(p)]))}
-	for _, r := range latest {
+	for key, r := range latest {
+		if key <= after {
+			continue
+		}
 		listing.Records = append(listing.Records, r)
 	}
 	sort.Slice(listing.Records, func(i, j int) bool { return listing.Records[i].Key < listing.Records[j].Key })
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -88,6 +88,9 @@
 	return key + "/" + strconv.Itoa(cell)
 }
 
+// JobPrefix returns what the keys of all records of a job begin with.
+func JobPrefix(id jobs.ID) string { return jobPrefix + string(id) + "/" }
+
 // JobCell returns the cell that the key of a job names.
 func JobCell(key string) int {
 	_, _, cell := splitJobKey(key)
