Logs and gauges tell tasks of another cell and a cell without workers apart

What callers saw: a task that did not run, and no line or metric that said whether it belonged to another cell, or its cell had no worker.

Two lines at doubling intervals, counted by the audit of a cell's indexes: "tasks belong to another cell" (of a step, with the cell and the number of the latest run of the assignment) and "tasks wait in a cell without workers".

--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -41,8 +41,11 @@
 	jobs []*job
 	next int           // index of the job to be checked next
 	at   time.Duration // when the last part was checked
+	// began is when the audit last began with the first job.
+	began time.Duration
 	// found is the number of differences.
-	found int
+	found    int
+	standing standing
 }
 
 // audit derives what is to be started, looked at again or stored from the state for some of the jobs, compares that with
@@ -55,8 +58,9 @@
 		return
 	}
 	a.at = c.now
-	if a.next >= len(a.jobs) {
-		a.next = 0
+	if a.next >= len(a.jobs) && c.now-a.began >= auditPeriod {
+		c.endAudit(a.began)
+		a.next, a.began = 0, c.now
 		c.auditWorkers()
 		c.auditAssignments()
 	}
@@ -199,7 +203,7 @@
 
 // auditGroup checks the counters and flags of a group and its tasks.
 func (c *Cell) auditGroup(g *group) {
-	unfinished, toStart := 0, 0
+	unfinished, toStart, elsewhere := 0, 0, false
 	for _, t := range g.tasks {
 		if t.done || t.elsewhere || t.notBefore > c.now {
 			c.auditTask(t)
@@ -209,7 +213,9 @@
 			continue
 		case len(t.runs) > 0:
 			c.auditRuns(t)
-		case !t.elsewhere:
+		case t.elsewhere:
+			elsewhere = true
+		default:
 			toStart++
 		}
 		unfinished++
@@ -229,6 +235,9 @@
 		c.addWaiting(g)
 		c.needsPlacement = true
 	}
+	if elsewhere && !g.job.guest {
+		c.noteElsewhere(g)
+	}
 	if g.dirty && !slices.Contains(c.dirtyGroups, g) {
 		c.corrected(wrongDirty, groupField(g))
 		g.dirty = false
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -82,13 +82,17 @@
 	WaitingTasks int // tasks that are ready and have no run
 	Runs         int
 	Workers      int
-	StartLimit   int           // start orders that may be unanswered at a time
-	RenewalRest  time.Duration // from a report to the next renewal order
+	// TasksElsewhere and TasksWithoutWorkers are the numbers of tasks of the cell's jobs that belong to other cells, and that wait while
+	// the cell has no registered worker, as of the last complete audit.
+	TasksElsewhere, TasksWithoutWorkers int
+	StartLimit                          int           // start orders that may be unanswered at a time
+	RenewalRest                         time.Duration // from a report to the next renewal order
 }
 
 // Workload counts the cell's waiting tasks, runs and workers.
 func (c *Cell) Workload() Workload {
-	load := Workload{Workers: len(c.workers), StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest()}
+	load := Workload{Workers: len(c.workers), StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest(),
+		TasksElsewhere: c.auditor.standing.elsewhere, TasksWithoutWorkers: c.auditor.standing.withoutWorkers}
 	for _, w := range c.workers {
 		load.Runs += len(w.runs)
 	}
--- a/internal/cellnode/lateness.go
+++ b/internal/cellnode/lateness.go
@@ -65,6 +65,8 @@
 	}
 	set.NewGauge("cactuswall_owner_queued_events", sum(func(o *owner) float64 { return float64(len(o.events)) }))
 	set.NewGauge("cactuswall_owner_starts_in_flight", sum(func(o *owner) float64 { return float64(o.startsInFlight.Load()) }))
+	set.NewGauge("cactuswall_owner_tasks_elsewhere", sum(func(o *owner) float64 { return float64(o.lateness.tasksElsewhere.Load()) }))
+	set.NewGauge("cactuswall_owner_tasks_without_workers", sum(func(o *owner) float64 { return float64(o.lateness.tasksWithoutWorkers.Load()) }))
 	set.NewGauge("cactuswall_owner_waiting_tasks", newest(func() float64 { return float64(m.waitingTasks.Load()) }))
 	set.NewGauge("cactuswall_owner_start_limit", newest(func() float64 { return float64(m.startLimit.Load()) }))
 	set.NewGauge("cactuswall_owner_sched_latency_seconds", newest(func() float64 { return time.Duration(m.schedLatency.Load()).Seconds() }))
@@ -72,16 +74,17 @@
 }
 
 // lateness averages the delays of an event loop over windows of latenessWindow and logs when the owner becomes late and
-// when it is on time again. It is used by one goroutine.
+// when it is on time again. It is used by one goroutine, apart from the atomic fields.
 type lateness struct {
-	metrics     *ownerMetrics
-	log         *zap.Logger
-	sched       func() time.Duration // returns the mean scheduling latency since its last call
-	windowStart time.Time
-	lateSince   time.Time // start of the first window of the present late period; zero while on time
-	roundBegan  time.Time // when storing of the present round began; zero while none is stored
-	sums        delaySums // of the current window
-	recent      recentSchedLatency
+	tasksElsewhere, tasksWithoutWorkers atomic.Int64 // as of the last window
+	metrics                             *ownerMetrics
+	log                                 *zap.Logger
+	sched                               func() time.Duration // returns the mean scheduling latency since its last call
+	windowStart                         time.Time
+	lateSince                           time.Time // start of the first window of the present late period; zero while on time
+	roundBegan                          time.Time // when storing of the present round began; zero while none is stored
+	sums                                delaySums // of the current window
+	recent                              recentSchedLatency
 }
 
 // delaySums are numbers of events, flushes and rounds, and the sums of their delays and durations.
@@ -141,6 +144,8 @@
 	if !l.roundBegan.IsZero() {
 		roundTime = max(roundTime, now.Sub(l.roundBegan))
 	}
+	l.tasksElsewhere.Store(int64(load.TasksElsewhere))
+	l.tasksWithoutWorkers.Store(int64(load.TasksWithoutWorkers))
 	l.metrics.waitingTasks.Store(int64(load.WaitingTasks))
 	l.metrics.schedLatency.Store(int64(sched))
 	l.metrics.startLimit.Store(int64(load.StartLimit))
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -57,7 +57,8 @@
 	"store out of reach": true, "store regained": true, "worker quarantined": true, "lease on a worker has lapsed": true,
 	"candidate for a cell without an owner": true, "plan of the cells changed": true, "workers handed over": true, "tasks handed over": true,
 	"workers requested from another cell": true, "no cell can lend workers": true,
-	messageLate: true, messageOnTime: true,
+	"tasks wait in a cell without workers": true,
+	messageLate:                            true, messageOnTime: true,
 }
 
 // Read returns the timeline of a job. Lines may be out of order, truncated, or not log lines at all.
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -24,6 +24,9 @@
 {"ts":2700,"msg":"tasks handed over","node":"a","cell":1,"tasks":1}
 {"ts":2800,"msg":"state taken over","node":"b","cell":2}
 {"ts":2800,"msg":"state taken over","node":"c","cell":3}
+{"ts":2850,"msg":"tasks belong to another cell","node":"a","cell":1,"task":{"job":"j1"},"to":2}
+{"ts":2900,"msg":"tasks wait in a cell without workers","node":"b","cell":2,"waiting_tasks":1}
+{"ts":2900,"msg":"tasks wait in a cell without workers","node":"c","cell":3,"waiting_tasks":1}
 {"ts":3000,"msg":"start","node":"b","cell":2,"task":{"job":"j1"},"waited":1500}
 `
 
@@ -50,7 +53,8 @@
 		for _, e := range timeline.Events {
 			messages = append(messages, e.Message)
 		}
-		So(messages, ShouldResemble, []string{"plan of the cells changed", "job added", "task leaves the cell", "tasks handed over", "state taken over", "start"})
+		So(messages, ShouldResemble, []string{"plan of the cells changed", "job added", "task leaves the cell", "tasks handed over", "state taken over",
+			"tasks belong to another cell", "tasks wait in a cell without workers", "start"})
 		So(timeline.Summary, ShouldEqual, "The job has not ended: a task waited 1.5s for free resources; changes of owner: 1; "+
 			"tasks that went to another cell for resources: 1.")
 	})
