The call to the former owner uses the context of the owner's run

What callers could see: nothing; a data race. The goroutine that asks the former owner read the variable of the run's context while run replaced it by that of its group.

Evidence: go test -race ./internal/cellnode reported it in two tests (TestJobsThatCannotBeDoneInTimeAreRefused, TestSmallNodeOwnsCellSoonWhenLargeNodesAreGone). The goroutine has the first context as a variable of its own now, and both pass with -race.

--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -120,7 +120,8 @@
 func (o *owner) run(ctx context.Context) error {
 	defer close(o.done)
 	defer o.stop()
-	o.spawn("former leases", func() { o.learnFormerLeases(ctx) })
+	runCtx := ctx // ctx is replaced below
+	o.spawn("former leases", func() { o.learnFormerLeases(runCtx) })
 	progressEnd, workers, err := o.fenceFormerOwners(ctx)
 	if err != nil {
 		return trace.Wrap(err)
