Tasks of a guest's later occurrences stay in the cell of their job

A cell that had received a task of another cell's scheduled job ran the tasks of the next occurrence once that was due: the audit took the missing groups for an occurrence that had been dropped and created them as the cell's own. Both cells started the tasks (TWICE). The same happened to the siblings of a task of a later occurrence that was handed over.

Groups of a guest are now created with all tasks elsewhere, and the audit leaves occurrences and the end of a job to its own cell.

--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -180,8 +180,12 @@
 	}
 }
 
-// auditEnd checks that a job has its occurrences, and ends with its tasks; finished is its number of finished groups.
+// auditEnd checks that a job has its occurrences, and ends with its tasks; finished is its number of finished groups. Both are up
+// to the cell of the job.
 func (c *Cell) auditEnd(j *job, finished int) {
+	if j.guest {
+		return
+	}
 	if j.createdOccurrences < j.record.Spec.Occurrences() {
 		if due := j.record.Spec.DueAt(j.createdOccurrences); !c.wall.Before(due) {
 			c.corrected(wrongOccurrence, zap.String("job", string(j.id)))
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -204,7 +204,8 @@
 	}
 }
 
-// ensureGroup returns a group of a job, creating it if it does not exist.
+// ensureGroup returns a group of a job, creating it if it does not exist. Tasks of another cell's job belong there until they are
+// assigned to this cell.
 func (c *Cell) ensureGroup(j *job, id jobs.GroupID) *group {
 	if g := j.groups[id]; g != nil {
 		return g
@@ -215,9 +216,12 @@
 	c.groupCount++
 	tasks := make([]task, step.Count)
 	for i := range g.tasks {
-		tasks[i] = task{id: id.Task(i), group: g}
+		tasks[i] = task{id: id.Task(i), group: g, elsewhere: j.guest}
 		g.tasks[i] = &tasks[i]
 	}
+	if j.guest {
+		g.toStart = 0
+	}
 	j.groups[id] = g
 	j.groupList = append(j.groupList, g)
 	return g
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -84,11 +84,6 @@
 	c.jobs[id], c.guests[id] = j, j
 	c.auditor.jobs = append(c.auditor.jobs, j)
 	c.createDueGroups(j)
-	for _, g := range j.groups {
-		for _, t := range g.tasks {
-			c.setElsewhere(t, true)
-		}
-	}
 	return j
 }
 
