The audit leaves a task alone whose hand-over is being stored

When the audit found one task that differed from its assignment, it applied all assignments again. A task that had come from another cell and was about to leave was taken back by its old assignment while the new one was being stored, so that two cells could start it.

The audit now skips tasks that are leaving. The test fails without the change.

--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -136,7 +136,7 @@
 		c.corrected(wrongElsewhere, taskField(t.id))
 	}
 	if c.auditor.found > found {
-		c.applyTasks()
+		c.applyTasks(false)
 	}
 }
 
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -72,7 +72,7 @@
 			c.ApplyJobRecord(r)
 		}
 	}
-	c.applyTasks()
+	c.applyTasks(true)
 	for _, r := range progress {
 		c.loadProgress(r, recorded)
 	}
--- a/internal/cell/next_step_test.go
+++ b/internal/cell/next_step_test.go
@@ -137,3 +137,38 @@
 		}
 	}
 }
+
+// Guards against TWICE: while the hand-over of a task that had come from another cell was being stored, the audit applied all
+// assignments again, also the one that was about to be replaced.
+func TestAuditLeavesTaskWhoseHandOverIsBeingStored(t *testing.T) {
+	sim := newCellsSimulation(1, 2, 4)
+	sim.correctionsExpected = true
+	sim.run(12 * time.Second)
+	spec := testSpec(2)
+	spec.Steps[0].LongRunning = true
+	sim.submitTo(0, "listener", spec)
+	for _, w := range sim.workers {
+		for _, home := range sim.cells {
+			if known := home.owner.cell.workers[w.info.ID]; known != nil {
+				known.cordoned = true
+			}
+		}
+	}
+	sim.run(3 * time.Second)
+	sim.handOverTasks(sim.cells[0], 1, handOverCompletes)
+	sim.run(4 * time.Second)
+	guest := sim.cells[1].owner.cell
+	stranded := guest.TakeStrandedTasks()
+	if len(stranded) != 2 {
+		t.Fatalf("%d tasks are to be handed over, want 2", len(stranded))
+	}
+	guest.ReturnTask(stranded[0].Task)
+	guest.jobs["listener"].task(stranded[0].Task).elsewhere = true // differs from its assignment
+	guest.auditAssignments()
+	if leaving := guest.jobs["listener"].task(stranded[1].Task); !leaving.elsewhere || !leaving.leaving {
+		t.Error("the task was taken back while its hand-over is being stored")
+	}
+	if guest.jobs["listener"].task(stranded[0].Task).elsewhere {
+		t.Error("the other task was not put right")
+	}
+}
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -31,13 +31,14 @@
 func (c *Cell) SetTasks(assigned map[string]cellmap.TaskAssignment) {
 	c.tasksElsewhere = assigned
 	if c.loaded {
-		c.applyTasks()
+		c.applyTasks(true)
 	}
 }
 
 // applyTasks applies the assignments: the cell's own tasks that are assigned to other cells do not run here, and tasks of
-// other cells' jobs that are assigned to this cell do.
-func (c *Cell) applyTasks() {
+// other cells' jobs that are assigned to this cell do. Unless the assignments were just read, tasks whose hand-over is being stored
+// are left out: theirs are about to be replaced.
+func (c *Cell) applyTasks(read bool) {
 	for key, assignment := range c.tasksElsewhere {
 		id, err := jobs.ParseTaskKey(key)
 		if err != nil {
@@ -53,7 +54,7 @@
 			continue
 		}
 		t := c.taskOf(j, id)
-		if t == nil {
+		if t == nil || t.leaving && !read {
 			continue
 		}
 		if t.leaving = false; t.elsewhere == here {
