Tasks that no cell receives keep no others in an inactive cell

A cell that is not active hands its waiting long-running tasks over, sixteen at a time in the order of their urgency and without a wait after a refusal.

Tasks that were returned now come last. The test fails without the change with 0 instead of 16 tasks that have left.

--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -260,3 +260,46 @@
 		sim.checkCells(t)
 	}
 }
+
+// newInactiveCell returns a simulation of two cells, of which the second has neither workers nor is active.
+func newInactiveCell(t *testing.T) (*simulation, *Cell) {
+	sim := newCellsSimulation(1, 2, 4)
+	sim.run(time.Second)
+	for _, id := range []string{"w1", "w3"} {
+		if !sim.handOver(sim.cells[1], id, 0, handOverCompletes) {
+			t.Fatalf("%s is not idle", id)
+		}
+		sim.run(time.Second)
+	}
+	plan := cellmap.Plan{Cells: []cellmap.PlannedCell{{FailureDomain: "d", Active: true}, {FailureDomain: "d"}}}
+	sim.storeInTable(cellmap.PlanKey, &plan)
+	sim.cells[1].owner.table = sim.table
+	sim.cells[1].owner.cell.SetActive(false)
+	return sim, sim.cells[1].owner.cell
+}
+
+// Guards against LOST: sixteen tasks that no active cell has the label for kept all others from leaving a cell that is not active.
+func TestTasksThatNoCellReceivesKeepNoOthers(t *testing.T) {
+	sim, c := newInactiveCell(t)
+	for _, label := range []string{"only-here", ""} {
+		spec := testSpec(maxTaskHandOvers)
+		spec.Steps[0].LongRunning, spec.Steps[0].RequiredLabel = true, label
+		sim.submitTo(1, jobs.ID("needs-"+label), spec)
+		sim.run(100 * time.Millisecond)
+	}
+	loads := map[int]cellmap.Load{0: {Cell: 0, CapacityMilliCPU: 16000, Labels: []string{"a"}}, 1: {Cell: 1, Labels: []string{"only-here"}}}
+	received := 0
+	for range 5 {
+		sim.run(400 * time.Millisecond)
+		for _, task := range c.TakeStrandedTasks() {
+			if _, found := sim.table.Receiver(task.Need, false, 1, loads, sim.random.Float64); !found {
+				c.ReturnTask(task.Task)
+				continue
+			}
+			received++
+		}
+	}
+	if received != maxTaskHandOvers {
+		t.Errorf("%d tasks have left the cell after 2 s, want %d", received, maxTaskHandOvers)
+	}
+}
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -131,10 +133,10 @@
 }
 
 // TakeStrandedTasks returns long-running tasks that have waited for resources for long or, in a cell that is not active, at all:
-// its workers are in other cells. They do not run in this cell any more
-// unless ReturnTask is called.
+// its workers are in other cells. They do not run in this cell any more unless ReturnTask is called. Tasks that were returned come
+// last, so that those that no cell has room for do not keep others here.
 func (c *Cell) TakeStrandedTasks() []TaskHandOver {
-	var stranded []TaskHandOver
+	var tasks []*task
 	patience := taskHandOverAfter
 	if c.inactive {
 		patience = 0
@@ -145,16 +147,20 @@
 		}
 		for _, t := range g.tasks {
 			since := max(t.waitingSince, t.returnedAt, g.readyAt)
-			if !t.needsRun() || c.now-since < patience || c.storedRound < t.settledRound || len(stranded) >= maxTaskHandOvers {
-				continue
+			if t.needsRun() && c.now-since >= patience && c.storedRound >= t.settledRound {
+				tasks = append(tasks, t)
 			}
-			c.setElsewhere(t, true)
-			t.leaving = true
-			stranded = append(stranded, TaskHandOver{
-				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, Need: needOf(g.step),
-			})
 		}
 	}
+	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(a.returnedAt, b.returnedAt) })
+	var stranded []TaskHandOver
+	for _, t := range tasks[:min(len(tasks), maxTaskHandOvers)] {
+		c.setElsewhere(t, true)
+		t.leaving = true
+		stranded = append(stranded, TaskHandOver{
+			Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, Need: needOf(t.group.step),
+		})
+	}
 	return stranded
 }
 
