A label that no worker has keeps a cell from no other loans

A cell asked for workers with the label of the last waiting task that needed one its own workers lack.

Shortages are now counted by label, and what needs no such label is asked for as well.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -134,13 +136,14 @@
 	// MilliCPU is the processor capacity, in thousandths of a core, that tasks have waited for longer than shortageAfter or, of
 	// best-effort tasks, bestEffortShortageAfter.
 	MilliCPU int64
-	// Label is a label that one of these tasks requires and no worker of the cell has, or empty.
+	// Label is the label that these tasks require and no worker of the cell has, or empty.
 	Label string
 }
 
-// CurrentShortage returns what tasks of the cell wait for.
-func (c *Cell) CurrentShortage() Shortage {
-	var shortage Shortage
+// Shortages returns what tasks of the cell wait for: for each label that no worker of the cell has, sorted, and for all other tasks
+// together, which come last.
+func (c *Cell) Shortages() []Shortage {
+	byLabel := make(map[string]int64)
 	for _, g := range c.waiting {
 		if !g.mayStart() || g.waitReason != waitRoom || c.inactive && g.step.LongRunning && !g.step.Gang {
 			continue // the last go to another cell, see TakeStrandedTasks
@@ -153,12 +156,22 @@
 		if t == nil || c.now-max(t.waitingSince, g.readyAt) < patience {
 			continue
 		}
-		shortage.MilliCPU += int64(g.toStart) * int64(max(1, g.step.Request.MilliCPU)) // one worker, if they need memory only
-		if label := g.step.RequiredLabel; label != "" && !c.hasLabel(label) {
-			shortage.Label = label
+		missing := g.step.RequiredLabel
+		if missing != "" && c.hasLabel(missing) {
+			missing = ""
 		}
+		byLabel[missing] += int64(g.toStart) * int64(max(1, g.step.Request.MilliCPU)) // one worker, if they need memory only
 	}
-	return shortage
+	var shortages []Shortage
+	for _, label := range slices.Sorted(maps.Keys(byLabel)) {
+		if label != "" {
+			shortages = append(shortages, Shortage{MilliCPU: byLabel[label], Label: label})
+		}
+	}
+	if others := byLabel[""]; others > 0 {
+		shortages = append(shortages, Shortage{MilliCPU: others})
+	}
+	return shortages
 }
 
 // hasLabel reports whether a worker of the cell outside the evacuated failure domains has a label.
--- a/internal/cell/cells_manage_test.go
+++ b/internal/cell/cells_manage_test.go
@@ -52,19 +52,31 @@
 		loads[to] = loads[to].With(t.Need)
 		return to, found
 	})
-	shortage := o.cell.CurrentShortage()
-	lender, milliCPU := o.table.Lender(home.number, shortage.Label, loads)
-	if from := sim.cells[lender]; shortage.MilliCPU > 0 && milliCPU > 0 && len(from.loans) == 0 && sim.mayManage(from) {
-		lent := from.owner.cell.Lend(min(milliCPU, shortage.MilliCPU), shortage.Label)
-		if len(lent) == 0 && o.table.DependsOnLoans(home.number, loads) {
-			lent = slices.DeleteFunc([]string{from.owner.cell.Vacate(shortage.Label)}, func(id string) bool { return id == "" })
-		}
-		for _, id := range lent {
-			from.loans[id] = simLoan{owner: from.owner, borrower: home.number, until: sim.now + 5*time.Second}
+	for _, shortage := range o.cell.Shortages() {
+		if sim.borrowFor(home, shortage, loads) {
+			return
 		}
 	}
 }
 
+// borrowFor has another cell promise workers and reports whether it did so.
+func (sim *simulation) borrowFor(home *simCell, shortage Shortage, loads map[int]cellmap.Load) bool {
+	table := home.owner.table
+	lender, milliCPU := table.Lender(home.number, shortage.Label, loads)
+	from := sim.cells[lender]
+	if milliCPU == 0 || len(from.loans) > 0 || !sim.mayManage(from) {
+		return false
+	}
+	lent := from.owner.cell.Lend(min(milliCPU, shortage.MilliCPU), shortage.Label)
+	if len(lent) == 0 && table.DependsOnLoans(home.number, loads) {
+		lent = slices.DeleteFunc([]string{from.owner.cell.Vacate(shortage.Label)}, func(id string) bool { return id == "" })
+	}
+	for _, id := range lent {
+		from.loans[id] = simLoan{owner: from.owner, borrower: home.number, until: sim.now + 5*time.Second}
+	}
+	return len(lent) > 0
+}
+
 // simLoan is a worker that an owner has promised to another cell.
 type simLoan struct {
 	owner    *simOwner
--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -241,7 +241,7 @@
 
 // borrow hands a worker over to a cell in which tasks wait for resources, if another cell has an idle one.
 func (sim *simulation) borrow(home *simCell) {
-	if home.owner.cell.CurrentShortage().MilliCPU == 0 {
+	if len(home.owner.cell.Shortages()) == 0 {
 		return
 	}
 	for _, lender := range sim.cells {
@@ -451,15 +451,15 @@
 		o := sim.takeOver()
 		sim.submit("fits", testSpec(8))
 		sim.run(time.Second)
-		So(o.cell.CurrentShortage(), ShouldResemble, Shortage{})
+		So(o.cell.Shortages(), ShouldBeEmpty)
 		sim.submit("waits", testSpec(3))
 		labelled := testSpec(1)
 		labelled.Steps[0].RequiredLabel = "gpu"
 		sim.submit("labelled", labelled)
 		sim.run(100 * time.Millisecond)
-		So(o.cell.CurrentShortage(), ShouldResemble, Shortage{})
+		So(o.cell.Shortages(), ShouldBeEmpty)
 		sim.run(time.Second)
-		So(o.cell.CurrentShortage(), ShouldResemble, Shortage{MilliCPU: 2000, Label: "gpu"})
+		So(o.cell.Shortages(), ShouldResemble, []Shortage{{MilliCPU: 500, Label: "gpu"}, {MilliCPU: 1500}})
 		load := o.cell.CurrentLoad()
 		So([]int64{load.Capacity, load.Used, load.Waiting}, ShouldResemble, []int64{4000, 4000, 2000})
 	})
--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -223,8 +223,8 @@
 		sim.run(simTick)
 	}
 	sim.run(time.Second)
-	if shortage := sim.cells[1].owner.cell.CurrentShortage(); shortage.MilliCPU > 0 {
-		t.Errorf("the cell borrows workers: %+v", shortage)
+	if shortages := sim.cells[1].owner.cell.Shortages(); len(shortages) > 0 {
+		t.Errorf("the cell borrows workers: %+v", shortages)
 	}
 	if tasks := sim.handOverTasks(sim.cells[1], 0, handOverCompletes); tasks != 1 {
 		t.Errorf("%d tasks leave the cell, want 1", tasks)
@@ -303,3 +303,18 @@
 		t.Errorf("%d tasks have left the cell after 2 s, want %d", received, maxTaskHandOvers)
 	}
 }
+
+// Guards against LOST: a task whose label no worker has kept a cell without workers from borrowing any for its other tasks.
+func TestLabelThatNoWorkerHasKeepsNoOthersFromRunning(t *testing.T) {
+	sim, c := newInactiveCell(t)
+	for _, label := range []string{"", "nowhere"} {
+		spec := testSpec(4)
+		spec.Steps[0].RequiredLabel = label
+		sim.submitTo(1, jobs.ID("needs-"+label), spec)
+		sim.run(100 * time.Millisecond)
+	}
+	sim.runAndManage(10 * time.Second)
+	if state, _ := c.Status("needs-"); state != jobs.Completed {
+		t.Errorf("the job that needs no label is %v; the cell waits for %+v", state, c.Shortages())
+	}
+}
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -338,25 +338,34 @@
 	return false
 }
 
-// borrow asks the cell that can do without most for workers, if tasks have waited for resources.
+// borrow asks other cells for workers if tasks have waited for resources. A label that no cell can lend workers with leaves the tasks
+// to wait that need it, and no others.
 func (o *owner) borrow(ctx context.Context) {
-	var shortage cell.Shortage
-	o.locked(func() { shortage = o.cell.CurrentShortage() })
+	var shortages []cell.Shortage
+	o.locked(func() { shortages = o.cell.Shortages() })
 	now := boottime.Now()
-	due := now-o.borrowedAt >= borrowInterval
-	if shortage.MilliCPU == 0 || !due {
+	if len(shortages) == 0 || now-o.borrowedAt < borrowInterval {
 		return
 	}
-	table := o.node.cells.table()
-	lender, milliCPU := table.Lender(o.member.cell, shortage.Label, o.node.loads.recent())
 	o.borrowedAt, o.neededAt = now, now
+	for _, shortage := range shortages {
+		if o.borrowFor(ctx, shortage) > 0 {
+			return
+		}
+	}
+}
+
+// borrowFor asks the cell that can do without most for workers and returns how many it will hand over.
+func (o *owner) borrowFor(ctx context.Context, shortage cell.Shortage) (workers int) {
+	lender, milliCPU := o.node.cells.table().Lender(o.member.cell, shortage.Label, o.node.loads.recent())
 	if milliCPU == 0 {
 		o.log.Info("no cell can lend workers", zap.Int64("milli_cpu", shortage.MilliCPU), zap.String("label", shortage.Label))
-		return
+		return 0
 	}
-	workers := o.node.askToLend(ctx, lender, o.member.cell, min(shortage.MilliCPU, milliCPU), shortage.Label)
+	workers = o.node.askToLend(ctx, lender, o.member.cell, min(shortage.MilliCPU, milliCPU), shortage.Label)
 	o.log.Info("workers requested from another cell", zap.Int("from", lender), zap.Int64("milli_cpu", shortage.MilliCPU),
 		zap.String("label", shortage.Label), zap.Int("promised", workers))
+	return workers
 }
 
 // askToLend asks the owner of a cell for workers and returns how many it will hand over.
