A rack stays while a run is left on an unregistered worker of it

A worker whose entry is missing for a while did not count when its rack was checked for runs. Where the others were idle, the rack went to another cell, and the worker with it once it was registered again, run and all. It then refused the orders of the run's owner, which took that for a newer owner and ended, and the lease on the run was extended by an owner that the run's cell does not ask.

Such a rack is not idle now; in a cell that is not active, its idle workers leave one by one.

--- a/internal/cell/departures.go
+++ b/internal/cell/departures.go
@@ -43,8 +43,9 @@
 	}
 	var departures []Departure
 	for _, move := range table.Moves(number, plain) {
-		workers := racks[slices.Index(plain, move.Rack)].Workers
-		if !slices.ContainsFunc(workers, func(id string) bool { return !leaving[id] }) {
+		rack := &racks[slices.Index(plain, move.Rack)]
+		workers := rack.Workers
+		if rack.Idle && !slices.ContainsFunc(workers, func(id string) bool { return !leaving[id] }) {
 			key := cellmap.RackKey(move.Rack.FailureDomain, move.Rack.Label)
 			departures = append(departures, Departure{Key: key, Cell: move.Cell, Workers: workers})
 			continue
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -18,7 +18,7 @@
 	cellmap.Rack
 	// Workers are the IDs of its registered workers.
 	Workers []string
-	// Idle is set if all of them may be handed over.
+	// Idle is set if all of them may be handed over, and no run is left on another worker of the rack.
 	Idle bool
 }
 
@@ -61,6 +61,12 @@
 		rack.Busy = rack.Busy || w.hasLongRunning()
 		rack.Runs += len(w.runs)
 	}
+	for _, w := range c.workers {
+		// A worker without an entry may be registered again, in the cell that its rack belongs to then, while the lease on its runs lasts.
+		if i, known := byKey[cellmap.RackKey(w.info.FailureDomain, w.info.Rack)]; known && !w.listed && len(w.runs) > 0 {
+			racks[i].Idle = false
+		}
+	}
 	slices.SortFunc(racks, func(a, b Rack) int {
 		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Label, b.Label))
 	})
