--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -223,8 +223,8 @@
 		sim.run(simTick)
 	}
 	sim.run(time.Second)
-	if shortage := sim.cells[1].owner.cell.CurrentShortage(); shortage.MilliCPU > 0 {
-		t.Errorf("the cell borrows workers: %+v", shortage)
+	if shortages := sim.cells[1].owner.cell.Shortages(); len(shortages) > 0 {
+		t.Errorf("the cell borrows workers: %+v", shortages)
 	}
 	if tasks := sim.handOverTasks(sim.cells[1], 0, handOverCompletes); tasks != 1 {
 		t.Errorf("%d tasks leave the cell, want 1", tasks)
@@ -260,3 +260,100 @@
 		sim.checkCells(t)
 	}
 }
+
+// newInactiveCell returns a simulation of two cells, of which the second has neither workers nor is active.
+func newInactiveCell(t *testing.T) (*simulation, *Cell) {
+	sim := newCellsSimulation(1, 2, 4)
+	sim.run(time.Second)
+	for _, id := range []string{"w1", "w3"} {
+		if !sim.handOver(sim.cells[1], id, 0, handOverCompletes) {
+			t.Fatalf("%s is not idle", id)
+		}
+		sim.run(time.Second)
+	}
+	plan := cellmap.Plan{Cells: []cellmap.PlannedCell{{FailureDomain: "d", Active: true}, {FailureDomain: "d"}}}
+	sim.storeInTable(cellmap.PlanKey, &plan)
+	sim.cells[1].owner.table = sim.table
+	sim.cells[1].owner.cell.SetActive(false)
+	return sim, sim.cells[1].owner.cell
+}
+
+// Guards against LOST: sixteen tasks that no active cell has the label for kept all others from leaving a cell that is not active.
+func TestTasksThatNoCellReceivesKeepNoOthers(t *testing.T) {
+	sim, c := newInactiveCell(t)
+	for _, label := range []string{"only-here", ""} {
+		spec := testSpec(maxTaskHandOvers)
+		spec.Steps[0].LongRunning, spec.Steps[0].RequiredLabel = true, label
+		sim.submitTo(1, jobs.ID("needs-"+label), spec)
+		sim.run(100 * time.Millisecond)
+	}
+	loads := map[int]cellmap.Load{0: {Cell: 0, CapacityMilliCPU: 16000, Labels: []string{"a"}}, 1: {Cell: 1, Labels: []string{"only-here"}}}
+	received := 0
+	for range 5 {
+		sim.run(400 * time.Millisecond)
+		for _, task := range c.TakeStrandedTasks() {
+			if _, found := sim.table.Receiver(task.Need, false, 1, loads, sim.random.Float64); !found {
+				c.ReturnTask(task.Task)
+				continue
+			}
+			received++
+		}
+	}
+	if received != maxTaskHandOvers {
+		t.Errorf("%d tasks have left the cell after 2 s, want %d", received, maxTaskHandOvers)
+	}
+}
+
+// Guards against LOST: a task whose label no worker has kept a cell without workers from borrowing any for its other tasks.
+func TestLabelThatNoWorkerHasKeepsNoOthersFromRunning(t *testing.T) {
+	sim, c := newInactiveCell(t)
+	for _, label := range []string{"", "nowhere"} {
+		spec := testSpec(4)
+		spec.Steps[0].RequiredLabel = label
+		sim.submitTo(1, jobs.ID("needs-"+label), spec)
+		sim.run(100 * time.Millisecond)
+	}
+	sim.runAndManage(10 * time.Second)
+	if state, _ := c.Status("needs-"); state != jobs.Completed {
+		t.Errorf("the job that needs no label is %v; the cell waits for %+v", state, c.Shortages())
+	}
+}
+
+// Guards against owners that end, and tasks that run twice: a rack was handed over while a run was left on a worker whose entry was
+// missing for a while. The other cell took the worker over with the run, and the worker refused the orders of the run's owner.
+func TestRackOfUnregisteredWorkerWithRunsStays(t *testing.T) {
+	sim := newCellsSimulation(1, 2, 4)
+	rack := cellmap.RackKey(sim.workers["w1"].info.FailureDomain, "r2")
+	sim.storeInTable(rack, &cellmap.Assignment{Cell: 1})
+	for _, id := range []string{"w1", "w3"} {
+		sim.workers[id].info.Rack, sim.workers[id].info.FailureDomain = "r2", sim.workers["w1"].info.FailureDomain
+		sim.storeInTable(cellmap.WorkerKey(id), &cellmap.Assignment{Cell: cellmap.HomeCell})
+	}
+	home := sim.cells[1].owner
+	home.table, sim.cells[0].owner.table = sim.table, sim.table
+	sim.run(12 * time.Second)
+	home.cell.SetCordoned([]string{"w1"}, true)
+	spec := testSpec(1)
+	spec.Steps[0].LongRunning = true
+	sim.submitTo(1, "service", spec)
+	sim.run(2 * time.Second)
+	missing := sim.workers["w3"]
+	if len(missing.running) != 1 {
+		t.Fatalf("%d tasks on w3, want 1", len(missing.running))
+	}
+	missing.unlisted, missing.unreachableBy[home] = true, true
+	sim.setActive(false)
+	sim.runAndDepart(2 * time.Second)
+	if cell, _ := sim.table.CellOf(&missing.info); cell != 1 {
+		t.Errorf("w3 belongs to cell %d, with a run of cell 1", cell)
+	}
+	if cell, _ := sim.table.CellOf(&sim.workers["w1"].info); cell != 0 {
+		t.Errorf("w1, which is idle, belongs to cell %d", cell)
+	}
+	missing.unlisted = false
+	delete(missing.unreachableBy, home)
+	sim.run(3 * time.Second)
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,13 +33,14 @@
 func (c *Cell) SetTasks(assigned map[string]cellmap.TaskAssignment) {
 	c.tasksElsewhere = assigned
 	if c.loaded {
-		c.applyTasks()
+		c.applyTasks(true)
 	}
 }
 
 // applyTasks applies the assignments: the cell's own tasks that are assigned to other cells do not run here, and tasks of
-// other cells' jobs that are assigned to this cell do.
-func (c *Cell) applyTasks() {
+// other cells' jobs that are assigned to this cell do. Unless the assignments were just read, tasks whose hand-over is being stored
+// are left out: theirs are about to be replaced.
+func (c *Cell) applyTasks(read bool) {
 	for key, assignment := range c.tasksElsewhere {
 		id, err := jobs.ParseTaskKey(key)
 		if err != nil {
@@ -53,7 +56,7 @@
 			continue
 		}
 		t := c.taskOf(j, id)
-		if t == nil {
+		if t == nil || t.leaving && !read {
 			continue
 		}
 		if t.leaving = false; t.elsewhere == here {
@@ -84,11 +87,6 @@
 	c.jobs[id], c.guests[id] = j, j
 	c.auditor.jobs = append(c.auditor.jobs, j)
 	c.createDueGroups(j)
-	for _, g := range j.groups {
-		for _, t := range g.tasks {
-			c.setElsewhere(t, true)
-		}
-	}
 	return j
 }
 
@@ -135,10 +133,10 @@
 }
 
 // TakeStrandedTasks returns long-running tasks that have waited for resources for long or, in a cell that is not active, at all:
-// its workers are in other cells. They do not run in this cell any more
-// unless ReturnTask is called.
+// its workers are in other cells. They do not run in this cell any more unless ReturnTask is called. Tasks that were returned come
+// last, so that those that no cell has room for do not keep others here.
 func (c *Cell) TakeStrandedTasks() []TaskHandOver {
-	var stranded []TaskHandOver
+	var tasks []*task
 	patience := taskHandOverAfter
 	if c.inactive {
 		patience = 0
@@ -149,16 +147,20 @@
 		}
 		for _, t := range g.tasks {
 			since := max(t.waitingSince, t.returnedAt, g.readyAt)
-			if !t.needsRun() || c.now-since < patience || c.storedRound < t.settledRound || len(stranded) >= maxTaskHandOvers {
-				continue
+			if t.needsRun() && c.now-since >= patience && c.storedRound >= t.settledRound {
+				tasks = append(tasks, t)
 			}
-			c.setElsewhere(t, true)
-			t.leaving = true
-			stranded = append(stranded, TaskHandOver{
-				Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, Need: needOf(g.step),
-			})
 		}
 	}
+	slices.SortStableFunc(tasks, func(a, b *task) int { return cmp.Compare(a.returnedAt, b.returnedAt) })
+	var stranded []TaskHandOver
+	for _, t := range tasks[:min(len(tasks), maxTaskHandOvers)] {
+		c.setElsewhere(t, true)
+		t.leaving = true
+		stranded = append(stranded, TaskHandOver{
+			Task: t.id, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint, Need: needOf(t.group.step),
+		})
+	}
 	return stranded
 }
 
