A pace order that is carried out late is noticed

Found in a review of the pace of loaded runs: an order of 0% that was not answered could be carried out after the run was taken to be at full speed, and a lost order after a newer one; the computed pace was the one that the owner believed, so nothing was sent again and the task stood still or, the other way round, harmed the services beside it. The owner now compares its order with the CPU that the worker measures, and repeats the order each 2 s while the run stands still or is much faster. TestStandingRunIsPacedAgain has the cases; two of them fail without the comparison. A node also no longer answers 'unknown epoch' to a successor at the moment at which its owner ends.

--- a/internal/cell/next_step_test.go
+++ b/internal/cell/next_step_test.go
@@ -88,23 +88,42 @@
 }
 
 // Guards against LOST: a new owner took the runs of its predecessor to be at full speed, so that a best-effort task that the
-// predecessor had paced to a standstill beside a service stood still for good.
-func TestNewOwnerRaisesPaceOfStoppedRun(t *testing.T) {
-	sim := newSimulation(1, 1)
-	sim.taskRunTime = 2 * time.Second
-	sim.takeOver()
-	sim.run(12 * time.Second)
-	spec := testSpec(4)
-	spec.Steps[0].BestEffort, spec.Steps[0].Image = true, "press"
-	sim.submit("rebuild", spec)
-	sim.run(500 * time.Millisecond)
-	for _, r := range sim.workers["w0"].running {
-		r.pace = 0
-	}
-	sim.takeOver()
-	sim.run(10 * time.Second)
-	if state := sim.state("rebuild"); state != jobs.Completed {
-		t.Errorf("the job is %v", state)
+// predecessor had paced to a standstill beside a service stood still for good. So did a task for which an older pace order was
+// carried out after the newest one.
+func TestStandingRunIsPacedAgain(t *testing.T) {
+	for name, disturb := range map[string]func(sim *simulation){
+		"a new owner": func(sim *simulation) { sim.takeOver() },
+		"an order that was carried out late": func(sim *simulation) {
+			for _, r := range sim.owner.cell.workers["w0"].runs {
+				r.pacedAt = sim.now
+			}
+		},
+		"an order that was not answered and carried out late": func(sim *simulation) {
+			for _, r := range sim.owner.cell.workers["w0"].runs {
+				r.pacedAt = sim.now
+				r.setPace(unknownPace)
+			}
+			sim.run(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(1, 1)
+			sim.taskRunTime = 4 * time.Second
+			sim.takeOver()
+			sim.run(12 * time.Second)
+			spec := testSpec(4)
+			spec.Steps[0].BestEffort, spec.Steps[0].Image = true, "press"
+			sim.submit("rebuild", spec)
+			sim.run(500 * time.Millisecond)
+			disturb(sim)
+			for _, r := range sim.workers["w0"].running {
+				r.pace = 0
+			}
+			sim.run(20 * time.Second)
+			if state := sim.state("rebuild"); state != jobs.Completed {
+				t.Errorf("the job is %v", state)
+			}
+		})
 	}
 }
 
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -39,6 +39,10 @@
 	// almostFullPace is the measured pace, in percent, from which on a run of unknown pace needs no order to run at full speed. It
 	// spares a new owner one for most runs.
 	almostFullPace = 90
+	// paceRepeatInterval is the minimum time between two equal pace orders for a run, and standingPace the measured pace, in percent,
+	// below which a run stands still.
+	paceRepeatInterval = 2 * time.Second
+	standingPace       = 3
 	// deviationWeight is the share of an interference coefficient's standard deviation that placement adds to its mean.
 	deviationWeight = 0.5
 )
@@ -121,16 +125,18 @@
 		if r.crowded {
 			pace = c.crowdedRunPace(r, pace)
 		}
-		if pace == r.pace {
+		if pace == r.pace && !c.paceInDoubt(r) {
 			continue
 		}
-		if pace == fullPace && r.pace == unknownPace && r.paceOrMeasured() >= almostFullPace {
+		if pace == fullPace && r.pace == unknownPace && r.pacedAt == 0 && r.paceOrMeasured() >= almostFullPace {
 			r.setPace(fullPace)
+			r.pacedAt = c.now
 			continue
 		}
 		c.log.Info("pace", taskField(r.task.id), zap.Int("run", r.number), zap.String("worker", w.info.ID),
 			zap.Int("percent", pace), zap.Int("before", r.pace), zap.Duration("report_age", c.now-w.lastReport))
 		r.setPace(pace)
+		r.pacedAt = c.now
 		switch {
 		case pace > slowPace:
 			r.slowSince = 0
@@ -171,7 +177,22 @@
 	if r.pace != unknownPace {
 		return r.pace
 	}
-	return min(fullPace, fullPace*r.milliCPU/max(1, r.task.group.step.Request.MilliCPU))
+	return min(fullPace, r.measuredPace())
+}
+
+// measuredPace returns the CPU that the worker last measured as a share of the run's request, in percent.
+func (r *run) measuredPace() int {
+	return fullPace * r.milliCPU / max(1, r.task.group.step.Request.MilliCPU)
+}
+
+// paceInDoubt reports whether the worker measures that a run stands still or is much faster than its newest pace order says: an
+// earlier order may have been carried out after it.
+func (c *Cell) paceInDoubt(r *run) bool {
+	if r.pacedAt == 0 || c.now-r.pacedAt < paceRepeatInterval || r.pace == unknownPace {
+		return false
+	}
+	measured := r.measuredPace()
+	return r.pace >= slowPace && measured < standingPace || measured > r.pace+fullPace/2
 }
 
 // headroom returns the share of a worker's CPU time that a new best-effort task of an image may use without bringing a
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -76,6 +76,8 @@
 	// ownResources is the result of hasOwnResources for the task's step.
 	ownResources bool
 	slow         bool // was seen to be slow, which counts once for the speed of its worker
+	// pacedAt is when the pace was last ordered, or assumed for a run of a former owner; 0 for never.
+	pacedAt time.Duration
 	// crowded is set while a best-effort run is kept at crowdedPace since it was placed where too little CPU is unused.
 	crowded bool
 	// copied is set if the run was started while another run of the task was in progress.
--- a/internal/cellnode/former_leases.go
+++ b/internal/cellnode/former_leases.go
@@ -52,8 +52,8 @@
 // remainingLeases returns the remaining leases of the owner under an epoch and of those before it, or why it can't: the owner may
 // still extend leases, or this node knows nothing of it.
 func (m *membership) remainingLeases(epoch int64) (remaining cell.LeaseEnds, refusal string) {
-	ended := m.ended.Load()
-	switch o := m.owner.Load(); {
+	o := m.owner.Load() // before ended, which is set before the owner is removed
+	switch ended := m.ended.Load(); {
 	case ended != nil && ended.epoch == epoch:
 		return ended.leases.Remaining(boottime.Now()), ""
 	case o != nil && o.epoch == epoch:
