--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -215,7 +215,10 @@
 func TestRandomFaults(t *testing.T) {
 	t.Parallel()
 	for seed := uint64(1); seed <= 60; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, 0) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomFaults(t, seed, 0)
+		})
 	}
 }
 
@@ -223,7 +226,10 @@
 func TestRandomFaultsWithSlowLoading(t *testing.T) {
 	t.Parallel()
 	for seed := uint64(101); seed <= 130; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaults(t, seed, 3*time.Second) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomFaults(t, seed, 3*time.Second)
+		})
 	}
 }
 
@@ -232,7 +238,10 @@
 func TestRandomFaultsWithSlowTasks(t *testing.T) {
 	t.Parallel()
 	for seed := uint64(201); seed <= 260; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runRandomFaultsOn(t, newSlowSimulation(seed)) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomFaultsOn(t, newSlowSimulation(seed))
+		})
 	}
 }
 
--- a/internal/cell/evacuation_faults_test.go
+++ b/internal/cell/evacuation_faults_test.go
@@ -125,7 +125,10 @@
 func TestEvacuationUnderRandomFaults(t *testing.T) {
 	t.Parallel()
 	for seed := uint64(1); seed <= 60; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runEvacuationFaults(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runEvacuationFaults(t, seed)
+		})
 	}
 }
 
