--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -44,8 +44,8 @@
 	// began is when the audit last began with the first job.
 	began time.Duration
 	// found is the number of differences.
-	found    int
-	standing standing
+	found   int
+	blocked blockedTasks
 }
 
 // audit derives what is to be started, looked at again or stored from the state for some of the jobs, compares that with
--- a/internal/cell/audit_test.go
+++ b/internal/cell/audit_test.go
@@ -15,7 +15,7 @@
 // checkNextSteps checks that each task of an owner that may decide has a next step, and that its audit has found nothing
 // unless the test has changed an index.
 func (sim *simulation) checkNextSteps(o *simOwner) {
-	if !o.loaded || sim.now >= o.decidesUntil || sim.correctionsExpected || len(sim.standing) > 0 {
+	if !o.loaded || sim.now >= o.decidesUntil || sim.correctionsExpected || len(sim.nextStepViolations) > 0 {
 		return
 	}
 	reported := len(sim.violations)
@@ -25,7 +25,7 @@
 	for _, t := range o.cell.tasksWithoutNextStep() {
 		sim.violation("task %v of cell %d has no next step: done %v, elsewhere %v, %d runs", t.id, o.home.number, t.done, t.elsewhere, len(t.runs))
 	}
-	sim.standing = sim.violations[reported:]
+	sim.nextStepViolations = sim.violations[reported:]
 }
 
 // tasksWithoutNextStep returns the tasks for which nothing is going to happen, and those of jobs that the audit misses.
--- a/internal/cell/standing.go
+++ b/internal/cell/blocked_tasks.go
@@ -6,23 +6,23 @@
 	"go.uber.org/zap"
 )
 
-// standing is what the audit has found about tasks that no round of this cell can start.
-type standing struct {
+// blockedTasks is what the audit has found about tasks that no round of this cell can start.
+type blockedTasks struct {
 	// elsewhere is the number of tasks of the cell's jobs that belong to other cells, as of the last complete audit, and
 	// withoutWorkers that of tasks that wait while no worker is registered in the cell.
 	elsewhere, withoutWorkers int
 	counted                   int // tasks elsewhere in the present audit
 	lines                     int // lines about them in the present audit
 	// groups are those with tasks elsewhere, and missing notes since when the cell has no workers for waiting tasks.
-	groups  map[*group]*standingNote
-	missing standingNote
+	groups  map[*group]*blockedNote
+	missing blockedNote
 }
 
-// standingNote is since when something has been so, and when it was last logged and seen.
-type standingNote struct{ since, logged, seen time.Duration }
+// blockedNote is since when something has been so, and when it was last logged and seen.
+type blockedNote struct{ since, logged, seen time.Duration }
 
 // due reports whether a line is to be logged: after firstWaitLog, then each time that the duration has doubled.
-func (n *standingNote) due(now time.Duration) bool {
+func (n *blockedNote) due(now time.Duration) bool {
 	if lasted := now - n.since; lasted >= max(firstWaitLog, 2*n.logged) {
 		n.logged = lasted
 		return true
@@ -32,7 +32,7 @@
 
 // noteElsewhere counts the tasks of a group that belong to other cells, and logs the first of them at doubling intervals.
 func (c *Cell) noteElsewhere(g *group) {
-	s := &c.auditor.standing
+	s := &c.auditor.blocked
 	var first *task
 	count := 0
 	for _, t := range g.tasks {
@@ -47,9 +47,9 @@
 	note := s.groups[g]
 	if note == nil {
 		if s.groups == nil {
-			s.groups = make(map[*group]*standingNote)
+			s.groups = make(map[*group]*blockedNote)
 		}
-		note = &standingNote{since: c.now}
+		note = &blockedNote{since: c.now}
 		s.groups[g] = note
 	}
 	note.seen = c.now
@@ -67,7 +67,7 @@
 // endAudit is called after the audit has checked all jobs, and logs at doubling intervals that tasks wait in a cell without workers.
 // auditBegan is when it began.
 func (c *Cell) endAudit(auditBegan time.Duration) {
-	s := &c.auditor.standing
+	s := &c.auditor.blocked
 	s.elsewhere, s.counted, s.lines = s.counted, 0, 0
 	for g, note := range s.groups {
 		if note.seen < auditBegan {
@@ -77,7 +77,7 @@
 	s.withoutWorkers = c.waitingWithoutWorkers()
 	switch {
 	case s.withoutWorkers == 0:
-		s.missing = standingNote{}
+		s.missing = blockedNote{}
 	case s.missing.since == 0:
 		s.missing.since = c.now
 	case s.missing.due(c.now):
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -28,7 +28,7 @@
 				for _, o := range append([]*simOwner{sim.owner}, sim.formerOwners...) {
 					checkIndexes(t, o.cell, step%5 == 0)
 				}
-				for _, violation := range sim.standing {
+				for _, violation := range sim.nextStepViolations {
 					t.Error(violation)
 				}
 				if t.Failed() {
--- a/internal/cell/services.go
+++ b/internal/cell/services.go
@@ -39,10 +39,10 @@
 	// almostFullPace is the measured pace, in percent, from which on a run of unknown pace needs no order to run at full speed. It
 	// spares a new owner one for most runs.
 	almostFullPace = 90
-	// paceRepeatInterval is the minimum time between two equal pace orders for a run, and standingPace the measured pace, in percent,
+	// paceRepeatInterval is the minimum time between two equal pace orders for a run, and stoppedPace the measured pace, in percent,
 	// below which a run stands still.
 	paceRepeatInterval = 2 * time.Second
-	standingPace       = 3
+	stoppedPace        = 3
 	// deviationWeight is the share of an interference coefficient's standard deviation that placement adds to its mean.
 	deviationWeight = 0.5
 )
@@ -192,7 +192,7 @@
 		return false
 	}
 	measured := r.measuredPace()
-	return r.pace >= slowPace && measured < standingPace || measured > r.pace+fullPace/2
+	return r.pace >= slowPace && measured < stoppedPace || measured > r.pace+fullPace/2
 }
 
 // headroom returns the share of a worker's CPU time that a new best-effort task of an image may use without bringing a
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -93,8 +93,8 @@
 	processorCost time.Duration
 	// correctionsExpected is set if the test has changed the indexes of an owner.
 	correctionsExpected bool
-	// standing are the violations that checkNextSteps has found.
-	standing []string
+	// nextStepViolations are the violations that checkNextSteps has found.
+	nextStepViolations []string
 	// leaseAnswers is how former owners answer their successors about leases.
 	leaseAnswers simLeaseAnswers
 }
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -92,7 +92,7 @@
 // Workload counts the cell's waiting tasks, runs and workers.
 func (c *Cell) Workload() Workload {
 	load := Workload{Workers: len(c.workers), StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest(),
-		TasksElsewhere: c.auditor.standing.elsewhere, TasksWithoutWorkers: c.auditor.standing.withoutWorkers}
+		TasksElsewhere: c.auditor.blocked.elsewhere, TasksWithoutWorkers: c.auditor.blocked.withoutWorkers}
 	for _, w := range c.workers {
 		load.Runs += len(w.runs)
 	}
