Log and metrics tell where a wait for leases of former owners comes from

The line owner names the source of the end, the former epoch and its node; lines and gauges say how many runs wait for leases and for how long; the line of a lapsed lease says whether the worker ever answered this owner and when its lease ended.

--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -337,8 +337,8 @@
 	if !w.tokenAccepted {
 		c.metrics.countFormerLease(w.formerLeaseEnd < c.formerLeasesEnd)
 	}
-	c.log.Warn("lease on a worker has lapsed", zap.String("worker", w.info.ID), zap.Int("runs", len(expired)),
-		zap.Duration("last_report_age", c.now-w.lastReport))
+	c.log.Warn("lease on a worker has lapsed", zap.String("worker", w.info.ID), zap.Int("runs", len(expired)), zap.Bool("listed", w.listed),
+		zap.Bool("of_former_owner", !w.tokenAccepted), zap.Duration("lapsed_since", c.now-w.leaseExpiresBy), zap.Duration("last_report_age", c.now-w.lastReport))
 	for _, r := range expired {
 		c.abandonRun(r, "lease_lapsed")
 	}
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -85,6 +85,7 @@
 	// TasksElsewhere and TasksWithoutWorkers are the numbers of tasks of the cell's jobs that belong to other cells, and that wait while
 	// the cell has no registered worker, as of the last complete audit.
 	TasksElsewhere, TasksWithoutWorkers int
+	LeaseWaits                          LeaseWaits
 	StartLimit                          int           // start orders that may be unanswered at a time
 	RenewalRest                         time.Duration // from a report to the next renewal order
 }
@@ -92,7 +93,7 @@
 // Workload counts the cell's waiting tasks, runs and workers.
 func (c *Cell) Workload() Workload {
 	load := Workload{Workers: len(c.workers), StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest(),
-		TasksElsewhere: c.auditor.blocked.elsewhere, TasksWithoutWorkers: c.auditor.blocked.withoutWorkers}
+		TasksElsewhere: c.auditor.blocked.elsewhere, TasksWithoutWorkers: c.auditor.blocked.withoutWorkers, LeaseWaits: c.leaseWaits()}
 	for _, w := range c.workers {
 		load.Runs += len(w.runs)
 	}
--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -131,7 +131,7 @@
 	latest, _ := m.view.Latest()
 	nextClaim := m.view.NextClaim(m.node.settings.Node, m.node.settings.PeerAddress)
 	nextDetails := m.view.NextDetails()
-	leasesEnd := m.view.WorkerLeasesExpireBy(m.node.cellSettings.Load().MaxLease, now)
+	wait := m.view.LeaseWait(m.node.cellSettings.Load().MaxLease, now)
 	end := m.view.End()
 	confirmed := m.takeConfirmedClaim(now)
 	m.mu.Unlock()
@@ -150,7 +150,7 @@
 			m.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", m.node.settings.Capacity))
 		}
 	case shouldClaim && m.node.config.Get() != nil:
-		sent := sentClaim{record: nextClaim, former: latest, leasesEnd: leasesEnd}
+		sent := sentClaim{record: nextClaim, former: latest, wait: wait}
 		m.sentClaim = &sent
 		if m.writeClaim(ctx, nextClaim, &nextDetails, end) {
 			m.sentClaim = nil
@@ -166,8 +166,8 @@
 	record claim.Record
 	// former is the latest claim before it, with an empty Address if there is none.
 	former claim.Record
-	// leasesEnd is when all leases on workers that previous owners renewed have expired, on the clock of package boottime.
-	leasesEnd time.Duration
+	// wait is how long to wait for leases on workers that previous owners extended, on the clock of package boottime.
+	wait claim.LeaseWait
 }
 
 // takeConfirmedClaim returns a claim that was sent without an answer and has been read back meanwhile, if this node may act
@@ -254,9 +254,10 @@
 // startOwner starts the owner of the cell under an accepted claim.
 func (m *membership) startOwner(ctx context.Context, c sentClaim) {
 	epoch := c.record.Epoch
-	m.log.Info("owner", zap.Int64("epoch", epoch), zap.Duration("leases_end_in", c.leasesEnd-boottime.Now()),
+	m.log.Info("owner", zap.Int64("epoch", epoch), zap.Duration("leases_end_in", c.wait.End-boottime.Now()),
+		zap.String("leases_from", string(c.wait.Source)), zap.Int64("former_epoch", c.wait.Epoch), zap.String("former_owner", c.wait.Node),
 		zap.Int64("capacity", m.node.settings.Capacity))
-	o := newOwner(m, epoch, c.leasesEnd)
+	o := newOwner(m, epoch, c.wait.End)
 	o.former = c.former
 	ctx, o.stop = context.WithCancel(ctx)
 	m.owner.Store(o)
--- a/internal/cellnode/lateness.go
+++ b/internal/cellnode/lateness.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/cell"
 )
 
@@ -67,6 +68,13 @@
 	set.NewGauge("cactuswall_owner_starts_in_flight", sum(func(o *owner) float64 { return float64(o.startsInFlight.Load()) }))
 	set.NewGauge("cactuswall_owner_tasks_elsewhere", sum(func(o *owner) float64 { return float64(o.lateness.tasksElsewhere.Load()) }))
 	set.NewGauge("cactuswall_owner_tasks_without_workers", sum(func(o *owner) float64 { return float64(o.lateness.tasksWithoutWorkers.Load()) }))
+	set.NewGauge("cactuswall_owner_runs_out_of_touch", sum(func(o *owner) float64 { return float64(o.lateness.runsOutOfTouch.Load()) }))
+	set.NewGauge("cactuswall_owner_lease_wait_seconds", func() (longest float64) {
+		for _, o := range owners() {
+			longest = max(longest, (time.Duration(o.lateness.leasesEnd.Load()) - boottime.Now()).Seconds())
+		}
+		return longest
+	})
 	set.NewGauge("cactuswall_owner_waiting_tasks", newest(func() float64 { return float64(m.waitingTasks.Load()) }))
 	set.NewGauge("cactuswall_owner_start_limit", newest(func() float64 { return float64(m.startLimit.Load()) }))
 	set.NewGauge("cactuswall_owner_sched_latency_seconds", newest(func() float64 { return time.Duration(m.schedLatency.Load()).Seconds() }))
@@ -77,14 +85,19 @@
 // when it is on time again. It is used by one goroutine, apart from the atomic fields.
 type lateness struct {
 	tasksElsewhere, tasksWithoutWorkers atomic.Int64 // as of the last window
-	metrics                             *ownerMetrics
-	log                                 *zap.Logger
-	sched                               func() time.Duration // returns the mean scheduling latency since its last call
-	windowStart                         time.Time
-	lateSince                           time.Time // start of the first window of the present late period; zero while on time
-	roundBegan                          time.Time // when storing of the present round began; zero while none is stored
-	sums                                delaySums // of the current window
-	recent                              recentSchedLatency
+	// runsOutOfTouch is the number of runs that wait for the end of a lease, as of the last window, and leasesEnd when the last of
+	// these leases ends, in nanoseconds on the clock of package boottime.
+	runsOutOfTouch, leasesEnd atomic.Int64
+	// formerLeaseRuns is the number of these runs that are on workers which this owner has never reached.
+	formerLeaseRuns int
+	metrics         *ownerMetrics
+	log             *zap.Logger
+	sched           func() time.Duration // returns the mean scheduling latency since its last call
+	windowStart     time.Time
+	lateSince       time.Time // start of the first window of the present late period; zero while on time
+	roundBegan      time.Time // when storing of the present round began; zero while none is stored
+	sums            delaySums // of the current window
+	recent          recentSchedLatency
 }
 
 // delaySums are numbers of events, flushes and rounds, and the sums of their delays and durations.
@@ -146,6 +159,7 @@
 	}
 	l.tasksElsewhere.Store(int64(load.TasksElsewhere))
 	l.tasksWithoutWorkers.Store(int64(load.TasksWithoutWorkers))
+	l.noteLeaseWaits(load.LeaseWaits)
 	l.metrics.waitingTasks.Store(int64(load.WaitingTasks))
 	l.metrics.schedLatency.Store(int64(sched))
 	l.metrics.startLimit.Store(int64(load.StartLimit))
@@ -170,5 +184,19 @@
 	return roundTime
 }
 
+// noteLeaseWaits records what waits for leases on workers out of touch. It logs when runs begin to wait for leases that former
+// owners extended, and when none does any more.
+func (l *lateness) noteLeaseWaits(waits cell.LeaseWaits) {
+	l.runsOutOfTouch.Store(int64(waits.Runs))
+	l.leasesEnd.Store(int64(boottime.Now() + waits.Longest))
+	switch {
+	case l.formerLeaseRuns == 0 && waits.OfFormerOwners > 0:
+		l.log.Info("runs wait for leases of former owners", zap.Int("runs", waits.OfFormerOwners), zap.Duration("leases_end_in", waits.Longest))
+	case l.formerLeaseRuns > 0 && waits.OfFormerOwners == 0:
+		l.log.Info("no run waits for leases of former owners", zap.Int("runs_before", l.formerLeaseRuns))
+	}
+	l.formerLeaseRuns = waits.OfFormerOwners
+}
+
 // mean returns the mean of count durations with the given sum, or 0 if there are none.
 func mean(sum time.Duration, count int) time.Duration { return sum / time.Duration(max(1, count)) }
--- a/internal/claim/capacity_test.go
+++ b/internal/claim/capacity_test.go
@@ -102,7 +102,7 @@
 		Convey("no other node claims before the release", func() {
 			So(large.ShouldRelease(), ShouldBeFalse)
 			So(large.ShouldClaim(LeaseDuration-1), ShouldBeFalse)
-			So(large.WorkerLeasesExpireBy(6*time.Second, time.Second), ShouldBeGreaterThan, WorkerRenewalGrace+6*time.Second)
+			So(large.LeaseWait(6*time.Second, time.Second).End, ShouldBeGreaterThan, WorkerRenewalGrace+6*time.Second)
 		})
 		Convey("after the release the large node claims first, and the small one if it does not", func() {
 			released := held
@@ -114,7 +114,7 @@
 			So(large.ShouldClaim(time.Second+2*delayPerRank), ShouldBeTrue)
 			So(small.ShouldClaim(time.Second+2*delayPerRank), ShouldBeFalse)
 			So(small.ShouldClaim(time.Second+smallerNodeDelay), ShouldBeTrue)
-			So(large.WorkerLeasesExpireBy(6*time.Second, time.Second), ShouldBeGreaterThan, 7*time.Second)
+			So(large.LeaseWait(6*time.Second, time.Second).End, ShouldBeGreaterThan, 7*time.Second)
 		})
 		Convey("a large next process of the node claims at once", func() {
 			v := sizedView("s-2", "s", 7, 800)
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -245,14 +245,45 @@
 // RenewalDue reports whether a renewal should be sent.
 func (v *View) RenewalDue(now time.Duration) bool { return v.owns && now >= v.renewedAt+RenewInterval }
 
-// WorkerLeasesExpireBy returns the time by which all leases on workers that previous owners renewed have expired, including
-// those on workers that the new owner cannot reach. maxLease is the longest lease on a worker. WorkerLeasesExpireBy must be
-// called before the new claim is accepted.
-func (v *View) WorkerLeasesExpireBy(maxLease, now time.Duration) time.Duration {
+// LeaseWait is how long a new owner waits for leases on workers that it can't reach.
+type LeaseWait struct {
+	// End is the time by which all leases on workers that previous owners extended have expired.
+	End time.Duration
+	// Source says what End is derived from.
+	Source LeaseWaitSource
+	// Epoch and Node are the latest claim before the new one.
+	Epoch int64
+	Node  string
+}
+
+// LeaseWaitSource says what the end of a wait for leases is derived from.
+type LeaseWaitSource string
+
+// The sources of the end of a wait for leases.
+const (
+	WaitSourceNone           LeaseWaitSource = "none"            // there was no owner before
+	WaitSourceRenewal        LeaseWaitSource = "renewal"         // the latest renewal of the claim that was read
+	WaitSourceRelease        LeaseWaitSource = "release"         // the release of the claim
+	WaitSourceEndedProcess   LeaseWaitSource = "ended_process"   // an earlier process of the node held the claim, or this one abandoned it
+	WaitSourceFormerRenewals LeaseWaitSource = "former_renewals" // the owners before the latest one may renew for longer
+)
+
+// LeaseWait returns by when all leases on workers that previous owners extended have expired, including those on workers that the
+// new owner cannot reach. maxLease is the longest lease on a worker. LeaseWait must be called before the new claim is accepted.
+func (v *View) LeaseWait(maxLease, now time.Duration) LeaseWait {
 	if !v.hasLatest {
-		return now
+		return LeaseWait{End: now, Source: WaitSourceNone}
+	}
+	wait := LeaseWait{Epoch: v.latest.Epoch, Node: v.latest.Node, Source: WaitSourceRenewal, End: LeasesExpiredBy(v.renewalsEnd(now), maxLease)}
+	switch {
+	case v.formerRenewalsEnd() > v.latestRenewalsEnd(now):
+		wait.Source = WaitSourceFormerRenewals
+	case v.latest.Released:
+		wait.Source = WaitSourceRelease
+	case v.abandonedOwnClaim(), v.heldByPreviousProcess():
+		wait.Source = WaitSourceEndedProcess
 	}
-	return LeasesExpiredBy(v.renewalsEnd(now), maxLease)
+	return wait
 }
 
 // LeasesExpiredBy returns the time by which all leases on workers have expired if an owner renewed them until renewedUntil.
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -86,21 +86,21 @@
 		v := NewView("a-1", "a", 0)
 		v.Observe(encodedRecord(other, 0), 1, 10*time.Second)
 		Convey("an owner whose renewals are no longer read may have renewed leases for WorkerRenewalGrace", func() {
-			So(v.WorkerLeasesExpireBy(maxLease, 13*time.Second), ShouldBeGreaterThanOrEqualTo, 10*time.Second+WorkerRenewalGrace+maxLeaseOnSlowClock)
+			So(v.LeaseWait(maxLease, 13*time.Second).End, ShouldBeGreaterThanOrEqualTo, 10*time.Second+WorkerRenewalGrace+maxLeaseOnSlowClock)
 			Convey("but not for longer, even if no node could reach the store", func() {
-				So(v.WorkerLeasesExpireBy(maxLease, 20*time.Second), ShouldBeLessThan, 22*time.Second)
+				So(v.LeaseWait(maxLease, 20*time.Second).End, ShouldBeLessThan, 22*time.Second)
 			})
 		})
 		Convey("an owner that released the cell renewed nothing after that", func() {
 			released := other
 			released.Released = true
 			v.Observe(encodedRecord(released, 1), 2, 12*time.Second)
-			So(v.WorkerLeasesExpireBy(maxLease, 12*time.Second), ShouldBeBetween, 12*time.Second+maxLeaseOnSlowClock, 19*time.Second)
+			So(v.LeaseWait(maxLease, 12*time.Second).End, ShouldBeBetween, 12*time.Second+maxLeaseOnSlowClock, 19*time.Second)
 		})
 		Convey("the previous process of the same node has exited by now", func() {
 			restarted := NewView("b-2", "b", 0)
 			restarted.Observe(encodedRecord(other, 0), 1, 10*time.Second)
-			So(restarted.WorkerLeasesExpireBy(maxLease, 11*time.Second), ShouldBeGreaterThanOrEqualTo, 11*time.Second+maxLeaseOnSlowClock)
+			So(restarted.LeaseWait(maxLease, 11*time.Second).End, ShouldBeGreaterThanOrEqualTo, 11*time.Second+maxLeaseOnSlowClock)
 		})
 	})
 }
@@ -121,7 +121,7 @@
 		})
 		Convey("it claims at once under the next epoch and waits until the leases that it renewed earlier have expired", func() {
 			So(v.ShouldClaim(late), ShouldBeTrue)
-			So(v.WorkerLeasesExpireBy(6*time.Second, late), ShouldBeGreaterThanOrEqualTo, late+6*time.Second)
+			So(v.LeaseWait(6*time.Second, late).End, ShouldBeGreaterThanOrEqualTo, late+6*time.Second)
 			next := v.NextClaim("a", "a:1")
 			So(next.Epoch, ShouldEqual, r.Epoch+1)
 			v.Accepted(next, store.AppendResult{End: 3}, late, late)
--- a/internal/claim/former_test.go
+++ b/internal/claim/former_test.go
@@ -42,13 +42,13 @@
 			c.end(c.third)
 			Convey("a node that followed the claim waits for the leases of both", func() {
 				So(c.third.ShouldClaim(c.claimAt), ShouldBeTrue)
-				So(c.third.WorkerLeasesExpireBy(longestLease, c.claimAt), ShouldBeGreaterThanOrEqualTo, firstLeasesEnd)
+				So(c.third.LeaseWait(longestLease, c.claimAt).End, ShouldBeGreaterThanOrEqualTo, firstLeasesEnd)
 				Convey("and so does the owner after it", func() {
 					claimed := c.third.NextClaim("c", "c:1")
 					c.third.Accepted(claimed, store.AppendResult{End: 4}, c.claimAt, c.claimAt)
 					claimed.Released = true
 					c.third.Accepted(claimed, store.AppendResult{End: 5}, c.claimAt, c.claimAt)
-					So(c.third.WorkerLeasesExpireBy(longestLease, c.claimAt), ShouldBeGreaterThanOrEqualTo, firstLeasesEnd)
+					So(c.third.LeaseWait(longestLease, c.claimAt).End, ShouldBeGreaterThanOrEqualTo, firstLeasesEnd)
 				})
 			})
 		})
@@ -87,20 +87,20 @@
 			third := NewView("c-1", "c", 0)
 			third.Observe(written(second, released, 5, releasedAt), 9, releasedAt)
 			So(third.ShouldClaim(releasedAt), ShouldBeTrue)
-			So(third.WorkerLeasesExpireBy(longestLease, releasedAt), ShouldBeGreaterThanOrEqualTo, firstLeasesEnd)
+			So(third.LeaseWait(longestLease, releasedAt).End, ShouldBeGreaterThanOrEqualTo, firstLeasesEnd)
 		})
 		Convey("a node that reads the claim late does not expect leases that lasted longer", func() {
 			third := NewView("c-1", "c", 0)
 			third.Observe(records, 3, takenOver)
 			third.Observe(written(second, released, 5, releasedAt), 9, releasedAt)
-			So(third.WorkerLeasesExpireBy(longestLease, releasedAt), ShouldBeLessThan, firstLeasesEnd+time.Second)
+			So(third.LeaseWait(longestLease, releasedAt).End, ShouldBeLessThan, firstLeasesEnd+time.Second)
 		})
 		Convey("once the first owner's renewals have ended, its leases do not delay the owners that follow", func() {
 			const later = lastRenewal + WorkerRenewalGrace + time.Second
 			third := NewView("c-1", "c", 0)
 			third.Observe(written(second, claimed, 5, later), 9, later)
 			third.Observe(written(second, released, 9, later), 12, later)
-			So(third.WorkerLeasesExpireBy(longestLease, later), ShouldEqual, LeasesExpiredBy(later, longestLease))
+			So(third.LeaseWait(longestLease, later).End, ShouldEqual, LeasesExpiredBy(later, longestLease))
 			_, stored := second.NextFormerRenewals(claimed.Epoch, later+RenewInterval)
 			So(stored, ShouldBeFalse)
 		})
