--- a/internal/cellnode/former_leases_test.go
+++ b/internal/cellnode/former_leases_test.go
@@ -93,6 +93,41 @@
 	}
 }
 
+// Guards against LOST: the owner crashes right after a worker was lost, and its successor takes the lease there to last for as long as
+// the owner might have extended it without the store.
+func TestTaskOfLostWorkerRunsInTimeAfterOwnerCrash(t *testing.T) {
+	const maxAway = 9 * time.Second // a long-running task counts as lost then
+	workers := &leavingWorkers{workerSet: workerSet{"a1": newMemoryWorker(), "a2": newMemoryWorker()}}
+	d := newTestCluster(t, 0)
+	d.store.topics["workers"] = []store.Record{{Key: "a1", Value: []byte("a1")}, {Key: "a2", Value: []byte("a2")}}
+	d.workers = workers
+	for _, name := range []string{"x", "y", "z"} {
+		d.startProcess(testProcess{name: name, capacity: largeCapacity})
+	}
+	d.waitForOwner()
+	time.Sleep(2500 * time.Millisecond) // the owner has reached both workers, and the other nodes follow the claim
+	d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+testIDPrefix+"31", "half", http.StatusOK, "")
+	workers.leaveWithTask(d)
+	left := boottime.Now()
+	time.Sleep(300 * time.Millisecond)
+	crashed := d.nodes[d.waitForOwner()]
+	crashed.node.membership(0).owner.Load().panicked.Store(true) // what it knows of leases is lost with it
+	crashed.link.killed.Store(true)
+	crashed.cancel()
+	for total := 0; total < 2; time.Sleep(5 * time.Millisecond) {
+		if boottime.Now() > left+15*time.Second {
+			t.Fatal("the task was not started again")
+		}
+		total = 0
+		for _, count := range workers.starts() {
+			total += count
+		}
+	}
+	if away := boottime.Now() - left; away < 5500*time.Millisecond || away > maxAway {
+		t.Errorf("the task was started again after %v, want at least the lease and at most %v", away, maxAway)
+	}
+}
+
 // Guards against TWICE by an answer about leases that a former owner may still extend or knows nothing of, and against an owner
 // that trusts an answer that makes no sense.
 func TestLeasesOfFormerOwnerAreAnsweredOnlyIfKnown(t *testing.T) {
