--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -70,6 +70,10 @@
 	// formerLeases are the leases as the former owner knows them, and those on workers that were removed under this owner. Where
 	// they say nothing, formerLeasesEnd holds.
 	formerLeases LeaseEnds
+	// leaseLimit is the time by which the leases that this owner extends may end, see SetLeaseLimit. stated are the workers, by ID,
+	// whose leases it may not extend.
+	leaseLimit time.Duration
+	stated     map[string]statedLease
 	// evacuations are the evacuated failure domains, nil for none. withheldSince is since when rounds have placed nothing because
 	// they were not confirmed, or 0.
 	evacuations   *evacuation.View
@@ -131,7 +135,8 @@
 	return &Cell{
 		settings: s, epoch: epoch, cellCount: 1, formerLeasesEnd: formerLeasesEnd, log: log, metrics: metrics,
 		formerLeases: LeaseEnds{Others: formerLeasesEnd, Workers: make(map[string]WorkerLease)},
-		jobs:         make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
+		leaseLimit:   noLeaseLimit, stated: make(map[string]statedLease),
+		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
 		endedJobs: btree.NewG(endedJobsDegree, endedBefore), drain: drain.NewMeter(), shapes: make(map[string][]jobs.Resources), stragglers: newStragglers(),
 	}
--- a/internal/cell/former_leases.go
+++ b/internal/cell/former_leases.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"cactuswall.example/cactuswall/internal/claim"
 )
 
 // LeaseEnds says by when the leases have ended that a run of owners, up to one of them, has extended. Points in time are on
@@ -35,7 +37,9 @@
 // Received returns the ends of leases whose remaining times, as Remaining of another process returned them, were received at a
 // local time. It allows for the error of both clocks; the time for which they were in transit makes the ends later.
 func (l LeaseEnds) Received(at time.Duration) LeaseEnds {
-	end := func(remaining time.Duration) time.Duration { return at + remaining + remaining*clockErrorPercent/100 }
+	end := func(remaining time.Duration) time.Duration {
+		return at + remaining + remaining*claim.WorkerClockErrorPercent/100
+	}
 	received := LeaseEnds{Others: end(l.Others), Workers: make(map[string]WorkerLease, len(l.Workers))}
 	for id, lease := range l.Workers {
 		received.Workers[id] = WorkerLease{StartedAtMS: lease.StartedAtMS, End: end(lease.End)}
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -32,6 +32,9 @@
 	// maxReportAge is the maximum time by which a renewal order may be overdue if it is to extend the lease.
 	// For a task to be placed on the worker, idleRenewInterval is added, since an idle worker reports at this interval.
 	maxReportAge = 1800 * time.Millisecond
+	// answerTime is the time after which a renewal order without an answer is taken for a sign that the worker is out of touch, apart
+	// from the time that the order lets it wait.
+	answerTime = 400 * time.Millisecond
 	// stopRetryInterval is the time between two stop orders for the same run.
 	stopRetryInterval = 600 * time.Millisecond
 	// startRetryInterval is the minimum time from when a run became uncertain until its start order is repeated.
@@ -111,20 +114,6 @@
 	}}
 }
 
-// maxGrantedLease limits the leases where workers accept longer ones. What ran on a worker that is lost without a sign starts
-// elsewhere only once its lease has certainly expired, and a long-running task must run again within 7 s. With the margin
-// for clocks that is 6.8 s after the last renewal.
-const maxGrantedLease = 6400 * time.Millisecond
-
-// extendLease extends the lease on a worker by Settings.MaxLease, but at most maxGrantedLease, from now and returns its end, on the
-// worker's clock.
-func (c *Cell) extendLease(w *worker) time.Duration {
-	until := w.clockNow(c.now) + min(c.settings.MaxLease, maxGrantedLease)
-	w.grantedUntil, w.leaseExpired = max(w.grantedUntil, until), false
-	w.updateLeaseExpiry()
-	return until
-}
-
 // TakeOrders returns the orders that are due and marks them as sent. mayDecide is true while the owner's claim on the
 // cell, see package cellnode, allows decisions; if it is false, or before Load, TakeOrders only returns renewal orders. Otherwise
 // it checks a part of the indexes as well, see Cell.audit.
@@ -163,6 +152,7 @@
 			request.Wait = c.renewWait(w)
 		}
 	}
+	w.answerDueBy = c.now + request.Wait + answerTime
 	return RenewOrder{To: w.target(), Request: request, CreatedAt: c.now}
 }
 
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/quarantine"
 	"cactuswall.example/cactuswall/internal/verdict"
 	"cactuswall.example/cactuswall/internal/workercall"
@@ -14,11 +15,6 @@
 const (
 	// maxListedEnds is the maximum number of run ends in a report. A report with that many may omit others.
 	maxListedEnds = 500
-	// leaseSlack is a margin added to the computed lease expiry, on top of the clock error.
-	leaseSlack = 200 * time.Millisecond
-	// clockErrorPercent is the margin for clock errors, in percent of the remaining lease: a worker's clock may be up
-	// to 2% slow, and the local clock may be wrong by 0.5%.
-	clockErrorPercent = 3
 	// servingPercent is the progress, in percent, at which a long-running task is serving.
 	servingPercent = 100
 	// refusedBackoff is how long no tasks are placed on a worker that refused a start order.
@@ -56,8 +52,7 @@
 	}
 	firstAnswer := !w.tokenAccepted
 	if firstAnswer {
-		// Former owners may have extended the lease until the worker accepted the new token.
-		w.grantedUntil = max(w.grantedUntil, report.Clock+c.settings.MaxLease)
+		w.inheritedEnd = c.inheritedLeaseEnd(w)
 	}
 	w.tokenAccepted, w.failingSince, w.lastReport, w.leaseExpired = true, 0, c.now, false
 	w.updateClock(report.Clock, c.now)
@@ -98,8 +93,7 @@
 // updateLeaseExpiry computes leaseExpiresBy, the latest local time at which the worker's lease has expired.
 func (w *worker) updateLeaseExpiry() {
 	w.touch()
-	remaining := max(0, w.grantedUntil-w.clock)
-	w.leaseExpiresBy = w.clockAt + remaining + remaining*clockErrorPercent/100 + leaseSlack
+	w.leaseExpiresBy = max(claim.LeaseEnd(w.clockAt, max(0, w.grantedUntil-w.clock)), w.inheritedEnd)
 }
 
 // handleEnds processes the run ends in a report that were not seen before, in the order of their sequence numbers.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -253,8 +253,10 @@
 	clock      time.Duration
 	clockAt    time.Duration
 	clockKnown bool
-	// grantedUntil is the latest lease end that was sent in an order, on the worker's clock.
+	// grantedUntil is the latest lease end that this owner sent in an order, on the worker's clock.
 	grantedUntil time.Duration
+	// inheritedEnd is when the leases have ended that former owners may have extended until the worker accepted the token.
+	inheritedEnd time.Duration
 	// leaseExpiresBy is the latest local time at which the worker's lease has expired and its tasks have stopped.
 	leaseExpiresBy time.Duration
 	// formerLeaseEnd is when the lease has ended by what former owners may have extended. restarted is set once a restart of the
@@ -271,6 +273,7 @@
 	// flight says is.
 	lastEndAcked, ackInFlight int64
 	renewalInFlight           bool          // a renewal order is sent and not answered
+	answerDueBy               time.Duration // when the answer to it is overdue
 	nextRenewal               time.Duration // when the next renewal order is due
 	// refusingUntil is until when no tasks are placed on the worker after a start order was refused or did not reach
 	// it.
--- /dev/null
+++ b/internal/cell/stated_leases.go
@@ -0,0 +1,121 @@
+package cell
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"cactuswall.example/cactuswall/internal/claim"
+)
+
+// noLeaseLimit is Cell.leaseLimit until SetLeaseLimit is called.
+const noLeaseLimit = time.Duration(math.MaxInt64)
+
+// statedLease is a lease whose end was stated to the owners that follow. It is not extended until a statement without the worker is
+// stored.
+type statedLease struct {
+	serial int64 // of the newest statement with the worker
+	end    time.Duration
+}
+
+// SetLeaseLimit sets by when the leases that this owner extends may end.
+func (c *Cell) SetLeaseLimit(limit time.Duration) { c.leaseLimit = limit }
+
+// StateLeases returns what the statement with a serial, which is sent now, says of leases: those on workers that are out of touch or
+// last beyond longest, and when all others have ended as far as this owner and those before it have extended them. Workers that
+// cannot be listed count among the others. From now on the leases that are listed are not extended, see LeasesStored.
+func (c *Cell) StateLeases(serial int64, longest time.Duration) (listed []claim.StatedLease, others time.Duration) {
+	others = min(c.formerLeasesEnd, c.formerLeases.Others)
+	var ends []endOfLease
+	for id, w := range c.workers {
+		end := w.leaseEnd()
+		if end > c.now && (end > longest || c.outOfTouch(w) && (len(w.runs) > 0 || !c.loaded)) {
+			ends = append(ends, endOfLease{id, WorkerLease{StartedAtMS: w.info.StartedAtMS, End: end}})
+		} else {
+			others = max(others, end)
+		}
+	}
+	for id, lease := range c.formerLeases.Workers {
+		if c.workers[id] == nil && lease.End > c.now {
+			ends = append(ends, endOfLease{id, lease})
+		}
+	}
+	// Those that end first gain most by being listed.
+	slices.SortFunc(ends, func(a, b endOfLease) int {
+		return cmp.Or(cmp.Compare(a.lease.End, b.lease.End), cmp.Compare(a.id, b.id))
+	})
+	for i := range ends {
+		e := &ends[i]
+		if len(listed) >= claim.MaxStatedWorkers {
+			others = max(others, e.lease.End)
+			continue
+		}
+		listed = append(listed, claim.StatedLease{Worker: e.id, StartedAtMS: e.lease.StartedAtMS, Remaining: e.lease.End - c.now})
+		c.stated[e.id] = statedLease{serial: serial, end: e.lease.End}
+	}
+	return listed, others
+}
+
+// endOfLease is the end of the lease on a worker.
+type endOfLease struct {
+	id    string
+	lease WorkerLease
+}
+
+// LeasesStored records that the statement with a serial is stored. Leases that only earlier statements list may be extended again.
+func (c *Cell) LeasesStored(serial int64, limit time.Duration) {
+	c.leaseLimit = limit
+	for id, s := range c.stated {
+		if s.serial < serial {
+			delete(c.stated, id)
+		}
+	}
+}
+
+// UnstatedWorkers reports whether workers with runs are out of touch that no statement lists.
+func (c *Cell) UnstatedWorkers() bool {
+	if len(c.stated) >= claim.MaxStatedWorkers {
+		return false
+	}
+	for id, w := range c.workers {
+		if _, listed := c.stated[id]; !listed && len(w.runs) > 0 && w.leaseEnd() > c.now && c.outOfTouch(w) {
+			return true
+		}
+	}
+	return false
+}
+
+// outOfTouch reports whether the worker does not answer this owner, or has not yet.
+func (c *Cell) outOfTouch(w *worker) bool {
+	return !w.tokenAccepted || w.failingSince != 0 || w.renewalInFlight && c.now > w.answerDueBy
+}
+
+// extendLease extends the lease on a worker by Settings.MaxLease, but at most claim.MaxGrantedLease and as far as this owner has
+// stated, from now and returns its end, on the worker's clock. It returns 0 if it may not be extended.
+func (c *Cell) extendLease(w *worker) time.Duration {
+	limit := c.leaseLimit
+	if s, listed := c.stated[w.info.ID]; listed {
+		limit = min(limit, s.end)
+	}
+	until := w.clockNow(c.now) + min(c.settings.MaxLease, claim.MaxGrantedLease)
+	if limit < noLeaseLimit {
+		until = min(until, w.clock+claim.LongestLease(w.clockAt, limit))
+	}
+	if until <= w.clockNow(c.now) && w.grantedUntil <= w.clockNow(c.now) {
+		return 0
+	}
+	w.grantedUntil, w.leaseExpired = max(w.grantedUntil, until), false
+	w.updateLeaseExpiry()
+	return w.grantedUntil
+}
+
+// inheritedLeaseEnd returns by when the leases on a worker that accepts the token now have ended, as far as former owners have
+// extended them. What they extended may have reached a later incarnation as well.
+func (c *Cell) inheritedLeaseEnd(w *worker) time.Duration {
+	end := claim.LeaseEnd(c.now, c.settings.MaxLease)
+	if w.restarted {
+		return end
+	}
+	return min(end, max(c.now, w.formerLeaseEnd))
+}
--- a/internal/cellnode/admission.go
+++ b/internal/cellnode/admission.go
@@ -419,12 +419,15 @@
 // peerHandler serves calls from other nodes.
 func (n *Node) peerHandler() http.Handler {
 	calls, formerCalls := cellrpc.NewCellServer(cellServer{n}), cellrpc.NewFormerOwnerServer(formerOwnerServer{n})
+	candidateCalls := cellrpc.NewCandidatesServer(candidatesServer{n})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case r.URL.Path == figuresPath:
 			n.serveFigures(w, r)
 		case strings.HasPrefix(r.URL.Path, formerCalls.PathPrefix()):
 			formerCalls.ServeHTTP(w, r)
+		case strings.HasPrefix(r.URL.Path, candidateCalls.PathPrefix()):
+			candidateCalls.ServeHTTP(w, r)
 		default:
 			calls.ServeHTTP(w, r)
 		}
--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -78,6 +78,7 @@
 // observeClaim passes the records of a successful read up to end to the view, and logs changes of the claim.
 func (m *membership) observeClaim(records []store.Record, end store.Offset) {
 	m.node.recordStoreSuccess()
+	defer m.confirmStatement() // after mu is released
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	owned := m.view.Owns()
@@ -110,6 +111,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-m.statementWanted:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -122,9 +124,10 @@
 // claimOnce writes the claim, renewal, release or request that is due now, if any, and answers a request.
 func (m *membership) claimOnce(ctx, ownerCtx context.Context) {
 	now := boottime.Now()
+	statementDue := m.statementDue(now)
 	m.mu.Lock()
 	m.adjustCandidacy()
-	renewalDue, shouldRelease, shouldClaim := m.view.RenewalDue(now), m.view.ShouldRelease(), now >= m.restUntil && m.view.ShouldClaim(now)
+	renewalDue, shouldRelease, shouldClaim := m.view.RenewalDue(now) || statementDue && m.view.Owns(), m.view.ShouldRelease(), now >= m.restUntil && m.view.ShouldClaim(now)
 	shouldRequest := m.view.ShouldRequest(now)
 	request, requested := m.view.TakeRequest()
 	nextRequest := m.view.NextRequest()
@@ -135,6 +138,7 @@
 	end := m.view.End()
 	confirmed := m.takeConfirmedClaim(now)
 	m.mu.Unlock()
+	m.registerIfDue(ctx)
 	if confirmed != nil {
 		m.startOwner(ownerCtx, *confirmed)
 	}
@@ -143,16 +147,16 @@
 	}
 	switch {
 	case renewalDue:
-		m.writeClaim(ctx, latest, nil, end)
+		m.writeClaim(ctx, m.owner.Load(), latest, nil, end)
 	case shouldRelease:
 		latest.Released = true
-		if m.writeClaim(ctx, latest, nil, end) {
+		if m.writeClaim(ctx, nil, latest, nil, end) {
 			m.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", m.node.settings.Capacity))
 		}
 	case shouldClaim && m.node.config.Get() != nil:
 		sent := sentClaim{record: nextClaim, former: latest, wait: wait}
 		m.sentClaim = &sent
-		if m.writeClaim(ctx, nextClaim, &nextDetails, end) {
+		if m.writeClaim(ctx, nil, nextClaim, &nextDetails, end) {
 			m.sentClaim = nil
 			m.startOwner(ownerCtx, sent)
 		}
@@ -191,14 +195,16 @@
 }
 
 // writeClaim appends a claim, a renewal or a release, with its details unless they are nil, and reports whether it was
-// accepted. end is the end of the topic up to which the records had been read from which r was derived.
-func (m *membership) writeClaim(ctx context.Context, r claim.Record, details *claim.Details, end store.Offset) bool {
+// accepted. o is the owner under that claim, or nil if it has none that acts. end is the end of the topic up to which the records had
+// been read from which r was derived.
+func (m *membership) writeClaim(ctx context.Context, o *owner, r claim.Record, details *claim.Details, end store.Offset) bool {
 	var entries []claimEntry
 	if details != nil {
 		entries = append(entries, claimEntry{claim.DetailsKey, details})
 	}
-	entries = append(entries, claimEntry{claim.Key, &r})
 	sent := boottime.Now()
+	statement := m.nextStatement(o, r, sent)
+	entries = append(entries, claimEntry{claim.StatementKey, &statement}, claimEntry{claim.Key, &r})
 	m.mu.Lock()
 	former, formerNeeded := m.view.NextFormerRenewals(r.Epoch, sent)
 	if formerNeeded {
@@ -211,14 +217,16 @@
 		return false
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if details != nil {
 		m.view.ApplyDetails(*details)
 	}
 	if formerNeeded {
 		m.view.ApplyFormerRenewals(former, sent)
 	}
+	m.view.ApplyStatement(statement, appended.End-2, sent)
 	m.view.Accepted(r, appended, sent, boottime.Now())
+	m.mu.Unlock()
+	m.statementStored(statement)
 	return true
 }
 
@@ -257,7 +265,7 @@
 	m.log.Info("owner", zap.Int64("epoch", epoch), zap.Duration("leases_end_in", c.wait.End-boottime.Now()),
 		zap.String("leases_from", string(c.wait.Source)), zap.Int64("former_epoch", c.wait.Epoch), zap.String("former_owner", c.wait.Node),
 		zap.Int64("capacity", m.node.settings.Capacity))
-	o := newOwner(m, epoch, c.wait.End)
+	o := newOwner(m, epoch, c.wait)
 	o.former = c.former
 	ctx, o.stop = context.WithCancel(ctx)
 	m.owner.Store(o)
--- a/internal/cellnode/membership.go
+++ b/internal/cellnode/membership.go
@@ -49,6 +49,13 @@
 	// owner is nil while this node does not own the cell.
 	owner atomic.Pointer[owner]
 
+	// statementWanted has a statement about leases written soon.
+	statementWanted chan struct{}
+	// registering is set while this process registers as a candidate, and registerAfter when it may do so again, in nanoseconds on
+	// the clock of package boottime.
+	registering   atomic.Bool
+	registerAfter atomic.Int64
+
 	// ended is the latest owner on this node whose run has ended without a panic, nil if there is none.
 	ended atomic.Pointer[endedOwner]
 
@@ -73,7 +80,8 @@
 	defer n.membershipsMu.Unlock()
 	m := n.memberships[cell]
 	if m == nil {
-		m = &membership{node: n, cell: cell, log: n.log.With(zap.Int("cell", cell)), view: claim.NewView(n.holder, n.settings.Node, n.settings.Rank)}
+		m = &membership{node: n, cell: cell, log: n.log.With(zap.Int("cell", cell)), view: claim.NewView(n.holder, n.settings.Node, n.settings.Rank),
+			statementWanted: make(chan struct{}, 1)}
 		m.view.SetCapacity(n.settings.Capacity)
 		n.memberships[cell] = m
 	}
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -72,6 +72,10 @@
 	mu     sync.Mutex
 	cell   *cell.Cell
 	loaded bool
+	// grants decides until when leases on workers may be extended, and statedAt is when the newest statement about them was composed;
+	// mu protects both.
+	grants   *claim.Grants
+	statedAt time.Duration
 	// jobsReadAt is when the latest successful read of the jobs topic returned.
 	jobsReadAt time.Duration
 	// pendingJobs are the counts of pending jobs by queue at pendingAt; nil before the first query.
@@ -103,15 +107,18 @@
 	done chan struct{}      // closed when run has returned
 }
 
-func newOwner(m *membership, epoch int64, leasesEnd time.Duration) *owner {
+func newOwner(m *membership, epoch int64, wait claim.LeaseWait) *owner {
 	n, log := m.node, m.log.With(zap.Int64("epoch", epoch))
-	now := boottime.Now()
-	return &owner{
-		node: n, member: m, epoch: epoch, log: log, loans: make(map[string]loan), events: make(chan event, eventQueueSize), claimedAt: now, formerLeasesEnd: leasesEnd,
-		orderQueues: newOrderQueues(), done: make(chan struct{}),
-		cell:     cell.New(*n.cellSettings.Load(), epoch, leasesEnd, log, n.counts),
+	now, settings := boottime.Now(), *n.cellSettings.Load()
+	o := &owner{
+		node: n, member: m, epoch: epoch, log: log, loans: make(map[string]loan), events: make(chan event, eventQueueSize), claimedAt: now, formerLeasesEnd: wait.End,
+		orderQueues: newOrderQueues(), done: make(chan struct{}), grants: claim.NewGrants(epoch, settings.MaxLease, now),
+		cell:     cell.New(settings, epoch, wait.End, log, n.counts),
 		lateness: lateness{metrics: n.ownerMetrics, log: log, sched: newSchedLatency().next},
 	}
+	o.cell.SetLeaseLimit(o.grants.Limit())
+	o.cell.SetFormerLeases(leaseEnds(wait))
+	return o
 }
 
 // run loads the state of the cell and then schedules jobs until the claim ends, the owner is fenced or ctx, which stop
@@ -129,6 +136,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	start := func(work string, f func() error) { group.Go(o.node.guarded(work, f)) }
 	start("event loop", func() error { return o.runEventLoop(ctx) })
+	start("consents", func() error { return o.gatherConsents(ctx) })
 	start("load", func() error {
 		jobsEnd, err := o.load(ctx, progressEnd)
 		if err != nil {
@@ -277,7 +285,7 @@
 	o.cell.SetTime(now, time.Now())
 	o.setEvacuations()
 	o.cell.Tick()
-	decide := o.loaded && o.member.mayDecide(o.epoch)
+	decide := o.loaded && o.grants.Allowed() && o.member.mayDecide(o.epoch)
 	o.send(ctx, o.cell.TakeOrders(decide))
 	if decide && !o.storing {
 		o.storeRound(ctx, o.cell.Plan())
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -72,6 +72,10 @@
 	return cellrpc.NewFormerOwnerProtobufClient("http://"+address, p.client)
 }
 
+func (p *peers) candidatesClient(address string) cellrpc.Candidates {
+	return cellrpc.NewCandidatesProtobufClient("http://"+address, p.client)
+}
+
 // cellServer serves calls from other nodes.
 type cellServer struct{ node *Node }
 
--- /dev/null
+++ b/internal/cellnode/statements.go
@@ -0,0 +1,119 @@
+package cellnode
+
+import (
+	"time"
+
+	"cactuswall.example/cactuswall/internal/boottime"
+	"cactuswall.example/cactuswall/internal/cell"
+	"cactuswall.example/cactuswall/internal/claim"
+)
+
+const (
+	// unloadedExtensionDelay is how long after its claim an owner begins to extend leases if it has not loaded the state by then. After
+	// loading, its statements list the workers that it has not reached.
+	unloadedExtensionDelay = 500 * time.Millisecond
+	// statementInterval is the minimum time between two statements that are written before a renewal of the claim is due.
+	statementInterval = 300 * time.Millisecond
+)
+
+// leaseEnds returns the ends of leases for the cell of a new owner.
+func leaseEnds(wait claim.LeaseWait) cell.LeaseEnds {
+	ends := cell.LeaseEnds{Others: wait.Others, Workers: make(map[string]cell.WorkerLease, len(wait.Workers))}
+	for id, w := range wait.Workers {
+		ends.Workers[id] = cell.WorkerLease{StartedAtMS: w.StartedAtMS, End: w.End}
+	}
+	return ends
+}
+
+// wantStatement has a statement written soon if one is due.
+func (m *membership) wantStatement() {
+	select {
+	case m.statementWanted <- struct{}{}:
+	default:
+	}
+}
+
+// statementDue reports whether the owner on this node has to write a statement before the next renewal of the claim is due: it may
+// begin to extend leases, or workers are out of touch whose leases are not stated one by one.
+func (m *membership) statementDue(now time.Duration) bool {
+	o := m.owner.Load()
+	if o == nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now < o.statedAt+statementInterval {
+		return false
+	}
+	if !o.grants.Allowed() {
+		return o.mayExtend(now)
+	}
+	o.cell.SetTime(now, time.Now())
+	return o.loaded && o.cell.UnstatedWorkers()
+}
+
+// mayExtend reports whether the owner is ready to extend leases. The caller holds mu.
+func (o *owner) mayExtend(now time.Duration) bool {
+	return o.loaded || o.cell.WorkerCount() > 0 && now >= o.claimedAt+unloadedExtensionDelay
+}
+
+// nextStatement returns the statement about leases that is stored with a record of the claim which is sent now. o is the owner under
+// the claim, or nil if it has none that acts.
+func (m *membership) nextStatement(o *owner, r claim.Record, now time.Duration) claim.Statement {
+	if o != nil && o.epoch == r.Epoch && !o.panicked.Load() {
+		return o.nextStatement(r.Released, now)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.NextStatement(r.Epoch, m.view.LeaseWait(m.node.cellSettings.Load().MaxLease, now), now)
+}
+
+// nextStatement returns the owner's next statement, which is sent now. After that of a release the owner extends nothing more.
+func (o *owner) nextStatement(released bool, now time.Duration) claim.Statement {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cell.SetTime(now, time.Now())
+	o.statedAt = now
+	extends := !released && (o.grants.Allowed() || o.mayExtend(now))
+	listed, others := o.cell.StateLeases(o.grants.Serial()+1, now+o.grants.Stated())
+	return o.grants.Next(others, listed, extends, now)
+}
+
+// statementStored records that the store has a statement of an owner on this node.
+func (m *membership) statementStored(s claim.Statement) {
+	o := m.owner.Load()
+	if o == nil || o.epoch != s.Epoch {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s.Serial <= o.grants.Stored() {
+		return
+	}
+	o.grants.StatementStored(s.Serial)
+	o.cell.LeasesStored(s.Serial, o.grants.Limit())
+}
+
+// confirmStatement records a statement of an owner on this node that was stored without an answer and has been read back.
+func (m *membership) confirmStatement() {
+	m.mu.Lock()
+	s, known := m.view.Statement()
+	owns := m.view.Owns()
+	m.mu.Unlock()
+	if known && owns {
+		m.statementStored(s)
+	}
+}
+
+// registerDelay is the minimum time between two attempts of a process to register as a candidate.
+const registerDelay = time.Second
+
+// registrationAllowed reports whether this process may try to register now, and notes that it does.
+func (m *membership) registrationAllowed() bool {
+	now := int64(boottime.Now())
+	if now < m.registerAfter.Load() || !m.registering.CompareAndSwap(false, true) {
+		return false
+	}
+	m.registerAfter.Store(now + int64(registerDelay))
+	return true
+}
--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -91,6 +91,7 @@
 	o.cell.SetCell(o.member.cell, len(o.node.cells.table().Plan().Cells))
 	o.cell.Load(jobRecords, progressRecords)
 	o.loaded, o.jobsReadAt = true, boottime.Now()
+	o.member.wantStatement()
 	o.log.Info("state taken over", zap.Int("job_records", len(jobRecords)), zap.Int("progress_records", len(progressRecords)),
 		zap.Int("workers", o.cell.WorkerCount()), zap.Int64("progress_end", int64(progressEnd)),
 		zap.Duration("took", boottime.Now()-o.claimedAt))
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"cactuswall.example/cactuswall/internal/recordcodec"
 	"cactuswall.example/cactuswall/internal/store"
 )
@@ -82,6 +84,13 @@
 	// former is the latest FormerRenewals, read at formerReadAt. It may belong to an earlier epoch than latest.
 	former       FormerRenewals
 	formerReadAt time.Duration
+	// statement is the newest statement of an owner, which has the offset statementOffset and was read at statementReadAt. It belongs
+	// to latest if it stands right before it.
+	statement       Statement
+	statementOffset store.Offset
+	statementReadAt time.Duration
+	latestOffset    store.Offset // of latest
+	candidacy       candidacy
 	// followedRenewalsEnd is until when the owners whose claims this process read before the latest one may renew leases
 	// on workers.
 	followedRenewalsEnd time.Duration
@@ -131,7 +140,7 @@
 		if err := recordcodec.Decode(record.Value, &r); err != nil {
 			return err
 		}
-		v.applyRecord(r, now)
+		v.applyRecord(r, record.Offset, now)
 		if r.Holder == v.holder && r.Epoch == v.latest.Epoch {
 			v.confirm(r, record.Offset)
 		}
@@ -153,13 +162,22 @@
 			return err
 		}
 		v.ApplyFormerRenewals(r, now)
+	case StatementKey:
+		var s Statement
+		if err := recordcodec.Decode(record.Value, &s); err != nil {
+			v.statement = Statement{}
+			return err
+		}
+		if !v.ApplyStatement(s, record.Offset, now) {
+			return trace.BadParameter("statement about leases that no owner makes")
+		}
 	}
 	return nil
 }
 
 // applyRecord makes r the latest record unless its epoch is older. The claim of another process ends the ownership of
 // this one.
-func (v *View) applyRecord(r Record, now time.Duration) {
+func (v *View) applyRecord(r Record, offset store.Offset, now time.Duration) {
 	if v.hasLatest && r.Epoch < v.latest.Epoch {
 		return
 	}
@@ -169,7 +187,7 @@
 	if !v.hasLatest || r.Epoch != v.latest.Epoch {
 		v.epochReadAt = now
 	}
-	v.latest, v.hasLatest, v.latestReadAt = r, true, now
+	v.latest, v.latestOffset, v.hasLatest, v.latestReadAt = r, offset, true, now
 	if r.Holder != v.holder {
 		v.owns = false
 	}
@@ -209,9 +227,9 @@
 	return Record{Holder: v.holder, Node: node, Address: address, Epoch: v.latest.Epoch + 1}
 }
 
-// Accepted records that the store has accepted a record of this process, which was sent at the given time.
+// Accepted records that the store has accepted a record of this process, the last of its append, which was sent at the given time.
 func (v *View) Accepted(r Record, a store.AppendResult, sent, now time.Duration) {
-	v.applyRecord(r, now)
+	v.applyRecord(r, a.End-1, now)
 	v.readEnd = max(v.readEnd, a.End)
 	v.accepted(r, sent)
 	v.dropSettled()
@@ -245,47 +263,6 @@
 // RenewalDue reports whether a renewal should be sent.
 func (v *View) RenewalDue(now time.Duration) bool { return v.owns && now >= v.renewedAt+RenewInterval }
 
-// LeaseWait is how long a new owner waits for leases on workers that it can't reach.
-type LeaseWait struct {
-	// End is the time by which all leases on workers that previous owners extended have expired.
-	End time.Duration
-	// Source says what End is derived from.
-	Source LeaseWaitSource
-	// Epoch and Node are the latest claim before the new one.
-	Epoch int64
-	Node  string
-}
-
-// LeaseWaitSource says what the end of a wait for leases is derived from.
-type LeaseWaitSource string
-
-// The sources of the end of a wait for leases.
-const (
-	WaitSourceNone           LeaseWaitSource = "none"            // there was no owner before
-	WaitSourceRenewal        LeaseWaitSource = "renewal"         // the latest renewal of the claim that was read
-	WaitSourceRelease        LeaseWaitSource = "release"         // the release of the claim
-	WaitSourceEndedProcess   LeaseWaitSource = "ended_process"   // an earlier process of the node held the claim, or this one abandoned it
-	WaitSourceFormerRenewals LeaseWaitSource = "former_renewals" // the owners before the latest one may renew for longer
-)
-
-// LeaseWait returns by when all leases on workers that previous owners extended have expired, including those on workers that the
-// new owner cannot reach. maxLease is the longest lease on a worker. LeaseWait must be called before the new claim is accepted.
-func (v *View) LeaseWait(maxLease, now time.Duration) LeaseWait {
-	if !v.hasLatest {
-		return LeaseWait{End: now, Source: WaitSourceNone}
-	}
-	wait := LeaseWait{Epoch: v.latest.Epoch, Node: v.latest.Node, Source: WaitSourceRenewal, End: LeasesExpiredBy(v.renewalsEnd(now), maxLease)}
-	switch {
-	case v.formerRenewalsEnd() > v.latestRenewalsEnd(now):
-		wait.Source = WaitSourceFormerRenewals
-	case v.latest.Released:
-		wait.Source = WaitSourceRelease
-	case v.abandonedOwnClaim(), v.heldByPreviousProcess():
-		wait.Source = WaitSourceEndedProcess
-	}
-	return wait
-}
-
 // LeasesExpiredBy returns the time by which all leases on workers have expired if an owner renewed them until renewedUntil.
 // It allows for clock errors and for orders in transit.
 func LeasesExpiredBy(renewedUntil, maxLease time.Duration) time.Duration {
