Workers that are kept free take other interrupted tasks that fit

A group of interrupted tasks without room has workers kept free; its share of the round hid them from the interrupted groups behind it, whose tasks are smaller and fit there. Workers are now kept free only once all interrupted groups have had their turn. TestWorkersKeptFreeTakeInterruptedTasksThatFit failed before.

--- a/internal/cell/interrupted_test.go
+++ b/internal/cell/interrupted_test.go
@@ -72,3 +72,33 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against LOST: workers that are kept free for a large long-running task which finds no room hide their room from smaller
+// ones that were interrupted as well, for as long as what runs there does not end.
+func TestWorkersKeptFreeTakeInterruptedTasksThatFit(t *testing.T) {
+	sim := newSimulation(21, 1)
+	sim.takeOver()
+	sim.run(time.Second)
+	sim.taskRunTime = time.Minute
+	for _, j := range []struct {
+		id          jobs.ID
+		milliCPU    int
+		longRunning bool
+	}{{"large", 3000, true}, {"small", 1000, true}, {"ordinary", 2000, false}} {
+		spec := testSpec(1)
+		spec.Steps[0].Request, spec.Steps[0].LongRunning = jobs.Resources{MilliCPU: j.milliCPU, MemoryMB: 100}, j.longRunning
+		sim.submit(j.id, spec)
+		if j.id == "ordinary" { // the first worker is full
+			sim.addWorker("w1")
+		}
+		sim.runUntil(func() bool { return sim.startCounts[jobs.TaskID{Job: j.id}] == 1 })
+	}
+	delete(sim.workers, "w0")
+	sim.run(10 * time.Second)
+	if starts := sim.startCounts[jobs.TaskID{Job: "small"}]; starts != 2 {
+		t.Errorf("the small task was started %d times, want a second time beside the ordinary one", starts)
+	}
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -45,17 +45,21 @@
 	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
 	v := c.newPlacementView()
 	placed, unplaced := 0, false
+	var withoutRoom []*group // interrupted groups
 	for i, g := range groups {
-		limit := allowed
-		if g.rank.Interrupted() {
-			limit = maxStartsPerRound
+		limit := maxStartsPerRound
+		if !g.rank.Interrupted() {
+			limit = allowed
+			// Not before: other interrupted tasks may use the room that is left on workers that are kept free.
+			c.reserveWorkers(v, withoutRoom)
+			withoutRoom = nil
 		}
 		count, all := c.placeGroup(v, g, max(0, limit-placed))
 		placed += count
 		unplaced = unplaced || !all
 		turns.placed(v, g, count)
-		if g.waitReason == waitRoom {
-			c.reserveWorkers(v, g)
+		if g.waitReason == waitRoom && g.rank.Interrupted() {
+			withoutRoom = append(withoutRoom, g)
 		}
 		if g.waitReason == waitTurn {
 			c.load.Limited()
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -7,16 +7,18 @@
 // maxReservedPercent is the share of the workers that one round keeps free.
 const maxReservedPercent = 10
 
-// reserveWorkers keeps workers free for the interrupted long-running tasks of a group for which there was no room, since
+// reserveWorkers keeps workers free for the interrupted long-running tasks of groups for which there was no room, since
 // their users are without service. Otherwise smaller tasks take each bit of room that becomes free, and a large task waits
 // until there are none. The workers with most free processor capacity are taken, so that the same ones are taken in the
 // next rounds, until enough of what runs there has ended.
 //
 // For other tasks no workers are kept free, except as roundTurns.placed says: they would make best-effort tasks wait, which need
 // little but run beside them.
-func (c *Cell) reserveWorkers(v *placementView, g *group) {
-	if g.rank.Interrupted() && !g.step.Gang {
-		c.keepWorkersFree(v, g)
+func (c *Cell) reserveWorkers(v *placementView, interrupted []*group) {
+	for _, g := range interrupted {
+		if !g.step.Gang {
+			c.keepWorkersFree(v, g)
+		}
 	}
 }
 
