--- a/internal/cellnode/former_leases_test.go
+++ b/internal/cellnode/former_leases_test.go
@@ -96,6 +96,7 @@
 // Guards against LOST: the owner crashes right after a worker was lost, and its successor takes the lease there to last for as long as
 // the owner might have extended it without the store.
 func TestTaskOfLostWorkerRunsInTimeAfterOwnerCrash(t *testing.T) {
+	t.Parallel()
 	const maxAway = 9 * time.Second // a long-running task counts as lost then
 	workers := &leavingWorkers{workerSet: workerSet{"a1": newMemoryWorker(), "a2": newMemoryWorker()}}
 	d := newTestCluster(t, 0)
--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -164,6 +164,9 @@
 	}
 }
 
+// Candidates returns the number of registered candidates.
+func (g *Grants) Candidates() int { return len(g.candidates) }
+
 // Register registers a candidate and returns the round; ok is false if it cannot be registered now.
 func (g *Grants) Register(id, address string) (round int64, ok bool) {
 	if _, known := g.candidates[id]; g.isExtended || !known && len(g.candidates) >= maxCandidates {
