Workers that are back in touch are extended again soon

A statement that lists a worker holds its lease until the next one is stored. It is written early for workers that are back, and a worker takes no tasks while the end that was stated leaves less than a second: its starts were refused as late.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -298,7 +298,7 @@
 		default:
 			r.awaitReport(c.now)
 		}
-		leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, c.settings.MaxLease))
+		leaseExpiresBy = max(leaseExpiresBy, claim.LeasesExpiredBy(c.now, min(c.settings.MaxLease, claim.MaxGrantedLease)))
 	}
 	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.lastEndAcked, w.ackInFlight, w.heldEnds = 0, 0, 0, 0, nil
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -76,7 +76,7 @@
 
 // acceptsTasks reports whether tasks may be placed on a worker now.
 func (c *Cell) acceptsTasks(w *worker) bool {
-	return w.takesStarts() && !c.evacuated(w) && w.reconciled && w.clockKnown && !w.cordoned && w.failingSince == 0 &&
+	return w.takesStarts() && !c.evacuated(w) && w.reconciled && w.clockKnown && !w.cordoned && c.takesExtension(w) && w.failingSince == 0 &&
 		c.now >= w.refusingUntil && c.now-w.lastReport < c.maxPlacementReportAge()
 }
 
--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -69,17 +69,20 @@
 	for id, s := range c.stated {
 		if s.serial < serial {
 			delete(c.stated, id)
+			c.needsPlacement = true
 		}
 	}
 }
 
-// UnstatedWorkers reports whether workers with runs are out of touch that no statement lists.
-func (c *Cell) UnstatedWorkers() bool {
-	if len(c.stated) >= claim.MaxStatedWorkers {
-		return false
-	}
+// StatementOutdated reports whether the newest statement lacks workers with runs that are out of touch, or lists workers that are in
+// touch again, although the next one need not: their leases end before longest.
+func (c *Cell) StatementOutdated(longest time.Duration) bool {
 	for id, w := range c.workers {
-		if _, listed := c.stated[id]; !listed && len(w.runs) > 0 && w.leaseEnd() > c.now && c.outOfTouch(w) {
+		stated, listed := c.stated[id]
+		switch outOfTouch := c.outOfTouch(w); {
+		case listed && !outOfTouch && stated.end <= longest:
+			return true
+		case !listed && outOfTouch && len(w.runs) > 0 && w.leaseEnd() > c.now && len(c.stated) < claim.MaxStatedWorkers:
 			return true
 		}
 	}
@@ -91,6 +94,15 @@
 	return !w.tokenAccepted || w.failingSince != 0 || w.renewalInFlight && c.now > w.answerDueBy
 }
 
+// minExtension is the shortest time to the end that was stated of the lease on a worker for which it takes tasks.
+const minExtension = time.Second
+
+// takesExtension reports whether the lease on the worker lasts, or can be extended, long enough for a task to be started there.
+func (c *Cell) takesExtension(w *worker) bool {
+	stated, listed := c.stated[w.info.ID]
+	return !listed || stated.end >= c.now+minExtension
+}
+
 // extendLease extends the lease on a worker by Settings.MaxLease, but at most claim.MaxGrantedLease and as far as this owner has
 // stated, from now and returns its end, on the worker's clock. It returns 0 if it may not be extended.
 func (c *Cell) extendLease(w *worker) time.Duration {
@@ -113,9 +125,9 @@
 // inheritedLeaseEnd returns by when the leases on a worker that accepts the token now have ended, as far as former owners have
 // extended them. What they extended may have reached a later incarnation as well.
 func (c *Cell) inheritedLeaseEnd(w *worker) time.Duration {
-	end := claim.LeaseEnd(c.now, c.settings.MaxLease)
+	end := max(c.now, w.formerLeaseEnd)
 	if w.restarted {
-		return end
+		end = max(end, claim.LeaseEnd(c.now, claim.MaxGrantedLease)) // orders of this owner as well
 	}
-	return min(end, max(c.now, w.formerLeaseEnd))
+	return min(end, claim.LeaseEnd(c.now, c.settings.MaxLease))
 }
--- a/internal/cellnode/statements.go
+++ b/internal/cellnode/statements.go
@@ -13,7 +13,7 @@
 	// loading, its statements list the workers that it has not reached.
 	unloadedExtensionDelay = 500 * time.Millisecond
 	// statementInterval is the minimum time between two statements that are written before a renewal of the claim is due.
-	statementInterval = 300 * time.Millisecond
+	statementInterval = 200 * time.Millisecond
 )
 
 // leaseEnds returns the ends of leases for the cell of a new owner.
@@ -34,7 +34,7 @@
 }
 
 // statementDue reports whether the owner on this node has to write a statement before the next renewal of the claim is due: it may
-// begin to extend leases, or workers are out of touch whose leases are not stated one by one.
+// begin to extend leases, or workers have got out of touch or are back.
 func (m *membership) statementDue(now time.Duration) bool {
 	o := m.owner.Load()
 	if o == nil {
@@ -49,7 +49,7 @@
 		return o.mayExtend(now)
 	}
 	o.cell.SetTime(now, time.Now())
-	return o.loaded && o.cell.UnstatedWorkers()
+	return o.loaded && o.cell.StatementOutdated(o.longestLease(now))
 }
 
 // mayExtend reports whether the owner is ready to extend leases. The caller holds mu.
@@ -57,6 +57,11 @@
 	return o.loaded || o.cell.WorkerCount() > 0 && now >= o.claimedAt+unloadedExtensionDelay
 }
 
+// longestLease returns by when leases end that the next statement covers without listing their workers. The caller holds mu.
+func (o *owner) longestLease(now time.Duration) time.Duration {
+	return max(now+o.grants.Stated(), o.grants.Limit())
+}
+
 // nextStatement returns the statement about leases that is stored with a record of the claim which is sent now. o is the owner under
 // the claim, or nil if it has none that acts.
 func (m *membership) nextStatement(o *owner, r claim.Record, now time.Duration) claim.Statement {
@@ -75,7 +80,7 @@
 	o.cell.SetTime(now, time.Now())
 	o.statedAt = now
 	extends := !released && (o.grants.Allowed() || o.mayExtend(now))
-	listed, others := o.cell.StateLeases(o.grants.Serial()+1, now+o.grants.Stated())
+	listed, others := o.cell.StateLeases(o.grants.Serial()+1, o.longestLease(now))
 	return o.grants.Next(others, listed, extends, now)
 }
 
