--- a/internal/claim/lease_wait.go
+++ b/internal/claim/lease_wait.go
@@ -65,4 +65,4 @@
 
 // MaxGrantedLease is the longest lease that an owner grants where workers accept longer ones. What ran on a worker that is lost
 // without a sign starts elsewhere only once its lease has certainly expired.
-const MaxGrantedLease = 6400 * time.Millisecond
+const MaxGrantedLease = 6100 * time.Millisecond
--- a/internal/claim/statement_test.go
+++ b/internal/claim/statement_test.go
@@ -120,3 +120,22 @@
 		}
 	}
 }
+
+// Guards against LOST: a change of one of the terms makes a task whose worker was lost stand still for longer than docs/design/former-leases.md
+// says.
+func TestBoundOfWaitForLeases(t *testing.T) {
+	const lostAfter = 9 * time.Second
+	for _, c := range []struct{ maxLease, noticed, unnoticed, extended time.Duration }{
+		{6 * time.Second, 6380 * time.Millisecond, 6969 * time.Millisecond, 11493800 * time.Microsecond},
+		{10 * time.Second, 6483 * time.Millisecond, 6969 * time.Millisecond, 11597830 * time.Microsecond},
+	} {
+		g := NewGrants(1, c.maxLease, 0)
+		noticed := LeaseEnd(0, min(c.maxLease, MaxGrantedLease))
+		if unnoticed, extended := statedEnd(0, g.stated), statedEnd(0, g.extended); noticed != c.noticed || unnoticed != c.unnoticed || extended != c.extended {
+			t.Errorf("leases of %v: %v, %v and %v; want %v, %v and %v", c.maxLease, noticed, unnoticed, extended, c.noticed, c.unnoticed, c.extended)
+		}
+		if longest := c.unnoticed + RenewInterval + time.Second; longest >= lostAfter {
+			t.Errorf("leases of %v: %v", c.maxLease, longest)
+		}
+	}
+}
