Candidates give no consent while a claim of their own has no answer

A candidate whose claim was stored without an answer lost the store and then consented to longer leases of the former owner.

It refuses as long as a claim with a higher epoch has no answer.

--- a/internal/claim/candidacy.go
+++ b/internal/claim/candidacy.go
@@ -1,5 +1,7 @@
 package claim
 
+import "slices"
+
 // candidacy is what a process has agreed with the owners of a cell that it may follow as the next owner. An owner that cannot reach
 // the store extends leases beyond Statement.Others only with the consent of all registered candidates. So a candidate that has
 // registered and has not consented knows that the owner has not.
@@ -38,6 +40,7 @@
 const (
 	RefusalStoreReachable = "store reachable"
 	RefusalOtherOwner     = "other owner"
+	RefusalOwnClaim       = "own claim sent"
 )
 
 // Consent asks this process to let the owner under an epoch extend leases beyond what it has stated, until it sends a statement with
@@ -49,6 +52,8 @@
 		return RefusalStoreReachable
 	case v.hasLatest && v.latest.Epoch > epoch || c.consentEpoch > epoch:
 		return RefusalOtherOwner
+	case slices.ContainsFunc(v.unanswered, func(u sentRecord) bool { return u.record.Epoch > epoch }):
+		return RefusalOwnClaim // its wait for leases does not allow for the consent
 	}
 	if epoch > c.consentEpoch {
 		c.consentEpoch, c.consentSerial = epoch, 0
