Owners register no candidates while a stored statement does not cover their limit

A statement that was sent before the candidates consented, and read back after that, ended the extension although the limit that the consents allowed stayed. A candidate that registered then had not consented, and as the next owner waited for Others of that statement only, 1.7 s less than the lease on a worker lasted.

The extension lasts until a statement is stored that covers the limit.

--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -155,7 +155,8 @@
 	if s.grants {
 		g.limit = max(g.limit, s.sent+s.others)
 	}
-	g.isExtended = false
+	// A statement that was sent before the limit was raised does not cover it for candidates that register now.
+	g.isExtended = g.isExtended && g.limit > s.sent+s.others
 	clear(g.consents)
 	for id, c := range g.candidates {
 		if c.round < g.oldestRound {
