Processes do not own a cell by a late answer once another one has claimed it

The answer to a renewal that reached a process after it had read the claim of another one, as after the process was suspended, made it the owner again. Its next renewal then repeated the other owner's claim, with a statement of its own about that owner's leases: a candidate would have waited 12 s for these instead of 7.

An accepted record of an older epoch makes no owner any more.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -231,7 +231,9 @@
 func (v *View) Accepted(r Record, a store.AppendResult, sent, now time.Duration) {
 	v.applyRecord(r, a.End-1, now)
 	v.readEnd = max(v.readEnd, a.End)
-	v.accepted(r, sent)
+	if r.Epoch == v.latest.Epoch { // otherwise another process has claimed the cell since
+		v.accepted(r, sent)
+	}
 	v.dropSettled()
 	v.reachable = true
 }
