Renewals of a claim do not wait for the state of the cell

A statement about leases was composed while the state of the cell was locked. Loading a large state takes seconds on a small node, and the claim would have expired. What may be extended has a lock of its own; a statement that can't look at the workers within 100 ms lists none. Workers that another cell handed over may have a lease of its owner, so that the first answer counts as a lease of 6.4 s as before.

--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -63,7 +63,8 @@
 	lease WorkerLease
 }
 
-// LeasesStored records that the statement with a serial is stored. Leases that only earlier statements list may be extended again.
+// LeasesStored records that the newest stored statement is the one with a serial, so that the leases that this owner extends may end by
+// limit. Those that only earlier statements list may be extended again.
 func (c *Cell) LeasesStored(serial int64, limit time.Duration) {
 	c.leaseLimit = limit
 	for id, s := range c.stated {
@@ -122,12 +123,13 @@
 	return w.grantedUntil
 }
 
-// inheritedLeaseEnd returns by when the leases on a worker that accepts the token now have ended, as far as former owners have
-// extended them. What they extended may have reached a later incarnation as well.
+// earlierGrantedLease is the longest lease that owners of the former release grant.
+const earlierGrantedLease = 6400 * time.Millisecond
+
+// inheritedLeaseEnd returns by when the leases on a worker that accepts the token now have ended, as far as others than this owner have
+// extended them: former owners or, until the worker was handed over, the owner of another cell, whose leases no statement of this
+// cell covers.
 func (c *Cell) inheritedLeaseEnd(w *worker) time.Duration {
-	end := max(c.now, w.formerLeaseEnd)
-	if w.restarted {
-		end = max(end, claim.LeaseEnd(c.now, claim.MaxGrantedLease)) // orders of this owner as well
-	}
+	end := max(w.formerLeaseEnd, claim.LeaseEnd(c.now, earlierGrantedLease))
 	return min(end, claim.LeaseEnd(c.now, c.settings.MaxLease))
 }
--- a/internal/cellnode/candidates.go
+++ b/internal/cellnode/candidates.go
@@ -64,8 +64,8 @@
 	if o == nil || o.epoch != r.Epoch || r.Candidate == "" || r.Address == "" {
 		return &cellrpc.RegisterReply{}, nil
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
 	round, _ := o.grants.Register(r.Candidate, r.Address)
 	return &cellrpc.RegisterReply{Round: round}, nil
 }
@@ -121,10 +121,9 @@
 // consentsNeeded returns the candidates whose consent is missing for leases beyond the statement with a serial. extended reports whether
 // all have consented.
 func (o *owner) consentsNeeded() (missing []claim.Candidate, serial int64, extended bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
 	missing, serial = o.grants.ConsentsNeeded(boottime.Now())
-	o.cell.SetLeaseLimit(o.grants.Limit())
 	return missing, serial, o.grants.Extended()
 }
 
@@ -137,13 +136,12 @@
 	if err != nil {
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
 	switch {
 	case reply.Ended:
 		o.grants.Ended(c.ID, boottime.Now())
 	case reply.Consent:
 		o.grants.Consented(c.ID, serial, boottime.Now())
 	}
-	o.cell.SetLeaseLimit(o.grants.Limit())
 }
--- a/internal/cellnode/candidates_test.go
+++ b/internal/cellnode/candidates_test.go
@@ -36,11 +36,15 @@
 			o := owner.owner.Load()
 			d.waitForCandidates(o, 2)
 			if c.unreachable {
-				o.locked(func() { o.grants.Register("silent", "127.0.0.1:9") })
+				o.grantsMu.Lock()
+				o.grants.Register("silent", "127.0.0.1:9")
+				o.grantsMu.Unlock()
 			}
 			d.store.setDown(true)
 			down := boottime.Now()
-			<-o.done // after WorkerRenewalGrace
+			for owner.ended.Load() == nil { // until WorkerRenewalGrace is over
+				time.Sleep(10 * time.Millisecond)
+			}
 			end := owner.ended.Load().leases.Workers["a1"].End - down
 			if end < c.from || end > c.to {
 				t.Errorf("the lease on the worker ends %v after the outage began, want %v to %v", end, c.from, c.to)
@@ -53,8 +57,9 @@
 func (d *testCluster) waitForCandidates(o *owner, count int) {
 	d.t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		registered := 0
-		o.locked(func() { registered = o.grants.Candidates() })
+		o.grantsMu.Lock()
+		registered := o.grants.Candidates()
+		o.grantsMu.Unlock()
 		if registered == count {
 			return
 		}
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -68,14 +68,16 @@
 	// panicked is set when a call to a worker or the store has panicked.
 	panicked atomic.Bool
 
+	// grantsMu protects grants, which decides until when leases on workers may be extended, and statedAt, when the newest statement
+	// about them was composed. It may be locked while mu is, not the reverse.
+	grantsMu sync.Mutex
+	grants   *claim.Grants
+	statedAt time.Duration
+
 	// mu protects cell, loaded, jobsReadAt, pendingJobs and pendingAt, which queries read concurrently with runEventLoop.
 	mu     sync.Mutex
 	cell   *cell.Cell
 	loaded bool
-	// grants decides until when leases on workers may be extended, and statedAt is when the newest statement about them was composed;
-	// mu protects both.
-	grants   *claim.Grants
-	statedAt time.Duration
 	// jobsReadAt is when the latest successful read of the jobs topic returned.
 	jobsReadAt time.Duration
 	// pendingJobs are the counts of pending jobs by queue at pendingAt; nil before the first query.
@@ -116,7 +118,7 @@
 		cell:     cell.New(settings, epoch, wait.End, log, n.counts),
 		lateness: lateness{metrics: n.ownerMetrics, log: log, sched: newSchedLatency().next},
 	}
-	o.cell.SetLeaseLimit(o.grants.Limit())
+	o.applyGrants()
 	o.cell.SetFormerLeases(leaseEnds(wait))
 	return o
 }
@@ -284,8 +286,9 @@
 	now := boottime.Now()
 	o.cell.SetTime(now, time.Now())
 	o.setEvacuations()
+	extends := o.applyGrants()
 	o.cell.Tick()
-	decide := o.loaded && o.grants.Allowed() && o.member.mayDecide(o.epoch)
+	decide := o.loaded && extends && o.member.mayDecide(o.epoch)
 	o.send(ctx, o.cell.TakeOrders(decide))
 	if decide && !o.storing {
 		o.storeRound(ctx, o.cell.Plan())
--- a/internal/cellnode/statements.go
+++ b/internal/cellnode/statements.go
@@ -1,6 +1,7 @@
 package cellnode
 
 import (
+	"sync"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/boottime"
@@ -14,6 +15,10 @@
 	unloadedExtensionDelay = 500 * time.Millisecond
 	// statementInterval is the minimum time between two statements that are written before a renewal of the claim is due.
 	statementInterval = 200 * time.Millisecond
+	// maxStateWait is the longest time for which a renewal of the claim waits for the state of the cell, and lockRetryDelay the time
+	// between two attempts to get hold of it.
+	maxStateWait   = 100 * time.Millisecond
+	lockRetryDelay = 2 * time.Millisecond
 )
 
 // leaseEnds returns the ends of leases for the cell of a new owner.
@@ -37,11 +42,12 @@
 // begin to extend leases, or workers have got out of touch or are back.
 func (m *membership) statementDue(now time.Duration) bool {
 	o := m.owner.Load()
-	if o == nil {
+	if o == nil || !o.mu.TryLock() {
 		return false
 	}
-	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
 	if now < o.statedAt+statementInterval {
 		return false
 	}
@@ -57,7 +63,7 @@
 	return o.loaded || o.cell.WorkerCount() > 0 && now >= o.claimedAt+unloadedExtensionDelay
 }
 
-// longestLease returns by when leases end that the next statement covers without listing their workers. The caller holds mu.
+// longestLease returns by when leases end that the next statement covers without listing their workers. The caller holds grantsMu.
 func (o *owner) longestLease(now time.Duration) time.Duration {
 	return max(now+o.grants.Stated(), o.grants.Limit())
 }
@@ -73,30 +79,55 @@
 	return m.view.NextStatement(r.Epoch, m.view.LeaseWait(m.node.cellSettings.Load().MaxLease, now), now)
 }
 
-// nextStatement returns the owner's next statement, which is sent now. After that of a release the owner extends nothing more.
+// nextStatement returns the owner's next statement, which is sent now. After that of a release the owner extends nothing more. While
+// the state of the cell is in use for long, as when a large one is loaded, the statement lists no workers: a renewal of the claim must
+// not wait for that.
 func (o *owner) nextStatement(released bool, now time.Duration) claim.Statement {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.cell.SetTime(now, time.Now())
+	locked := tryLock(&o.mu, maxStateWait)
+	if locked {
+		defer o.mu.Unlock()
+	}
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
 	o.statedAt = now
+	if !locked {
+		return o.grants.Next(max(o.formerLeasesEnd, o.grants.Limit()), nil, !released && o.grants.Allowed(), now)
+	}
+	o.cell.SetTime(now, time.Now())
 	extends := !released && (o.grants.Allowed() || o.mayExtend(now))
 	listed, others := o.cell.StateLeases(o.grants.Serial()+1, o.longestLease(now))
 	return o.grants.Next(others, listed, extends, now)
 }
 
+// tryLock locks a mutex unless that takes longer than a time, and reports whether it has.
+func tryLock(mu *sync.Mutex, most time.Duration) bool {
+	for end := time.Now().Add(most); !mu.TryLock(); time.Sleep(lockRetryDelay) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// applyGrants passes on to the cell which leases may be extended until when, and reports whether any may. The caller holds mu.
+func (o *owner) applyGrants() (allowed bool) {
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
+	o.cell.LeasesStored(o.grants.Stored(), o.grants.Limit())
+	return o.grants.Allowed()
+}
+
 // statementStored records that the store has a statement of an owner on this node.
 func (m *membership) statementStored(s claim.Statement) {
 	o := m.owner.Load()
 	if o == nil || o.epoch != s.Epoch {
 		return
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if s.Serial <= o.grants.Stored() {
-		return
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
+	if s.Serial > o.grants.Stored() {
+		o.grants.StatementStored(s.Serial)
 	}
-	o.grants.StatementStored(s.Serial)
-	o.cell.LeasesStored(s.Serial, o.grants.Limit())
 }
 
 // confirmStatement records a statement of an owner on this node that was stored without an answer and has been read back.
