A candidate that was replaced counts until a round of registrations without it

An owner without the store took a candidate for one that has ended, and so for a consent, once another process answered at its address. The candidate may have claimed the cell before it ended: the search over the states of the protocol finds a successor that takes the runs on a worker out of reach for ended 3 s too early (TestLeasesAreNotExtendedOnceReplacedCandidateHasClaimed, which failed). Now a replaced candidate prevents an extension until a round of registrations without it is stored, which begins early. The wait of a claim is computed in one step with noting that it is sent, so that no consent comes between the two.

--- a/internal/cellnode/candidates.go
+++ b/internal/cellnode/candidates.go
@@ -72,8 +72,8 @@
 
 // Consent asks this process for its consent to leases beyond the newest statement of an owner.
 func (s candidatesServer) Consent(_ context.Context, r *cellrpc.ConsentRequest) (*cellrpc.ConsentReply, error) {
-	if r.Candidate != s.node.holder {
-		return &cellrpc.ConsentReply{Ended: true}, nil
+	if r.Candidate != s.node.holder { // it may have claimed the cell before it ended
+		return &cellrpc.ConsentReply{Refusal: refusalOtherProcess}, nil
 	}
 	m := s.node.knownMembership(int(r.Cell))
 	if m == nil || r.Epoch < 1 || r.Serial < 1 {
@@ -133,15 +133,10 @@
 	defer cancel()
 	reply, err := o.node.peers.candidatesClient(c.Address).Consent(ctx, &cellrpc.ConsentRequest{
 		Cell: int32(o.member.cell), Epoch: o.epoch, Serial: serial, Candidate: c.ID})
-	if err != nil {
+	if err != nil || !reply.Consent {
 		return
 	}
 	o.grantsMu.Lock()
 	defer o.grantsMu.Unlock()
-	switch {
-	case reply.Ended:
-		o.grants.Ended(c.ID, boottime.Now())
-	case reply.Consent:
-		o.grants.Consented(c.ID, serial, boottime.Now())
-	}
+	o.grants.Consented(c.ID, serial, boottime.Now())
 }
--- a/internal/cellnode/candidates_test.go
+++ b/internal/cellnode/candidates_test.go
@@ -87,17 +87,16 @@
 	calls = candidate.peers.candidatesClient(candidate.settings.PeerAddress)
 	for _, c := range []struct {
 		request *cellrpc.ConsentRequest
-		ended   bool
 		refusal string
 	}{
-		{&cellrpc.ConsentRequest{Epoch: o.epoch, Serial: 9, Candidate: "earlier process"}, true, ""},
-		{&cellrpc.ConsentRequest{Epoch: o.epoch, Serial: 9, Candidate: candidate.holder}, false, "store reachable"},
-		{&cellrpc.ConsentRequest{Epoch: o.epoch, Candidate: candidate.holder}, false, "unknown cell or statement"},
-		{&cellrpc.ConsentRequest{Epoch: o.epoch, Cell: 3, Serial: 9, Candidate: candidate.holder}, false, "unknown cell or statement"},
+		{&cellrpc.ConsentRequest{Epoch: o.epoch, Serial: 9, Candidate: "earlier process"}, "other process"},
+		{&cellrpc.ConsentRequest{Epoch: o.epoch, Serial: 9, Candidate: candidate.holder}, "store reachable"},
+		{&cellrpc.ConsentRequest{Epoch: o.epoch, Candidate: candidate.holder}, "unknown cell or statement"},
+		{&cellrpc.ConsentRequest{Epoch: o.epoch, Cell: 3, Serial: 9, Candidate: candidate.holder}, "unknown cell or statement"},
 	} {
 		reply, err := calls.Consent(t.Context(), c.request)
-		if err != nil || reply.Consent || reply.Ended != c.ended || reply.Refusal != c.refusal {
-			t.Errorf("%v: answered %v, %v; want ended: %v, refusal %q", c.request, reply, err, c.ended, c.refusal)
+		if err != nil || reply.Consent || reply.Refusal != c.refusal {
+			t.Errorf("%v: answered %v, %v; want the refusal %q", c.request, reply, err, c.refusal)
 		}
 	}
 }
--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -134,7 +134,6 @@
 	latest, _ := m.view.Latest()
 	nextClaim := m.view.NextClaim(m.node.settings.Node, m.node.settings.PeerAddress)
 	nextDetails := m.view.NextDetails()
-	wait := m.view.LeaseWait(m.node.cellSettings.Load().MaxLease, now)
 	end := m.view.End()
 	confirmed := m.takeConfirmedClaim(now)
 	m.mu.Unlock()
@@ -147,18 +146,18 @@
 	}
 	switch {
 	case renewalDue:
-		m.writeClaim(ctx, m.owner.Load(), latest, nil, end)
+		m.writeClaim(ctx, claimWrite{owner: m.owner.Load(), record: latest, end: end})
 	case shouldRelease:
 		latest.Released = true
-		if m.writeClaim(ctx, nil, latest, nil, end) {
+		if m.writeClaim(ctx, claimWrite{record: latest, end: end}) {
 			m.log.Info("ended claim released", zap.Int64("epoch", latest.Epoch), zap.Int64("capacity", m.node.settings.Capacity))
 		}
 	case shouldClaim && m.node.config.Get() != nil:
-		sent := sentClaim{record: nextClaim, former: latest, wait: wait}
-		m.sentClaim = &sent
-		if m.writeClaim(ctx, nil, nextClaim, &nextDetails, end) {
+		sent := &sentClaim{record: nextClaim, former: latest}
+		m.sentClaim = sent
+		if m.writeClaim(ctx, claimWrite{record: nextClaim, details: &nextDetails, end: end, wait: &sent.wait}) {
 			m.sentClaim = nil
-			m.startOwner(ownerCtx, sent)
+			m.startOwner(ownerCtx, *sent)
 		}
 	case shouldRequest && m.node.ready():
 		m.requestCell(ctx, nextRequest, latest.Node, end)
@@ -194,18 +193,36 @@
 	return c
 }
 
-// writeClaim appends a claim, a renewal or a release, with its details unless they are nil, and reports whether it was
-// accepted. o is the owner under that claim, or nil if it has none that acts. end is the end of the topic up to which the records had
-// been read from which r was derived.
-func (m *membership) writeClaim(ctx context.Context, o *owner, r claim.Record, details *claim.Details, end store.Offset) bool {
+// claimWrite is a claim, a renewal or a release that is to be written.
+type claimWrite struct {
+	record claim.Record
+	// owner is the owner under the claim, or nil if it has none that acts.
+	owner   *owner
+	details *claim.Details // nil: unchanged
+	// end is the end of the topic up to which the records had been read from which record was derived.
+	end store.Offset
+	// wait is set to how long to wait for leases that previous owners extended, unless it is nil.
+	wait *claim.LeaseWait
+}
+
+// writeClaim appends a claim, a renewal or a release and reports whether it was accepted.
+func (m *membership) writeClaim(ctx context.Context, w claimWrite) bool {
 	var entries []claimEntry
-	if details != nil {
-		entries = append(entries, claimEntry{claim.DetailsKey, details})
+	if w.details != nil {
+		entries = append(entries, claimEntry{claim.DetailsKey, w.details})
 	}
-	sent := boottime.Now()
-	statement := m.nextStatement(o, r, sent)
-	entries = append(entries, claimEntry{claim.StatementKey, &statement}, claimEntry{claim.Key, &r})
+	r, details, end, sent := w.record, w.details, w.end, boottime.Now()
+	statement, composed := w.owner.statementFor(r, sent)
 	m.mu.Lock()
+	if !composed {
+		// In one step with Sent: what this process consents to later has to be part of the wait.
+		wait := m.view.LeaseWait(m.node.cellSettings.Load().MaxLease, sent)
+		statement = m.view.NextStatement(r.Epoch, wait, sent)
+		if w.wait != nil {
+			*w.wait = wait
+		}
+	}
+	entries = append(entries, claimEntry{claim.StatementKey, &statement}, claimEntry{claim.Key, &r})
 	former, formerNeeded := m.view.NextFormerRenewals(r.Epoch, sent)
 	if formerNeeded {
 		entries = append([]claimEntry{{claim.FormerRenewalsKey, &former}}, entries...)
--- a/internal/cellnode/servers.go
+++ b/internal/cellnode/servers.go
@@ -170,7 +170,7 @@
 			return
 		}
 		latest.Released = true
-		if m.writeClaim(handOverCtx, o, latest, &details, end) {
+		if m.writeClaim(handOverCtx, claimWrite{owner: o, record: latest, details: &details, end: end}) {
 			m.log.Info("cell handed over", zap.Int64("epoch", o.epoch), zap.String("successor", successor))
 			return
 		}
--- a/internal/cellnode/statements.go
+++ b/internal/cellnode/statements.go
@@ -68,15 +68,13 @@
 	return max(now+o.grants.Stated(), o.grants.Limit())
 }
 
-// nextStatement returns the statement about leases that is stored with a record of the claim which is sent now. o is the owner under
-// the claim, or nil if it has none that acts.
-func (m *membership) nextStatement(o *owner, r claim.Record, now time.Duration) claim.Statement {
-	if o != nil && o.epoch == r.Epoch && !o.panicked.Load() {
-		return o.nextStatement(r.Released, now)
+// statementFor returns the statement about leases that is stored with a record of the claim which is sent now. composed is false if the
+// owner does not act under that claim.
+func (o *owner) statementFor(r claim.Record, now time.Duration) (s claim.Statement, composed bool) {
+	if o == nil || o.epoch != r.Epoch || o.panicked.Load() {
+		return claim.Statement{}, false
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.view.NextStatement(r.Epoch, m.view.LeaseWait(m.node.cellSettings.Load().MaxLease, now), now)
+	return o.nextStatement(r.Released, now), true
 }
 
 // nextStatement returns the owner's next statement, which is sent now. After that of a release the owner extends nothing more. While
--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -52,6 +52,7 @@
 	// round is the round of registrations since roundSince, and oldestRound the oldest one that counts.
 	round, oldestRound int64
 	roundSince         time.Duration
+	isReplaced         bool                 // a candidate that counts was replaced
 	candidates         map[string]Candidate // by ID
 	// consents are the candidates that have consented to leases beyond the newest statement. isExtended is set
 	// once all have, until the next statement is stored.
@@ -129,8 +130,8 @@
 
 // beginRound begins a new round of registrations if it is time.
 func (g *Grants) beginRound(now time.Duration) {
-	if now >= g.roundSince+registrationPeriod {
-		g.round, g.roundSince = g.round+1, now
+	if now >= g.roundSince+registrationPeriod || g.isReplaced && now >= g.roundSince+registrationTime {
+		g.round, g.roundSince, g.isReplaced = g.round+1, now, false
 	}
 }
 
@@ -168,21 +169,19 @@
 // Candidates returns the number of registered candidates.
 func (g *Grants) Candidates() int { return len(g.candidates) }
 
-// Register registers a candidate and returns the round; ok is false if it cannot be registered now.
+// Register registers a candidate and returns the round; ok is false if it cannot be registered now. A candidate that it replaces, at the
+// same address, counts until a round without it: it may have claimed the cell before it ended.
 func (g *Grants) Register(id, address string) (round int64, ok bool) {
 	if _, known := g.candidates[id]; g.isExtended || !known && len(g.candidates) >= maxCandidates {
 		return 0, false
 	}
 	g.candidates[id] = Candidate{ID: id, Address: address, round: g.round}
+	for other, c := range g.candidates {
+		g.isReplaced = g.isReplaced || other != id && c.Address == address
+	}
 	return g.round, true
 }
 
-// Ended removes a candidate whose process has certainly ended.
-func (g *Grants) Ended(id string, now time.Duration) {
-	delete(g.candidates, id)
-	g.extend(now)
-}
-
 // ConsentsNeeded returns the candidates whose consent is missing for leases beyond the newest statement, and its serial. There are
 // none while statements are stored in time, or before the owner may extend leases at all.
 func (g *Grants) ConsentsNeeded(now time.Duration) (missing []Candidate, serial int64) {
--- a/internal/claim/lease_model_test.go
+++ b/internal/claim/lease_model_test.go
@@ -310,9 +310,7 @@
 	for _, c := range missing {
 		q := &m.processes[c.ID[0]-'a']
 		switch {
-		case !q.running():
-		case q.view.holder != c.ID:
-			g.Ended(c.ID, now)
+		case !q.running(), q.view.holder != c.ID:
 		case m.consents(q, p.owner.epoch, serial):
 			if late {
 				p.consent = modelConsent{c.ID, serial, m.tick + 2}
