A run whose start may not extend the lease is given up

A lease on a worker had lapsed while a run there was only placed. If its start order must not extend the lease, because no statement allows it, the lease did not count as running again, so that the run was never given up if the worker stayed silent. Such a start marks the lease as running too; it has ended, so the run is given up at the next step.

TestLeaseThatLapsesBesidePlacedRunExpiresAgain has the case and failed before.

--- a/internal/cell/lost_worker_test.go
+++ b/internal/cell/lost_worker_test.go
@@ -74,8 +74,14 @@
 }
 
 // Guards against LOST: the lease of a worker lapses while one run is started and another is only placed. The start order
-// of the second run extends the lease, the worker is gone, and the second run stayed for ever.
+// of the second run extends the lease or, with limited set, must not extend it; the worker is gone, and the second run stayed for ever.
 func TestLeaseThatLapsesBesidePlacedRunExpiresAgain(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		testLeaseThatLapsesBesidePlacedRun(t, limited)
+	}
+}
+
+func testLeaseThatLapsesBesidePlacedRun(t *testing.T, limited bool) {
 	sim := newSimulation(14, 1)
 	c := sim.takeOver().cell
 	sim.run(12 * time.Second)
@@ -88,6 +94,10 @@
 	sim.runDueEvents()
 	c.SetTime(sim.now, sim.wall())
 	round := c.Plan()
+	c.SetLeaseLimit(noLeaseLimit)
+	if limited {
+		c.SetLeaseLimit(sim.now)
+	}
 	silence := func(d time.Duration) {
 		for end := sim.now + d; sim.now < end; {
 			sim.now += simTick
@@ -104,7 +114,7 @@
 	}
 	silence(time.Minute)
 	if runs := len(c.workers["w0"].runs); runs > 0 {
-		t.Errorf("%d runs on a worker that has been silent for a minute, want 0", runs)
+		t.Errorf("limited %v: %d runs on a worker that has been silent for a minute, want 0", limited, runs)
 	}
 }
 
--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -102,10 +102,12 @@
 	if limit < noLeaseLimit {
 		until = min(until, w.clock+claim.LongestLease(w.clockAt, limit))
 	}
+	w.leaseExpired = false // the order may be a start, whose run has to be given up if the worker stays silent
 	if until <= w.clockNow(c.now) && w.grantedUntil <= w.clockNow(c.now) {
+		w.touch()
 		return 0
 	}
-	w.grantedUntil, w.leaseExpired = max(w.grantedUntil, until), false
+	w.grantedUntil = max(w.grantedUntil, until)
 	w.updateLeaseExpiry()
 	return w.grantedUntil
 }
