Simulated owners state leases

The simulation of internal/cell did not know the statements about leases: its owners extended leases without a limit, and their successors waited for all of them.

Simulated owners now renew their claim with a statement, as package cellnode does, and decide once one allows leases. Appends and answers are lost and delayed by a random source of their own. Successors derive their wait from a view of the stored claims, as a registered candidate, one that has consented, or an unregistered one; it is never longer than before.

One case of TestFailuresWithTwoRuns needs a run that does not end by itself meanwhile: owners begin to decide 10 ms later than before, and it ended within that time.

--- a/internal/cell/audit_test.go
+++ b/internal/cell/audit_test.go
@@ -15,7 +15,7 @@
 // checkNextSteps checks that each task of an owner that may decide has a next step, and that its audit has found nothing
 // unless the test has changed an index.
 func (sim *simulation) checkNextSteps(o *simOwner) {
-	if !o.loaded || sim.now >= o.decidesUntil || sim.correctionsExpected || len(sim.nextStepViolations) > 0 {
+	if !sim.mayDecide(o) || sim.correctionsExpected || len(sim.nextStepViolations) > 0 {
 		return
 	}
 	reported := len(sim.violations)
--- a/internal/cell/cells_manage_test.go
+++ b/internal/cell/cells_manage_test.go
@@ -11,7 +11,7 @@
 // mayManage reports whether the owner of a cell may hand workers and tasks over now.
 func (sim *simulation) mayManage(home *simCell) bool {
 	o := home.owner
-	return !o.ended && !o.suspended && o.loaded && sim.now < o.decidesUntil && len(o.detached) == 0
+	return !o.ended && !o.suspended && sim.holdsClaim(o) && len(o.detached) == 0
 }
 
 // loads returns what the owners of all cells say about them.
--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -66,7 +66,7 @@
 // handOver hands a worker over, as package cellnode does, if it is idle. It returns false if it is not.
 func (sim *simulation) handOver(home *simCell, id string, to int, step handOverStep) bool {
 	o := home.owner
-	if o.ended || o.suspended || !o.loaded || sim.now >= o.decidesUntil || o.detached[id] || !o.cell.Idle([]string{id}) {
+	if o.ended || o.suspended || !sim.holdsClaim(o) || o.detached[id] || !o.cell.Idle([]string{id}) {
 		return false
 	}
 	o.cell.Detach([]string{id})
--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -55,7 +55,7 @@
 // depart hands over what a cell that is not active gives away, as package cellnode does, and returns the number of workers.
 func (sim *simulation) depart(home *simCell) (workers int) {
 	o := home.owner
-	if o.ended || o.suspended || !o.loaded || sim.now >= o.decidesUntil || len(o.detached) > 0 || o.table.Plan().Cells[home.number].Active {
+	if o.ended || o.suspended || !sim.holdsClaim(o) || len(o.detached) > 0 || o.table.Plan().Cells[home.number].Active {
 		return 0
 	}
 	departures, table := o.cell.Departures(o.table, home.isLent), o.table
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -97,6 +97,7 @@
 	nextStepViolations []string
 	// leaseAnswers is how former owners answer their successors about leases.
 	leaseAnswers simLeaseAnswers
+	claims       simClaims
 }
 
 // simCell is what the store and the owners know of one cell.
@@ -107,6 +108,8 @@
 	owner        *simOwner
 	formerOwners []*simOwner
 	loans        map[string]simLoan // by worker
+	claimLog     []store.Record     // of the claims on the cell
+	candidates   []*simCandidate
 }
 
 // workerList is what the store listed as workers at one time.
@@ -168,13 +171,20 @@
 	ended        bool
 	processor    simProcessor
 	evacuations  simTopicReader
+	grants       *claim.Grants
+	claimedAt    time.Duration
+	renewedAt    time.Duration // when the latest stored claim or renewal was sent
+	statedAt     time.Duration // when the newest statement was composed
+	cutFromStore bool          // no call to the store succeeds
+	statingUntil time.Duration // until when the answer of the store to it is awaited
+	nextConsents time.Duration // when candidates are asked for their consent next
 }
 
 // newSimulation returns a simulation with the given number of workers, each of 4 cores, and without an owner.
 // Simulations with the same seed make the same random choices.
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(seed, 7)), leaseAnswers: newSimLeaseAnswers(seed), table: cellmap.NewTable(), workers: make(map[string]*simWorker),
+		random: rand.New(rand.NewPCG(seed, 7)), leaseAnswers: newSimLeaseAnswers(seed), claims: newSimClaims(seed), table: cellmap.NewTable(), workers: make(map[string]*simWorker),
 		specs: make(map[jobs.ID]jobs.Spec), done: make(map[jobs.TaskID]bool), ackedDone: make(map[jobs.TaskID]bool),
 		ackedFailures: make(map[jobs.TaskID]int), startCounts: make(map[jobs.TaskID]int), taskRunTime: 800 * time.Millisecond,
 		now: time.Hour, appendTime: 10 * time.Millisecond, statusRetention: time.Hour, maxAttempts: 3,
@@ -190,7 +200,7 @@
 }
 
 func (sim *simulation) addCell() *simCell {
-	cell := &simCell{number: len(sim.cells), records: make(map[string]store.Record), loans: make(map[string]simLoan)}
+	cell := &simCell{number: len(sim.cells), records: make(map[string]store.Record), loans: make(map[string]simLoan), candidates: newSimCandidates()}
 	sim.cells = append(sim.cells, cell)
 	return cell
 }
@@ -235,10 +245,16 @@
 		home.formerOwners = append(home.formerOwners, former)
 	}
 	home.epoch++
-	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour}
+	successor := sim.drawSuccessor(home)
+	wait := sim.leaseWait(successor)
+	sim.storeClaim(home, successor.view.NextStatement(home.epoch, wait, sim.now))
+	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour,
+		grants: claim.NewGrants(home.epoch, maxLease, sim.now), claimedAt: sim.now, renewedAt: sim.now}
 	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second,
 		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound), RemoteRackFactor: sim.remoteRackFactor},
-		o.token, claim.LeasesExpiredBy(sim.now+claim.WorkerRenewalGrace-claim.LeaseDuration, maxLease), zap.NewNop(), NewMetrics(metrics.NewSet()))
+		o.token, wait.End, zap.NewNop(), NewMetrics(metrics.NewSet()))
+	o.cell.SetLeaseLimit(o.grants.Limit())
+	o.cell.SetFormerLeases(formerLeases(wait))
 	o.cell.SetTime(sim.now, sim.wall())
 	sim.readEvacuations(o)
 	o.cell.SetConfig(sim.config)
@@ -406,8 +422,10 @@
 			worker.tick()
 		}
 		for _, home := range sim.cells {
+			sim.followClaims(home)
 			for _, o := range append(append([]*simOwner(nil), home.formerOwners...), home.owner) {
 				if o != nil && !o.suspended && !o.ended {
+					sim.keepClaim(o)
 					sim.scheduleOwner(o)
 					sim.checkNextSteps(o)
 				}
@@ -436,14 +454,14 @@
 
 // runOwner runs one iteration of an owner's loop, as package cellnode does.
 func (sim *simulation) runOwner(o *simOwner) {
-	if sim.now >= o.renewsUntil {
+	if sim.now >= min(o.renewsUntil, o.renewedAt+claim.WorkerRenewalGrace) {
 		o.ended = true
 		return
 	}
 	o.cell.SetTime(sim.now, sim.wall())
 	o.cell.ObserveDelay(o.processor.loopDelay)
 	sim.readEvacuations(o)
-	if o == o.home.owner && len(o.detached) == 0 { // the list is not read while a hand-over is being stored
+	if o == o.home.owner && len(o.detached) == 0 && sim.storeServes(o) { // the list is not read while a hand-over is being stored
 		o.cell.SetCell(o.home.number, len(sim.table.Plan().Cells))
 		o.cell.SetActive(o.table.Plan().Cells[o.home.number].Active)
 		if o.tasksSetFrom != o.table {
@@ -453,7 +471,7 @@
 		o.cell.SetWorkers(sim.workersOf(o))
 	}
 	o.cell.Tick()
-	decide := o.loaded && sim.now < o.decidesUntil
+	decide := sim.mayDecide(o)
 	orders := o.cell.TakeOrders(decide)
 	for _, order := range orders.Renewals {
 		if sim.processorCost > 0 {
@@ -481,7 +499,7 @@
 	if decide && !o.storing {
 		sim.storeRound(o)
 	}
-	if decide {
+	if decide && sim.storeServes(o) {
 		sim.deleteExpired(o)
 	}
 }
@@ -500,7 +518,12 @@
 		return
 	}
 	o.storing = true
-	sim.schedule(sim.appendTime, func() {
+	var stored func()
+	stored = func() {
+		if !sim.storeServes(o) {
+			sim.schedule(simTick, stored)
+			return
+		}
 		o.storing = false
 		if o.token < o.home.epoch {
 			o.ended = true
@@ -517,12 +540,13 @@
 			return
 		}
 		o.cell.SetTime(sim.now, sim.wall())
-		if sim.now < o.decidesUntil {
+		if sim.mayDecide(o) {
 			sim.sendStarts(o, o.cell.RoundStored(round))
 		} else {
 			o.cell.PostponeStarts(round)
 		}
-	})
+	}
+	sim.schedule(sim.appendTime, stored)
 }
 
 func (sim *simulation) sendStarts(o *simOwner, starts []StartOrder) {
--- a/internal/cell/stragglers_test.go
+++ b/internal/cell/stragglers_test.go
@@ -342,6 +342,7 @@
 			So(sim.startCounts[task], ShouldEqual, 2)
 		})
 		Convey("a new owner knows both runs, starts no third, and stops the other when one succeeds", func() {
+			second.running[task].endsAt = sim.now + time.Minute // not by itself before the new owner knows it
 			sim.owner.ended = true
 			sim.takeOver()
 			sim.run(500 * time.Millisecond)
