Statements list ended leases before the state is loaded

An owner that has not loaded the state does not know which workers have runs. Once the lease on a worker that it could not reach had ended, its statements no longer listed the worker, and counted it among those whose leases it may extend.

--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -24,20 +24,21 @@
 
 // StateLeases returns what the statement with a serial, which is sent now, says of leases: those on workers that are out of touch or
 // last beyond longest, and when all others have ended as far as this owner and those before it have extended them. Workers that
-// cannot be listed count among the others. From now on the leases that are listed are not extended, see LeasesStored.
+// cannot be listed count among the others. From now on the leases that are listed are not extended, see LeasesStored. Before the
+// state is loaded, which may have runs on any worker, leases that have ended are listed as well.
 func (c *Cell) StateLeases(serial int64, longest time.Duration) (listed []claim.StatedLease, others time.Duration) {
 	others = min(c.formerLeasesEnd, c.formerLeases.Others)
 	var ends []endOfLease
 	for id, w := range c.workers {
 		end := w.leaseEnd()
-		if end > c.now && (end > longest || c.outOfTouch(w) && (len(w.runs) > 0 || !c.loaded)) {
+		if end > longest || c.outOfTouch(w) && (!c.loaded || len(w.runs) > 0 && end > c.now) {
 			ends = append(ends, endOfLease{id, WorkerLease{StartedAtMS: w.info.StartedAtMS, End: end}})
 		} else {
 			others = max(others, end)
 		}
 	}
 	for id, lease := range c.formerLeases.Workers {
-		if c.workers[id] == nil && lease.End > c.now {
+		if c.workers[id] == nil && (!c.loaded || lease.End > c.now) {
 			ends = append(ends, endOfLease{id, lease})
 		}
 	}
@@ -51,7 +52,7 @@
 			others = max(others, e.lease.End)
 			continue
 		}
-		listed = append(listed, claim.StatedLease{Worker: e.id, StartedAtMS: e.lease.StartedAtMS, Remaining: e.lease.End - c.now})
+		listed = append(listed, claim.StatedLease{Worker: e.id, StartedAtMS: e.lease.StartedAtMS, Remaining: max(0, e.lease.End-c.now)})
 		c.stated[e.id] = statedLease{serial: serial, end: e.lease.End}
 	}
 	return listed, others
