An owner counts the lease that another cell's owner has extended

The owner of a cell to which a worker is handed over took the leases of former owners of its own cell for all that the worker may have, and these have ended long ago. The owner of the other cell may have extended the lease until shortly before. Where its own leases are short, because no statement could be stored for a while, it could start elsewhere what still runs.

The lease counts in full at the first report of a worker with an assignment to the cell.

--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -117,8 +117,11 @@
 // extended them. What they extended may have reached a later incarnation as well.
 func (c *Cell) inheritedLeaseEnd(w *worker) time.Duration {
 	end := claim.LeaseEnd(c.now, c.settings.MaxLease)
-	if w.restarted {
+	switch {
+	case w.restarted:
 		return end
+	case w.info.Assignment > 0: // the owner of another cell may have extended the lease before it handed the worker over
+		return claim.LeaseEnd(c.now, min(c.settings.MaxLease, claim.MaxGrantedLease))
 	}
 	return min(end, max(c.now, w.formerLeaseEnd))
 }
--- a/internal/cell/stated_leases_test.go
+++ b/internal/cell/stated_leases_test.go
@@ -250,6 +250,24 @@
 	}
 }
 
+// Guards against TWICE: the owner of the cell to which a worker is handed over does not know of the lease that the owner of the other
+// cell has extended, and takes what runs there for ended too early.
+func TestLeaseOfOtherCellIsKnownAfterHandOver(t *testing.T) {
+	sim := newCellsSimulation(5, 2, 4)
+	sim.run(12 * time.Second)
+	sim.submitTo(1, "j", testSpec(8))
+	sim.run(300 * time.Millisecond)
+	s, to := sim.workers["w1"], sim.cells[0].owner
+	for len(s.running) > 0 || !sim.handOver(sim.cells[1], s.info.ID, 0, handOverCompletes) {
+		sim.run(simTick)
+	}
+	to.table = sim.table
+	sim.runUntil(func() bool { w := to.cell.workers[s.info.ID]; return w != nil && w.tokenAccepted })
+	if end, known := sim.now+s.leaseEnd-s.clock(), to.cell.workers[s.info.ID].leaseEnd(); known < end {
+		t.Errorf("the lease ends in %v, the owner expects it in %v", end-sim.now, known-sim.now)
+	}
+}
+
 // Guards against TWICE: a statement lists so many workers that there is no room for some, whose leases the next owner does not wait for.
 func TestLeasesThatCannotBeListedCountAmongOthers(t *testing.T) {
 	const now = time.Hour
