--- a/internal/cellnode/candidates_test.go
+++ b/internal/cellnode/candidates_test.go
@@ -40,6 +40,12 @@
 				o.grants.Register("silent", "127.0.0.1:9")
 				o.grantsMu.Unlock()
 			}
+			for extended := false; !extended; time.Sleep(20 * time.Millisecond) {
+				owner.mu.Lock()
+				s, _ := owner.view.Statement()
+				owner.mu.Unlock()
+				extended = s.Extended > s.Others
+			}
 			d.store.setDown(true)
 			down := boottime.Now()
 			for owner.ended.Load() == nil { // until WorkerRenewalGrace is over
@@ -100,3 +106,19 @@
 		}
 	}
 }
+
+// Guards against a cell whose tasks stand still after an outage of the store: its owner gave the cell up after 5 s, and the next one
+// loaded the state and waited for leases, although nobody else had claimed the cell.
+func TestOwnerOutlivesOutageOfStore(t *testing.T) {
+	t.Parallel()
+	d := newTestCluster(t, 3)
+	before := d.nodes[d.waitForOwner()].node.membership(0).owner.Load()
+	d.store.setDown(true)
+	time.Sleep(8 * time.Second)
+	d.store.setDown(false)
+	if after := d.nodes[d.waitForOwner()].node.membership(0).owner.Load(); after != before {
+		t.Errorf("the cell was claimed under epoch %d, want the owner under epoch %d", after.epoch, before.epoch)
+	}
+	d.requestUntil(3*time.Second, 0, http.MethodPost, "/q/"+testIDPrefix+"33", "spec", http.StatusOK, "")
+	d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+testIDPrefix+"33", "", http.StatusOK, "completed")
+}
--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -45,9 +45,12 @@
 	// limit is the time by which leases may end on workers that the newest statement does not list; 0 until one is stored that
 	// allows any.
 	limit time.Duration
-	// serial is that of the newest statement, and stored and storedSent that of the newest stored one and when it was sent.
-	serial, stored int64
-	storedSent     time.Duration
+	// serial is that of the newest statement, and stored that of the newest stored one. That one was sent at storedSent and allows leases
+	// that end storedExtended later with the consent of all candidates.
+	serial, stored             int64
+	storedSent, storedExtended time.Duration
+	// allowedSince is when the first statement was sent that allows the owner to extend leases, once it is stored.
+	allowedSince time.Duration
 	unanswered     []sentStatement
 	// round is the round of registrations since roundSince, and oldestRound the oldest one that counts.
 	round, oldestRound int64
@@ -69,7 +72,8 @@
 // sentStatement is a statement whose outcome is not known, and when it was sent.
 type sentStatement struct {
 	serial, oldestRound int64
-	sent, others        time.Duration
+	sent                time.Duration
+	others, extended    time.Duration
 	grants              bool
 }
 
@@ -116,12 +120,14 @@
 	}
 	if extends {
 		s.Others = max(s.Others, g.stated, g.limit-now)
-		s.Extended = max(s.Others, g.extended)
+		if s.Extended = s.Others; g.Allowed() && now >= g.allowedSince+registrationTime { // candidates have had the time to register
+			s.Extended = max(s.Others, g.extended)
+		}
 		s.Round, s.OldestRound = g.round, g.countedRound(now)
 	} else {
 		s.Extended = s.Others
 	}
-	g.unanswered = append(g.unanswered, sentStatement{serial: s.Serial, oldestRound: s.OldestRound, sent: now, others: s.Others, grants: extends})
+	g.unanswered = append(g.unanswered, sentStatement{serial: s.Serial, oldestRound: s.OldestRound, sent: now, others: s.Others, extended: s.Extended, grants: extends})
 	if !g.isExtended {
 		clear(g.consents) // they do not hold beyond this statement
 	}
@@ -152,8 +158,11 @@
 	}
 	s := g.unanswered[i]
 	g.unanswered = g.unanswered[i+1:]
-	g.stored, g.storedSent, g.oldestRound = serial, s.sent, s.oldestRound
+	g.stored, g.storedSent, g.storedExtended, g.oldestRound = serial, s.sent, s.extended, s.oldestRound
 	if s.grants {
+		if !g.Allowed() {
+			g.allowedSince = s.sent
+		}
 		g.limit = max(g.limit, s.sent+s.others)
 	}
 	// A statement that was sent before the limit was raised does not cover it for candidates that register now.
@@ -217,5 +226,5 @@
 		}
 	}
 	g.isExtended = true
-	g.limit = max(g.limit, g.storedSent+g.extended)
+	g.limit = max(g.limit, g.storedSent+g.storedExtended)
 }
--- a/internal/claim/statement_test.go
+++ b/internal/claim/statement_test.go
@@ -111,12 +111,16 @@
 func TestWaitOfEarlierBuildCoversWhatIsStated(t *testing.T) {
 	for _, maxLease := range []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second} {
 		g := NewGrants(4, maxLease, 0)
-		s := g.Next(0, nil, true, 0)
-		g.StatementStored(s.Serial)
-		g.extend(ConsentAfter)
-		limit := g.Limit() + g.Limit()*statedClockErrorPercent/100
-		if earlier := LeasesExpiredBy(WorkerRenewalGrace, maxLease); limit > earlier || s.Extended < g.Limit() {
-			t.Errorf("leases of at most %v may end at %v, after %v", maxLease, limit, earlier)
+		var s Statement
+		var sent time.Duration
+		for _, sent = range []time.Duration{0, registrationTime} {
+			s = g.Next(0, nil, true, sent)
+			g.StatementStored(s.Serial)
+		}
+		g.extend(sent + ConsentAfter)
+		extended := g.Limit() - sent
+		if earlier := LeasesExpiredBy(WorkerRenewalGrace, maxLease); statedEnd(0, extended) > earlier || s.Extended != extended || extended != g.extended {
+			t.Errorf("leases of at most %v may end after %v, the statement says %v; an earlier build waits for %v", maxLease, extended, s.Extended, earlier)
 		}
 	}
 }
