Owners go on after an outage of the store; findings of a review of stated leases

An owner that could not reach the store gave the cell up after 5 s. After an outage of 5.6 s all five owners of a deployment claimed anew, loaded their state for a second and waited for leases, though no other node had claimed.

From the review: the end to which the lease on a listed worker is held never grows by a later statement; tasks are placed on a worker of another cell only once what is stored covers its lease; the serials of statements go on from those under the same claim; statements that are certainly not stored do not void consents; the clock of the cell is read under its lock.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -209,7 +209,7 @@
 // addWorker adds a worker that has an entry in the store or to which a stored run refers. Until the worker reports, its
 // lease is assumed to last for as long as former owners may have extended it.
 func (c *Cell) addWorker(info workercall.Worker) *worker {
-	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run), due: dueState{queue: &c.due}}
+	w := &worker{info: info, listed: true, runs: make(map[workercall.Run]*run), due: dueState{queue: &c.due}, handedOver: c.loaded && info.Assignment > 0}
 	w.touch()
 	w.setCold(c.now + info.ColdLeft)
 	w.formerLeaseEnd, w.failureRate = c.formerLeaseEnd(info.ID, info.StartedAtMS), c.health.FailureRate(info.ID)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -249,7 +249,7 @@
 	wait := sim.leaseWait(successor)
 	sim.storeClaim(home, successor.view.NextStatement(home.epoch, wait, sim.now))
 	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour,
-		grants: claim.NewGrants(home.epoch, maxLease, sim.now), claimedAt: sim.now, renewedAt: sim.now}
+		grants: claim.NewGrants(home.epoch, 1, maxLease, sim.now), claimedAt: sim.now, renewedAt: sim.now}
 	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second,
 		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound), RemoteRackFactor: sim.remoteRackFactor},
 		o.token, wait.End, zap.NewNop(), NewMetrics(metrics.NewSet()))
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -257,6 +257,8 @@
 	grantedUntil time.Duration
 	// inheritedEnd is when the leases have ended that former owners may have extended until the worker accepted the token.
 	inheritedEnd time.Duration
+	// handedOver is set if the worker came to the cell under this owner and may have been in another one before.
+	handedOver bool
 	// leaseExpiresBy is the latest local time at which the worker's lease has expired and its tasks have stopped.
 	leaseExpiresBy time.Duration
 	// formerLeaseEnd is when the lease has ended by what former owners may have extended. restarted is set once a restart of the
--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -53,7 +53,11 @@
 			continue
 		}
 		listed = append(listed, claim.StatedLease{Worker: e.id, StartedAtMS: e.lease.StartedAtMS, Remaining: max(0, e.lease.End-c.now)})
-		c.stated[e.id] = statedLease{serial: serial, end: e.lease.End}
+		end := e.lease.End
+		if s, stated := c.stated[e.id]; stated {
+			end = min(end, s.end) // the earlier statement may be the newest stored one
+		}
+		c.stated[e.id] = statedLease{serial: serial, end: end}
 	}
 	return listed, others
 }
@@ -99,8 +103,12 @@
 // minExtension is the shortest time to the end that was stated of the lease on a worker for which it takes tasks.
 const minExtension = time.Second
 
-// takesExtension reports whether the lease on the worker lasts, or can be extended, long enough for a task to be started there.
+// takesExtension reports whether the lease on the worker lasts, or can be extended, long enough for a task to be started there, and
+// whether what is stored covers the lease that it brought from another cell.
 func (c *Cell) takesExtension(w *worker) bool {
+	if w.handedOver && w.inheritedEnd > c.leaseLimit {
+		return false
+	}
 	stated, listed := c.stated[w.info.ID]
 	return !listed || stated.end >= c.now+minExtension
 }
--- a/internal/cellnode/election.go
+++ b/internal/cellnode/election.go
@@ -124,7 +124,7 @@
 // claimOnce writes the claim, renewal, release or request that is due now, if any, and answers a request.
 func (m *membership) claimOnce(ctx, ownerCtx context.Context) {
 	now := boottime.Now()
-	statementDue := m.statementDue(now)
+	statementDue := m.statementDue()
 	m.mu.Lock()
 	m.adjustCandidacy()
 	renewalDue, shouldRelease, shouldClaim := m.view.RenewalDue(now) || statementDue && m.view.Owns(), m.view.ShouldRelease(), now >= m.restUntil && m.view.ShouldClaim(now)
@@ -211,8 +211,9 @@
 	if w.details != nil {
 		entries = append(entries, claimEntry{claim.DetailsKey, w.details})
 	}
-	r, details, end, sent := w.record, w.details, w.end, boottime.Now()
-	statement, composed := w.owner.statementFor(r, sent)
+	r, details, end := w.record, w.details, w.end
+	statement, composed := w.owner.statementFor(r)
+	sent := boottime.Now()
 	m.mu.Lock()
 	if !composed {
 		// In one step with Sent: what this process consents to later has to be part of the wait.
@@ -229,8 +230,11 @@
 	}
 	m.view.Sent(r, end+store.Offset(len(entries)-1), sent)
 	m.mu.Unlock()
-	appended, ok := m.appendToClaims(ctx, entries, r.Epoch, end)
-	if !ok {
+	appended, result := m.appendToClaims(ctx, entries, r.Epoch, end)
+	if result != verdict.Ran {
+		if result == verdict.NotRun {
+			m.statementNotStored(statement)
+		}
 		return false
 	}
 	m.mu.Lock()
@@ -253,14 +257,15 @@
 	value any
 }
 
-// appendToClaims appends entries to the claim topic if it still ends at the given offset.
-func (m *membership) appendToClaims(ctx context.Context, entries []claimEntry, epoch int64, end store.Offset) (store.AppendResult, bool) {
+// appendToClaims appends entries to the claim topic if it still ends at the given offset. Without verdict.Ran they are not stored, or
+// it is not known whether they are.
+func (m *membership) appendToClaims(ctx context.Context, entries []claimEntry, epoch int64, end store.Offset) (store.AppendResult, verdict.Verdict) {
 	records := make([]store.Record, len(entries))
 	for i, entry := range entries {
 		value, err := recordcodec.Encode(entry.value)
 		if err != nil {
 			m.log.Error("failed to encode claim", zap.String("key", entry.key), zap.Error(err))
-			return store.AppendResult{}, false
+			return store.AppendResult{}, verdict.NotRun
 		}
 		records[i] = store.Record{Key: entry.key, Value: value}
 	}
@@ -270,10 +275,10 @@
 	if err != nil {
 		m.log.Info("claim not written", zap.Int64("epoch", epoch), zap.Int64("as_of", int64(end)),
 			zap.String("reason", string(verdict.ReasonOf(err))), zap.Stringer("verdict", verdict.Of(err)))
-		return store.AppendResult{}, false
+		return store.AppendResult{}, verdict.Of(err)
 	}
 	m.node.recordStoreSuccess()
-	return appended, true
+	return appended, verdict.Ran
 }
 
 // startOwner starts the owner of the cell under an accepted claim.
@@ -282,7 +287,10 @@
 	m.log.Info("owner", zap.Int64("epoch", epoch), zap.Duration("leases_end_in", c.wait.End-boottime.Now()),
 		zap.String("leases_from", string(c.wait.Source)), zap.Int64("former_epoch", c.wait.Epoch), zap.String("former_owner", c.wait.Node),
 		zap.Int64("capacity", m.node.settings.Capacity))
-	o := newOwner(m, epoch, c.wait)
+	m.mu.Lock()
+	statement, _ := m.view.Statement()
+	m.mu.Unlock()
+	o := newOwner(m, epoch, c.wait, statement.Serial)
 	o.former = c.former
 	ctx, o.stop = context.WithCancel(ctx)
 	m.owner.Store(o)
@@ -316,6 +324,14 @@
 	return latest.Epoch == epoch && m.view.MayRenewWorkerLeases(boottime.Now())
 }
 
+// mayContinue reports whether the owner of the given epoch may go on once it can reach the store again.
+func (m *membership) mayContinue(epoch int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest, _ := m.view.Latest()
+	return latest.Epoch == epoch && m.view.MayContinue(boottime.Now())
+}
+
 // recordStoreSuccess records that the store has served a call.
 func (n *Node) recordStoreSuccess() {
 	now := int64(boottime.Now())
--- a/internal/cellnode/former_leases.go
+++ b/internal/cellnode/former_leases.go
@@ -56,8 +56,12 @@
 	switch ended := m.ended.Load(); {
 	case ended != nil && ended.epoch == epoch:
 		return ended.leases.Remaining(boottime.Now()), ""
-	case o != nil && o.epoch == epoch:
+	case o != nil && o.epoch == epoch && m.mayRenewWorkerLeases(epoch):
 		return cell.LeaseEnds{}, refusalStillOwner
+	case o != nil && o.epoch == epoch: // another node follows it, so that it extends nothing any more
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.cell.LeaseEnds().Remaining(boottime.Now()), ""
 	}
 	return cell.LeaseEnds{}, refusalUnknownEpoch
 }
--- a/internal/cellnode/former_leases_test.go
+++ b/internal/cellnode/former_leases_test.go
@@ -136,7 +136,7 @@
 	n := d.nodes[d.waitForOwner()].node
 	m := n.membership(0)
 	present := m.owner.Load().epoch
-	ended := newOwner(m, present+5, waitUntil(boottime.Now()+time.Minute))
+	ended := newOwner(m, present+5, waitUntil(boottime.Now()+time.Minute), 1)
 	m.keepLeases(ended)
 	for _, c := range []struct {
 		request  *cellrpc.LeasesRequest
@@ -174,7 +174,7 @@
 	}
 	go func() { _ = old.Serve(listener) }()
 	defer func() { _ = old.Close() }()
-	o := newOwner(n.membership(0), 9, waitUntil(boottime.Now()+time.Minute))
+	o := newOwner(n.membership(0), 9, waitUntil(boottime.Now()+time.Minute), 1)
 	o.former = claim.Record{Holder: "old", Address: listener.Addr().String(), Epoch: 8}
 	leases, result, _, again := o.askFormerOwner(t.Context())
 	if result != formerLeasesUnknown || again || len(leases.Workers) > 0 || leases.Others != 0 {
--- a/internal/cellnode/handback.go
+++ b/internal/cellnode/handback.go
@@ -9,6 +9,7 @@
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/internal/claim"
 	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
 )
 
 // minOwnership is the minimum time between claiming the cell and handing it over on request. It limits how often the
@@ -21,8 +22,8 @@
 // requestCell asks the owner to hand over the cell to this node. end is the end of the claim topic up to which this node
 // has read.
 func (m *membership) requestCell(ctx context.Context, r claim.Request, owner string, end store.Offset) {
-	appended, ok := m.appendToClaims(ctx, []claimEntry{{claim.RequestKey, &r}}, r.Epoch, end)
-	if !ok {
+	appended, result := m.appendToClaims(ctx, []claimEntry{{claim.RequestKey, &r}}, r.Epoch, end)
+	if result != verdict.Ran {
 		return
 	}
 	m.log.Info("hand-over requested", zap.Int64("epoch", r.Epoch), zap.String("owner", owner), zap.Int64("capacity", r.Capacity))
--- a/internal/cellnode/handback_test.go
+++ b/internal/cellnode/handback_test.go
@@ -185,7 +185,7 @@
 	n := d.nodes[0].node
 	d.waitForOwnerNode(0, 3*time.Second)
 	old := func(loaded bool) *owner {
-		o := newOwner(n.membership(0), 1, waitUntil(0))
+		o := newOwner(n.membership(0), 1, waitUntil(0), 1)
 		o.claimedAt, o.loaded = boottime.Now()-minOwnership, loaded
 		return o
 	}
@@ -204,7 +204,7 @@
 		{old(true), claim.Request{Epoch: 1, Node: "e", Capacity: smallCapacity}, "not clearly larger"},
 		{nil, large, "not the owner"},
 		{old(true), claim.Request{Epoch: 2, Node: "l", Capacity: largeCapacity}, "not the owner"},
-		{newOwner(n.membership(0), 1, waitUntil(0)), large, "owner for a short time"},
+		{newOwner(n.membership(0), 1, waitUntil(0), 1), large, "owner for a short time"},
 		{old(false), large, "state not loaded"},
 		// The successor waited anew for workers that were gone, and long-running tasks did not run meanwhile.
 		{waiting(boottime.Now() + 3*time.Second), large, "waiting for leases of former owners"},
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -109,12 +109,13 @@
 	done chan struct{}      // closed when run has returned
 }
 
-func newOwner(m *membership, epoch int64, wait claim.LeaseWait) *owner {
+// newOwner returns the owner under a claim. serial is that of the newest statement about leases under the claim.
+func newOwner(m *membership, epoch int64, wait claim.LeaseWait, serial int64) *owner {
 	n, log := m.node, m.log.With(zap.Int64("epoch", epoch))
 	now, settings := boottime.Now(), *n.cellSettings.Load()
 	o := &owner{
 		node: n, member: m, epoch: epoch, log: log, loans: make(map[string]loan), events: make(chan event, eventQueueSize), claimedAt: now, formerLeasesEnd: wait.End,
-		orderQueues: newOrderQueues(), done: make(chan struct{}), grants: claim.NewGrants(epoch, settings.MaxLease, now),
+		orderQueues: newOrderQueues(), done: make(chan struct{}), grants: claim.NewGrants(epoch, serial, settings.MaxLease, now),
 		cell:     cell.New(settings, epoch, wait.End, log, n.counts),
 		lateness: lateness{metrics: n.ownerMetrics, log: log, sched: newSchedLatency().next},
 	}
@@ -182,7 +183,7 @@
 			o.node.counts.FencedOwners.Inc()
 			return errFenced
 		}
-		if !o.member.mayRenewWorkerLeases(o.epoch) {
+		if !o.member.mayContinue(o.epoch) {
 			return errClaimEnded
 		}
 		if !o.waitForNextFlush(ctx) {
@@ -289,7 +290,9 @@
 	extends := o.applyGrants()
 	o.cell.Tick()
 	decide := o.loaded && extends && o.member.mayDecide(o.epoch)
-	o.send(ctx, o.cell.TakeOrders(decide))
+	if o.member.mayRenewWorkerLeases(o.epoch) {
+		o.send(ctx, o.cell.TakeOrders(decide))
+	}
 	if decide && !o.storing {
 		o.storeRound(ctx, o.cell.Plan())
 	}
--- a/internal/cellnode/paused_test.go
+++ b/internal/cellnode/paused_test.go
@@ -41,7 +41,7 @@
 	n := d.nodes[0].node
 	o := n.membership(0).owner.Load()
 	workers := &countingWorkers{Workers: n.platform.Workers}
-	expired := newOwner(n.membership(0), o.epoch-1, waitUntil(0)) // an owner under a claim that has ended
+	expired := newOwner(n.membership(0), o.epoch-1, waitUntil(0), 1) // an owner under a claim that has ended
 	expired.node = &Node{platform: Platform{Workers: workers}, counts: n.counts}
 	order := cell.StartOrder{To: workercall.Target{ID: "w"}, Start: workercall.Start{Run: workercall.Run{Task: jobs.TaskID{Job: "j"}, Number: 1}}}
 	expired.send(context.Background(), cell.Orders{
@@ -58,7 +58,7 @@
 	d := newTestCluster(t, 1)
 	d.waitForOwner()
 	n := d.nodes[0].node
-	former := newOwner(n.membership(0), n.membership(0).owner.Load().epoch-1, waitUntil(0))
+	former := newOwner(n.membership(0), n.membership(0).owner.Load().epoch-1, waitUntil(0), 1)
 	former.assignments = appender.New(n.platform.Store, cellsPartition, former.producer(), former.epoch, n.settings.MaxCallBytes)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/cellnode/statements.go
+++ b/internal/cellnode/statements.go
@@ -40,7 +40,7 @@
 
 // statementDue reports whether the owner on this node has to write a statement before the next renewal of the claim is due: it may
 // begin to extend leases, or workers have got out of touch or are back.
-func (m *membership) statementDue(now time.Duration) bool {
+func (m *membership) statementDue() bool {
 	o := m.owner.Load()
 	if o == nil || !o.mu.TryLock() {
 		return false
@@ -48,6 +48,7 @@
 	defer o.mu.Unlock()
 	o.grantsMu.Lock()
 	defer o.grantsMu.Unlock()
+	now := boottime.Now()
 	if now < o.statedAt+statementInterval {
 		return false
 	}
@@ -68,25 +69,26 @@
 	return max(now+o.grants.Stated(), o.grants.Limit())
 }
 
-// statementFor returns the statement about leases that is stored with a record of the claim which is sent now. composed is false if the
+// statementFor returns the statement about leases that is stored with a record of the claim which is about to be sent. composed is false if the
 // owner does not act under that claim.
-func (o *owner) statementFor(r claim.Record, now time.Duration) (s claim.Statement, composed bool) {
+func (o *owner) statementFor(r claim.Record) (s claim.Statement, composed bool) {
 	if o == nil || o.epoch != r.Epoch || o.panicked.Load() {
 		return claim.Statement{}, false
 	}
-	return o.nextStatement(r.Released, now), true
+	return o.nextStatement(r.Released), true
 }
 
-// nextStatement returns the owner's next statement, which is sent now. After that of a release the owner extends nothing more. While
+// nextStatement returns the owner's next statement, which is about to be sent. After that of a release the owner extends nothing more. While
 // the state of the cell is in use for long, as when a large one is loaded, the statement lists no workers: a renewal of the claim must
 // not wait for that.
-func (o *owner) nextStatement(released bool, now time.Duration) claim.Statement {
+func (o *owner) nextStatement(released bool) claim.Statement {
 	locked := tryLock(&o.mu, maxStateWait)
 	if locked {
 		defer o.mu.Unlock()
 	}
 	o.grantsMu.Lock()
 	defer o.grantsMu.Unlock()
+	now := boottime.Now()
 	o.statedAt = now
 	if !locked {
 		return o.grants.Next(max(o.formerLeasesEnd, o.grants.Limit()), nil, !released && o.grants.Allowed(), now)
@@ -128,6 +130,17 @@
 	}
 }
 
+// statementNotStored records that the store has certainly not stored a statement of an owner on this node.
+func (m *membership) statementNotStored(s claim.Statement) {
+	o := m.owner.Load()
+	if o == nil || o.epoch != s.Epoch {
+		return
+	}
+	o.grantsMu.Lock()
+	defer o.grantsMu.Unlock()
+	o.grants.StatementNotStored(s.Serial)
+}
+
 // confirmStatement records a statement of an owner on this node that was stored without an answer and has been read back.
 func (m *membership) confirmStatement() {
 	m.mu.Lock()
--- a/internal/claim/candidacy_test.go
+++ b/internal/claim/candidacy_test.go
@@ -33,7 +33,7 @@
 		}
 	}
 
-	g := NewGrants(2, 6*time.Second, 0)
+	g := NewGrants(2, 1, 6*time.Second, 0)
 	g.Next(0, nil, true, 0)
 	g.StatementStored(2)
 	g.Register("a-1", "a")
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -25,6 +25,9 @@
 	// workers while the store is unreachable. After that, tasks continue until the lease on their worker expires, so
 	// that they survive a store outage of about 10 s, twice this time.
 	WorkerRenewalGrace = 5 * time.Second
+	// retention is how long after sending its latest accepted renewal an owner keeps the state of the cell. By then all leases that it
+	// extended have ended.
+	retention = 13 * time.Second
 	// ReconnectDelay is how long after the store became reachable again a candidate waits before it claims, so that an
 	// owner that was disconnected from the store at the same time can renew first.
 	ReconnectDelay = 1200 * time.Millisecond
@@ -262,6 +265,10 @@
 	return v.owns && now < v.renewedAt+WorkerRenewalGrace
 }
 
+// MayContinue reports whether this process may go on as the owner once the store accepts a renewal. Until then it does not act after
+// WorkerRenewalGrace, but it knows the state of the cell, and what it started may still run.
+func (v *View) MayContinue(now time.Duration) bool { return v.owns && now < v.renewedAt+retention }
+
 // RenewalDue reports whether a renewal should be sent.
 func (v *View) RenewalDue(now time.Duration) bool { return v.owns && now >= v.renewedAt+RenewInterval }
 
--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -51,15 +51,15 @@
 	storedSent, storedExtended time.Duration
 	// allowedSince is when the first statement was sent that allows the owner to extend leases, once it is stored.
 	allowedSince time.Duration
-	unanswered     []sentStatement
+	unanswered   []sentStatement
 	// round is the round of registrations since roundSince, and oldestRound the oldest one that counts.
 	round, oldestRound int64
 	roundSince         time.Duration
 	isReplaced         bool                 // a candidate that counts was replaced
 	candidates         map[string]Candidate // by ID
-	// consents are the candidates that have consented to leases beyond the newest statement. isExtended is set
-	// once all have, until the next statement is stored.
-	consents   map[string]bool
+	// consents are the serials up to which candidates have consented to leases beyond the statements. isExtended is set once all have
+	// consented to any that may be stored, until a statement is stored that covers the limit.
+	consents   map[string]int64
 	isExtended bool
 }
 
@@ -77,12 +77,12 @@
 	grants              bool
 }
 
-// NewGrants returns the grants of a new owner, whose first statement is that of its claim. maxLease is the longest lease on a worker.
-func NewGrants(epoch int64, maxLease, now time.Duration) *Grants {
+// NewGrants returns the grants of a new owner. The newest statement under its claim, that of the claim itself, has the serial; maxLease is the longest lease on a worker.
+func NewGrants(epoch, serial int64, maxLease, now time.Duration) *Grants {
 	lease := LeaseEnd(0, min(maxLease, MaxGrantedLease))
 	return &Grants{
-		epoch: epoch, serial: 1, stored: 1, storedSent: now, stated: min(lease+RenewInterval, maxStatedGrant), extended: lease + WorkerRenewalGrace,
-		round: 1, oldestRound: 1, roundSince: now, candidates: make(map[string]Candidate), consents: make(map[string]bool),
+		epoch: epoch, serial: serial, stored: serial, storedSent: now, stated: min(lease+RenewInterval, maxStatedGrant), extended: lease + WorkerRenewalGrace,
+		round: 1, oldestRound: 1, roundSince: now, candidates: make(map[string]Candidate), consents: make(map[string]int64),
 	}
 }
 
@@ -128,12 +128,22 @@
 		s.Extended = s.Others
 	}
 	g.unanswered = append(g.unanswered, sentStatement{serial: s.Serial, oldestRound: s.OldestRound, sent: now, others: s.Others, extended: s.Extended, grants: extends})
-	if !g.isExtended {
-		clear(g.consents) // they do not hold beyond this statement
-	}
 	return s
 }
 
+// StatementNotStored records that the store has certainly not stored the statement with a serial.
+func (g *Grants) StatementNotStored(serial int64) {
+	g.unanswered = slices.DeleteFunc(g.unanswered, func(u sentStatement) bool { return u.serial == serial })
+}
+
+// newestInDoubt returns the highest serial of a statement that is stored or may be.
+func (g *Grants) newestInDoubt() int64 {
+	if len(g.unanswered) == 0 {
+		return g.stored
+	}
+	return max(g.stored, g.unanswered[len(g.unanswered)-1].serial)
+}
+
 // beginRound begins a new round of registrations if it is time.
 func (g *Grants) beginRound(now time.Duration) {
 	if now >= g.roundSince+registrationPeriod || g.isReplaced && now >= g.roundSince+registrationTime {
@@ -167,10 +177,10 @@
 	}
 	// A statement that was sent before the limit was raised does not cover it for candidates that register now.
 	g.isExtended = g.isExtended && g.limit > s.sent+s.others
-	clear(g.consents)
 	for id, c := range g.candidates {
 		if c.round < g.oldestRound {
 			delete(g.candidates, id)
+			delete(g.consents, id)
 		}
 	}
 }
@@ -199,7 +209,7 @@
 	}
 	g.extend(now)
 	for id, c := range g.candidates {
-		if !g.consents[id] && !g.isExtended {
+		if g.consents[id] < g.newestInDoubt() && !g.isExtended {
 			missing = append(missing, c)
 		}
 	}
@@ -208,10 +218,10 @@
 
 // Consented records the consent of a candidate to leases beyond the statement with a serial.
 func (g *Grants) Consented(id string, serial int64, now time.Duration) {
-	if serial != g.serial || g.isExtended {
+	if serial > g.serial {
 		return
 	}
-	g.consents[id] = true
+	g.consents[id] = max(g.consents[id], serial)
 	g.extend(now)
 }
 
@@ -221,7 +231,7 @@
 		return
 	}
 	for id := range g.candidates {
-		if !g.consents[id] {
+		if g.consents[id] < g.newestInDoubt() {
 			return
 		}
 	}
--- a/internal/claim/lease_model_test.go
+++ b/internal/claim/lease_model_test.go
@@ -261,7 +261,7 @@
 
 func (m *leaseModel) startOwner(p *modelProcess, c *modelClaim) {
 	now := p.local(m.now())
-	o := &modelOwner{epoch: c.record.Epoch, claimedAt: now, grants: NewGrants(c.record.Epoch, modelMaxLease, now), wait: c.wait}
+	o := &modelOwner{epoch: c.record.Epoch, claimedAt: now, grants: NewGrants(c.record.Epoch, 1, modelMaxLease, now), wait: c.wait}
 	for w := range m.workers {
 		former := min(c.wait.End, c.wait.Others)
 		if stated, known := c.wait.Workers[workerID(w)]; known {
--- a/internal/claim/statement_test.go
+++ b/internal/claim/statement_test.go
@@ -110,7 +110,7 @@
 // Guards against TWICE: a build that does not know statements may follow an owner that stores them.
 func TestWaitOfEarlierBuildCoversWhatIsStated(t *testing.T) {
 	for _, maxLease := range []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second} {
-		g := NewGrants(4, maxLease, 0)
+		g := NewGrants(4, 1, maxLease, 0)
 		var s Statement
 		var sent time.Duration
 		for _, sent = range []time.Duration{0, registrationTime} {
@@ -133,7 +133,7 @@
 		{6 * time.Second, 6380 * time.Millisecond, 6969 * time.Millisecond, 11493800 * time.Microsecond},
 		{10 * time.Second, 6483 * time.Millisecond, 6969 * time.Millisecond, 11597830 * time.Microsecond},
 	} {
-		g := NewGrants(1, c.maxLease, 0)
+		g := NewGrants(1, 1, c.maxLease, 0)
 		noticed := LeaseEnd(0, min(c.maxLease, MaxGrantedLease))
 		if unnoticed, extended := statedEnd(0, g.stated), statedEnd(0, g.extended); noticed != c.noticed || unnoticed != c.unnoticed || extended != c.extended {
 			t.Errorf("leases of %v: %v, %v and %v; want %v, %v and %v", c.maxLease, noticed, unnoticed, extended, c.noticed, c.unnoticed, c.extended)
