Soak: an unanswered publication allows two configurations

Commit no longer expected a queue to stay once a publication that removes it had no answer, also if the store never executed it or a node had already shown the newer configuration, and lost the check for the rest of the run. The oracle now keeps whole configurations by version. One whose publication had no answer is allowed beside the former one until the store, which the soak reads every 0.1 s, or a process shows it; from then on it is the only one: a process that has shown a version never shows an older one or a mixture, and undisturbed ones agree within config-apply-ms (before: 1 s later). A refused publication is not allowed at all, and a queue that no configuration has is reported. The operator publishes one configuration at a time, repeats an open one before it makes another, and now also replaces a queue in one step, in which a mixture of two configurations shows.

TestConfigHistory reports each breach in a history made by hand and lets the allowed histories pass.

--- a/internal/soak/evacuations.go
+++ b/internal/soak/evacuations.go
@@ -51,9 +51,7 @@
 // writeEvacuation stores a request or its withdrawal, and returns once the store has acknowledged it.
 func (o *operator) writeEvacuation(domain string, active bool) {
 	for attempt := 0; attempt < 300; attempt++ { // until the run has long ended
-		o.mu.Lock()
 		err := o.writer.WriteEvacuation(domain, active)
-		o.mu.Unlock()
 		if err == nil {
 			return
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -121,7 +121,7 @@
 		return nil, trace.Wrap(err)
 	}
 	s := &soak{options: options, logs: logs, oracle: newOracle(boottime.Now(), workerCapacity), stats: newStatistics()}
-	s.callers, s.operator = newCallers(s), newOperator(s)
+	s.callers, s.operator = newCallers(s), newOperator(s, s.storeAddress())
 	defer s.stopAll()
 	if err := s.start(ctx); err != nil {
 		return nil, trace.Wrap(err)
@@ -139,7 +139,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := waitFor(ctx, readyTimeout, func() bool { return s.operator.publish([]string{mainQueue}) == nil }); err != nil {
+	if err := waitFor(ctx, readyTimeout, func() bool { return s.operator.publish(1, []string{mainQueue}) == nil }); err != nil {
 		return trace.Wrap(err, "the store did not start")
 	}
 	for i := range s.options.Domains {
@@ -315,6 +315,7 @@
 	began := boottime.Now()
 	go s.callers.handIn(traffic, s.options.JobRate, rand.New(rand.NewPCG(s.options.Seed, 3)))
 	go s.operator.probe(ctx)
+	go s.operator.readStore(ctx)
 	go s.showProgress(traffic, began)
 	evacuated := make(chan struct{})
 	go func() {
