Soak: a stop before the main function may end a process by the signal

The daemon installs the handler as the first thing in its command line, before flags, settings and logging, so only the start of the Go runtime and of the packages is left: ends by the signal were seen up to 8 ms after the start on a busy machine. The oracle now allows the end by SIGTERM of a process that was asked to stop, has written no line and has answered no caller; all other ends are reported as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -214,6 +214,7 @@
 		c.noteBroken(target, sentAt, method+" "+url, err)
 		return answer{node: node.settings.Name}
 	}
+	target.note(&target.answered)
 	retryAfter, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // 0 if there is none
 	return answer{node.settings.Name, resp.StatusCode, content, time.Duration(retryAfter) * time.Second}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"os"
 	"os/exec"
@@ -29,7 +30,9 @@
 	termAt, killedAt, endedAt time.Duration
 	// suspendedUntil is until when the process was suspended, endlessTime while it is, or 0.
 	suspendedUntil time.Duration
-	err            error
+	// wrote is set once the process has written a line, answered once a caller had a response from it.
+	wrote, answered bool
+	err             error
 }
 
 // endlessTime is later than all times.
@@ -54,6 +57,7 @@
 		lines := bufio.NewScanner(output)
 		lines.Buffer(make([]byte, 64<<10), maxLineBytes)
 		for lines.Scan() {
+			p.note(&p.wrote)
 			_, _ = log.Write(append(lines.Bytes(), '\n')) // a log that can't be written does not change the result
 			onLine(lines.Bytes())
 		}
@@ -122,9 +126,27 @@
 	}
 }
 
+// note sets wrote or answered.
+func (p *process) note(seen *bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	*seen = true
+}
+
 // endedByItself reports whether the process ended without having been asked to, or did not end in order when it was.
 func (p *process) endedByItself() (bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.endedAt > 0 && p.killedAt == 0 && (p.termAt == 0 || p.err != nil), p.err
+	return p.endedAt > 0 && p.killedAt == 0 && (p.termAt == 0 || p.err != nil && !p.stoppedBeforeMain()), p.err
+}
+
+// stoppedBeforeMain reports whether SIGTERM ended the process before it could install its handler: it had neither written a line nor
+// answered a caller. The caller holds mu.
+func (p *process) stoppedBeforeMain() bool {
+	var exit *exec.ExitError
+	if !errors.As(p.err, &exit) || p.wrote || p.answered {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
 }
