Soak: check tasks of a worker that is lost with its owner

No seed had a worker vanish for good at about the time at which the owner of its cell crashes, and the only bound for a long-running task was 45 s after the last fault. The kind "lose worker and owner", which is only played if it is named and leaves the other faults of a seed as they are, does so within 2 s, with the store down for 0, 3 or 6 s. The new check: such a task runs again within 9 s of the loss, if nothing else was disturbed from 9 s before it on.

--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -23,7 +23,7 @@
 	var reports, kinds string
 	command := &cobra.Command{
 		Use: "soak", Short: "Run nodes as processes, disturb them, and check the promises", SilenceUsage: true, SilenceErrors: true,
-		Long: "Run nodes as processes, disturb them, and check the promises.\n\nKinds of faults: " + strings.Join(Kinds(), ", ") + ".",
+		Long: "Run nodes as processes, disturb them, and check the promises.\n\nKinds of faults: " + strings.Join(Kinds(), ", ") + "; only if it is named: " + lossKind + ".",
 		Args: exitcode.UsageArgs(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := options.choose(kinds); err != nil {
@@ -79,7 +79,7 @@
 		o.Kinds = strings.Split(kinds, ",")
 	}
 	for _, kind := range o.Kinds {
-		if !slices.Contains(Kinds(), kind) {
+		if kind != lossKind && !slices.Contains(Kinds(), kind) {
 			return trace.BadParameter("there is no kind of fault %q", kind)
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,6 +32,10 @@
 	postTimeout = 5 * time.Second
 	// storeSubject is the store as a subject of disturbances.
 	storeSubject = "store"
+	// lossKind is played only if it is named, since it checks what happens while nothing else is disturbed.
+	lossKind = "lose worker and owner"
+	// lossDuration is how long a worker is lost: longer than what is checked of its tasks.
+	lossDuration = lossLimit + 3*time.Second
 )
 
 // faultKind is a kind of fault. apply returns when the fault is over.
@@ -73,13 +77,15 @@
 	{"silence worker", func(s *soak, f Fault) { s.breakWorkerLink(f, (*proxy).silence) }},
 	{"change queues", func(s *soak, f Fault) { s.operator.change(f.Target) }},
 	{"abusive callers", func(s *soak, f Fault) { s.abuseNode(s.node(f), f) }},
+	{lossKind, func(s *soak, f Fault) { s.loseWorkerAndOwner(f) }},
 }
 
-// Kinds returns the names of all kinds of faults.
-func Kinds() []string {
-	names := make([]string, len(faultKinds))
-	for i, kind := range faultKinds {
-		names[i] = kind.name
+// Kinds returns the names of the kinds of faults that are played if none are named.
+func Kinds() (names []string) {
+	for _, kind := range faultKinds {
+		if kind.name != lossKind {
+			names = append(names, kind.name)
+		}
 	}
 	return names
 }
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -44,6 +44,7 @@
 	promiseConfig    = "a configuration is in force everywhere and never reverts"
 	promiseEvacuated = "nothing is started in an evacuated failure domain"
 	promiseProcess   = "no process ends by itself"
+	promiseLoss      = "a long-running task whose worker is lost runs again in time"
 )
 
 // oracle knows what workers and callers saw, and checks the promises from that alone.
@@ -59,8 +60,11 @@
 	// domains are the failure domains of the workers, and evacuations when each was evacuated.
 	domains     map[string]string
 	evacuations map[string][]*interval
-	violations  []Violation
-	done        int // ends of tasks
+	// losses are the losses of a worker together with its owner, lostTasks the number of tasks that were checked after them.
+	losses     []loss
+	lostTasks  int
+	violations []Violation
+	done       int // ends of tasks
 }
 
 type lifeKey struct {
@@ -279,6 +283,7 @@
 	for task, runs := range o.runs {
 		slices.SortFunc(runs, func(a, b *run) int { return int(a.start - b.start) })
 		o.checkRuns(task, runs)
+		o.checkLosses(task, runs)
 		for _, r := range runs {
 			byWorker[r.lifeKey] = append(byWorker[r.lifeKey], r)
 		}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -64,11 +64,18 @@
 		"a state that nobody asked for":                                 {state("cancelled"), promiseState},
 		"a completed job with a task that was not done":                 {state("completed"), promiseState},
 		"a running job": {state("running"), ""},
-		"a task in a failure domain that has been evacuated":      {evacuated(2*s, 20*s, 8*s), promiseEvacuated},
-		"a task soon after the request":                           {evacuated(2*s, 20*s, 6*s), ""},
-		"a task after the withdrawal":                             {evacuated(2*s, 8*s, 9*s), ""},
-		"a task that a disturbed worker starts late":              {late(evacuated(2*s, 20*s, 8*s)), ""},
-		"a task in another failure domain than the evacuated one": {evacuated(2*s, 20*s, 3*s).run("w2", second, 1, 9*s, 10*s), ""},
+		"a task in a failure domain that has been evacuated":       {evacuated(2*s, 20*s, 8*s), promiseEvacuated},
+		"a task soon after the request":                            {evacuated(2*s, 20*s, 6*s), ""},
+		"a task after the withdrawal":                              {evacuated(2*s, 8*s, 9*s), ""},
+		"a task that a disturbed worker starts late":               {late(evacuated(2*s, 20*s, 8*s)), ""},
+		"a long-running task runs again in time after a loss":      {lost(11 * s), ""},
+		"a long-running task runs again too late after a loss":     {lost(11*s + 1), promiseLoss},
+		"a long-running task does not run again after a loss":      {lost(0), promiseLoss},
+		"a task runs late after a loss while others are disturbed": {disturbed(lost(20*s), "n2", 9*s), ""},
+		"a task runs late after a loss, long after a disturbance":  {disturbed(lost(20*s), "n2", -8*s), promiseLoss},
+		"a task runs late after a loss with its owner's end":       {disturbed(lost(20*s), "n1", 2*s), promiseLoss},
+		"a task runs late after a loss and two ends of its owner":  {disturbed(disturbed(lost(20*s), "n1", 2*s), "n1", 3*s), ""},
+		"a task in another failure domain than the evacuated one":  {evacuated(2*s, 20*s, 3*s).run("w2", second, 1, 9*s, 10*s), ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -106,6 +113,23 @@
 	return h
 }
 
+// lost is a history in which w1 is lost at 2 s with its long-running task, which w2 starts at a time unless that is 0.
+func lost(again time.Duration) history {
+	h := newHistory()
+	h.addJob(&jobHistory{id: "l", accepted: time.Second, steps: []standin.Step{{Work: standin.Work{MilliCPU: 1000}, Count: 1}}})
+	h.losses = []loss{{worker: "w1", from: 2 * s, to: 2 * s, subjects: []string{"w1", "n1"}}}
+	h.at(s, "w1", "start", "l.0.0.0", 1).at(2*s, "w1", "gone", "", 0)
+	if again > 0 {
+		h.at(again, "w2", "start", "l.0.0.0", 2)
+	}
+	return h
+}
+
+func disturbed(h history, subject string, at time.Duration) history {
+	h.disturb(subject, at, at)
+	return h
+}
+
 func cancelled(at time.Duration) history {
 	h := newHistory()
 	h.jobs["j"].cancelled, h.jobs["j"].cancelSent = at, true
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -12,6 +12,8 @@
 	Kind     string        `json:"kind"`
 	Target   int           `json:"target"`
 	Duration time.Duration `json:"duration"`
+	// Offset is how long after the loss of a worker its owner is killed; it may be negative.
+	Offset time.Duration `json:"offset,omitempty"`
 }
 
 const (
@@ -27,12 +29,25 @@
 	// maxFaultDuration is the longest time for which a fault lasts: longer than leases.
 	maxFaultDuration = 9 * time.Second
 	maxTarget        = 1 << 20
+	// firstLoss and lossInterval leave time for the deployment to settle before each loss of a worker and its owner.
+	firstLoss    = 12 * time.Second
+	lossInterval = 26 * time.Second
+	// maxLossOffset is the longest time between the loss of a worker and the end of its owner.
+	maxLossOffset = 2 * time.Second
 )
 
-// NewSchedule returns the faults of a seed, in the order of their times. They overlap, and some come as a series.
+// storeAway are the times for which the store may be down when a worker and its owner are lost.
+var storeAway = []time.Duration{0, 3 * time.Second, 6 * time.Second}
+
+// NewSchedule returns the faults of a seed, in the order of their times. They overlap, and some come as a series. Losses of a worker and its
+// owner do not change the other faults.
 func NewSchedule(seed uint64, duration time.Duration, kinds []string) []Fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var faults []Fault
+	if i := slices.Index(kinds, lossKind); i >= 0 {
+		faults = lossSchedule(seed, duration)
+		kinds = slices.Delete(slices.Clone(kinds), i, i+1)
+	}
 	at := quietStart
 	for len(kinds) > 0 {
 		at += time.Duration(random.ExpFloat64() * float64(faultInterval))
@@ -57,6 +72,16 @@
 	return faults
 }
 
+// lossSchedule returns the losses of a worker and its owner.
+func lossSchedule(seed uint64, duration time.Duration) (faults []Fault) {
+	random := rand.New(rand.NewPCG(seed, 5))
+	for at := firstLoss; at+maxLossOffset+lossLimit < duration-quietEnd; at += lossInterval {
+		faults = append(faults, Fault{At: at, Kind: lossKind, Target: random.IntN(maxTarget), Duration: storeAway[random.IntN(len(storeAway))],
+			Offset: time.Duration(random.Int64N(int64(2*maxLossOffset))) - maxLossOffset})
+	}
+	return faults
+}
+
 // drawDuration returns a duration of which most are short and some are longer than leases.
 func drawDuration(random *rand.Rand) time.Duration {
 	return min(maxFaultDuration, 200*time.Millisecond+time.Duration(random.ExpFloat64()*float64(2*time.Second)))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,8 +72,8 @@
 	nodes    []*soakNode
 	racks    []*rack
 	logs     *logFiles
-	// owners has the node that took each cell over last.
-	owners sync.Map
+	// owners has the node that took each cell over last, cells the cell that started work last on each worker.
+	owners, cells sync.Map
 }
 
 // soakNode is a node and its connections to the store.
@@ -128,7 +128,11 @@
 	}
 	faults := s.play(ctx)
 	s.finish(ctx)
-	return newReport(options, faults, s.oracle.finish(), s.stats), nil
+	violations := s.oracle.finish()
+	for range s.oracle.lostTasks {
+		s.stats.count("lost tasks checked")
+	}
+	return newReport(options, faults, violations, s.stats), nil
 }
 
 // start starts all processes and waits until each node takes requests.
@@ -256,17 +260,23 @@
 	return nil
 }
 
-// readNodeLine notes who owns a cell.
+// readNodeLine notes who owns a cell, and which workers a cell uses.
 func (s *soak) readNodeLine(n *soakNode, line []byte) {
-	if !bytes.Contains(line, []byte(`"msg":"state taken over"`)) {
+	takesOver := bytes.Contains(line, []byte(`"msg":"state taken over"`))
+	if !takesOver && !bytes.Contains(line, []byte(`"msg":"start"`)) {
 		return
 	}
 	var fields struct {
-		Cell int `json:"cell"`
+		Cell   int    `json:"cell"`
+		Worker string `json:"worker"`
 	}
-	if json.Unmarshal(line, &fields) == nil {
+	switch err := json.Unmarshal(line, &fields); {
+	case err != nil:
+	case takesOver:
 		s.owners.Store(fields.Cell, n)
 		s.stats.count("take-overs")
+	case fields.Worker != "":
+		s.cells.Store(fields.Worker, fields.Cell)
 	}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -64,6 +65,7 @@
 	return len(p), nil
 }
 
+// Guards against a seed that plays different faults, also if losses of workers are added, and against faults at times that are to be quiet.
 func TestSchedule(t *testing.T) {
 	a, b := NewSchedule(1, time.Minute, Kinds()), NewSchedule(1, time.Minute, Kinds())
 	if !reflect.DeepEqual(a, b) || len(a) == 0 {
@@ -75,6 +77,10 @@
 	if faults := NewSchedule(1, time.Minute, nil); len(faults) != 0 {
 		t.Errorf("%d faults of no kind", len(faults))
 	}
+	withLosses := NewSchedule(1, time.Minute, append(Kinds(), lossKind))
+	if others := slices.DeleteFunc(slices.Clone(withLosses), func(f Fault) bool { return f.Kind == lossKind }); !reflect.DeepEqual(a, others) || len(withLosses) != len(a)+2 {
+		t.Errorf("%d faults with losses, %d without", len(withLosses), len(a))
+	}
 	for i, f := range a {
 		if f.At < quietStart || f.At > time.Minute-quietEnd || f.Duration <= 0 || f.Duration > maxFaultDuration || i > 0 && f.At < a[i-1].At {
 			t.Errorf("%+v", f)
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -102,8 +102,10 @@
 	writer := standin.StoreWriter{Address: storeAddress, Client: http.Client{Timeout: standin.Heartbeat}}
 	time.Sleep(time.Duration(rand.Int64N(int64(standin.Heartbeat / 4))))
 	for seq := int64(1); ; seq++ {
-		if err := writer.WriteEntry(w.ID, w.Entry(service, seq)); err != nil {
-			fmt.Fprintln(os.Stderr, "entry not written:", err)
+		if entry := w.Entry(service, seq); entry != nil {
+			if err := writer.WriteEntry(w.ID, entry); err != nil {
+				fmt.Fprintln(os.Stderr, "entry not written:", err)
+			}
 		}
 		time.Sleep(standin.Heartbeat)
 	}
