--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,8 +72,8 @@
 	nodes    []*soakNode
 	racks    []*rack
 	logs     *logFiles
-	// owners has the node that took each cell over last.
-	owners sync.Map
+	// owners has the node that took each cell over last, cells the cell that started work last on each worker.
+	owners, cells sync.Map
 }
 
 // soakNode is a node and its connections to the store.
@@ -121,14 +121,18 @@
 		return nil, trace.Wrap(err)
 	}
 	s := &soak{options: options, logs: logs, oracle: newOracle(boottime.Now(), workerCapacity), stats: newStatistics()}
-	s.callers, s.operator = newCallers(s), newOperator(s)
+	s.callers, s.operator = newCallers(s), newOperator(s, s.storeAddress())
 	defer s.stopAll()
 	if err := s.start(ctx); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	faults := s.play(ctx)
 	s.finish(ctx)
-	return newReport(options, faults, s.oracle.finish(), s.stats), nil
+	violations := s.oracle.finish()
+	for range s.oracle.lostTasks {
+		s.stats.count("lost tasks checked")
+	}
+	return newReport(options, faults, violations, s.stats), nil
 }
 
 // start starts all processes and waits until each node takes requests.
@@ -139,7 +143,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := waitFor(ctx, readyTimeout, func() bool { return s.operator.publish([]string{mainQueue}) == nil }); err != nil {
+	if err := waitFor(ctx, readyTimeout, func() bool { return s.operator.publish(1, []string{mainQueue}) == nil }); err != nil {
 		return trace.Wrap(err, "the store did not start")
 	}
 	for i := range s.options.Domains {
@@ -256,17 +260,23 @@
 	return nil
 }
 
-// readNodeLine notes who owns a cell.
+// readNodeLine notes who owns a cell, and which workers a cell uses.
 func (s *soak) readNodeLine(n *soakNode, line []byte) {
-	if !bytes.Contains(line, []byte(`"msg":"state taken over"`)) {
+	takesOver := bytes.Contains(line, []byte(`"msg":"state taken over"`))
+	if !takesOver && !bytes.Contains(line, []byte(`"msg":"start"`)) {
 		return
 	}
 	var fields struct {
-		Cell int `json:"cell"`
+		Cell   int    `json:"cell"`
+		Worker string `json:"worker"`
 	}
-	if json.Unmarshal(line, &fields) == nil {
+	switch err := json.Unmarshal(line, &fields); {
+	case err != nil:
+	case takesOver:
 		s.owners.Store(fields.Cell, n)
 		s.stats.count("take-overs")
+	case fields.Worker != "":
+		s.cells.Store(fields.Worker, fields.Cell)
 	}
 }
 
@@ -315,6 +325,7 @@
 	began := boottime.Now()
 	go s.callers.handIn(traffic, s.options.JobRate, rand.New(rand.NewPCG(s.options.Seed, 3)))
 	go s.operator.probe(ctx)
+	go s.operator.readStore(ctx)
 	go s.showProgress(traffic, began)
 	evacuated := make(chan struct{})
 	go func() {
