A required rack label leads to the cell of the rack

Loads name the labels of a cell's workers, but not its racks. A job that required the label of a rack of another cell therefore stayed with the cell where it was received, and that cell found no lender.

A label that no load names is now taken for that of a rack, whose cell the assignments give: cell 0 without one. Table.Receiver did so already for racks with an assignment; it uses the same rule now.

The tests failed before the change: TestChoose: expected map[2:100], actual map[0:100] TestLender: expected [2 550], actual [0 0]; expected [0 350], actual [0 0] TestReceiver: expected [0], actual [0 1 2]

--- a/internal/cellmap/cellmap_test.go
+++ b/internal/cellmap/cellmap_test.go
@@ -301,6 +301,13 @@
 		So(choices(Need{Labels: []string{"gpu"}}, board), ShouldResemble, map[int]int{2: 100})
 		So(choices(Need{Labels: []string{"none"}}, board), ShouldResemble, map[int]int{0: 100})
 	})
+	// Loads do not name racks, so that such a job waited in a cell without the rack.
+	Convey("A job that requires the label of a rack goes to the cell of the rack", t, func() {
+		So(choices(Need{Labels: []string{"r9", "x"}}, loads(100, 100, 100)), ShouldResemble, map[int]int{2: 100})
+		for range 100 { // a rack without an assignment
+			So(table.Choose(Need{Labels: []string{"r1"}}, "b", loads(100, 100, 100), rand.Float64), ShouldEqual, 0)
+		}
+	})
 	Convey("A task without room goes to a cell that has room for it, never back, and nowhere if none has", t, func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		for range 100 {
@@ -333,10 +340,11 @@
 	})
 }
 
-// Guards against jobs that nobody runs: a cell that is not active and has no workers got none while all others were busy.
+// Guards against jobs that nobody runs: a cell that is not active and has no workers got none while all others were busy, or none of
+// the rack that its tasks require, since loads do not name racks.
 func TestLender(t *testing.T) {
 	plan := Plan{Cells: []PlannedCell{{"", true}, {"b", false}, {"c", true}}}
-	table, _, _ := NewTable().With([]store.Record{record(PlanKey, 0, &plan)}, 1)
+	table, _, _ := NewTable().With([]store.Record{record(PlanKey, 0, &plan), record(RackKey("c", "r9"), 1, &Assignment{Cell: 2})}, 2)
 	load := func(cell int, used, waiting int64, labels ...string) Load {
 		return Load{Cell: cell, CapacityMilliCPU: 1000, UsedMilliCPU: used, WaitingMilliCPU: waiting, Labels: labels}
 	}
@@ -351,6 +359,8 @@
 	}{
 		{"the cell with most to spare lends", 1, "", []Load{load(0, 500, 0), load(1, 0, 9000), load(2, 300, 0)}, 2, 550},
 		{"one with the label", 1, "x", []Load{load(0, 500, 0, "x"), load(1, 0, 9000), load(2, 300, 0)}, 0, 350},
+		{"the one with the rack", 1, "r9", []Load{load(0, 100, 0), load(1, 0, 9000), load(2, 300, 0)}, 2, 550},
+		{"the one with a rack that has no assignment", 1, "r1", []Load{load(0, 500, 0), load(1, 0, 9000), load(2, 300, 0)}, 0, 350},
 		{"none to spare: an active cell gets nothing", 2, "", []Load{load(0, 900, 0), load(1, 900, 0), load(2, 1000, 9000)}, 0, 0},
 		{"none to spare: one that is not active borrows where least waits", 1, "", []Load{load(0, 900, 500), load(1, 1000, 9000), load(2, 900, 300)}, 2, 1000},
 		{"as long as more waits there", 1, "", []Load{load(0, 900, 500), load(1, 1000, 300), load(2, 900, 600)}, 0, 0},
@@ -392,6 +402,7 @@
 		{"the one with the label", Need{MilliCPU: 100, Labels: []string{"x"}}, 0, free, []int{1}},
 		{"none has it but the cell itself", Need{MilliCPU: 100, Labels: []string{"y"}}, 0, free, []int{none}},
 		{"the cell of the rack", Need{MilliCPU: 100, Labels: []string{"r1"}}, 0, free, []int{1}},
+		{"the cell of a rack without an assignment", Need{MilliCPU: 100, Labels: []string{"r0"}}, 3, free, []int{0}},
 		{"any has workers of the rack of a cell that is not active", Need{MilliCPU: 100, Labels: []string{"r3"}}, 3, free, []int{0, 1, 2}},
 		{"none has room", Need{MilliCPU: 100}, 0, full, []int{none}},
 		{"best-effort, by what is left unused", Need{MilliCPU: 400, BestEffort: true}, 0, full, []int{1}},
--- a/internal/cellmap/choose.go
+++ b/internal/cellmap/choose.go
@@ -71,7 +71,7 @@
 func (t *Table) Lender(borrower int, label string, loads map[int]Load) (cell int, milliCPU int64) {
 	var able []Load
 	for number := range t.plan.Cells {
-		if load, known := loads[number]; known && number != borrower && (label == "" || slices.Contains(load.Labels, label)) {
+		if load, known := loads[number]; known && number != borrower && (label == "" || t.mayHave(&load, label, loads, false)) {
 			able = append(able, load)
 		}
 	}
@@ -147,12 +147,13 @@
 	if !known {
 		return home
 	}
-	able := t.able(need, loads)
+	able := t.able(need, loads, false)
 	if len(able) == 0 {
 		return home
 	}
 	free, average := load.freeShare(), averageFreeShare(able)
-	if hasLabels(&load, need) && (load.room(calmPercent) > 0 || free > 0 && free >= random()*average) {
+	isAble := slices.ContainsFunc(able, func(l Load) bool { return l.Cell == home })
+	if isAble && (load.room(calmPercent) > 0 || free > 0 && free >= random()*average) {
 		return home
 	}
 	return draw(able, home, random)
@@ -183,29 +184,26 @@
 	return slices.DeleteFunc(t.receivers(need, from, loads), func(l Load) bool { return l.room(100) < need.MilliCPU })
 }
 
-// receivers returns the loads of the active cells other than from that may have the labels of a task. Loads do not name racks,
-// so that a label which none of them names may be that of a rack: it is in the cell of the rack or, while that cell is not active and
-// hands its workers over, in any.
+// receivers returns the loads of the active cells other than from that may have the labels of a task. Those of the racks of a cell
+// that is not active, and hands its workers over, may be in any.
 func (t *Table) receivers(need Need, from int, loads map[int]Load) []Load {
-	named := make(map[string]bool)
-	for _, load := range loads {
-		for _, label := range load.Labels {
-			named[label] = true
-		}
-	}
-	lacks := func(l *Load, label string) bool {
-		cell, isRack := t.dataRacks[label]
-		return named[label] && !slices.Contains(l.Labels, label) || !named[label] && isRack && t.plan.Cells[cell].Active && cell != l.Cell
+	return slices.DeleteFunc(t.able(need, loadsFor(need, loads), true), func(l Load) bool { return l.Cell == from })
+}
+
+// mayHave reports whether a cell has a label. Loads do not name racks, so that a label which none of them names is taken for that of
+// a rack, which its cell has: cell 0, if the rack has no assignment. With leaving set, a rack of a cell that is not active counts for all
+// cells.
+func (t *Table) mayHave(l *Load, label string, loads map[int]Load, leaving bool) bool {
+	if slices.Contains(l.Labels, label) {
+		return true
 	}
-	var able []Load
-	room := loadsFor(need, loads)
-	for _, number := range t.plan.Active() {
-		load, known := room[number]
-		if known && number != from && !slices.ContainsFunc(need.Labels, func(label string) bool { return lacks(&load, label) }) {
-			able = append(able, load)
+	for _, other := range loads {
+		if slices.Contains(other.Labels, label) {
+			return false
 		}
 	}
-	return able
+	cell := t.dataRacks[label]
+	return cell == l.Cell || leaving && !t.plan.Cells[cell].Active
 }
 
 // withoutWaiting returns the loads as they are for work that comes before all that waits.
@@ -218,11 +216,13 @@
 	return first
 }
 
-// able returns the loads of the active cells that have all labels.
-func (t *Table) able(need Need, loads map[int]Load) []Load {
+// able returns the loads of the active cells that have all labels; see mayHave.
+func (t *Table) able(need Need, loads map[int]Load, leaving bool) []Load {
 	var able []Load
 	for _, cell := range t.plan.Active() {
-		if load, known := loads[cell]; known && hasLabels(&load, need) {
+		load, known := loads[cell]
+		lacks := func(label string) bool { return !t.mayHave(&load, label, loads, leaving) }
+		if known && !slices.ContainsFunc(need.Labels, lacks) {
 			able = append(able, load)
 		}
 	}
@@ -271,15 +271,6 @@
 	return home
 }
 
-func hasLabels(l *Load, need Need) bool {
-	for _, label := range need.Labels {
-		if !slices.Contains(l.Labels, label) {
-			return false
-		}
-	}
-	return true
-}
-
 // mostFree returns the cell of a list with the largest free share. One of which nothing is known comes first.
 func mostFree(cells []int, loads map[int]Load) int {
 	best, largest := cells[0], -1.0
