Tasks in other cells end with a job that has failed

A job with long-running tasks in several cells that failed in its own cell went on in the others: their owners read the jobs topic, but not the outcomes of another cell.

Once the outcome is stored, the owner of the job's cell stores a cancellation for it, as long as tasks are assigned to other cells and no cancellation was read. The job's state stays failed, since outcomes are loaded before cancellations.

TestTasksInOtherCellsEndWithFailedJob failed before the change: 1 runs of the long-running task {listener 0 1 0} of a job that is failed

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -273,6 +273,7 @@
 		return
 	}
 	if j.cancelled || j.ended {
+		j.cancelled = j.cancelled || j.endStored // see CancelledElsewhere
 		return
 	}
 	j.cancelled = true
--- a/internal/cell/next_step_test.go
+++ b/internal/cell/next_step_test.go
@@ -191,3 +191,39 @@
 		t.Error("the other task was not put right")
 	}
 }
+
+// Guards against tasks that run without their job: a cell that had received long-running tasks did not learn that the job had ended
+// as failed in its own cell.
+func TestTasksInOtherCellsEndWithFailedJob(t *testing.T) {
+	for _, ownerChanges := range []bool{false, true} {
+		sim := newCellsSimulation(1, 2, 4)
+		sim.run(12 * time.Second)
+		spec := testSpec(1, 2)
+		spec.Steps[1].DependsOn, spec.Steps[1].LongRunning = nil, true
+		sim.failRate, sim.maxAttempts = 1, 1
+		sim.submitTo(0, "listener", spec)
+		cordon := func(cordoned bool) { sim.cells[0].owner.cell.SetCordoned([]string{"w0", "w2"}, cordoned) }
+		cordon(true)
+		sim.run(3 * time.Second)
+		if tasks := sim.handOverTasks(sim.cells[0], 1, handOverCompletes); tasks != 2 {
+			t.Fatalf("%d tasks were handed over, want 2", tasks)
+		}
+		sim.run(5 * time.Second)
+		cordon(false)
+		for state := jobs.Running; state != jobs.Failed; state, _ = sim.stateOf("listener") {
+			sim.run(simTick)
+		}
+		if ownerChanges {
+			sim.load(sim.claimCell(sim.cells[0]))
+			sim.load(sim.claimCell(sim.cells[1]))
+		}
+		sim.run(3 * time.Second)
+		sim.checkLongRunning(t)
+		sim.load(sim.claimCell(sim.cells[0]))
+		sim.run(time.Second)
+		if state, _ := sim.stateOf("listener"); state != jobs.Failed {
+			t.Errorf("the job is %v", state)
+		}
+		sim.checkCells(t)
+	}
+}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -483,6 +483,10 @@
 	}
 	if decide {
 		sim.deleteExpired(o)
+		for _, r := range o.cell.CancelledElsewhere() {
+			r.Offset = store.Offset(len(sim.jobLog))
+			sim.append(r)
+		}
 	}
 }
 
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -10,6 +10,7 @@
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/jobrecord"
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/store"
 )
 
 const (
@@ -29,7 +30,8 @@
 }
 
 // SetTasks sets the assignments of tasks to other cells than that of their job. Only long-running tasks are assigned, which
-// never end by themselves, so that no cell has to learn of the end of a task in another one.
+// never end by themselves, so that no cell has to learn of the end of a task in another one. CancelledElsewhere tells of the end of
+// their jobs.
 func (c *Cell) SetTasks(assigned map[string]cellmap.TaskAssignment) {
 	c.tasksElsewhere = assigned
 	if c.loaded {
@@ -190,6 +192,27 @@
 	}
 }
 
+// CancelledElsewhere returns cancellations of jobs that have ended in this cell although tasks of them are assigned to others. Their
+// owners read the jobs topic, but not the outcomes of this cell. They are returned until they are read. A later owner reads the outcome
+// before the cancellation, so that the outcome has to be stored first.
+func (c *Cell) CancelledElsewhere() []store.Record {
+	var records []store.Record
+	for key, assignment := range c.tasksElsewhere {
+		id, err := jobs.ParseTaskKey(key)
+		if err != nil || assignment.Cell == c.number {
+			continue
+		}
+		if j := c.jobs[id.Job]; j == nil || j.guest || j.cancelled || j.deleting || !j.endStored {
+			continue
+		}
+		record := store.Record{Key: jobrecord.CancelKey(id.Job), Value: []byte{1}}
+		if !slices.ContainsFunc(records, func(r store.Record) bool { return r.Key == record.Key }) {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
 // EndedGuests returns the keys of the assignments of tasks whose jobs ended at least Settings.StatusRetention ago. Once they
 // are deleted, the next SetTasks removes the jobs.
 func (c *Cell) EndedGuests() (keys []string) {
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -73,6 +73,7 @@
 	handOvers = append(handOvers, o.loanHandOvers()...)
 	o.handOverWorkers(ctx, table, handOvers)
 	o.handOverTasks(ctx, table)
+	o.cancelElsewhere(ctx)
 	o.borrow(ctx)
 }
 
@@ -183,6 +184,17 @@
 	}
 }
 
+// cancelElsewhere stores cancellations of jobs that have ended in this cell, for cells that have tasks of them.
+func (o *owner) cancelElsewhere(ctx context.Context) {
+	var records []store.Record
+	o.locked(func() { records = o.cell.CancelledElsewhere() })
+	if len(records) == 0 {
+		return
+	}
+	_, err := o.node.jobsAppender.Append(ctx, records)
+	o.log.Info("ended jobs cancelled in other cells", zap.Int("jobs", len(records)), zap.Error(err))
+}
+
 // taskMove is the hand-over of a task to a cell.
 type taskMove struct {
 	id jobs.TaskID
