Racks stay while runs are left on workers whose rack is unknown

A new owner that knows a worker by its stored runs alone, since the store has no entry for it, does not know its rack. It took that rack for idle once the registered workers were, and handed it over; a worker that was registered again then belonged to another cell while it had a run of this one.

No rack is idle now while such a worker has runs. They end with its lease at the latest. Cells that are not active still hand single workers over.

TestRackOfUnregisteredWorkerWithRunsStays got a case with a new owner, which failed: w3 belongs to cell 0, with a run of cell 1

--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -320,40 +320,46 @@
 }
 
 // Guards against owners that end, and tasks that run twice: a rack was handed over while a run was left on a worker whose entry was
-// missing for a while. The other cell took the worker over with the run, and the worker refused the orders of the run's owner.
+// missing for a while. The other cell took the worker over with the run, and the worker refused the orders of the run's owner. A new
+// owner, which knows of such a worker by the run alone, does not know its rack.
 func TestRackOfUnregisteredWorkerWithRunsStays(t *testing.T) {
-	sim := newCellsSimulation(1, 2, 4)
-	rack := cellmap.RackKey(sim.workers["w1"].info.FailureDomain, "r2")
-	sim.storeInTable(rack, &cellmap.Assignment{Cell: 1})
-	for _, id := range []string{"w1", "w3"} {
-		sim.workers[id].info.Rack, sim.workers[id].info.FailureDomain = "r2", sim.workers["w1"].info.FailureDomain
-		sim.storeInTable(cellmap.WorkerKey(id), &cellmap.Assignment{Cell: cellmap.HomeCell})
-	}
-	home := sim.cells[1].owner
-	home.table, sim.cells[0].owner.table = sim.table, sim.table
-	sim.run(12 * time.Second)
-	home.cell.SetCordoned([]string{"w1"}, true)
-	spec := testSpec(1)
-	spec.Steps[0].LongRunning = true
-	sim.submitTo(1, "service", spec)
-	sim.run(2 * time.Second)
-	missing := sim.workers["w3"]
-	if len(missing.running) != 1 {
-		t.Fatalf("%d tasks on w3, want 1", len(missing.running))
-	}
-	missing.unlisted, missing.unreachableBy[home] = true, true
-	sim.setActive(false)
-	sim.runAndDepart(2 * time.Second)
-	if cell, _ := sim.table.CellOf(&missing.info); cell != 1 {
-		t.Errorf("w3 belongs to cell %d, with a run of cell 1", cell)
-	}
-	if cell, _ := sim.table.CellOf(&sim.workers["w1"].info); cell != 0 {
-		t.Errorf("w1, which is idle, belongs to cell %d", cell)
-	}
-	missing.unlisted = false
-	delete(missing.unreachableBy, home)
-	sim.run(3 * time.Second)
-	for _, violation := range sim.violations {
-		t.Error(violation)
+	for _, ownerChanges := range []bool{false, true} {
+		sim := newCellsSimulation(1, 2, 4)
+		rack := cellmap.RackKey(sim.workers["w1"].info.FailureDomain, "r2")
+		sim.storeInTable(rack, &cellmap.Assignment{Cell: 1})
+		for _, id := range []string{"w1", "w3"} {
+			sim.workers[id].info.Rack, sim.workers[id].info.FailureDomain = "r2", sim.workers["w1"].info.FailureDomain
+			sim.storeInTable(cellmap.WorkerKey(id), &cellmap.Assignment{Cell: cellmap.HomeCell})
+		}
+		home := sim.cells[1].owner
+		home.table, sim.cells[0].owner.table = sim.table, sim.table
+		sim.run(12 * time.Second)
+		home.cell.SetCordoned([]string{"w1"}, true)
+		spec := testSpec(1)
+		spec.Steps[0].LongRunning = true
+		sim.submitTo(1, "service", spec)
+		sim.run(2 * time.Second)
+		missing := sim.workers["w3"]
+		if len(missing.running) != 1 {
+			t.Fatalf("%d tasks on w3, want 1", len(missing.running))
+		}
+		missing.unlisted, missing.unreachableBy[home] = true, true
+		if ownerChanges {
+			sim.load(sim.claimCell(sim.cells[1]))
+		}
+		sim.setActive(false)
+		sim.runAndDepart(2 * time.Second)
+		if cell, _ := sim.table.CellOf(&missing.info); cell != 1 {
+			t.Errorf("w3 belongs to cell %d, with a run of cell 1", cell)
+		}
+		if cell, _ := sim.table.CellOf(&sim.workers["w1"].info); cell != 0 {
+			t.Errorf("w1, which is idle, belongs to cell %d", cell)
+		}
+		missing.unlisted = false
+		delete(missing.unreachableBy, home)
+		sim.run(3 * time.Second)
+		for _, violation := range sim.violations {
+			t.Error(violation)
+		}
 	}
 }
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -18,7 +18,7 @@
 	cellmap.Rack
 	// Workers are the IDs of its registered workers.
 	Workers []string
-	// Idle is set if all of them may be handed over, and no run is left on another worker of the rack.
+	// Idle is set if all of them may be handed over, and no run is left on another worker that is or may be of the rack.
 	Idle bool
 }
 
@@ -62,9 +62,13 @@
 		rack.Runs += len(w.runs)
 	}
 	for _, w := range c.workers {
-		// A worker without an entry may be registered again, in the cell that its rack belongs to then, while the lease on its runs lasts.
-		if i, known := byKey[cellmap.RackKey(w.info.FailureDomain, w.info.Rack)]; known && !w.listed && len(w.runs) > 0 {
-			racks[i].Idle = false
+		if w.listed || len(w.runs) == 0 {
+			continue
+		}
+		// It may be registered again, in the cell that its rack belongs to then, while the lease on its runs lasts.
+		key, rackKnown := cellmap.RackKey(w.info.FailureDomain, w.info.Rack), w.info.Address != ""
+		for i := range racks {
+			racks[i].Idle = racks[i].Idle && rackKnown && cellmap.RackKey(racks[i].FailureDomain, racks[i].Label) != key
 		}
 	}
 	slices.SortFunc(racks, func(a, b Rack) int {
