Vacate does not move a service over and over

A worker was vacated for each loan without regard to when its tasks had last moved. Where they had come from another vacated worker, or had moved back to the free one because they were slow, the same service was stopped and started each time.

A move of a long-running task that could have stayed now counts for 20 s, during which no worker is vacated that the task is on.

TestWorkersWithTasksThatMustNotMoveAreNotVacated covers what had no test. It fails without the check for may-miss and without that for gangs.

--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -233,24 +233,33 @@
 	sim.checkLongRunning(t)
 }
 
+// newCellsWithServices returns a simulation of two cells, of which the first has all workers and a task of a service on each. change
+// changes the step of the service.
+func newCellsWithServices(t *testing.T, active bool, change func(*jobs.Step)) *simulation {
+	t.Helper()
+	sim := newTwoRackCells(1, 4)
+	for _, id := range []string{"w1", "w3"} {
+		sim.handOver(sim.cells[1], id, 0, handOverCompletes)
+	}
+	sim.setActive(active)
+	sim.run(2 * time.Second)
+	services := testSpec(1, 4)
+	services.Steps[1].LongRunning, services.Steps[1].BestEffort, services.Steps[1].Image = true, true, "press"
+	change(&services.Steps[1])
+	sim.submitTo(0, "one on each worker", services)
+	sim.run(3 * time.Second)
+	for _, w := range sim.sortedWorkers() {
+		if len(w.running) != 1 {
+			t.Fatalf("%d tasks run on %s, want 1", len(w.running), w.info.ID)
+		}
+	}
+	return sim
+}
+
 // Guards against jobs that nobody runs: where a service is on each worker, none could be lent to a cell without workers.
 func TestWorkerWithServiceIsVacatedForCellWithoutWorkers(t *testing.T) {
 	for _, active := range []bool{false, true} {
-		sim := newTwoRackCells(1, 4)
-		for _, id := range []string{"w1", "w3"} {
-			sim.handOver(sim.cells[1], id, 0, handOverCompletes)
-		}
-		sim.setActive(active)
-		sim.run(2 * time.Second)
-		services := testSpec(1, 4)
-		services.Steps[1].LongRunning, services.Steps[1].BestEffort, services.Steps[1].Image = true, true, "press"
-		sim.submitTo(0, "one on each worker", services)
-		sim.run(3 * time.Second)
-		for _, w := range sim.sortedWorkers() {
-			if len(w.running) != 1 {
-				t.Fatalf("%d tasks run on %s, want 1", len(w.running), w.info.ID)
-			}
-		}
+		sim := newCellsWithServices(t, active, func(*jobs.Step) {})
 		sim.submitTo(1, "late", testSpec(2))
 		sim.runAndManage(20 * time.Second)
 		if state, _ := sim.stateOf("late"); state != jobs.Completed {
@@ -261,6 +270,61 @@
 	}
 }
 
+// Guards against more interruptions of a service than its caller permits, and against a worker that a gang keeps from being lent, since
+// its members do not move.
+func TestWorkersWithTasksThatMustNotMoveAreNotVacated(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(*jobs.Step)
+		vacated bool
+	}{
+		{"a service", func(*jobs.Step) {}, true},
+		{"a service of which one task may be missing", func(s *jobs.Step) { s.HasMaxUnavailable, s.MaxUnavailable = true, 1 }, false},
+		{"a gang", func(s *jobs.Step) { s.Gang = true }, false},
+	} {
+		sim := newCellsWithServices(t, false, c.change)
+		if id := sim.cells[0].owner.cell.Vacate(""); (id != "") != c.vacated {
+			t.Errorf("%s: the worker %q is vacated", c.name, id)
+		}
+	}
+}
+
+// Guards against a service that is stopped and started over and over: with each loan, a worker was vacated to which its tasks had
+// just moved.
+func TestMovesOfLongRunningTaskAreBounded(t *testing.T) {
+	for name, move := range map[string]func(sim *simulation, on *worker){
+		"its worker is vacated": func(sim *simulation, on *worker) {
+			sim.owner.cell.Vacate(on.info.ID)
+			sim.run(time.Second)
+			sim.owner.cell.SetCordoned([]string{on.info.ID}, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(1, 2)
+			for id, w := range sim.workers {
+				w.info.Labels = []string{id}
+			}
+			c := sim.takeOver().cell
+			spec := testSpec(1)
+			spec.Steps[0].LongRunning, spec.Steps[0].BestEffort, spec.Steps[0].Image = true, true, "press"
+			sim.submit("service", spec)
+			sim.run(2 * time.Second)
+			for range 60 {
+				for _, w := range c.sortedWorkers() {
+					if len(w.runs) > 0 {
+						move(sim, w)
+						break
+					}
+				}
+				sim.run(time.Second)
+			}
+			if starts := sim.startCounts[jobs.TaskID{Job: "service"}]; starts < 2 || starts > 8 {
+				t.Errorf("%d starts in two minutes", starts)
+			}
+		})
+	}
+}
+
 // newInactiveCell returns a simulation of two cells, of which the second has neither workers nor is active.
 func newInactiveCell(t *testing.T) (*simulation, *Cell) {
 	sim := newCellsSimulation(1, 2, 4)
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -79,7 +80,7 @@
 
 // hasLongRunning reports whether a long-running task is on the worker.
 func (w *worker) hasLongRunning() bool {
-	tasks, _ := w.longRunning()
+	tasks, _ := w.longRunning(0)
 	return tasks > 0
 }
 
@@ -140,7 +141,7 @@
 			continue
 		}
 		free = free.Add(w.info.Capacity.Sub(w.reserved))
-		if tasks, movable := w.longRunning(); movable && (label == "" || hasLabel(w, label)) && (best == nil || tasks < fewest) {
+		if tasks, movable := w.longRunning(c.now); movable && (label == "" || hasLabel(w, label)) && (best == nil || tasks < fewest) {
 			best, fewest = w, tasks
 		}
 	}
@@ -155,13 +156,13 @@
 	return best.info.ID
 }
 
-// longRunning returns the number of long-running tasks on the worker, and whether each may be stopped and moved by itself.
-func (w *worker) longRunning() (tasks int, movable bool) {
+// longRunning returns the number of long-running tasks on the worker, and whether each may be stopped and moved by itself now.
+func (w *worker) longRunning(now time.Duration) (tasks int, movable bool) {
 	movable = true
 	for _, r := range w.runs {
 		if step := r.task.group.step; step.LongRunning {
 			tasks++
-			movable = movable && !step.Gang && !step.HasMaxUnavailable
+			movable = movable && !step.Gang && !step.HasMaxUnavailable && r.task.movesCountUntil <= now
 		}
 	}
 	return tasks, movable
--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -16,6 +16,8 @@
 	minSlowTime = 700 * time.Millisecond
 	// maxRelocations is how often a task may be relocated because it is slow. Each relocation costs a stop and a start.
 	maxRelocations = 3
+	// moveInterval is the average time between two moves of a long-running task that could stay where it is.
+	moveInterval = 20 * time.Second
 	// maxLostPercent is the progress, in percent, that a task without checkpoints may lose by a relocation.
 	maxLostPercent = 25
 )
@@ -91,8 +93,11 @@
 		return
 	}
 	c.reserve(v, t.group, i)
-	if !t.group.step.LongRunning {
+	switch {
+	case !t.group.step.LongRunning:
 		t.relocations++
+	case r.worker.vacating:
+		t.movesCountUntil = max(t.movesCountUntil, c.now) + moveInterval
 	}
 	c.log.Info("relocating run", taskField(t.id), zap.Int("run", r.number), zap.String("worker", r.worker.info.ID),
 		zap.Int("pace", r.pace), zap.Int("percent", r.progressPercent), zap.String("to", v.workers[i].info.ID))
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -132,6 +132,9 @@
 	// pastLimits is set if the worker that was last chosen for the task was chosen without placementLimits.
 	pastLimits  bool
 	relocations int // how often the task was relocated because it was slow; not counted for long-running tasks
+	// movesCountUntil is until when moves of a long-running task that could have stayed on its worker count: each for moveInterval, one
+	// after the other.
+	movesCountUntil time.Duration
 	// restart is the last restart as a straggler whose result is not known; nil for none.
 	restart *restartForecast
 }
