Bound how often a slow long-running task moves

Relocations of long-running best-effort tasks were not counted, so that one that is slow on each worker moved without limit, with a stop and a start each time.

They count like moves from vacated workers now: three may follow each other, then there is one in 20 s. Moves from draining workers are not bounded.

--- a/internal/cell/relocate.go
+++ b/internal/cell/relocate.go
@@ -14,7 +14,8 @@
 	// minSlowTime is how long a run must have been slow before it is relocated. It is longer than the time for which a
 	// single wrong measurement lowers the pace.
 	minSlowTime = 700 * time.Millisecond
-	// maxRelocations is how often a task may be relocated because it is slow. Each relocation costs a stop and a start.
+	// maxRelocations is how often a task may be relocated because it is slow. Each relocation costs a stop and a start. A long-running
+	// task may be relocated so often at once, and then once in moveInterval.
 	maxRelocations = 3
 	// moveInterval is the average time between two moves of a long-running task that could stay where it is.
 	moveInterval = 20 * time.Second
@@ -68,8 +69,8 @@
 }
 
 // throttledTooLong reports whether a best-effort run has been slow for minSlowTime and may be relocated: it is running,
-// no stop is requested, it is not part of a gang, its job is live, its task was relocated fewer than maxRelocations
-// times, and the task has checkpoints or its progress is at most maxLostPercent.
+// no stop is requested, it is not part of a gang, its job is live, its task was relocated less often than maxRelocations
+// permits, and the task has checkpoints or its progress is at most maxLostPercent.
 func (c *Cell) throttledTooLong(r *run) bool {
 	if r.slowSince == 0 || r.pace > slowPace || c.now-r.slowSince < minSlowTime || r.stopRequested || r.state != runRunning {
 		return false
@@ -78,8 +79,11 @@
 	if !step.BestEffort || step.Gang {
 		return false
 	}
-	return r.task.relocations < maxRelocations && (step.Checkpoints || r.progressPercent <= maxLostPercent) &&
-		r.task.group.job.live()
+	t := r.task
+	if t.relocations >= maxRelocations || t.movesCountUntil > c.now+(maxRelocations-1)*moveInterval {
+		return false
+	}
+	return (step.Checkpoints || r.progressPercent <= maxLostPercent) && t.group.job.live()
 }
 
 // relocateRun has a run stopped if another worker has room for its task, and makes the task avoid the present worker.
@@ -96,7 +100,7 @@
 	switch {
 	case !t.group.step.LongRunning:
 		t.relocations++
-	case r.worker.vacating:
+	case !r.worker.info.Draining:
 		t.movesCountUntil = max(t.movesCountUntil, c.now) + moveInterval
 	}
 	c.log.Info("relocating run", taskField(t.id), zap.Int("run", r.number), zap.String("worker", r.worker.info.ID),
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -131,7 +131,7 @@
 	rackWait *rackWait
 	// pastLimits is set if the worker that was last chosen for the task was chosen without placementLimits.
 	pastLimits  bool
-	relocations int // how often the task was relocated because it was slow; not counted for long-running tasks
+	relocations int // how often the task was relocated because it was slow; for long-running tasks, see movesCountUntil
 	// movesCountUntil is until when moves of a long-running task that could have stayed on its worker count: each for moveInterval, one
 	// after the other.
 	movesCountUntil time.Duration
