Labels that nobody has keep no borrowed workers

A cell kept borrowed workers for as long as any task waited in it, also if the task requires a label that no worker of the cell has: the request for a worker with the label, and the waiting capacity, each counted as a need for those that it had.

Only tasks that workers of the cell could run keep them now. A labelled best-effort task counts once a worker has its label, so that a worker that was borrowed for it is not given back before the task starts.

TestDeploymentIsDividedIntoCellsByFailureDomain, with such a task in the borrowing cell, failed before the change: the cells do not have 2 and 2 workers.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -174,6 +174,15 @@
 	return shortages
 }
 
+// NeedsWorkers reports whether tasks wait that workers of the cell could run, so that it keeps those that it has borrowed. Best-effort
+// tasks count if they require a label: others find processor time beside other tasks, and are a shortage if they do not.
+func (c *Cell) NeedsWorkers() bool {
+	return slices.ContainsFunc(c.waiting, func(g *group) bool {
+		label := g.step.RequiredLabel
+		return g.mayStart() && (label == "" && g.step.Requested().MilliCPU > 0 || label != "" && c.hasLabel(label))
+	})
+}
+
 // hasLabel reports whether a worker of the cell outside the evacuated failure domains has a label.
 func (c *Cell) hasLabel(label string) bool {
 	for _, w := range c.workers {
--- a/internal/cell/cells_test.go
+++ b/internal/cell/cells_test.go
@@ -465,6 +465,28 @@
 	})
 }
 
+// Guards against borrowed workers that a cell keeps for tasks which they cannot run, and against one that is given back before the
+// labelled best-effort task starts for which it was borrowed.
+func TestNeedsWorkers(t *testing.T) {
+	for _, c := range []struct {
+		label             string
+		bestEffort, needs bool
+	}{{"", false, true}, {"nowhere", false, false}, {"w0", false, true}, {"", true, false}, {"w0", true, true}, {"nowhere", true, false}} {
+		sim := newSimulation(1, 1)
+		sim.workers["w0"].info.Labels = []string{"w0"}
+		o := sim.takeOver()
+		sim.run(time.Second)
+		o.cell.SetCordoned([]string{"w0"}, true)
+		spec := testSpec(1)
+		spec.Steps[0].RequiredLabel, spec.Steps[0].BestEffort = c.label, c.bestEffort
+		sim.submit("j", spec)
+		sim.run(time.Second)
+		if needs := o.cell.NeedsWorkers(); needs != c.needs {
+			t.Errorf("%+v: the cell needs workers: %v", c, needs)
+		}
+	}
+}
+
 // The first record of a job settles its cell, also for owners that read it only after the end of the job.
 func TestJobsOfOtherCells(t *testing.T) {
 	Convey("Given two cells", t, func() {
--- a/internal/cellnode/cells_test.go
+++ b/internal/cellnode/cells_test.go
@@ -155,6 +155,19 @@
 	return ids
 }
 
+// storeJob stores a job of one step in a cell.
+func (d *testCluster) storeJob(id string, cell int, step jobs.Step) {
+	d.t.Helper()
+	value, err := recordcodec.Encode(&jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 2, ReceivedMS: time.Now().UnixMilli(), Spec: jobs.Spec{Steps: []jobs.Step{step}}})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	record := store.Record{Key: jobrecord.JobKey(jobs.ID(id), "elsewhere", cell), Value: value}
+	if _, err := d.store.Append(context.Background(), store.AppendRequest{Partition: jobsPartition, Records: []store.Record{record}}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
 // One owner for everything was late before traffic began on a deployment of 1,100 workers.
 func TestDeploymentIsDividedIntoCellsByFailureDomain(t *testing.T) {
 	d, workers := newCellsCluster(t)
@@ -204,6 +217,9 @@
 	})
 	t.Run("a lent worker changes its cell and comes back", func(t *testing.T) {
 		n := d.nodes[1].node
+		// Borrowed workers do not help a job that requires a label which no worker has, so that it must not keep them.
+		labelled := testIDPrefix + "31"
+		d.storeJob(labelled, 1, jobs.Step{Count: 1, Request: jobs.Resources{MilliCPU: 1000}, RequiredLabel: "nowhere"})
 		// An overloaded owner lends nothing. One that is calm before and after the request was calm when it answered.
 		lenderCalm := func() bool {
 			load, loaded := d.ownerAt(0).currentLoad()
@@ -234,6 +250,7 @@
 		d.requestUntil(2*time.Second, 1, http.MethodPost, "/q/"+testIDPrefix+"30", "spec", http.StatusOK, "")
 		d.requestUntil(8*time.Second, 1, http.MethodGet, "/q/"+testIDPrefix+"30", "", http.StatusOK, "completed")
 		waitForWorkers(2, 2)
+		d.requestUntil(2*time.Second, 1, http.MethodDelete, "/q/"+labelled, "", http.StatusOK, "")
 	})
 	t.Run("a request to lend to a cell that does not exist is refused", func(t *testing.T) {
 		for _, r := range []*cellrpc.LendRequest{{Cell: 0, Borrower: 7}, {Cell: 0, Borrower: 0}, {Cell: 0, Borrower: -1}} {
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -256,7 +256,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
-	if load.WaitingMilliCPU > 0 || load.UsedMilliCPU*100 > load.CapacityMilliCPU*returnPercent {
+	if o.cell.NeedsWorkers() || load.UsedMilliCPU*100 > load.CapacityMilliCPU*returnPercent {
 		o.neededAt = now
 	}
 	surplus := now-o.neededAt > returnDelay
@@ -359,7 +359,10 @@
 	if len(shortages) == 0 || now-o.borrowedAt < borrowInterval {
 		return
 	}
-	o.borrowedAt, o.neededAt = now, now
+	o.borrowedAt = now
+	if shortages[len(shortages)-1].Label == "" { // the workers of the cell do not help the others
+		o.neededAt = now
+	}
 	for _, shortage := range shortages {
 		if o.borrowFor(ctx, shortage) > 0 {
 			return
