--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,7 +19,7 @@
 	cellmap.Rack
 	// Workers are the IDs of its registered workers.
 	Workers []string
-	// Idle is set if all of them may be handed over, and no run is left on another worker of the rack.
+	// Idle is set if all of them may be handed over, and no run is left on another worker that is or may be of the rack.
 	Idle bool
 }
 
@@ -62,9 +63,13 @@
 		rack.Runs += len(w.runs)
 	}
 	for _, w := range c.workers {
-		// A worker without an entry may be registered again, in the cell that its rack belongs to then, while the lease on its runs lasts.
-		if i, known := byKey[cellmap.RackKey(w.info.FailureDomain, w.info.Rack)]; known && !w.listed && len(w.runs) > 0 {
-			racks[i].Idle = false
+		if w.listed || len(w.runs) == 0 {
+			continue
+		}
+		// It may be registered again, in the cell that its rack belongs to then, while the lease on its runs lasts.
+		key, rackKnown := cellmap.RackKey(w.info.FailureDomain, w.info.Rack), w.info.Address != ""
+		for i := range racks {
+			racks[i].Idle = racks[i].Idle && rackKnown && cellmap.RackKey(racks[i].FailureDomain, racks[i].Label) != key
 		}
 	}
 	slices.SortFunc(racks, func(a, b Rack) int {
@@ -75,7 +80,7 @@
 
 // hasLongRunning reports whether a long-running task is on the worker.
 func (w *worker) hasLongRunning() bool {
-	tasks, _ := w.longRunning()
+	tasks, _ := w.longRunning(0)
 	return tasks > 0
 }
 
@@ -136,7 +141,7 @@
 			continue
 		}
 		free = free.Add(w.info.Capacity.Sub(w.reserved))
-		if tasks, movable := w.longRunning(); movable && (label == "" || hasLabel(w, label)) && (best == nil || tasks < fewest) {
+		if tasks, movable := w.longRunning(c.now); movable && (label == "" || hasLabel(w, label)) && (best == nil || tasks < fewest) {
 			best, fewest = w, tasks
 		}
 	}
@@ -151,13 +156,13 @@
 	return best.info.ID
 }
 
-// longRunning returns the number of long-running tasks on the worker, and whether each may be stopped and moved by itself.
-func (w *worker) longRunning() (tasks int, movable bool) {
+// longRunning returns the number of long-running tasks on the worker, and whether each may be stopped and moved by itself now.
+func (w *worker) longRunning(now time.Duration) (tasks int, movable bool) {
 	movable = true
 	for _, r := range w.runs {
 		if step := r.task.group.step; step.LongRunning {
 			tasks++
-			movable = movable && !step.Gang && !step.HasMaxUnavailable
+			movable = movable && !step.Gang && !step.HasMaxUnavailable && r.task.movesCountUntil <= now
 		}
 	}
 	return tasks, movable
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -73,6 +73,7 @@
 	handOvers = append(handOvers, o.loanHandOvers()...)
 	o.handOverWorkers(ctx, table, handOvers)
 	o.handOverTasks(ctx, table)
+	o.cancelElsewhere(ctx)
 	o.borrow(ctx)
 }
 
@@ -183,6 +184,17 @@
 	}
 }
 
+// cancelElsewhere stores cancellations of jobs that have ended in this cell, for cells that have tasks of them.
+func (o *owner) cancelElsewhere(ctx context.Context) {
+	var records []store.Record
+	o.locked(func() { records = o.cell.CancelledElsewhere() })
+	if len(records) == 0 {
+		return
+	}
+	_, err := o.node.jobsAppender.Append(ctx, records)
+	o.log.Info("ended jobs cancelled in other cells", zap.Int("jobs", len(records)), zap.Error(err))
+}
+
 // taskMove is the hand-over of a task to a cell.
 type taskMove struct {
 	id jobs.TaskID
@@ -244,7 +256,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := boottime.Now()
-	if load.WaitingMilliCPU > 0 || load.UsedMilliCPU*100 > load.CapacityMilliCPU*returnPercent {
+	if o.cell.NeedsWorkers() || load.UsedMilliCPU*100 > load.CapacityMilliCPU*returnPercent {
 		o.neededAt = now
 	}
 	surplus := now-o.neededAt > returnDelay
@@ -347,7 +359,10 @@
 	if len(shortages) == 0 || now-o.borrowedAt < borrowInterval {
 		return
 	}
-	o.borrowedAt, o.neededAt = now, now
+	o.borrowedAt = now
+	if shortages[len(shortages)-1].Label == "" { // the workers of the cell do not help the others
+		o.neededAt = now
+	}
 	for _, shortage := range shortages {
 		if o.borrowFor(ctx, shortage) > 0 {
 			return
