Owners state in the log by when the leases on an absent worker end

Cause: a new owner counted a call timeout and a task lease from its own claim for each absent worker, since former owners may have renewed leases until then. The log did not say that an owner had not reached a worker, so each change of owner began the wait anew.

Change: an owner that finds a worker with open attempts unlisted and silent writes a WorkerAbsence record: it extends no lease there from now on, and all leases of its own and of earlier owners end within the stated time. Once the worker answers, the owner writes that the absence is over and extends leases only after it has read that back. The ledger keeps an absence only for the owner directly after the one that declared it; the next one has to state it again. Without a record the wait is as before: older nodes write none and reject the record as unknown, without an effect.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -86,8 +86,8 @@
 	AlreadyTransferred Rejection = "already_departed"
 	// AlreadyArrived means that the transfer of the task from another failure domain was already applied.
 	AlreadyArrived Rejection = "already_arrived"
-	// UnknownRecord means that the type of the record is unknown, or that an arrival names no task or no
-	// failure domain.
+	// UnknownRecord means that the type of the record is unknown, that an arrival names no task or no failure domain, or that an absence
+	// lasts too long.
 	UnknownRecord Rejection = "unknown_record"
 )
 
@@ -110,6 +110,8 @@
 	transferredTo map[string]string
 	// arrivedFrom holds the failure domain from which each arrived task was transferred.
 	arrivedFrom map[string]string
+	// absences holds the absent workers, by worker, as declared under the current claim of their shard or under the one before it.
+	absences map[string]Absence
 	// sequences holds the highest sequence number read from each writer.
 	sequences map[Writer]uint64
 }
@@ -121,6 +123,7 @@
 		movedTo:       make(map[string]uint32),
 		transferredTo: make(map[string]string),
 		arrivedFrom:   make(map[string]string),
+		absences:      make(map[string]Absence),
 		sequences:     make(map[Writer]uint64),
 	}
 	for i := range l.claims {
@@ -212,6 +215,8 @@
 		return l.applyArrival(body.Arrival)
 	case *record.Record_Forget:
 		return l.applyForget(w, body.Forget)
+	case *record.Record_WorkerAbsence:
+		return l.applyAbsence(w, body.WorkerAbsence, now)
 	case *record.Record_DomainSnapshot:
 		return Accepted
 	default:
@@ -228,6 +233,7 @@
 	if platform.Offset(c.GetReplaces()) != current.Revision {
 		return StaleClaim
 	}
+	l.dropAbsencesBefore(*current)
 	*current = Claim{
 		Shard:    c.GetShard(),
 		Owner:    w,
@@ -331,6 +337,7 @@
 	a.Outcome = e.GetOutcome()
 	a.Reason = e.GetReason()
 	a.EndedAt = now
+	l.dropAbsenceWithoutAttempts(a.Worker)
 	if e.GetCheckpoint() != "" {
 		a.Checkpoint = e.GetCheckpoint()
 		a.Progress = float64(e.GetProgressPermille()) / permille
--- a/internal/ledger/snapshot.go
+++ b/internal/ledger/snapshot.go
@@ -39,6 +39,7 @@
 	}
 	state.Departed = taskDomains(l.transferredTo)
 	state.Guests = taskDomains(l.arrivedFrom)
+	state.Absences = l.absenceStates()
 	state.Writers = l.writerStates()
 	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
@@ -169,6 +170,7 @@
 	for _, g := range state.GetGuests() {
 		l.arrivedFrom[g.GetTask()] = g.GetDomain()
 	}
+	l.restoreAbsences(state.GetAbsences(), now)
 	for _, w := range state.GetWriters() {
 		l.sequences[Writer{Node: w.GetNode(), Incarnation: w.GetIncarnation()}] = w.GetSequence()
 	}
--- a/internal/ledger/snapshot_test.go
+++ b/internal/ledger/snapshot_test.go
@@ -92,7 +92,7 @@
 	attempt := uint32(rapid.IntRange(1, 3).Draw(t, "attempt"))
 	held := shardToken(shard, current.Token)
 	var r *record.Record
-	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	switch rapid.IntRange(0, 8).Draw(t, "kind") {
 	case 0, 1:
 		r = claimRecord(shard, current.Revision)
 	case 2:
@@ -108,6 +108,10 @@
 		r = &record.Record{Body: &record.Record_Transfer{Transfer: body}}
 	case 7:
 		r = &record.Record{Body: &record.Record_Arrival{Arrival: &record.Arrival{Task: task, FromDomain: "d", Attempt: attempt}}}
+	case 8:
+		by := shardToken(failuredomain.ShardOf(task), s.ledger.Claim(failuredomain.ShardOf(task)).Token)
+		body := &record.WorkerAbsence{By: by, Worker: task, LeasesEndMs: 1000, Over: rapid.Bool().Draw(t, "over")}
+		r = &record.Record{Body: &record.Record_WorkerAbsence{WorkerAbsence: body}}
 	}
 	key := fmt.Sprintf("%s.%d", node, incarnation)
 	s.sequence[key]++
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -17,12 +17,12 @@
 const maxCallsPerTick = 128
 
 // reachableWorker returns the worker of a task's open attempt, or nil if this node may not call it now. That
-// is so if the worker is unknown, has accepted no fencing token from this node, is absent from the VM list or
+// is so if the worker is unknown, has accepted no fencing token from this node, is absent from the VM list or declared absent, or
 // waits for a retry after a failed call, or if this node does not hold the worker's shard under the fencing
 // token that the worker has accepted.
 func (e *engine) reachableWorker(row *task.Task, now time.Time) *worker.Worker {
 	w := e.workerTable.Get(row.Worker)
-	if w == nil || w.Token == 0 || !w.UnlistedSince.IsZero() || now.Before(w.NextCallAt) {
+	if w == nil || w.Token == 0 || !w.UnlistedSince.IsZero() || now.Before(w.NextCallAt) || e.isDeclaredAbsent(w) {
 		return nil
 	}
 	if token, held := e.owner.Authority(w.Shard, now); !held || token != w.Token {
--- a/internal/node/engine.go
+++ b/internal/node/engine.go
@@ -131,8 +131,12 @@
 	// publicationWaiters maps the ID of each publication that an operator waits for on this node to the
 	// channel that receives its outcome.
 	publicationWaiters map[string]chan publicationResult
-	failoverManager    *failoverManager
-	views              views
+	// declaredAbsences holds, by worker, the absences that this node has declared.
+	declaredAbsences map[string]*declaredAbsence
+	// ledgerReplacedAt is when the ledger was last replaced, and with it what was known of the workers.
+	ledgerReplacedAt time.Time
+	failoverManager  *failoverManager
+	views            views
 }
 
 // eventQueueSize bounds the functions that wait for the engine.
@@ -194,6 +198,7 @@
 	e.requestClaimPromises(now)
 	e.announceLeavingEndpoints(now)
 	e.removeAbsent(now)
+	e.declareAbsences(now)
 	e.fenceWorkers(now)
 	e.renewLeases(now)
 	e.startPlaced(now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,6 +148,7 @@
 		pushRequests:           make(chan struct{}, 1),
 		lapsedTasks:            make(map[platform.RunID]time.Time),
 		leavingSince:           make(map[string]time.Time),
+		declaredAbsences:       make(map[string]*declaredAbsence),
 		peers:                  peer.NewClients(s.PeerKey, o.Peers).At,
 	}
 	e.evacuationTransfers = newEvacuationTransfers(e)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -33,8 +33,11 @@
 		e.applyTransfer(r, body.Transfer, now)
 	case *record.Record_Arrival:
 		e.applyArrival(r)
+	case *record.Record_WorkerAbsence:
+		e.applyAbsence(r, body.WorkerAbsence)
 	case *record.Record_Claim:
 		e.dirty = true
+		e.pruneAbsences(body.Claim.GetShard())
 		if r.Rejection == ledger.Accepted {
 			e.logger.Info("shard claimed", zap.Uint32("shard", body.Claim.GetShard()), zap.String("owner", r.Writer.Node), zap.Uint64("token", uint64(r.Offset)))
 		}
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -88,6 +88,8 @@
 // setLedger replaces the ledger and rebuilds the worker and task tables from it.
 func (e *engine) setLedger(l *ledger.Ledger, now time.Time) {
 	e.ledger = l
+	e.ledgerReplacedAt = now
+	e.resendAbsenceEnds()
 	e.owner.DropAll()
 	e.domainWriter.ConfirmUpTo(l.SequenceOf(e.self))
 	e.workerTable = worker.NewTable()
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -19,6 +19,7 @@
 func (e *engine) applyReport(w *worker.Worker, report platform.Report, sent time.Time, fenced bool) {
 	now := time.Now()
 	w.ReportedAt = now
+	e.endAbsence(w)
 	e.workerTable.SetCapacity(w, report.Capacity)
 	reported := make(map[platform.RunID]bool, len(report.Runs))
 	var running units.Resources
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -175,17 +175,15 @@
 
 // goneAt returns the time at which an absent worker counts as gone unless it answers before. The previous
 // owner of the shard, whose copy of the list may still have shown the worker, may have renewed leases on it
-// until this node claimed the shard.
+// until this node claimed the shard, unless it has declared the worker absent. The worker has time to answer this owner in any case.
 func (e *engine) goneAt(w *worker.Worker) time.Time {
-	silentSince := w.UnlistedSince
-	if w.ReportedAt.After(silentSince) {
-		silentSince = w.ReportedAt
-	}
-	if claimed := e.owner.ClaimSentAt(w.Shard); claimed.After(silentSince) {
-		silentSince = claimed
-	}
+	silentSince := latest(latest(w.UnlistedSince, w.ReportedAt), e.owner.ClaimSentAt(w.Shard))
 	lastCallEnds := silentSince.Add(e.settings.Scheduling.WorkerCallTimeout.Std())
-	return lease.ObserverExpiry(lastCallEnds, e.settings.Scheduling.TaskLease.Std())
+	leasesEnd := lease.ObserverExpiry(lastCallEnds, e.settings.Scheduling.TaskLease.Std())
+	if former, known := e.formerLeasesEnd(w); known {
+		return earliest(leasesEnd, latest(former, lastCallEnds.Add(workerRetryDelay)))
+	}
+	return leasesEnd
 }
 
 // removeWorker drops a worker that is gone and ends its open attempts.
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -84,7 +84,7 @@
 
 // updateEligibility decides whether a worker in a shard that this node holds may get new tasks.
 func (e *engine) updateEligibility(w *worker.Worker, token platform.Offset, state quarantine.State, now time.Time) {
-	usable := w.Token == token && !w.Leaving && w.UnlistedSince.IsZero() && !now.Before(w.NextCallAt)
+	usable := w.Token == token && !w.Leaving && !e.isDeclaredAbsent(w) && w.UnlistedSince.IsZero() && !now.Before(w.NextCallAt)
 	e.workerTable.SetEligible(w, usable && state != quarantine.Quarantined)
 }
 
@@ -170,7 +170,7 @@
 			continue
 		}
 		w.ReportNow = false
-		if !w.UnlistedSince.IsZero() {
+		if !w.UnlistedSince.IsZero() || e.isDeclaredAbsent(w) {
 			e.probeAbsent(w)
 			continue
 		}
