--- a/internal/cellnode/former_leases.go
+++ b/internal/cellnode/former_leases.go
@@ -56,7 +56,7 @@
 	switch ended := m.ended.Load(); {
 	case ended != nil && ended.epoch == epoch:
 		return ended.leases.Remaining(boottime.Now()), ""
-	case o != nil && o.epoch == epoch && m.mayRenewWorkerLeases(epoch):
+	case o != nil && o.epoch == epoch && (m.mayRenewWorkerLeases(epoch) || o.panicked.Load()):
 		return cell.LeaseEnds{}, refusalStillOwner
 	case o != nil && o.epoch == epoch: // another node follows it, so that it extends nothing any more
 		o.mu.Lock()
--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -77,7 +77,8 @@
 	grants              bool
 }
 
-// NewGrants returns the grants of a new owner. The newest statement under its claim, that of the claim itself, has the serial; maxLease is the longest lease on a worker.
+// NewGrants returns the grants of a new owner. serial is that of the newest statement under its claim, and maxLease the longest lease
+// on a worker.
 func NewGrants(epoch, serial int64, maxLease, now time.Duration) *Grants {
 	lease := LeaseEnd(0, min(maxLease, MaxGrantedLease))
 	return &Grants{
@@ -108,7 +109,7 @@
 // Serial returns the serial of the newest statement.
 func (g *Grants) Serial() int64 { return g.serial }
 
-// Next returns the statement with which a renewal or a release is sent now, once its workers are listed with List. othersEnd is when
+// Next returns the statement with which a renewal or a release is sent now, with the workers that it lists. othersEnd is when
 // all leases on workers that are not listed have ended, as far as they have been extended. extends is set if the owner is to extend
 // leases from now on; once it has been, it stays so until the release.
 func (g *Grants) Next(othersEnd time.Duration, listed []StatedLease, extends bool, now time.Duration) Statement {
