--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -149,7 +149,7 @@
 		}
 		o.log.Info("take-over step failed", zap.String("step", name), zap.Error(err))
 		sleep(ctx, loadRetryDelay)
-		if ctx.Err() != nil || !o.member.mayRenewWorkerLeases(o.epoch) {
+		if ctx.Err() != nil || !o.member.mayContinue(o.epoch) {
 			return errClaimEnded
 		}
 	}
