--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -70,7 +70,7 @@
 	// formerLeases are the leases as the former owner knows them, and those on workers that were removed under this owner. Where
 	// they say nothing, formerLeasesEnd holds.
 	formerLeases LeaseEnds
-	// leaseLimit is the time by which the leases that this owner extends may end, see SetLeaseLimit. stated are the workers, by ID,
+	// leaseLimit is the time by which the leases that this owner extends may end, see setLeaseLimit. stated are the workers, by ID,
 	// whose leases it may not extend.
 	leaseLimit time.Duration
 	stated     map[string]statedLease
--- a/internal/cell/lease_bounds_test.go
+++ b/internal/cell/lease_bounds_test.go
@@ -81,7 +81,7 @@
 	}
 	sim.runUntil(func() bool { w := taker.owner.cell.workers["w1"]; return w != nil && w.tokenAccepted })
 	w := taker.owner.cell.workers["w1"]
-	taker.owner.cell.SetLeaseLimit(sim.now + 4500*time.Millisecond)
+	taker.owner.cell.setLeaseLimit(sim.now + 4500*time.Millisecond)
 	taker.owner.cell.extendLease(w) // as for a start
 	if w.leaseEnd() < granted {
 		t.Errorf("the owner takes the lease for ended %v early", granted-w.leaseEnd())
--- a/internal/cell/lost_worker_test.go
+++ b/internal/cell/lost_worker_test.go
@@ -94,9 +94,9 @@
 	sim.runDueEvents()
 	c.SetTime(sim.now, sim.wall())
 	round := c.Plan()
-	c.SetLeaseLimit(noLeaseLimit)
+	c.setLeaseLimit(noLeaseLimit)
 	if limited {
-		c.SetLeaseLimit(sim.now)
+		c.setLeaseLimit(sim.now)
 	}
 	silence := func(d time.Duration) {
 		for end := sim.now + d; sim.now < end; {
--- a/internal/cell/sim_claims_test.go
+++ b/internal/cell/sim_claims_test.go
@@ -293,7 +293,7 @@
 	}
 	o.nextConsents = sim.now + simConsentInterval
 	missing, serial := o.grants.ConsentsNeeded(sim.now)
-	o.cell.SetLeaseLimit(o.grants.Limit())
+	o.cell.setLeaseLimit(o.grants.Limit())
 	slices.SortFunc(missing, func(a, b claim.Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	for _, m := range missing {
 		i := slices.IndexFunc(o.home.candidates, func(c *simCandidate) bool { return c.id == m.ID })
@@ -317,6 +317,6 @@
 		sim.schedule(simTick, func() { sim.consented(o, id, serial) })
 	default:
 		o.grants.Consented(id, serial, sim.now)
-		o.cell.SetLeaseLimit(o.grants.Limit())
+		o.cell.setLeaseLimit(o.grants.Limit())
 	}
 }
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -253,7 +253,7 @@
 	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second,
 		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound), RemoteRackFactor: sim.remoteRackFactor},
 		o.token, wait.End, zap.NewNop(), NewMetrics(metrics.NewSet()))
-	o.cell.SetLeaseLimit(o.grants.Limit())
+	o.cell.setLeaseLimit(o.grants.Limit())
 	o.cell.SetFormerLeases(formerLeases(wait))
 	o.cell.SetTime(sim.now, sim.wall())
 	sim.readEvacuations(o)
--- a/internal/cell/stated_leases.go
+++ b/internal/cell/stated_leases.go
@@ -9,7 +9,7 @@
 	"cactuswall.example/cactuswall/internal/claim"
 )
 
-// noLeaseLimit is Cell.leaseLimit until SetLeaseLimit is called.
+// noLeaseLimit is Cell.leaseLimit until setLeaseLimit is called.
 const noLeaseLimit = time.Duration(math.MaxInt64)
 
 // statedLease is a lease whose end was stated to the owners that follow. It is not extended until a statement without the worker is
@@ -19,8 +19,8 @@
 	end    time.Duration
 }
 
-// SetLeaseLimit sets by when the leases that this owner extends may end.
-func (c *Cell) SetLeaseLimit(limit time.Duration) { c.leaseLimit = limit }
+// setLeaseLimit sets by when the leases that this owner extends may end.
+func (c *Cell) setLeaseLimit(limit time.Duration) { c.leaseLimit = limit }
 
 // StateLeases returns what the statement with a serial, which is sent now, says of leases: those on workers that are out of touch or
 // last beyond longest, and when all others have ended as far as this owner and those before it have extended them. Workers that
@@ -71,7 +71,7 @@
 // LeasesStored records that the newest stored statement is the one with a serial, so that the leases that this owner extends may end by
 // limit. Those that only earlier statements list may be extended again.
 func (c *Cell) LeasesStored(serial int64, limit time.Duration) {
-	c.leaseLimit = limit
+	c.setLeaseLimit(limit)
 	for id, s := range c.stated {
 		if s.serial < serial {
 			delete(c.stated, id)
--- a/internal/cellnode/candidates.go
+++ b/internal/cellnode/candidates.go
@@ -17,6 +17,8 @@
 	consentInterval = 250 * time.Millisecond
 	// consentTimeout is the timeout of such a call.
 	consentTimeout = 500 * time.Millisecond
+	// registerDelay is the minimum time between two attempts of a process to register as a candidate.
+	registerDelay = time.Second
 )
 
 // registerIfDue registers this process as a candidate with the owner of the cell, in the background.
@@ -34,6 +36,16 @@
 	}()
 }
 
+// registrationAllowed reports whether this process may try to register now, and notes that it does.
+func (m *membership) registrationAllowed() bool {
+	now := int64(boottime.Now())
+	if now < m.registerAfter.Load() || !m.registering.CompareAndSwap(false, true) {
+		return false
+	}
+	m.registerAfter.Store(now + int64(registerDelay))
+	return true
+}
+
 // register registers this process as a candidate with the owner under a claim.
 func (m *membership) register(ctx context.Context, owner claim.Record) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
--- a/internal/cellnode/statements.go
+++ b/internal/cellnode/statements.go
@@ -69,8 +69,8 @@
 	return max(now+o.grants.Stated(), o.grants.Limit())
 }
 
-// statementFor returns the statement about leases that is stored with a record of the claim which is about to be sent. composed is false if the
-// owner does not act under that claim.
+// statementFor returns the statement about leases that is stored with a record of the claim which is about to be sent. composed is false
+// if the owner, which may be nil, does not act under that claim.
 func (o *owner) statementFor(r claim.Record) (s claim.Statement, composed bool) {
 	if o == nil || o.epoch != r.Epoch || o.panicked.Load() {
 		return claim.Statement{}, false
@@ -151,16 +151,3 @@
 		m.statementStored(s)
 	}
 }
-
-// registerDelay is the minimum time between two attempts of a process to register as a candidate.
-const registerDelay = time.Second
-
-// registrationAllowed reports whether this process may try to register now, and notes that it does.
-func (m *membership) registrationAllowed() bool {
-	now := int64(boottime.Now())
-	if now < m.registerAfter.Load() || !m.registering.CompareAndSwap(false, true) {
-		return false
-	}
-	m.registerAfter.Store(now + int64(registerDelay))
-	return true
-}
