--- a/internal/cellnode/membership.go
+++ b/internal/cellnode/membership.go
@@ -83,7 +83,6 @@
 		m = &membership{node: n, cell: cell, log: n.log.With(zap.Int("cell", cell)), view: claim.NewView(n.holder, n.settings.Node, n.settings.Rank),
 			statementWanted: make(chan struct{}, 1)}
 		m.view.SetCapacity(n.settings.Capacity)
-		m.view.SetAddress(n.settings.PeerAddress)
 		n.memberships[cell] = m
 	}
 	return m
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -53,8 +53,6 @@
 	holder string
 	node   string
 	rank   int
-	// address is where this process serves calls from other nodes; empty if it is not known.
-	address string
 
 	latest    Record
 	hasLatest bool // latest has been read
@@ -106,9 +104,6 @@
 	return &View{holder: holder, node: node, rank: rank}
 }
 
-// SetAddress sets where this process serves calls from other nodes.
-func (v *View) SetAddress(address string) { v.address = address }
-
 // Reachable reports whether the newest read of the claim succeeded.
 func (v *View) Reachable() bool { return v.reachable }
 
--- a/internal/claim/grants.go
+++ b/internal/claim/grants.go
@@ -115,7 +115,7 @@
 func (g *Grants) Next(othersEnd time.Duration, listed []StatedLease, extends bool, now time.Duration) Statement {
 	g.serial++
 	g.beginRound(now)
-	s := Statement{Epoch: g.epoch, End: g.epoch, Serial: g.serial, Others: max(0, othersEnd-now), SentAt: max(0, now)}
+	s := Statement{Epoch: g.epoch, End: g.epoch, Serial: g.serial, Others: max(0, othersEnd-now)}
 	for _, w := range listed {
 		s.list(w)
 	}
--- a/internal/claim/lease_wait.go
+++ b/internal/claim/lease_wait.go
@@ -58,21 +58,11 @@
 	}
 	wait.Others = wait.End
 	if isStated {
-		sentAt := v.statementReadAt
-		if v.sentOnThisMachine(&stated) {
-			sentAt = stated.SentAt
-		}
-		wait.applyStatement(&stated, sentAt, !v.candidacy.withholdsConsent(&stated))
+		wait.applyStatement(&stated, v.statementReadAt, !v.candidacy.withholdsConsent(&stated))
 	}
 	return wait
 }
 
-// sentOnThisMachine reports whether an earlier process of this machine sent the statement of the latest owner, so that SentAt is on the
-// same clock. That clock begins anew when the machine starts: then less time seems to have passed than has.
-func (v *View) sentOnThisMachine(s *Statement) bool {
-	return v.heldByPreviousProcess() && v.address != "" && v.latest.Address == v.address && s.SentAt > 0 && s.SentAt <= v.statementReadAt
-}
-
 // MaxGrantedLease is the longest lease that an owner grants where workers accept longer ones. What ran on a worker that is lost
 // without a sign starts elsewhere only once its lease has certainly expired.
 const MaxGrantedLease = 6100 * time.Millisecond
--- a/internal/claim/statement.go
+++ b/internal/claim/statement.go
@@ -31,8 +31,6 @@
 	// Round is the round of registrations in which candidates may register, and OldestRound the oldest one that counts. A
 	// candidate that has registered in a round that counts is asked for its consent, see Grants.
 	Round, OldestRound int64
-	// SentAt is when the statement was sent, on the clock of package boottime of the owner's machine; 0 if it is not known.
-	SentAt time.Duration
 	// Workers are the workers whose leases the owner does not extend meanwhile, at most MaxStatedWorkers.
 	Workers []StatedLease
 	// End repeats Epoch. A record with fewer fields does not have it.
@@ -50,7 +48,7 @@
 func (s *Statement) valid() bool {
 	within := func(d time.Duration) bool { return d >= 0 && d <= maxStatedLease }
 	if s.Epoch < 1 || s.End != s.Epoch || s.Serial < 1 || !within(s.Others) || !within(s.Extended) || s.Extended < s.Others ||
-		s.OldestRound < 0 || s.SentAt < 0 || s.Round < s.OldestRound || len(s.Workers) > MaxStatedWorkers {
+		s.OldestRound < 0 || s.Round < s.OldestRound || len(s.Workers) > MaxStatedWorkers {
 		return false
 	}
 	listed := make(map[string]bool, len(s.Workers))
@@ -115,7 +113,7 @@
 // NextStatement returns the first statement of a new owner, or that of a release of an ended owner's claim, which is sent now: until a
 // new owner extends leases itself, those that it waits for are all that there are.
 func (v *View) NextStatement(epoch int64, wait LeaseWait, now time.Duration) Statement {
-	s := Statement{Epoch: epoch, End: epoch, Serial: 1, Others: max(0, wait.Others-now), SentAt: max(0, now)}
+	s := Statement{Epoch: epoch, End: epoch, Serial: 1, Others: max(0, wait.Others-now)}
 	if previous, known := v.Statement(); known && previous.Epoch == epoch {
 		s.Serial = previous.Serial + 1
 	}
