--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -223,7 +223,9 @@
 	workers Workers
 	// wrapStore, if set, returns the store that nodes call in place of store.
 	wrapStore func(Store) Store
-	nodes     []*runningNode
+	// prepare is called with each node before it runs, unless it is nil.
+	prepare func(*Node)
+	nodes   []*runningNode
 }
 
 type runningNode struct {
@@ -336,6 +338,9 @@
 		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, StopGracePeriod: 6 * time.Second,
 		Cell: cell.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Minute, MaxOverTarget: 4 * time.Second},
 	}, Platform{Store: link, Workers: link, Topics: topics, CallerCodec: testWire()}, fmt.Sprintf("%s-%d", p.name, p.processNumber), zap.NewNop())
+	if d.prepare != nil {
+		d.prepare(node)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &runningNode{node: node, link: link, cancel: cancel, done: make(chan error, 1)}
 	go func() { r.done <- node.Run(ctx) }()
--- a/internal/cellnode/store_record_test.go
+++ b/internal/cellnode/store_record_test.go
@@ -49,7 +49,12 @@
 // Pattern: the store turns a node away, and the owner's answer is lost. The caller was told after less than a second that the
 // outcome is unknown, although it would have waited for the second answer.
 func TestUnknownOutcomeIsSettledWhileTheCallerWaits(t *testing.T) {
-	d := newTestCluster(t, 2)
+	d := newTestCluster(t, 0)
+	d.prepare = func(n *Node) {
+		n.peers.client = &http.Client{Transport: &lostAnswers{RoundTripper: http.DefaultTransport}}
+	}
+	d.startNode(0)
+	d.startNode(1)
 	owner := d.waitForOwner()
 	other := d.nodes[1-owner].node
 	wrapped := &disconnectableStore{Store: d.store}
@@ -58,7 +63,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = other.jobsAppender.Run(ctx) }() // ends with the context
-	other.peers.client = &http.Client{Transport: &lostAnswers{RoundTripper: http.DefaultTransport}}
 	if status, _ := d.request(1-owner, http.MethodPost, "/q/"+testIDPrefix+"07", "spec"); status != http.StatusOK {
 		t.Errorf("got status %d, want 200", status)
 	}
@@ -107,12 +111,20 @@
 
 // Guards against jobs that are refused although this node could store them: the owner has gone while appends were slow.
 func TestNodeStoresRecordItselfIfOwnerIsGone(t *testing.T) {
-	d := newTestCluster(t, 2)
+	d := newTestCluster(t, 0)
+	var gone atomic.Bool
+	d.prepare = func(n *Node) {
+		n.peers.client = &http.Client{Transport: roundTripper(func(r *http.Request) (*http.Response, error) {
+			if gone.Load() {
+				return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+			}
+			return http.DefaultTransport.RoundTrip(r)
+		})}
+	}
+	d.startNode(0)
+	d.startNode(1)
 	index, appends := congestedNode(t, d)
-	n := d.nodes[index].node
-	n.peers.client = &http.Client{Transport: roundTripper(func(*http.Request) (*http.Response, error) {
-		return nil, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
-	})}
+	gone.Store(true)
 	if status, _ := d.request(index, http.MethodPost, "/q/"+testIDPrefix+"09", "spec"); status != http.StatusOK {
 		t.Errorf("got status %d, want 200", status)
 	}
