--- a/review/cases-2/cases.go
+++ b/review/cases-2/cases.go
@@ -211,6 +211,41 @@
 	}
 }
 
+// crashingService hands in one service whose tasks crash soon after each start, beside ordinary traffic.
+func crashingService(d *deployment, trouble bool) ([]string, error) {
+	const tasks, milliCPU = 5000, 10
+	crashAfter := 50 * time.Millisecond
+	if !trouble {
+		crashAfter = 0 // they last
+	}
+	answered := make(chan int, 1)
+	go func() {
+		time.Sleep(5 * time.Second)
+		body := job(payload(milliCPU, crashAfter), map[string]any{"count": tasks, "cpu": milliCPU, "mem-mb": 1, "estimate-ms": 300, "long-running": true}, nil)
+		d.record.line("the service is handed in: %s", body)
+		status, _ := d.callAny(0, http.MethodPost, vaktPrefix+crashPrefix+"000000000001", body)
+		answered <- status
+	}()
+	accepted := d.ordinaryTraffic(30 * time.Second)
+	before := d.startCount(crashPrefix)
+	time.Sleep(time.Second)
+	d.record.line("the service was answered with %d; %d starts of its tasks in a second, %d in all", <-answered, d.startCount(crashPrefix)-before, before)
+	return d.lostJobs(accepted), nil
+}
+
+// startCount returns the number of starts of tasks whose names begin with prefix.
+func (d *deployment) startCount(prefix string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	count := 0
+	for _, r := range d.runs {
+		if strings.HasPrefix(r.task, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 // rackWait hands in a job that fills the rack of its data, and then a second one with data on that rack. The rest of the workers have
 // nothing to do.
 func rackWait(d *deployment, trouble bool) ([]string, error) {
--- a/review/cases-2/deployment.go
+++ b/review/cases-2/deployment.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -226,7 +227,7 @@
 		ClockRate: 0.99, MaxLease: maxLease, Record: d.event,
 	}
 	w.Boot()
-	if err := d.serve(w.Address, &http.Server{Handler: w, ConnContext: w.ConnContext}); err != nil {
+	if err := d.serve(w.Address, &http.Server{Handler: crashing{w}, ConnContext: w.ConnContext}); err != nil {
 		return err
 	}
 	d.workers = append(d.workers, w)
@@ -242,6 +243,41 @@
 	return nil
 }
 
+// crashPrefix begins the IDs of jobs whose tasks crash: each run of them ends as failed, when the stand-in's work is over.
+const crashPrefix = "c0de"
+
+// crashing is a worker. The project's stand-in fails only the first run of a task.
+type crashing struct{ worker *standin.Worker }
+
+// crashedRow is the beginning of a row of an end, up to its reason.
+var crashedRow = regexp.MustCompile(`(\[\d+,"` + crashPrefix + `[^"]*",\d+,)"done"`)
+
+// ServeHTTP implements http.Handler.
+func (c crashing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/-/hold" {
+		c.worker.ServeHTTP(w, r)
+		return
+	}
+	answer := &buffered{ResponseWriter: w, status: http.StatusOK}
+	c.worker.ServeHTTP(answer, r)
+	w.WriteHeader(answer.status)
+	_, _ = w.Write(crashedRow.ReplaceAll(answer.body, []byte(`$1"failed"`))) // the caller may have gone
+}
+
+// buffered is a response that is not written yet.
+type buffered struct {
+	http.ResponseWriter
+	status int
+	body   []byte
+}
+
+func (b *buffered) WriteHeader(status int) { b.status = status }
+
+func (b *buffered) Write(p []byte) (int, error) {
+	b.body = append(b.body, p...)
+	return len(p), nil
+}
+
 // event notes what happened to a run on a worker.
 func (d *deployment) event(e standin.Event) {
 	d.mu.Lock()
@@ -259,7 +295,7 @@
 	default:
 		return
 	}
-	if !strings.HasPrefix(e.Task, "ffff") { // the tasks of large jobs are counted, not listed
+	if !strings.HasPrefix(e.Task, "ffff") && !strings.HasPrefix(e.Task, crashPrefix) { // the tasks of large jobs are counted, not listed
 		d.record.line("worker %s: run %d of %s %s", e.Worker, e.Run, e.Task, e.Kind)
 	}
 }
