--- a/review/cases-2/cases.go
+++ b/review/cases-2/cases.go
@@ -246,6 +246,82 @@
 	return count
 }
 
+// hangingWorkers hands in a job with many small tasks for the workers of one rack, and jobs for any worker. When the tasks of their second
+// steps are due, five of the 48 workers hang.
+func hangingWorkers(d *deployment, trouble bool) ([]string, error) {
+	const (
+		jobs       = 5
+		smallTasks = 1000
+		still      = 3 * time.Second
+		hangAt     = finishTime - 1800*time.Millisecond // after the end of the traffic
+		hangTime   = 5500 * time.Millisecond
+		hung       = 5
+	)
+	small := twoSteps(standin.Work{MilliCPU: 100, MemoryMB: 1, DurationMS: 12300}, standin.Work{MilliCPU: 10, MemoryMB: 1, DurationMS: 200}, 1, smallTasks,
+		map[string]any{"requires": "r0-0"})
+	if status, _ := d.callAny(0, http.MethodPost, skiptiPrefix+"ffff000000000001", small); status != http.StatusOK {
+		return nil, fmt.Errorf("the job of small tasks was answered with %d", status)
+	}
+	any := twoSteps(standin.Work{MilliCPU: 1000, MemoryMB: 1, DurationMS: 13500}, standin.Work{MilliCPU: 1000, MemoryMB: 1, DurationMS: 1000}, 1, 2, nil)
+	var ids []string
+	for i := range jobs {
+		ids = append(ids, fmt.Sprintf("%016x", 0x5000+i))
+		if status, _ := d.callAny(i, http.MethodPost, skiptiPrefix+ids[i], any); status != http.StatusOK {
+			return nil, fmt.Errorf("a job was answered with %d", status)
+		}
+	}
+	ended := time.Now() // the traffic
+	time.Sleep(hangAt)
+	if trouble {
+		for _, w := range d.workers[:hung] {
+			d.hang(w.ID, hangTime)
+		}
+	}
+	time.Sleep(time.Until(ended.Add(finishTime + still)))
+	from, to := ended.Add(finishTime), ended.Add(finishTime+still)
+	working, _ := d.taskCount("", time.Now())
+	d.record.line("check: %v after the end of the traffic %d tasks are at work on %d workers of %d thousandths of a core", finishTime+still, working, len(d.workers), workerMilliCPU)
+	var broken []string
+	for i, id := range ids {
+		_, answer := d.callAny(i, http.MethodGet, skiptiPrefix+id, nil)
+		if !strings.Contains(answer, "completed") && !d.ranWithin(id, from, to) {
+			broken = append(broken, fmt.Sprintf("LOST: accepted job %s: %s, and nothing of it has run for %v from %v after the end of the traffic on", id, answer, still, finishTime))
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for _, id := range ids {
+		d.record.line("check: job %s is done: %v", id, d.ranWithin(id+".0.1", to.Add(-time.Minute), time.Now()))
+	}
+	return broken, nil
+}
+
+// twoSteps returns the body of a job of two steps, of which the second begins when the first is done and has further fields.
+func twoSteps(first, second standin.Work, firstCount, secondCount int, further map[string]any) []byte {
+	spec, _ := json.Marshal([]standin.Work{first, second})
+	step := func(w standin.Work, count int) map[string]any {
+		return map[string]any{"count": count, "cpu": w.MilliCPU, "mem-mb": w.MemoryMB, "estimate-ms": w.DurationMS}
+	}
+	last := step(second, secondCount)
+	last["after"] = []int{0}
+	for key, value := range further {
+		last[key] = value
+	}
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": []any{step(first, firstCount), last}})
+	return body
+}
+
+// ranWithin reports whether a task whose name begins with prefix was at work at some time between two times.
+func (d *deployment) ranWithin(prefix string, from, to time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.runs {
+		if strings.HasPrefix(r.task, prefix) && r.started.Before(to) && (r.ended.IsZero() || r.ended.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
 // rackWait hands in a job that fills the rack of its data, and then a second one with data on that rack. The rest of the workers have
 // nothing to do.
 func rackWait(d *deployment, trouble bool) ([]string, error) {
--- a/review/cases-2/deployment.go
+++ b/review/cases-2/deployment.go
@@ -85,7 +85,9 @@
 	mu     sync.Mutex
 	runs   []*run
 	active map[string]*run // by worker, task and run
-	over   bool
+	// hanging are the workers, by ID, that answer nothing until a time.
+	hanging map[string]time.Time
+	over    bool
 }
 
 // node is an entry VM and its process.
@@ -122,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, dir: dir, network: network, store: standin.NewStore(20*time.Second, 3*heartbeat, 1), active: make(map[string]*run)}
+	d := &deployment{record: r, dir: dir, network: network, store: standin.NewStore(20*time.Second, 3*heartbeat, 1), active: make(map[string]*run), hanging: make(map[string]time.Time)}
 	storeAddress := d.address(0, 1) + ":8169"
 	if err := d.serve(storeAddress, &http.Server{Handler: http.HandlerFunc(d.serveStore)}); err != nil {
 		return d, err
@@ -227,7 +229,7 @@
 		ClockRate: 0.99, MaxLease: maxLease, Record: d.event,
 	}
 	w.Boot()
-	if err := d.serve(w.Address, &http.Server{Handler: crashing{w}, ConnContext: w.ConnContext}); err != nil {
+	if err := d.serve(w.Address, &http.Server{Handler: workerHandler{d, w}, ConnContext: w.ConnContext}); err != nil {
 		return err
 	}
 	d.workers = append(d.workers, w)
@@ -246,24 +248,47 @@
 // crashPrefix begins the IDs of jobs whose tasks crash: each run of them ends as failed, when the stand-in's work is over.
 const crashPrefix = "c0de"
 
-// crashing is a worker. The project's stand-in fails only the first run of a task.
-type crashing struct{ worker *standin.Worker }
+// workerHandler serves the orders to a worker. The project's stand-in fails only the first run of a task, and does not hang.
+type workerHandler struct {
+	deployment *deployment
+	worker     *standin.Worker
+}
 
 // crashedRow is the beginning of a row of an end, up to its reason.
 var crashedRow = regexp.MustCompile(`(\[\d+,"` + crashPrefix + `[^"]*",\d+,)"done"`)
 
 // ServeHTTP implements http.Handler.
-func (c crashing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h workerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.deployment.hangs(h.worker.ID) {
+		_, _ = io.Copy(io.Discard, r.Body) // so that the end of the connection is noticed
+		<-r.Context().Done()
+		return
+	}
 	if r.URL.Path != "/-/hold" {
-		c.worker.ServeHTTP(w, r)
+		h.worker.ServeHTTP(w, r)
 		return
 	}
 	answer := &buffered{ResponseWriter: w, status: http.StatusOK}
-	c.worker.ServeHTTP(answer, r)
+	h.worker.ServeHTTP(answer, r)
 	w.WriteHeader(answer.status)
 	_, _ = w.Write(crashedRow.ReplaceAll(answer.body, []byte(`$1"failed"`))) // the caller may have gone
 }
 
+// hangs reports whether a worker answers nothing now.
+func (d *deployment) hangs(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Now().Before(d.hanging[id])
+}
+
+// hang has a worker answer nothing for a time.
+func (d *deployment) hang(id string, duration time.Duration) {
+	d.mu.Lock()
+	d.hanging[id] = time.Now().Add(duration)
+	d.mu.Unlock()
+	d.record.line("worker %s answers nothing for %v", id, duration)
+}
+
 // buffered is a response that is not written yet.
 type buffered struct {
 	http.ResponseWriter
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -20,8 +20,8 @@
 type play func(d *deployment, trouble bool) (broken []string, err error)
 
 var cases = map[string]play{
-	"6": largeStep, "7": overdueOccurrences, "8": crashingService, "9": manyImages, "10": largeRecord,
-	"pending": refusedStarts, "rack-wait": rackWait, // not of the five
+	"6": largeStep, "7": overdueOccurrences, "8": crashingService, "9": largeRecord, "10": hangingWorkers,
+	"images": manyImages, "pending": refusedStarts, "rack-wait": rackWait, // not of the five
 }
 
 func main() { os.Exit(runCase()) }
