Report attempts of appends, and what an owner holds in memory

The logs did not tell apart an append with a record above the limit, one that is too large in total and a slow store: a repeated append showed up as a call with an unknown result alone. The appender now reports each attempt. Two gauges give the jobs and tasks in an owner's memory, which were not known either. TestWaitingForRetry compares the whole workload and gets the two numbers.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -60,7 +60,8 @@
 	producerName string
 	epoch        int64
 	nextSequence int64
-	maxBytes     int
+	limits       Limits
+	observe      func(Attempt)
 
 	// mu protects the fields below, and inBatch of the requests.
 	mu            sync.Mutex
@@ -91,10 +92,34 @@
 	err      error
 }
 
-// New returns an Appender that writes as the producer with the given name and epoch and sends at most maxBytes in one
-// append, unless a single request is larger. Nothing is written until Run is called.
-func New(s Store, p store.Partition, name string, epoch int64, maxBytes int) *Appender {
-	return &Appender{store: s, partition: p, producerName: name, epoch: epoch, nextSequence: firstSequence, maxBytes: maxBytes, wake: make(chan struct{}, 1)}
+// Limits are the limits of the store.
+type Limits struct {
+	CallBytes int // maximum size of the records of one append
+}
+
+// Attempt is a call to the store that appends a batch of records, whether it succeeded or not.
+type Attempt struct {
+	Partition store.Partition
+	Number    int // counts the attempts of this batch from 1
+	Records   int
+	Bytes     int // size of all records
+	// LargestKey and LargestBytes are the key and the size of the largest record.
+	LargestKey   string
+	LargestBytes int
+	Took         time.Duration
+	// Err is nil if the store has appended the batch.
+	Err error
+}
+
+// New returns an Appender that writes as the producer with the given name and epoch and sends at most limits.CallBytes in one
+// append, unless a single request is larger. Nothing is written until Run is called. observe is called after each attempt by the
+// goroutine of Run; it may be nil.
+func New(s Store, p store.Partition, name string, epoch int64, limits Limits, observe func(Attempt)) *Appender {
+	if observe == nil {
+		observe = func(Attempt) {}
+	}
+	return &Appender{store: s, partition: p, producerName: name, epoch: epoch, nextSequence: firstSequence, limits: limits, observe: observe,
+		wake: make(chan struct{}, 1)}
 }
 
 // Append writes records and returns when they are stored, the append has failed or ctx ends. It fails at once if too
@@ -285,8 +310,8 @@
 	records, size := 0, 0
 	for len(a.queued) > 0 {
 		r := a.queued[0]
-		bytes := encodedSize(r.records)
-		if len(batch) > 0 && (records+len(r.records) > maxBatchRecords || size+bytes > a.maxBytes) {
+		bytes := store.RecordsSize(r.records)
+		if len(batch) > 0 && (records+len(r.records) > maxBatchRecords || size+bytes > a.limits.CallBytes) {
 			break
 		}
 		r.inBatch = true
@@ -301,18 +326,6 @@
 	return batch
 }
 
-// encodedSize returns the approximate size of records in an append, in bytes.
-func encodedSize(records []store.Record) int {
-	size := 0
-	for i := range records {
-		size += len(records[i].Key) + len(records[i].Value) + recordOverhead
-	}
-	return size
-}
-
-// recordOverhead is the size in bytes of the length prefixes of a record and of its key.
-const recordOverhead = 5
-
 // writeBatch sends one append. While its outcome is unknown it is repeated, also if the contexts of all its callers have ended,
 // because the next append must not be executed before it.
 func (a *Appender) writeBatch(ctx context.Context, batch []*request) (store.AppendResult, error) {
@@ -320,13 +333,15 @@
 	for _, r := range batch {
 		records = append(records, r.records...)
 	}
-	outcomeUnknown := false
+	outcomeUnknown, attempt := false, newAttempt(a.partition, records)
 	for delay := retryDelay; ; {
 		producer := store.Producer{Name: a.producerName, Epoch: a.epoch, Sequence: a.nextSequence}
 		sentAt := time.Now()
 		a.attempting(sentAt)
 		appended, err := a.store.Append(ctx, store.AppendRequest{Partition: a.partition, Records: records, Producer: &producer})
 		a.attempted(err)
+		attempt.Number, attempt.Took, attempt.Err = attempt.Number+1, time.Since(sentAt), err
+		a.observe(attempt)
 		if err == nil {
 			a.nextSequence++
 			return appended, nil
@@ -358,6 +373,17 @@
 	}
 }
 
+// newAttempt describes the attempts of a batch, of which none was made.
+func newAttempt(p store.Partition, records []store.Record) Attempt {
+	attempt := Attempt{Partition: p, Records: len(records), Bytes: store.RecordsSize(records)}
+	for i := range records {
+		if size := records[i].Size(); size > attempt.LargestBytes {
+			attempt.LargestKey, attempt.LargestBytes = records[i].Key, size
+		}
+	}
+	return attempt
+}
+
 // firstSequence follows the sequence number 0 of the empty append by RaiseEpoch. If the store expects another number,
 // it reports that number in a SequenceError.
 const firstSequence = 1
--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -70,7 +70,7 @@
 func runAppender(t *testing.T, f *fakeStore, test func(ctx context.Context, a *Appender)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		a := New(f, store.Partition{Topic: "t"}, "p", 1, 1<<20)
+		a := New(f, store.Partition{Topic: "t"}, "p", 1, Limits{CallBytes: 1 << 20}, nil)
 		go func() { _ = a.Run(ctx) }() // ends with the context
 		test(ctx, a)
 		cancel()
@@ -301,7 +301,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newSlowStore(5 * time.Millisecond)
-		a := New(s, store.Partition{Topic: "t"}, "p", 1, 1<<20)
+		a := New(s, store.Partition{Topic: "t"}, "p", 1, Limits{CallBytes: 1 << 20}, nil)
 		go func() { _ = a.Run(ctx) }() // ends with the context
 		appendOne := func() { _, _ = a.Append(ctx, recordWithKey("a")) }
 		appendOne()
@@ -337,7 +337,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := newSlowStore(time.Minute)
-		a := New(s, store.Partition{Topic: "t"}, "p", 1, 1<<20)
+		a := New(s, store.Partition{Topic: "t"}, "p", 1, Limits{CallBytes: 1 << 20}, nil)
 		go func() { _ = a.Run(ctx) }() // ends with the context
 		go func() { _, _ = a.Append(ctx, recordWithKey("a")) }()
 		time.Sleep(30 * time.Second)
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -99,6 +99,7 @@
 	deletions     []string // keys of progress records that the next round deletes
 	pendingStarts []*run   // placed runs that the next round stores, to be started then
 	groupCount    int      // number of groups that were created
+	taskCount     int      // number of tasks in memory
 	// waiting contains the ready groups with tasks to start, of jobs that may still run. It may contain others, which
 	// the next placement removes. It is in the order of the newest placement round.
 	waiting       []*group
@@ -229,6 +230,7 @@
 	}
 	j.groups[id] = g
 	j.groupList = append(j.groupList, g)
+	c.taskCount += len(g.tasks)
 	return g
 }
 
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -66,13 +66,19 @@
 		if j == nil {
 			continue
 		}
-		c.deletions = append(c.deletions, jobrecord.OutcomeKey(id))
-		for group := range j.groups {
-			c.deletions = append(c.deletions, jobrecord.GroupKey(group))
-		}
-		delete(c.jobs, id)
-		c.endedJobs.Delete(j)
+		c.removeJob(j)
+	}
+}
+
+// removeJob removes an ended job. Its progress is deleted with the next round.
+func (c *Cell) removeJob(j *job) {
+	c.deletions = append(c.deletions, jobrecord.OutcomeKey(j.id))
+	for id, g := range j.groups {
+		c.deletions = append(c.deletions, jobrecord.GroupKey(id))
+		c.taskCount -= len(g.tasks)
 	}
+	delete(c.jobs, j.id)
+	c.endedJobs.Delete(j)
 }
 
 // ExpiredNotDeleted is called if storing expired.Records failed. A later ExpireJobs returns the jobs again.
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -242,12 +242,7 @@
 		if assigned[id] || !c.guestExpired(j) {
 			continue
 		}
-		c.deletions = append(c.deletions, jobrecord.OutcomeKey(id))
-		for group := range j.groups {
-			c.deletions = append(c.deletions, jobrecord.GroupKey(group))
-		}
-		c.endedJobs.Delete(j)
-		delete(c.jobs, id)
+		c.removeJob(j)
 		delete(c.guests, id)
 	}
 }
--- a/internal/cell/waiting.go
+++ b/internal/cell/waiting.go
@@ -82,6 +82,7 @@
 	WaitingTasks int // tasks that are ready and have no run
 	Runs         int
 	Workers      int
+	Jobs, Tasks  int // in memory, whatever their state
 	// TasksElsewhere and TasksWithoutWorkers are the numbers of tasks of the cell's jobs that belong to other cells, and that wait while
 	// the cell has no registered worker, as of the last complete audit.
 	TasksElsewhere, TasksWithoutWorkers int
@@ -92,7 +93,7 @@
 
 // Workload counts the cell's waiting tasks, runs and workers.
 func (c *Cell) Workload() Workload {
-	load := Workload{Workers: len(c.workers), StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest(),
+	load := Workload{Workers: len(c.workers), Jobs: len(c.jobs), Tasks: c.taskCount, StartLimit: c.load.StartLimit(), RenewalRest: c.load.Rest(),
 		TasksElsewhere: c.auditor.blocked.elsewhere, TasksWithoutWorkers: c.auditor.blocked.withoutWorkers, LeaseWaits: c.leaseWaits()}
 	for _, w := range c.workers {
 		load.Runs += len(w.runs)
--- a/internal/cell/waiting_test.go
+++ b/internal/cell/waiting_test.go
@@ -110,7 +110,7 @@
 		for _, g := range o.cell.waiting {
 			g.tasks[0].notBefore = sim.now + 300*time.Millisecond
 		}
-		So(o.cell.Workload(), ShouldResemble, Workload{WaitingTasks: 1, Workers: 1, StartLimit: overload.MaxStarts})
+		So(o.cell.Workload(), ShouldResemble, Workload{WaitingTasks: 1, Jobs: 1, Tasks: 1, Workers: 1, StartLimit: overload.MaxStarts})
 		sim.run(time.Second)
 		So(metricsPage(o), ShouldContainSubstring, `cactuswall_cell_waiting_reason_seconds_count{reason="backoff"} 1`)
 	})
--- a/internal/cellnode/lateness.go
+++ b/internal/cellnode/lateness.go
@@ -68,6 +68,8 @@
 	set.NewGauge("cactuswall_owner_starts_in_flight", sum(func(o *owner) float64 { return float64(o.startsInFlight.Load()) }))
 	set.NewGauge("cactuswall_owner_tasks_elsewhere", sum(func(o *owner) float64 { return float64(o.lateness.tasksElsewhere.Load()) }))
 	set.NewGauge("cactuswall_owner_tasks_without_workers", sum(func(o *owner) float64 { return float64(o.lateness.tasksWithoutWorkers.Load()) }))
+	set.NewGauge("cactuswall_owner_jobs", sum(func(o *owner) float64 { return float64(o.lateness.jobs.Load()) }))
+	set.NewGauge("cactuswall_owner_tasks", sum(func(o *owner) float64 { return float64(o.lateness.tasks.Load()) }))
 	set.NewGauge("cactuswall_owner_runs_out_of_touch", sum(func(o *owner) float64 { return float64(o.lateness.runsOutOfTouch.Load()) }))
 	set.NewGauge("cactuswall_owner_lease_wait_seconds", func() (longest float64) {
 		for _, o := range owners() {
@@ -85,6 +87,7 @@
 // when it is on time again. It is used by one goroutine, apart from the atomic fields.
 type lateness struct {
 	tasksElsewhere, tasksWithoutWorkers atomic.Int64 // as of the last window
+	jobs, tasks                         atomic.Int64 // in memory, as of the last window
 	// runsOutOfTouch is the number of runs that wait for the end of a lease, as of the last window, and leasesEnd when the last of
 	// these leases ends, in nanoseconds on the clock of package boottime.
 	runsOutOfTouch, leasesEnd atomic.Int64
@@ -159,6 +162,8 @@
 	}
 	l.tasksElsewhere.Store(int64(load.TasksElsewhere))
 	l.tasksWithoutWorkers.Store(int64(load.TasksWithoutWorkers))
+	l.jobs.Store(int64(load.Jobs))
+	l.tasks.Store(int64(load.Tasks))
 	l.noteLeaseWaits(load.LeaseWaits)
 	l.metrics.waitingTasks.Store(int64(load.WaitingTasks))
 	l.metrics.schedLatency.Store(int64(sched))
@@ -167,7 +172,7 @@
 		zap.Duration("sched_latency", sched), zap.Duration("event_delay", eventDelay), zap.Duration("loop_delay", loopDelay),
 		zap.Duration("flush", mean(s.flushDuration, s.flushes)), zap.Duration("round_time", roundTime),
 		zap.Int("events", s.events), zap.Int("flushes", s.flushes), zap.Int("rounds", s.rounds),
-		zap.Int("waiting_tasks", load.WaitingTasks), zap.Int("runs", load.Runs), zap.Int("workers", load.Workers),
+		zap.Int("waiting_tasks", load.WaitingTasks), zap.Int("runs", load.Runs), zap.Int("workers", load.Workers), zap.Int("jobs", load.Jobs), zap.Int("tasks", load.Tasks),
 		zap.Int("start_limit", load.StartLimit), zap.Duration("renewal_rest", load.RenewalRest),
 		zap.Duration("window", now.Sub(l.windowStart)),
 	}
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -146,9 +146,9 @@
 		writerID: strconv.FormatUint(xxhash.Sum64String(holder), 36), acceptedJobs: newAcceptedJobs(),
 		jobLookups: make(chan struct{}, maxJobLookups),
 		config:     queue.NewActiveConfig(), metrics: set, counts: cell.NewMetrics(set),
-		jobsAppender: appender.New(p.Store, jobsPartition, holder, 1, s.MaxCallBytes),
-		peers:        newPeers(), directory: newDirectory(), loads: newLoadBoard(), admission: newAdmission(), memberships: make(map[int]*membership),
+		peers: newPeers(), directory: newDirectory(), loads: newLoadBoard(), admission: newAdmission(), memberships: make(map[int]*membership),
 	}
+	n.jobsAppender = n.newAppender(jobsPartition, holder, 1)
 	n.intake = newIntakeLimits(s.Limits, set, n.log)
 	n.cells = newCellTable(n)
 	n.operatorTopic = newOperatorTopic(n)
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -465,7 +465,7 @@
 	owner := d.waitForOwner()
 	wrapped := &disconnectableStore{Store: d.store}
 	other := d.nodes[1-owner].node
-	other.jobsAppender = appender.New(wrapped, jobsPartition, "disconnected", 1, 1<<20)
+	other.jobsAppender = appender.New(wrapped, jobsPartition, "disconnected", 1, appender.Limits{CallBytes: 1 << 20}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = other.jobsAppender.Run(ctx) }() // ends with the context
--- a/internal/cellnode/paused_test.go
+++ b/internal/cellnode/paused_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"cactuswall.example/cactuswall/internal/appender"
 	"cactuswall.example/cactuswall/internal/cell"
 	"cactuswall.example/cactuswall/internal/cellmap"
 	"cactuswall.example/cactuswall/internal/jobs"
@@ -59,7 +58,7 @@
 	d.waitForOwner()
 	n := d.nodes[0].node
 	former := newOwner(n.membership(0), n.membership(0).owner.Load().epoch-1, waitUntil(0), 1)
-	former.assignments = appender.New(n.platform.Store, cellsPartition, former.producer(), former.epoch, n.settings.MaxCallBytes)
+	former.assignments = n.newAppender(cellsPartition, former.producer(), former.epoch)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = former.assignments.Run(ctx) }() // ends with the context
--- a/internal/cellnode/store_record_test.go
+++ b/internal/cellnode/store_record_test.go
@@ -59,7 +59,7 @@
 	other := d.nodes[1-owner].node
 	wrapped := &disconnectableStore{Store: d.store}
 	wrapped.disconnected.Store(true)
-	other.jobsAppender = appender.New(wrapped, jobsPartition, "disconnected", 1, 1<<20)
+	other.jobsAppender = appender.New(wrapped, jobsPartition, "disconnected", 1, appender.Limits{CallBytes: 1 << 20}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = other.jobsAppender.Run(ctx) }() // ends with the context
@@ -86,7 +86,7 @@
 	index = 1 - d.waitForOwner()
 	n := d.nodes[index].node
 	appends = &countingStore{Store: d.store}
-	n.jobsAppender = appender.New(appends, jobsPartition, "congested", 1, 1<<20)
+	n.jobsAppender = appender.New(appends, jobsPartition, "congested", 1, appender.Limits{CallBytes: 1 << 20}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = n.jobsAppender.Run(ctx) }() // ends with the context
--- a/internal/cellnode/takeover.go
+++ b/internal/cellnode/takeover.go
@@ -61,8 +61,8 @@
 // load loads the state that former owners stored. progressEnd is the end of the progress topic when their appends were
 // shut out. jobsEnd is the offset from which to continue reading the jobs topic.
 func (o *owner) load(ctx context.Context, progressEnd store.Offset) (jobsEnd store.Offset, err error) {
-	o.progress = appender.New(o.node.platform.Store, o.member.progress(), o.producer(), o.epoch, o.node.settings.MaxCallBytes)
-	o.assignments = appender.New(o.node.platform.Store, cellsPartition, o.producer(), o.epoch, o.node.settings.MaxCallBytes)
+	o.progress = o.node.newAppender(o.member.progress(), o.producer(), o.epoch)
+	o.assignments = o.node.newAppender(cellsPartition, o.producer(), o.epoch)
 	var progressRecords, jobRecords []store.Record
 	err = o.retryStep(ctx, "read progress", func() (err error) {
 		var end store.Offset
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,25 @@
 	Offset Offset
 }
 
+// keyLengthBytes and recordLengthBytes are the sizes of the length of a key and of a record in an append.
+const (
+	keyLengthBytes    = 1
+	recordLengthBytes = 4
+)
+
+// Size returns the size of the record in bytes, as the store's limit on one record counts it: the key with its length, and the
+// value.
+func (r *Record) Size() int { return keyLengthBytes + len(r.Key) + len(r.Value) }
+
+// RecordsSize returns the size of records in one append, in bytes: that of each with its length.
+func RecordsSize(records []Record) int {
+	size := 0
+	for i := range records {
+		size += recordLengthBytes + records[i].Size()
+	}
+	return size
+}
+
 // Producer identifies the writer of an append. The store rejects an append with a lower epoch than the producer of that
 // name has used before, and executes an append that is repeated with the same sequence number only once.
 type Producer struct {
