A step of many tasks stores its progress in parts

Cause: the progress of a step was one record, which grows by some 22 bytes with each run. At 8,580 runs it exceeds record-bytes. The store answers 400, and the append was repeated for ever.

Change: the progress of a step of more than 128 tasks is stored in parts of 128 tasks under keys of their own, and a part that would be too large for the store is divided further, down to single tasks. A change stores its part alone. Records overlap where a part was divided or an earlier build stored the whole step; the one with the higher offset holds. The records of steps of up to 128 tasks are as before. A checkpoint above 64 KB, for which no record has room, is not kept.

Tests: TestStepOfManyTasksFitsIntoRecords, TestBytesOfStartDoNotGrowWithStep (423 bytes a start in a step of 2,048 tasks before, 33 in one of 128), TestProgressInOneRecordIsReadAndContinued, TestMergeOfGroupRecords, TestCheckpointThatNoRecordHoldsIsNotKept.

--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -259,7 +259,7 @@
 		if t.needsRun() {
 			t.group.toStart++
 		}
-		c.markGroupDirty(t.group)
+		c.markTaskDirty(t)
 	case t.elsewhere && !c.belongsElsewhere(t):
 		c.corrected(wrongElsewhere, taskField(t.id))
 		c.setElsewhere(t, false)
@@ -279,7 +279,7 @@
 		case r.state == runPlaced:
 			c.corrected(wrongPending, taskField(t.id), zap.Int("run", r.number), zap.String("worker", w.info.ID))
 			c.pendingStarts = append(c.pendingStarts, r)
-			c.markGroupDirty(t.group)
+			c.markTaskDirty(t)
 		case r.unresolved() && !w.mayHaveUnresolved:
 			c.corrected(wrongUnresolved, taskField(t.id), zap.Int("run", r.number), zap.String("worker", w.info.ID))
 			w.mayHaveUnresolved = true
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -23,6 +23,7 @@
 type Settings struct {
 	MaxLease        time.Duration // length of the leases on workers, which is also the longest that a worker accepts
 	StatusRetention time.Duration // how long the state of an ended job is kept
+	MaxRecordBytes  int           // largest record that the store takes, with its key; 0 for no limit
 	MaxOverTarget   time.Duration // longest time without a break that a service may be over its latency target; 0 for no limit
 	// MaxEvacuationAge is the longest time since the evacuated failure domains were confirmed after which tasks may be started; 0
 	// for no limit.
@@ -217,7 +218,7 @@
 		return g
 	}
 	step := &j.record.Spec.Steps[id.Step]
-	g := &group{id: id, job: j, step: step, unfinished: step.Count, toStart: step.Count, tasks: make([]*task, step.Count),
+	g := &group{id: id, job: j, step: step, unfinished: step.Count, toStart: step.Count, tasks: make([]*task, step.Count), dirtyParts: make([]bool, partCount(step.Count)),
 		nextGangRun: 1, sequence: c.groupCount, receivedAt: receivedAt(j, id.Occurrence)}
 	c.groupCount++
 	tasks := make([]task, step.Count)
@@ -341,14 +342,7 @@
 	}
 	c.addWaiting(t.group)
 	c.needsPlacement = true
-	c.markGroupDirty(t.group)
-}
-
-func (c *Cell) markGroupDirty(g *group) {
-	if !g.dirty {
-		g.dirty = true
-		c.dirtyGroups = append(c.dirtyGroups, g)
-	}
+	c.markTaskDirty(t)
 }
 
 func (c *Cell) markJobDirty(j *job) {
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -73,8 +73,8 @@
 // removeJob removes an ended job. Its progress is deleted with the next round.
 func (c *Cell) removeJob(j *job) {
 	c.deletions = append(c.deletions, jobrecord.OutcomeKey(j.id))
-	for id, g := range j.groups {
-		c.deletions = append(c.deletions, jobrecord.GroupKey(id))
+	for _, g := range j.groups {
+		c.deletions = append(c.deletions, g.progressKeys()...)
 		c.taskCount -= len(g.tasks)
 	}
 	delete(c.jobs, j.id)
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -73,8 +73,12 @@
 		}
 	}
 	c.applyTasks(true)
+	var groups storedGroups
 	for _, r := range progress {
-		c.loadProgress(r, recorded)
+		c.loadProgress(r, recorded, &groups)
+	}
+	for _, id := range groups.ids {
+		c.loadGroup(id, &groups)
 	}
 	for _, r := range jobRecords {
 		if kind, _ := jobrecord.ParseKey(r.Key); kind != jobrecord.KindJob {
@@ -86,8 +90,9 @@
 	}
 }
 
-// loadProgress loads a progress record. recorded contains the jobs that have a record, readable or not.
-func (c *Cell) loadProgress(r store.Record, recorded map[jobs.ID]bool) {
+// loadProgress loads a progress record; those of groups are collected. recorded contains the jobs that have a record, readable or
+// not.
+func (c *Cell) loadProgress(r store.Record, recorded map[jobs.ID]bool, groups *storedGroups) {
 	if len(r.Value) == 0 {
 		return
 	}
@@ -103,12 +108,9 @@
 		j.ended, j.outcome, j.endedAtMS = true, outcome.State, outcome.AtMS
 		c.markEndStored(j)
 	case kind == jobrecord.KindGroup && j != nil:
-		var record jobrecord.Group
-		if err := recordcodec.Decode(r.Value, &record); err != nil {
+		if err := groups.add(id, r); err != nil {
 			c.skipUnreadable(r, err)
-			return
 		}
-		c.loadGroup(j, id, record, r)
 	case (kind == jobrecord.KindOutcome || kind == jobrecord.KindGroup) && !recorded[id.Job]:
 		// Job records are deleted before progress records, so a former owner was deleting this job.
 		c.deletions = append(c.deletions, r.Key)
@@ -124,13 +126,24 @@
 	}
 }
 
-// loadGroup restores the progress of a group and its runs. A record that does not fit the steps of the job is skipped.
-func (c *Cell) loadGroup(j *job, id jobs.GroupID, record jobrecord.Group, r store.Record) {
-	if id.Step >= len(j.record.Spec.Steps) || len(record.Tasks) != j.record.Spec.Steps[id.Step].Count {
-		c.skipUnreadable(r, nil)
+// loadGroup restores the progress of a group and its runs. Records that do not fit the steps of the job are skipped.
+func (c *Cell) loadGroup(id jobs.GroupID, stored *storedGroups) {
+	j := c.jobs[id.Job]
+	tasks := 0
+	if id.Step < len(j.record.Spec.Steps) {
+		tasks = j.record.Spec.Steps[id.Step].Count
+	}
+	record, unfit := stored.merge(id, tasks)
+	for _, part := range unfit {
+		c.skipUnreadable(store.Record{Key: part.key, Offset: part.offset}, nil)
+	}
+	if len(unfit) == len(stored.records[id]) {
 		return
 	}
 	g := c.ensureGroup(j, id)
+	for _, part := range stored.records[id] {
+		g.noteKey(part.key)
+	}
 	g.nextGangRun, g.unfinished, g.toStart = record.NextRun, 0, 0
 	for i := range record.Tasks {
 		stored := &record.Tasks[i]
@@ -190,19 +203,6 @@
 	c.completeJobIfDone(j)
 }
 
-// groupRecord returns the stored form of a group's progress.
-func groupRecord(g *group) *jobrecord.Group {
-	record := &jobrecord.Group{NextRun: g.nextGangRun, Tasks: make([]jobrecord.Task, len(g.tasks))}
-	for i, t := range g.tasks {
-		stored := jobrecord.Task{Done: t.done, Failures: t.failures, LastRun: t.lastRunNumber, Checkpoint: t.checkpoint}
-		for _, r := range t.runs {
-			stored.Runs = append(stored.Runs, jobrecord.Run{Number: r.number, Worker: r.worker.info.ID, WorkerStartedAtMS: r.incarnation})
-		}
-		record.Tasks[i] = stored
-	}
-	return record
-}
-
 // fullPace is the pace of a run without a pace order, in percent.
 const fullPace = 100
 
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -28,6 +28,7 @@
 	waits [waitReasons]*metrics.Histogram
 	// LateStarts counts the jobs that were begun when they were late, and KeptFree the steps for which workers were kept free.
 	LateStarts, KeptFree *metrics.Counter
+	LargeCheckpoints     *metrics.Counter // checkpoints that were not kept because of their size, in each report again
 	// StartLatency is the time from the creation of a start order to the worker's answer that the task runs.
 	StartLatency *metrics.Histogram
 }
@@ -47,6 +48,7 @@
 		waits:             newWaitHistograms(set),
 		LateStarts:        set.NewCounter("cactuswall_cell_late_starts_total"),
 		KeptFree:          set.NewCounter("cactuswall_cell_kept_free_total"),
+		LargeCheckpoints:  set.NewCounter("cactuswall_cell_large_checkpoints_total"),
 		StartLatency:      set.NewHistogram("cactuswall_cell_starting_seconds"),
 	}
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -341,6 +341,6 @@
 		c.metrics.observeWait(t.group.waitReason, c.now-t.waitingSince)
 	}
 	c.drainMeter(t.group).Began(drain.TaskWork(t.group.step), c.now)
-	c.markGroupDirty(t.group)
+	c.markTaskDirty(t)
 	c.log.Debug("placed", taskField(t.id), zap.Int("run", number), zap.String("worker", w.info.ID))
 }
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -161,7 +161,7 @@
 	c.trustProbedWorker(r)
 	c.observeProgress(r)
 	// The checkpoint is stored with the next change of the group. Until then a new owner learns it from the worker's report.
-	r.adoptCheckpoint(running.Checkpoint)
+	c.adoptCheckpoint(r, running.Checkpoint)
 }
 
 // probeSuccessTime is how long a long-running probe run must have been running before its worker is trusted again.
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -13,9 +13,9 @@
 type Round struct {
 	number  int // counts the calls of Plan
 	Records []store.Record
-	starts  []*run   // runs to start once the records are stored
-	groups  []*group // groups whose progress is among the records
-	jobs    []*job   // jobs whose outcome is among the records
+	starts  []*run      // runs to start once the records are stored
+	parts   []groupPart // parts of groups whose progress is among the records
+	jobs    []*job      // jobs whose outcome is among the records
 	// deletions are the keys of the records that the round deletes.
 	deletions []string
 	// endsSeen is, for each worker, the sequence number of the last run end whose effect is in the round and that may be
@@ -43,9 +43,7 @@
 	round := &Round{number: c.plannedRounds, starts: c.pendingStarts}
 	c.pendingStarts = nil
 	for _, g := range c.dirtyGroups {
-		g.dirty = false
-		round.groups = append(round.groups, g)
-		round.addRecord(c, jobrecord.GroupKey(g.id), groupRecord(g))
+		round.addGroup(c, g)
 	}
 	for _, j := range c.dirtyJobs {
 		j.dirty = false
@@ -124,10 +122,10 @@
 		if r.state == runPlaced && !r.stopRequested {
 			c.pendingStarts = append(c.pendingStarts, r)
 		}
-		c.markGroupDirty(r.task.group)
+		c.markTaskDirty(r.task)
 	}
-	for _, g := range round.groups {
-		c.markGroupDirty(g)
+	for _, p := range round.parts {
+		c.markPartDirty(p)
 	}
 	for _, j := range round.jobs {
 		c.markJobDirty(j)
@@ -144,7 +142,7 @@
 	for _, r := range starts {
 		if r.state == runPlaced && !r.stopRequested {
 			c.pendingStarts = append(c.pendingStarts, r)
-			c.markGroupDirty(r.task.group)
+			c.markTaskDirty(r.task)
 		}
 	}
 }
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -39,7 +39,7 @@
 	ran := r.runTime(c.now)
 	c.log.Info("run ended", taskField(t.id), zap.Int("run", e.Number), zap.String("worker", w.info.ID),
 		zap.Stringer("how", e.Reason), zap.Duration("ran", ran), zap.Int64("end", e.Sequence))
-	r.adoptCheckpoint(e.Checkpoint)
+	c.adoptCheckpoint(r, e.Checkpoint)
 	c.removeRun(r)
 	switch e.Reason {
 	case workercall.Done:
@@ -144,7 +144,7 @@
 	}
 	t.done = true
 	t.group.unfinished--
-	c.markGroupDirty(t.group)
+	c.markTaskDirty(t)
 }
 
 // advanceStep does nothing while tasks of the group are unfinished. After that it marks the steps that depend on the
@@ -196,7 +196,8 @@
 	t.avoidWorker = w.info.ID
 	t.notBefore = c.now + restartDelay
 	c.scheduleRetry(t.notBefore)
-	c.markGroupDirty(g)
+	c.markTaskDirty(counted)
+	c.markTaskDirty(t)
 	c.failJobIfExhausted(g)
 }
 
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -66,7 +66,9 @@
 	maxAttempts    int // of the jobs that submit stores
 	// appendTime is how long an append to the store takes; entryLag is how old the workers' entries are when they are
 	// read.
-	appendTime  time.Duration
+	appendTime time.Duration
+	// recordLimit is the size of the largest record that the store takes; 0: any.
+	recordLimit int
 	entryLag    time.Duration
 	workerLists []workerList
 	// statusRetention is how long owners keep ended jobs.
@@ -104,6 +106,7 @@
 type simCell struct {
 	number       int
 	records      map[string]store.Record // progress records by key
+	progressEnd  store.Offset            // of the newest progress record
 	epoch        int64                   // newest owner epoch
 	owner        *simOwner
 	formerOwners []*simOwner
@@ -251,7 +254,7 @@
 	o := &simOwner{home: home, table: sim.table, detached: make(map[string]bool), token: home.epoch, decidesUntil: sim.now + time.Hour, renewsUntil: sim.now + time.Hour,
 		grants: claim.NewGrants(home.epoch, 1, maxLease, sim.now), claimedAt: sim.now, renewedAt: sim.now}
 	o.cell = New(Settings{MaxLease: maxLease, StatusRetention: sim.statusRetention, MaxOverTarget: 4 * time.Second,
-		MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound), RemoteRackFactor: sim.remoteRackFactor},
+		MaxRecordBytes: sim.recordLimit, MaxEvacuationAge: evacuation.MaxAge(sim.evacuationBound), RemoteRackFactor: sim.remoteRackFactor},
 		o.token, wait.End, zap.NewNop(), NewMetrics(metrics.NewSet()))
 	o.cell.setLeaseLimit(o.grants.Limit())
 	o.cell.SetFormerLeases(formerLeases(wait))
@@ -533,7 +536,13 @@
 			o.ended = true
 			return
 		}
+		if sim.rejects(round.Records) {
+			o.cell.RoundNotStored(round)
+			return
+		}
 		for _, r := range round.Records {
+			sim.progressEnd++
+			r.Offset = sim.progressEnd
 			if len(r.Value) == 0 {
 				delete(o.home.records, r.Key)
 				continue
@@ -553,6 +562,17 @@
 	sim.schedule(sim.appendTime, stored)
 }
 
+// rejects reports whether the store rejects an append because of the size of a record.
+func (sim *simulation) rejects(records []store.Record) bool {
+	for i := range records {
+		if size := records[i].Size(); sim.recordLimit > 0 && size > sim.recordLimit {
+			sim.violation("the record of %s has %d bytes", records[i].Key, size)
+			return true
+		}
+	}
+	return false
+}
+
 func (sim *simulation) sendStarts(o *simOwner, starts []StartOrder) {
 	for _, order := range starts {
 		if !o.cell.StartStillNeeded(order) {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -166,7 +166,11 @@
 	ready   bool
 	readyAt time.Duration
 	started bool // a task of the group was started
-	dirty   bool // its record has to be stored
+	// dirtyParts are the parts of the group whose progress has to be stored, by their number; dirty is set while there are any.
+	dirtyParts []bool
+	dirty      bool
+	// extraKeys are keys under which progress of the group is stored that progressKeys does not derive from its parts.
+	extraKeys []string
 	// lastLoggedWait is how long a task had waited when the reason was last logged.
 	lastLoggedWait time.Duration
 	// waitReason is why tasks of the group were last not placed; waitNone once all were.
--- a/internal/cell/stragglers.go
+++ b/internal/cell/stragglers.go
@@ -144,11 +144,15 @@
 
 // adoptCheckpoint records a checkpoint that a run reported. While a task has several runs, the checkpoint of the run that
 // has got furthest is kept.
-func (r *run) adoptCheckpoint(checkpoint string) {
+func (c *Cell) adoptCheckpoint(r *run, checkpoint string) {
 	t := r.task
 	if checkpoint == "" || checkpoint == t.checkpoint {
 		return
 	}
+	if len(checkpoint) > c.maxCheckpointBytes() {
+		c.metrics.LargeCheckpoints.Inc()
+		return
+	}
 	percent := int8(max(0, min(servingPercent, r.progressPercent)))
 	if (len(t.runs) > 1 || r.copied) && percent <= t.checkpointPercent {
 		return
--- a/internal/cellnode/node.go
+++ b/internal/cellnode/node.go
@@ -75,8 +75,8 @@
 	ReadyAddress   string
 	PeerAddress    string
 	MetricsAddress string // empty: no metrics server
-	MaxRecordBytes int    // maximum size of the value of one record
-	MaxCallBytes   int    // maximum size of the records in one append
+	MaxRecordBytes int    // maximum size of one record with its key
+	MaxCallBytes   int    // maximum size of the records in one append, with their lengths
 	// StopGracePeriod is the time between the platform's request to stop and its killing of the process.
 	StopGracePeriod time.Duration
 	Cell            cell.Settings
@@ -153,10 +153,16 @@
 	n.cells = newCellTable(n)
 	n.operatorTopic = newOperatorTopic(n)
 	n.ownerMetrics = newOwnerMetrics(set, n.owners)
-	n.cellSettings.Store(&s.Cell)
+	n.cellSettings.Store(n.withStoreLimits(s.Cell))
 	return n
 }
 
+// withStoreLimits returns settings of cells with the limits of the store.
+func (n *Node) withStoreLimits(s cell.Settings) *cell.Settings {
+	s.MaxRecordBytes = n.settings.MaxRecordBytes
+	return &s
+}
+
 // Run runs the node until ctx ends, then hands over the cells that the node owns, and returns. It returns an error if
 // the node cannot start or fails before ctx ends.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/cellnode/reload.go
+++ b/internal/cellnode/reload.go
@@ -9,10 +9,11 @@
 // Reload applies changed settings. The settings of the cell take effect at once, all others only after a restart. cause
 // is logged and names what triggered the reload.
 func (n *Node) Reload(cause string, s Settings) {
-	before := n.cellSettings.Swap(&s.Cell)
+	settings := n.withStoreLimits(s.Cell)
+	before := n.cellSettings.Swap(settings)
 	needsStart := s.CallerAddress != n.settings.CallerAddress || s.ReadyAddress != n.settings.ReadyAddress ||
 		s.PeerAddress != n.settings.PeerAddress || s.MetricsAddress != n.settings.MetricsAddress
-	n.log.Info("settings reloaded", zap.String("cause", cause), zap.Bool("bounds_changed", !reflect.DeepEqual(*before, s.Cell)),
+	n.log.Info("settings reloaded", zap.String("cause", cause), zap.Bool("bounds_changed", !reflect.DeepEqual(before, settings)),
 		zap.Bool("needs_start", needsStart))
 }
 
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -39,7 +39,12 @@
 	AtMS  int64 // Unix milliseconds
 }
 
-// Group is the progress of the tasks of one step in one occurrence of a job.
+// PartTasks is the number of tasks of a group from which on its progress is stored in several records, one for each part of so many
+// tasks. The size of a record then does not grow with that of the step, nor does what each start and each end stores.
+const PartTasks = 128
+
+// Group is the progress of tasks of one step in one occurrence of a job: of all of them, or of those from an index on that the key
+// of the record gives. Where records overlap, the one with the higher offset holds.
 type Group struct {
 	// NextRun is the number of the next run of a gang member.
 	NextRun int
@@ -125,6 +130,19 @@
 	return groupPrefix + string(g.Job) + "/" + strconv.Itoa(g.Occurrence) + "/" + strconv.Itoa(g.Step)
 }
 
+// GroupPartKey is the key of the progress of tasks of a group from an index on, of a group that has several records.
+func GroupPartKey(g jobs.GroupID, first int) string { return GroupKey(g) + "/" + strconv.Itoa(first) }
+
+// FirstTask returns the index of the first task whose progress is stored under the key of a group.
+func FirstTask(key string) int {
+	parts := strings.Split(key[len(groupPrefix):], "/")
+	if len(parts) < 4 {
+		return 0
+	}
+	first, _ := strconv.Atoi(parts[3]) // ParseKey has checked it
+	return first
+}
+
 // Kind is the kind of a record, which determines the prefix of its key.
 type Kind int
 
@@ -165,13 +183,16 @@
 // parseGroup parses the part of a group's key that follows the prefix.
 func parseGroup(text string) (Kind, jobs.GroupID) {
 	parts := strings.Split(text, "/")
-	if len(parts) != 3 {
+	if len(parts) < 3 || len(parts) > 4 {
 		return KindUnknown, jobs.GroupID{}
 	}
-	occurrence, errOccurrence := strconv.Atoi(parts[1])
-	step, errStep := strconv.Atoi(parts[2])
-	if errOccurrence != nil || errStep != nil || occurrence < 0 || step < 0 {
-		return KindUnknown, jobs.GroupID{}
+	var numbers [3]int // occurrence, step and, of a part, its first task
+	for i, part := range parts[1:] {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return KindUnknown, jobs.GroupID{}
+		}
+		numbers[i] = number
 	}
-	return KindGroup, jobs.GroupID{Job: jobs.ID(parts[0]), Occurrence: occurrence, Step: step}
+	return KindGroup, jobs.GroupID{Job: jobs.ID(parts[0]), Occurrence: numbers[0], Step: numbers[1]}
 }
