A rejection by the store is definite, and holds up no other record

Cause: each status that the store is not known to give, 400 among them, counted as 'may have run'. The appender repeats such an append until its outcome is known, which is never.

The appender does not repeat such an append: it sends the requests of the batch one by one, so that the one at fault fails and the others are stored.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -1,7 +1,8 @@
 // Package appender writes records to a partition of a keyed topic (see package store). Records that arrive while an
 // append is in progress are batched into the next one. An append without a reply is repeated with the same sequence
 // number until its outcome is known. The records of an append that the store rejects go back into the queue, where they can be
-// withdrawn, and into the next append.
+// withdrawn, and into the next append. If the store would reject the same append again, each request of it is sent on its own, and the
+// one that is at fault fails.
 package appender
 
 import (
@@ -82,6 +83,8 @@
 	records []store.Record
 	done    chan result
 	inBatch bool // set while the request is part of an append that is being sent or whose outcome is unknown
+	// alone is set if the request is to be sent on its own, because the store has rejected an append of several for good.
+	alone bool
 	// attemptedAt is when the request was first part of an append; zero for never.
 	attemptedAt time.Time
 }
@@ -204,7 +207,7 @@
 	}
 	a.sentAt = time.Time{}
 	switch {
-	case err == nil:
+	case err == nil, store.HasReason(err, store.ReasonRejected): // the store serves others
 		a.failingSince = time.Time{}
 	case a.failingSince.IsZero():
 		a.failingSince = time.Now()
@@ -242,10 +245,13 @@
 			}
 		}
 		appended, err := a.writeBatch(ctx, batch)
-		if isRejection(err) && a.requeue(batch, err) {
-			sleep(ctx, retryDelay)
-		} else if !isRejection(err) {
+		switch {
+		case store.HasReason(err, store.ReasonRejected) && len(batch) > 1:
+			a.separate(batch)
+		case !isRejection(err):
 			a.finish(batch, result{appended: appended, err: err})
+		case a.requeue(batch, err):
+			sleep(ctx, retryDelay)
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -265,7 +271,20 @@
 
 // isRejection reports whether the store has rejected an append and may accept it later.
 func isRejection(err error) bool {
-	return err != nil && verdict.Of(err) == verdict.NotRun && !store.HasReason(err, store.ReasonFenced) && !store.HasReason(err, store.ReasonFull)
+	return err != nil && verdict.Of(err) == verdict.NotRun && !store.HasReason(err, store.ReasonFenced) && !store.HasReason(err, store.ReasonFull) &&
+		!store.HasReason(err, store.ReasonRejected)
+}
+
+// separate puts the requests of a batch back to the front of the queue, from where each is sent on its own.
+func (a *Appender) separate(batch []*request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sending = false
+	for _, r := range batch {
+		r.inBatch, r.alone = false, true
+		a.queuedRecords += len(r.records)
+	}
+	a.queued = append(batch, a.queued...)
 }
 
 // requeue puts the requests of a rejected batch back to the front of the queue. It fails those whose caller has gone or that
@@ -311,7 +330,7 @@
 	for len(a.queued) > 0 {
 		r := a.queued[0]
 		bytes := store.RecordsSize(r.records)
-		if len(batch) > 0 && (records+len(r.records) > maxBatchRecords || size+bytes > a.limits.CallBytes) {
+		if len(batch) > 0 && (r.alone || batch[0].alone || records+len(r.records) > maxBatchRecords || size+bytes > a.limits.CallBytes) {
 			break
 		}
 		r.inBatch = true
@@ -356,7 +375,7 @@
 			return store.AppendResult{}, nil
 		case errors.As(err, &sequenceErr):
 			return store.AppendResult{}, verdict.New(verdict.MayHaveRun, store.ReasonUnexpectedSequence, err)
-		case store.HasReason(err, store.ReasonFenced), store.HasReason(err, store.ReasonFull):
+		case store.HasReason(err, store.ReasonFenced), store.HasReason(err, store.ReasonFull), store.HasReason(err, store.ReasonRejected):
 			return store.AppendResult{}, err
 		case verdict.Of(err) != verdict.NotRun:
 			outcomeUnknown = true
--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,6 +21,8 @@
 	keys     []string
 	epoch    int64
 	sequence int64
+	// rejected is a key that the store does not accept; empty: none.
+	rejected string
 	// faults are injected into the next calls, one each.
 	faults []fault
 	calls  int
@@ -48,6 +51,9 @@
 	case loseRequest:
 		return store.AppendResult{}, verdict.New(verdict.MayHaveRun, store.ReasonNoAnswer, nil)
 	}
+	if slices.ContainsFunc(a.Records, func(r store.Record) bool { return r.Key == f.rejected && r.Key != "" }) {
+		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonRejected, nil)
+	}
 	switch {
 	case a.Producer.Epoch < f.epoch:
 		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonFenced, nil)
@@ -234,6 +240,35 @@
 	}
 }
 
+// Guards against one record that the store never accepts, because of its size for example, and that keeps all later ones of the same
+// writer from being stored.
+func TestRecordThatTheStoreRejectsForGoodFailsAlone(t *testing.T) {
+	for name, faults := range map[string][]fault{"at once": nil, "after an attempt without a reply": {loseRequest}, "after a rejection for now": {reject}} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeStore{rejected: "bad", faults: faults}
+			runAppender(t, f, func(ctx context.Context, a *Appender) {
+				var group sync.WaitGroup
+				for _, key := range []string{"first", "a", "bad", "b"} {
+					group.Go(func() {
+						_, err := a.Append(ctx, recordWithKey(key))
+						if (key == "bad") != store.HasReason(err, store.ReasonRejected) {
+							t.Errorf("record %s: got %v", key, err)
+						}
+					})
+					time.Sleep(time.Millisecond) // the first one is being sent when the others arrive
+				}
+				group.Wait()
+				if _, err := a.Append(ctx, recordWithKey("later")); err != nil {
+					t.Error(err)
+				}
+			})
+			if diff := cmp.Diff([]string{"first", "a", "b", "later"}, f.keys); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
 // Guards against callers that are held while it is known that the store accepts nothing: only one request waits and tries, the
 // others fail at once with nothing written. The first one after the outage succeeds.
 func TestAppendsFailAtOnceDuringLongOutage(t *testing.T) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -100,6 +100,9 @@
 	ReasonBusy = verdict.Reason("store_busy")
 	// ReasonFull means that the store is out of space.
 	ReasonFull = verdict.Reason("store_full")
+	// ReasonRejected means that the store answered that the call itself is wrong, and did nothing: one of its records is too large, for
+	// example. It would give the same answer to the same call again.
+	ReasonRejected = verdict.Reason("store_rejected")
 	// ReasonUnreachable means that the call did not reach the store.
 	ReasonUnreachable = verdict.Reason("store_unreachable")
 	// ReasonNoAnswer means that no reply was received; the call may have been executed.
