Rounds larger than call-bytes are stored in several appends

A round with the progress of many steps, as after a large cancellation, exceeds call-bytes and is rejected each time. No caller has reported it.

Change: rounds, deletions of expired jobs and cancellations in other cells go through AppendInOrder, which sends as many appends as their size needs. A round of which only the first records are stored is planned again: no start order is sent and no end acknowledged before all of it is stored. Append refuses at once what exceeds the limits of the store (append_too_large), so that nothing that the store would reject is sent.

The store of the node tests rejects what exceeds the limits.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
@@ -44,6 +46,8 @@
 	// ReasonStoreFailing means that the store has not accepted an append for rejectedRetryTimeout, and that other records wait for it
 	// to do so.
 	ReasonStoreFailing = verdict.Reason("append_store_failing")
+	// ReasonTooLarge means that a record, or the records of a call to Append, are larger than the store takes. Nothing was sent.
+	ReasonTooLarge = verdict.Reason("append_too_large")
 	// ReasonCancelled means that the context of the caller or of the Appender ended before the append completed.
 	ReasonCancelled = verdict.Reason("append_given_up")
 )
@@ -95,9 +99,10 @@
 	err      error
 }
 
-// Limits are the limits of the store.
+// Limits are the limits of the store, in bytes; 0 for none.
 type Limits struct {
-	CallBytes int // maximum size of the records of one append
+	RecordBytes int // maximum size of one record
+	CallBytes   int // maximum size of the records of one append
 }
 
 // Attempt is a call to the store that appends a batch of records, whether it succeeded or not.
@@ -114,8 +119,8 @@
 	Err error
 }
 
-// New returns an Appender that writes as the producer with the given name and epoch and sends at most limits.CallBytes in one
-// append, unless a single request is larger. Nothing is written until Run is called. observe is called after each attempt by the
+// New returns an Appender that writes as the producer with the given name and epoch, within limits. Nothing is written until Run is
+// called. observe is called after each attempt by the
 // goroutine of Run; it may be nil.
 func New(s Store, p store.Partition, name string, epoch int64, limits Limits, observe func(Attempt)) *Appender {
 	if observe == nil {
@@ -125,10 +130,13 @@
 		wake: make(chan struct{}, 1)}
 }
 
-// Append writes records and returns when they are stored, the append has failed or ctx ends. It fails at once if too
-// many records are waiting, or if the store has been failing for rejectedRetryTimeout while other records wait. The offsets in the result are those of the whole batch, and are zero if the store's reply
+// Append writes records in one append and returns when they are stored, the append has failed or ctx ends. It fails at once if they
+// exceed the limits of the store, if too many records are waiting, or if the store has been failing for rejectedRetryTimeout while other records wait. The offsets in the result are those of the whole batch, and are zero if the store's reply
 // was lost. Errors carry a verdict that tells whether the records may have been written.
 func (a *Appender) Append(ctx context.Context, records []store.Record) (store.AppendResult, error) {
+	if err := a.checkSize(records); err != nil {
+		return store.AppendResult{}, err
+	}
 	r := &request{ctx: ctx, records: records, done: make(chan result, 1)}
 	a.mu.Lock()
 	if a.failing() && (a.sending || len(a.queued) > 0) {
@@ -154,6 +162,39 @@
 	}
 }
 
+// AppendInOrder writes records in as many appends as the limits of the store need, one after the other. If it fails, the records before
+// some point may be stored; those from there on are as the verdict of the error says.
+func (a *Appender) AppendInOrder(ctx context.Context, records []store.Record) error {
+	for len(records) > 0 {
+		count, size := 0, 0
+		for count < len(records) {
+			size += store.RecordsSize(records[count : count+1])
+			if count > 0 && a.limits.CallBytes > 0 && size > a.limits.CallBytes {
+				break
+			}
+			count++
+		}
+		if _, err := a.Append(ctx, records[:count]); err != nil {
+			return err
+		}
+		records = records[count:]
+	}
+	return nil
+}
+
+// checkSize returns an error if the store would not take an append because of its size.
+func (a *Appender) checkSize(records []store.Record) error {
+	if size := store.RecordsSize(records); a.limits.CallBytes > 0 && size > a.limits.CallBytes {
+		return verdict.New(verdict.NotRun, ReasonTooLarge, trace.LimitExceeded("%d records have %d bytes, maximum is %d", len(records), size, a.limits.CallBytes))
+	}
+	for i := range records {
+		if size := records[i].Size(); a.limits.RecordBytes > 0 && size > a.limits.RecordBytes {
+			return verdict.New(verdict.NotRun, ReasonTooLarge, trace.LimitExceeded("record %s has %d bytes, maximum is %d", records[i].Key, size, a.limits.RecordBytes))
+		}
+	}
+	return nil
+}
+
 // failing reports whether the store has not accepted an append for rejectedRetryTimeout. The caller holds mu.
 func (a *Appender) failing() bool {
 	return !a.failingSince.IsZero() && time.Since(a.failingSince) > rejectedRetryTimeout
@@ -330,7 +371,7 @@
 	for len(a.queued) > 0 {
 		r := a.queued[0]
 		bytes := store.RecordsSize(r.records)
-		if len(batch) > 0 && (r.alone || batch[0].alone || records+len(r.records) > maxBatchRecords || size+bytes > a.limits.CallBytes) {
+		if len(batch) > 0 && (r.alone || batch[0].alone || records+len(r.records) > maxBatchRecords || a.limits.CallBytes > 0 && size+bytes > a.limits.CallBytes) {
 			break
 		}
 		r.inBatch = true
--- a/internal/appender/appender_test.go
+++ b/internal/appender/appender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	// faults are injected into the next calls, one each.
 	faults []fault
 	calls  int
+	// largestCall is the size of the largest append, in bytes.
+	largestCall int
 }
 
 type fault int
@@ -41,6 +44,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	f.largestCall = max(f.largestCall, store.RecordsSize(a.Records))
 	var injected fault = -1
 	if len(f.faults) > 0 {
 		injected, f.faults = f.faults[0], f.faults[1:]
@@ -74,9 +78,13 @@
 
 // runAppender runs a test with an Appender in virtual time.
 func runAppender(t *testing.T, f *fakeStore, test func(ctx context.Context, a *Appender)) {
+	runLimitedAppender(t, f, Limits{CallBytes: 1 << 20}, test)
+}
+
+func runLimitedAppender(t *testing.T, f *fakeStore, limits Limits, test func(ctx context.Context, a *Appender)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		a := New(f, store.Partition{Topic: "t"}, "p", 1, Limits{CallBytes: 1 << 20}, nil)
+		a := New(f, store.Partition{Topic: "t"}, "p", 1, limits, nil)
 		go func() { _ = a.Run(ctx) }() // ends with the context
 		test(ctx, a)
 		cancel()
@@ -269,6 +277,46 @@
 	}
 }
 
+// Guards against appends that the store does not take because of their size.
+func TestAppendsStayWithinLimits(t *testing.T) {
+	limits := Limits{RecordBytes: 50, CallBytes: 130}
+	records := make([]store.Record, 9)
+	var keys []string
+	for i := range records {
+		keys = append(keys, fmt.Sprint("k", i))
+		records[i] = store.Record{Key: keys[i], Value: make([]byte, 5*i)}
+	}
+	for _, c := range []struct {
+		name    string
+		faults  []fault
+		written int
+		verdict verdict.Verdict
+	}{
+		{"the store takes all", nil, 9, verdict.Ran},
+		{"the store takes none from the second append on", append([]fault{loseReply, -1}, rejections(50)...), 6, verdict.NotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := &fakeStore{faults: c.faults}
+			runLimitedAppender(t, f, limits, func(ctx context.Context, a *Appender) {
+				if err := a.AppendInOrder(ctx, records); verdict.Of(err) != c.verdict {
+					t.Errorf("got %v, want verdict %v", err, c.verdict)
+				}
+				for _, large := range [][]store.Record{records, {{Key: "large", Value: make([]byte, limits.RecordBytes)}}} {
+					if _, err := a.Append(ctx, large); !store.HasReason(err, ReasonTooLarge) || verdict.Of(err) != verdict.NotRun {
+						t.Errorf("%d records: got %v, want ReasonTooLarge", len(large), err)
+					}
+				}
+			})
+			if diff := cmp.Diff(keys[:c.written], f.keys); diff != "" {
+				t.Error(diff)
+			}
+			if f.largestCall > limits.CallBytes {
+				t.Errorf("an append has %d bytes", f.largestCall)
+			}
+		})
+	}
+}
+
 // Guards against callers that are held while it is known that the store accepts nothing: only one request waits and tries, the
 // others fail at once with nothing written. The first one after the outage succeeds.
 func TestAppendsFailAtOnceDuringLongOutage(t *testing.T) {
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -114,8 +114,8 @@
 	return starts
 }
 
-// RoundNotStored is called if the records of a round were certainly not stored. The records and start orders go into
-// the next round.
+// RoundNotStored is called if the records of a round, or the last of them, were certainly not stored. The records and start orders go into
+// the next round. Records that were stored all the same are true: no run was started, and no end acknowledged, because of them.
 func (c *Cell) RoundNotStored(round *Round) {
 	c.storing = nil
 	for _, r := range round.starts {
--- a/internal/cellnode/append_attempts.go
+++ b/internal/cellnode/append_attempts.go
@@ -15,7 +15,12 @@
 
 // newAppender returns an appender that writes to a partition as a producer, within the limits of the store.
 func (n *Node) newAppender(p store.Partition, producer string, epoch int64) *appender.Appender {
-	return appender.New(n.platform.Store, p, producer, epoch, appender.Limits{CallBytes: n.settings.MaxCallBytes}, n.observeAppend)
+	return appender.New(n.platform.Store, p, producer, epoch, n.appendLimits(), n.observeAppend)
+}
+
+// appendLimits returns the limits of the store.
+func (n *Node) appendLimits() appender.Limits {
+	return appender.Limits{RecordBytes: n.settings.MaxRecordBytes, CallBytes: n.settings.MaxCallBytes}
 }
 
 // observeAppend counts the attempts of appends that were not the first, and what appends store. It logs attempts that go on
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	epochs   map[string]int64
 	appended chan struct{}
 	down     bool
+	limits   appender.Limits
+	rejected int // appends that exceeded the limits
 }
 
 // topicKey returns the key of a partition in memoryStore.topics, for partition 0 the name of the topic.
@@ -42,7 +45,7 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{topics: make(map[string][]store.Record), epochs: make(map[string]int64), appended: make(chan struct{})}
+	return &memoryStore{limits: appender.Limits{RecordBytes: 1 << 18, CallBytes: 1 << 20}, topics: make(map[string][]store.Record), epochs: make(map[string]int64), appended: make(chan struct{})}
 }
 
 func (m *memoryStore) setDown(down bool) {
@@ -51,12 +54,21 @@
 	m.down = down
 }
 
+func (m *memoryStore) exceedsLimits(records []store.Record) bool {
+	return store.RecordsSize(records) > m.limits.CallBytes ||
+		slices.ContainsFunc(records, func(r store.Record) bool { return r.Size() > m.limits.RecordBytes })
+}
+
 func (m *memoryStore) Append(_ context.Context, a store.AppendRequest) (store.AppendResult, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
 		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonBusy, nil)
 	}
+	if m.exceedsLimits(a.Records) {
+		m.rejected++
+		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonRejected, nil)
+	}
 	topic := topicKey(a.Partition)
 	end := store.Offset(len(m.topics[topic]))
 	if a.ExpectedEnd != nil && *a.ExpectedEnd != end {
@@ -262,6 +274,9 @@
 			if string(body) == "half" { // of the worker
 				return &jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 8000}, Estimate: taskDuration}}}, nil
 			}
+			if string(body) == "many" {
+				return &jobs.Spec{Steps: []jobs.Step{{Count: 200, Request: jobs.Resources{MilliCPU: 10}, Estimate: taskDuration}}}, nil
+			}
 			if string(body) == "too large" {
 				return &jobs.Spec{Steps: []jobs.Step{{Count: 1, Request: jobs.Resources{MilliCPU: 16001}, Estimate: taskDuration}}}, nil
 			}
@@ -335,7 +350,7 @@
 	}
 	node := New(Settings{
 		Node: p.name, FailureDomain: p.domain, Rank: p.rank, Capacity: p.capacity, CallerAddress: freeAddress(d.t), ReadyAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t),
-		MetricsAddress: freeAddress(d.t), MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 20, StopGracePeriod: 6 * time.Second,
+		MetricsAddress: freeAddress(d.t), MaxRecordBytes: d.store.limits.RecordBytes, MaxCallBytes: d.store.limits.CallBytes, StopGracePeriod: 6 * time.Second,
 		Cell: cell.Settings{MaxLease: 6 * time.Second, StatusRetention: time.Minute, MaxOverTarget: 4 * time.Second},
 	}, Platform{Store: link, Workers: link, Topics: topics, CallerCodec: testWire()}, fmt.Sprintf("%s-%d", p.name, p.processNumber), zap.NewNop())
 	if d.prepare != nil {
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -316,7 +316,7 @@
 	o.storing = true
 	o.lateness.roundBegan = time.Now()
 	o.spawn("store round", func() {
-		_, err := o.progress.Append(ctx, round.Records)
+		err := o.progress.AppendInOrder(ctx, round.Records)
 		o.post(ctx, func() {
 			o.lateness.roundStored()
 			o.roundStored(ctx, round, err)
@@ -331,7 +331,7 @@
 		return
 	}
 	o.spawn("delete expired", func() {
-		_, err := o.node.jobsAppender.Append(ctx, expired.Records)
+		err := o.node.jobsAppender.AppendInOrder(ctx, expired.Records)
 		o.post(ctx, func() {
 			if err != nil {
 				o.log.Info("failed to delete ended jobs", zap.Int("records", len(expired.Records)), zap.Error(err))
@@ -344,8 +344,8 @@
 }
 
 // roundStored handles the result of storing a round. If the round was stored, it sends the start orders, or leaves them
-// to the next round if the claim does not permit them now. If nothing was stored, it returns the round to the cell. If
-// the owner was fenced or the outcome is unknown, it gives up ownership.
+// to the next round if the claim does not permit them now. If the round, or the last part of it, was not stored, it returns the round to
+// the cell. If the owner was fenced or the outcome is unknown, it gives up ownership.
 func (o *owner) roundStored(ctx context.Context, round *cell.Round, err error) {
 	o.storing = false
 	switch {
--- a/internal/cellnode/owner_cells.go
+++ b/internal/cellnode/owner_cells.go
@@ -191,7 +191,7 @@
 	if len(records) == 0 {
 		return
 	}
-	_, err := o.node.jobsAppender.Append(ctx, records)
+	err := o.node.jobsAppender.AppendInOrder(ctx, records)
 	o.log.Info("ended jobs cancelled in other cells", zap.Int("jobs", len(records)), zap.Error(err))
 }
 
