The record of learned interference is bounded in bytes

Where all fit, nothing changes.

Test: TestSnapshotIsBoundedInBytes, whose 1,200 pairs exceed 262,144 bytes without a limit.

--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -88,7 +88,11 @@
 		return
 	}
 	c.interferenceSavedAt = c.now
-	snapshot := c.interference.Snapshot()
+	maxBytes := 0
+	if c.settings.MaxRecordBytes > 0 {
+		maxBytes = max(1, c.settings.MaxRecordBytes-(&store.Record{Key: jobrecord.InterferenceKey}).Size())
+	}
+	snapshot := c.interference.Snapshot(maxBytes)
 	round.addRecord(c, jobrecord.InterferenceKey, &snapshot)
 }
 
--- a/internal/cpuinterference/cpuinterference.go
+++ b/internal/cpuinterference/cpuinterference.go
@@ -14,6 +14,7 @@
 package cpuinterference
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sort"
@@ -412,29 +413,64 @@
 	Pairs        []Pair
 }
 
-// maxPairs limits the size of a snapshot, which is stored as one record.
+// maxPairs is the largest number of pairs in a snapshot, whatever its size.
 const maxPairs = 2000
 
-// Snapshot returns the coefficients of up to maxPairs pairs and their deviations, without the covariances between pairs.
-func (l *Learner) Snapshot() Snapshot {
-	snapshot := Snapshot{LowestTailMS: make(map[string]float64)}
+// The sizes of the encoding of a snapshot, in bytes, without the names of images. They are upper bounds.
+const (
+	snapshotBytes = 16
+	stringBytes   = 5
+	floatBytes    = 9
+	tailBytes     = stringBytes + floatBytes
+	pairBytes     = 1 + 2*stringBytes + 2*floatBytes
+)
+
+// Snapshot returns the coefficients of pairs and their deviations, without the covariances between pairs, as far as they can be encoded
+// in maxBytes; 0 for no limit. If there are too many, it leaves out the pairs with the highest deviations, of which least is known.
+func (l *Learner) Snapshot(maxBytes int) Snapshot {
+	if maxBytes == 0 {
+		maxBytes = math.MaxInt
+	}
+	snapshot, size := Snapshot{LowestTailMS: make(map[string]float64)}, snapshotBytes
+	var pairs []Pair
 	for _, image := range sortedKeys(l.services) {
 		s := l.services[image]
-		if !math.IsInf(s.lowestTailMS, 1) {
+		if added := tailBytes + len(image); !math.IsInf(s.lowestTailMS, 1) && size+added <= maxBytes {
 			snapshot.LowestTailMS[image] = s.lowestTailMS
+			size += added
 		}
 		for _, bestEffortImage := range sortedKeys(s.indexes) {
-			if len(snapshot.Pairs) < maxPairs {
-				mean, deviation := l.Coefficient(image, bestEffortImage)
-				snapshot.Pairs = append(snapshot.Pairs, Pair{
-					ServiceImage: image, BestEffortImage: bestEffortImage, Mean: mean, Deviation: deviation,
-				})
-			}
+			mean, deviation := l.Coefficient(image, bestEffortImage)
+			pairs = append(pairs, Pair{ServiceImage: image, BestEffortImage: bestEffortImage, Mean: mean, Deviation: deviation})
 		}
 	}
+	snapshot.Pairs = bestKnown(pairs, maxBytes-size)
 	return snapshot
 }
 
+// bestKnown returns the pairs with the lowest deviations, at most maxPairs, that can be encoded in maxBytes. It keeps their order.
+func bestKnown(pairs []Pair, maxBytes int) []Pair {
+	order := make([]int, len(pairs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(pairs[a].Deviation, pairs[b].Deviation) })
+	size, kept := 0, 0
+	for _, i := range order[:min(len(order), maxPairs)] {
+		if size += pairBytes + len(pairs[i].ServiceImage) + len(pairs[i].BestEffortImage); size > maxBytes {
+			break
+		}
+		kept++
+	}
+	order = order[:kept]
+	slices.Sort(order)
+	var best []Pair
+	for _, i := range order {
+		best = append(best, pairs[i])
+	}
+	return best
+}
+
 // Restore sets the coefficients and the lowest tail latencies of a snapshot in the learner. It is for the node that
 // takes over a failure domain from the one that stored the snapshot.
 func (l *Learner) Restore(snapshot Snapshot) {
--- a/internal/cpuinterference/cpuinterference_test.go
+++ b/internal/cpuinterference/cpuinterference_test.go
@@ -1,11 +1,14 @@
 package cpuinterference
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"cactuswall.example/cactuswall/internal/recordcodec"
 )
 
 // simulation produces the tail latencies of a service beside best-effort tasks with given coefficients.
@@ -65,7 +68,7 @@
 		})
 		Convey("a learner that restores a snapshot returns the same coefficients", func() {
 			other := NewLearner()
-			other.Restore(l.Snapshot())
+			other.Restore(l.Snapshot(0))
 			mean, deviation := other.Coefficient("s", "interfering")
 			So(mean, ShouldEqual, interfering)
 			So(deviation, ShouldAlmostEqual, interferingDeviation, 1e-9)
@@ -105,3 +108,36 @@
 		So(mean, ShouldEqual, priorMean)
 	})
 }
+
+// Guards against a snapshot that is larger than the largest record: it was bounded by its number of pairs, and names of images may be long.
+func TestSnapshotIsBoundedInBytes(t *testing.T) {
+	Convey("Given a learner that knows 30 services beside 40 other images with long names", t, func() {
+		l := NewLearner()
+		image := func(kind string, i int) string { return fmt.Sprintf("%s-%03d-%0100d", kind, i, i) }
+		for service := range 30 {
+			l.service(image("service", service)).lowestTailMS = 40
+			for other := range 40 {
+				s := l.service(image("service", service))
+				k := s.coefficientIndex(image("other", other))
+				s.mean[k], s.covariance[k][k] = 0.5, float64(1+other)
+			}
+		}
+		for _, limit := range []int{0, 1 << 18, 1 << 14, 2000, 10} {
+			snapshot := l.Snapshot(limit)
+			encoded, err := recordcodec.Encode(&snapshot)
+			So(err, ShouldBeNil)
+			if limit == 0 {
+				So(snapshot.Pairs, ShouldHaveLength, 1200)
+				So(len(encoded), ShouldBeGreaterThan, 1<<18)
+				continue
+			}
+			So(len(encoded), ShouldBeLessThanOrEqualTo, max(limit, 16))
+			if limit == 1<<18 {
+				So(len(snapshot.Pairs), ShouldBeGreaterThan, 900)
+			}
+			for _, pair := range snapshot.Pairs { // of all services, those that most is known of
+				So(pair.Deviation*pair.Deviation, ShouldBeLessThan, 2+float64(len(snapshot.Pairs))/30)
+			}
+		}
+	})
+}
--- a/internal/cpuinterference/equivalence_test.go
+++ b/internal/cpuinterference/equivalence_test.go
@@ -223,7 +223,7 @@
 			l.Observe(Source{Image: "s", Group: "g", Task: fmt.Sprint(i % 9)}, time.Duration(10+random.IntN(30))*time.Millisecond, shares,
 				time.Duration(i)*100*time.Millisecond)
 		}
-		return l.Snapshot()
+		return l.Snapshot(0)
 	}
 	first := run()
 	for range 5 {
