A job is refused as too large by the size of its record with any key

Cause: the size of the value was compared with the limit on the record. The key, which gets longer when a job is passed on, came on top.

Change: a value is refused with 413 if it does not fit beside the longest key, the same at each node.

Test: TestJobIsStoredOrRefusedAsTooLargeByEachNode; without the change the store's limit is met by the appender only, and jobs around it are answered with 503 each time.

--- a/internal/cellnode/gateway.go
+++ b/internal/cellnode/gateway.go
@@ -212,7 +212,7 @@
 		Queue: q.Name, Service: q.Service, Priority: q.Priority, MaxAttempts: q.MaxAttempts,
 		CriticalPathFactor: q.CriticalPathFactor, DeadlineSlackMS: q.DeadlineSlack.Milliseconds(), ReceivedMS: received, Spec: *spec,
 	})
-	if err != nil || len(value) > g.node.settings.MaxRecordBytes {
+	if err != nil || len(value) > store.MaxValueBytes(g.node.settings.MaxRecordBytes) {
 		return errorResponse(http.StatusRequestEntityTooLarge, reasonTooLarge)
 	}
 	if bodyBytes > httpintake.SmallBodyBytes {
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -237,6 +238,8 @@
 	wrapStore func(Store) Store
 	// prepare is called with each node before it runs, unless it is nil.
 	prepare func(*Node)
+	// bodyBytes is the limit on bodies of callers in the configuration; 0: 100.
+	bodyBytes int64
 	nodes   []*runningNode
 }
 
@@ -334,7 +337,7 @@
 		DecodeConfig: func([]byte) (*queue.Config, error) {
 			return &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", MaxAttempts: 2, CriticalPathFactor: 2},
 				{Name: "objective", Host: "h", Prefix: "/o/", Service: "s", MaxAttempts: 2, CriticalPathFactor: 2, DeadlineSlack: time.Second}},
-				Services: []queue.Service{{Name: "s"}}, Limits: queue.Limits{BodyBytes: 100}}, nil
+				Services: []queue.Service{{Name: "s"}}, Limits: queue.Limits{BodyBytes: cmp.Or(d.bodyBytes, 100)}}, nil
 		},
 		DecodeWorker: func(id string, _ []byte) (workercall.Worker, error) {
 			return workercall.Worker{ID: id, Service: "s", Address: "w:1", FailureDomain: id[:1], StartedAtMS: 1,
--- a/internal/cellnode/peers.go
+++ b/internal/cellnode/peers.go
@@ -110,7 +110,7 @@
 // be the owner.
 func (s cellServer) Accept(ctx context.Context, r *cellrpc.AcceptRequest) (*cellrpc.AcceptReply, error) {
 	kind, _ := jobrecord.ParseKey(r.Key)
-	if kind != jobrecord.KindJob && kind != jobrecord.KindCancel || len(r.Value) > s.node.settings.MaxRecordBytes {
+	if kind != jobrecord.KindJob && kind != jobrecord.KindCancel || len(r.Value) > store.MaxValueBytes(s.node.settings.MaxRecordBytes) {
 		return nil, twirp.InvalidArgumentError("key", "names neither a job nor a cancellation, or the value is too large")
 	}
 	ctx, cancel := context.WithTimeout(ctx, combinedStoreTimeout)
--- a/internal/cellnode/store_limits_test.go
+++ b/internal/cellnode/store_limits_test.go
@@ -1,7 +1,9 @@
 package cellnode
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,3 +28,30 @@
 		t.Errorf("the store rejected %d appends", d.store.rejected)
 	}
 }
+
+// Guards against a job whose record is too large for the store only with its key: no node stored anything after it, since each repeated
+// its append for ever and the caller asked the next one.
+func TestJobIsStoredOrRefusedAsTooLargeByEachNode(t *testing.T) {
+	t.Parallel()
+	d := newTestCluster(t, 0)
+	d.store.limits.RecordBytes, d.bodyBytes = 600, 700
+	d.startNode(0)
+	d.startNode(1)
+	d.waitForOwner()
+	statuses := make(map[int]int)
+	for size := 100; size <= 600; size += 5 { // above and below the limit
+		id := fmt.Sprintf("%016x", size)
+		first, _ := d.request(0, http.MethodPost, "/q/"+id, strings.Repeat("x", size))
+		second, _ := d.request(1, http.MethodPost, "/q/"+id, strings.Repeat("x", size))
+		if first != second || first != http.StatusOK && first != http.StatusRequestEntityTooLarge {
+			t.Errorf("a job of %d bytes: got status %d and then %d, want 200 or 413, and the same", size, first, second)
+		}
+		statuses[first]++
+	}
+	if statuses[http.StatusOK] == 0 || statuses[http.StatusRequestEntityTooLarge] == 0 {
+		t.Errorf("got statuses %v, want both", statuses)
+	}
+	if d.store.rejected > 0 {
+		t.Errorf("the store rejected %d appends", d.store.rejected)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,12 @@
 	Offset Offset
 }
 
+// MaxKeyBytes is the size of the longest key, whose length is one byte.
+const MaxKeyBytes = 255
+
+// MaxValueBytes returns the size of the largest value that fits into a record of at most recordBytes, whatever its key.
+func MaxValueBytes(recordBytes int) int { return recordBytes - keyLengthBytes - MaxKeyBytes }
+
 // keyLengthBytes and recordLengthBytes are the sizes of the length of a key and of a record in an append.
 const (
 	keyLengthBytes    = 1
