The tasks of a scheduled job's occurrences are created as earlier ones begin

What callers saw: a scheduled job of 100,000 times, all of them due, was accepted, and each process that owned the cell was killed for its memory within 2 s of its claim.

Cause: adding a job created the groups and tasks of all occurrences that were due, 2,000,000 tasks here, and kept those of ended occurrences until the job had ended. The killed owners' last lines are of jobs added before this one; its own line 'job added', which is written after the tasks are created, never came, so it was neither a round, nor the audit, nor the queue of events.

Change: a job with more than 2,000 tasks in all of its occurrences is bounded. Its occurrences are opened in order as far as the waiting and the open tasks of all such jobs stay within limits, in equal shares, and one of each job in any case. Running tasks do not hold up later occurrences. An occurrence that has ended is closed: its groups leave memory and store, and its number is kept in a record of ranges of closed occurrences (o/ID). That record is stored before its groups are deleted, so that an append that is missing leaves groups that are deleted again, and no occurrence that starts again. Other scheduled jobs are handled and stored as before.

The check of random faults that completed jobs are done now looks at all occurrences.

--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -187,13 +187,14 @@
 		return
 	}
 	if j.createdOccurrences < j.record.Spec.Occurrences() {
-		if due := j.record.Spec.DueAt(j.createdOccurrences); !c.wall.Before(due) {
+		scheduled := slices.Contains(c.scheduledJobs, j)
+		if !c.wall.Before(j.nextDue()) && !(scheduled && j.heldBack) {
 			c.corrected(wrongOccurrence, zap.String("job", string(j.id)))
-			c.createDueGroups(j)
-			if !slices.Contains(c.scheduledJobs, j) {
+			c.openDue(j)
+			if !scheduled {
 				c.scheduledJobs = append(c.scheduledJobs, j)
 			}
-			c.nextOccurrence = time.Time{}
+			c.nextOccurrence, c.heldBackUntil = time.Time{}, 0
 		}
 		return
 	}
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -108,15 +108,21 @@
 	due           dueQueue
 	view          placementView // memory of newPlacementView
 	rackDelay     rackDelay
-	scheduledJobs []*job // jobs with occurrences that are not due yet
-	// nextOccurrence is at or before the wall time when the next occurrence of scheduledJobs is due.
+	scheduledJobs []*job // jobs with occurrences that were not opened
+	// nextOccurrence is at or before the wall time when the next occurrence of scheduledJobs is due, apart from those that are held
+	// back. If any is, this is checked again at heldBackUntil.
 	nextOccurrence time.Time
-	endedJobs      *btree.BTreeG[*job] // jobs whose outcome is stored, by endedBefore
-	now            time.Duration       // current reading of the local clock, set by SetTime
-	wall           time.Time           // current wall time, set by SetTime
-	roundTime      time.Duration       // set by SetRoundTime
-	stragglers     stragglers
-	auditor        auditor
+	heldBackUntil  time.Duration
+	// sharers is the number of bounded jobs that had occurrences to open when this was last checked.
+	sharers          int
+	toClose          []occurrence        // of bounded jobs; they have ended
+	dirtyOccurrences []*job              // jobs whose closed occurrences have to be stored
+	endedJobs        *btree.BTreeG[*job] // jobs whose outcome is stored, by endedBefore
+	now              time.Duration       // current reading of the local clock, set by SetTime
+	wall             time.Time           // current wall time, set by SetTime
+	roundTime        time.Duration       // set by SetRoundTime
+	stragglers       stragglers
+	auditor          auditor
 	// storing is the round that is being stored; nil if none is.
 	storing *Round
 	// plannedRounds is the number of calls of Plan, and storedRound the number of the newest round that was stored.
@@ -176,7 +182,7 @@
 	}
 	j := &job{
 		id: id, record: record, recordKeys: []string{key}, groups: make(map[jobs.GroupID]*group),
-		criticalPath: criticalPaths(&record.Spec), addedAt: c.now,
+		criticalPath: criticalPaths(&record.Spec), addedAt: c.now, bounded: isBounded(&record.Spec),
 	}
 	j.estimate()
 	c.jobs[id], c.newestJobAt = j, c.now
@@ -185,7 +191,9 @@
 		delete(c.earlyCancels, id)
 		j.cancelled = true
 	}
-	c.createDueGroups(j)
+	if !j.bounded { // bounded ones are opened by Tick, after their progress is loaded
+		c.openDue(j)
+	}
 	if record.Spec.OccurrenceCount > 0 {
 		c.scheduledJobs = append(c.scheduledJobs, j)
 		c.nextOccurrence = time.Time{} // the next walk computes it
@@ -195,22 +203,6 @@
 		zap.Int64("received_ms", record.ReceivedMS), zap.Int("occurrences", record.Spec.OccurrenceCount))
 }
 
-// createDueGroups creates the task groups of the job's occurrences that have become due.
-func (c *Cell) createDueGroups(j *job) {
-	for j.createdOccurrences < j.record.Spec.Occurrences() {
-		due := j.record.Spec.DueAt(j.createdOccurrences)
-		if !due.IsZero() && c.wall.Before(due) {
-			return
-		}
-		for step := range j.record.Spec.Steps {
-			c.ensureGroup(j, jobs.GroupID{Job: j.id, Occurrence: j.createdOccurrences, Step: step})
-		}
-		occurrence := j.createdOccurrences
-		j.createdOccurrences++
-		c.markReady(j, occurrence)
-	}
-}
-
 // ensureGroup returns a group of a job, creating it if it does not exist. Tasks of another cell's job belong there until they are
 // assigned to this cell.
 func (c *Cell) ensureGroup(j *job, id jobs.GroupID) *group {
@@ -352,41 +344,17 @@
 	}
 }
 
-// Tick performs the actions that depend on time alone: it creates the groups of occurrences that have become due,
+// Tick performs the actions that depend on time alone: it opens the occurrences that have become due,
 // abandons the runs of workers whose leases have expired and requests placement if a retry is due. The owner calls it
 // before TakeOrders and Plan.
 func (c *Cell) Tick() {
-	c.createAllDueGroups()
+	c.openAllDue()
 	c.expireLeases()
 	if c.nextRetry != 0 && c.now >= c.nextRetry {
 		c.nextRetry, c.needsPlacement = 0, true
 	}
 }
 
-// createAllDueGroups creates the task groups of all occurrences that have become due, and drops jobs without further
-// occurrences from scheduledJobs. Until the next occurrence is due, it does nothing.
-func (c *Cell) createAllDueGroups() {
-	if len(c.scheduledJobs) == 0 || c.wall.Before(c.nextOccurrence) {
-		return
-	}
-	c.nextOccurrence = time.Time{}
-	remaining := c.scheduledJobs[:0]
-	for _, j := range c.scheduledJobs {
-		if !j.live() {
-			continue
-		}
-		c.createDueGroups(j)
-		if j.createdOccurrences < j.record.Spec.Occurrences() {
-			remaining = append(remaining, j)
-			if due := j.record.Spec.DueAt(j.createdOccurrences); c.nextOccurrence.IsZero() || due.Before(c.nextOccurrence) {
-				c.nextOccurrence = due
-			}
-		}
-	}
-	clear(c.scheduledJobs[len(remaining):])
-	c.scheduledJobs = remaining
-}
-
 // Status returns the state of a job. The outcome of a job that has ended is returned only once it is stored. known is
 // false for a job that was not added or was deleted after Settings.StatusRetention.
 func (c *Cell) Status(id jobs.ID) (state jobs.State, known bool) {
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -301,8 +301,9 @@
 			t.Errorf("job %s has not ended: state %v", id, state)
 		}
 		for step := range spec.Steps {
-			for i := range spec.Steps[step].Count {
-				if task := (jobs.TaskID{Job: id, Step: step, Index: i}); state == jobs.Completed && !sim.done[task] {
+			for i := range spec.Steps[step].Count * spec.Occurrences() {
+				task := jobs.TaskID{Job: id, Occurrence: i / spec.Steps[step].Count, Step: step, Index: i % spec.Steps[step].Count}
+				if state == jobs.Completed && !sim.done[task] {
 					t.Errorf("job %s is completed but task %v is not done", id, task)
 				}
 			}
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -77,6 +77,9 @@
 		c.deletions = append(c.deletions, g.progressKeys()...)
 		c.taskCount -= len(g.tasks)
 	}
+	if j.bounded {
+		c.deletions = append(c.deletions, jobrecord.OccurrencesKey(j.id))
+	}
 	delete(c.jobs, j.id)
 	c.endedJobs.Delete(j)
 }
--- a/internal/cell/group_records.go
+++ b/internal/cell/group_records.go
@@ -57,6 +57,9 @@
 // addGroup adds the progress of the dirty parts of a group to a round.
 func (r *Round) addGroup(c *Cell, g *group) {
 	g.dirty = false
+	if g.closed {
+		return
+	}
 	for number := len(g.dirtyParts) - 1; number >= 0; number-- {
 		if !g.dirtyParts[number] {
 			continue
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -111,7 +111,9 @@
 		if err := groups.add(id, r); err != nil {
 			c.skipUnreadable(r, err)
 		}
-	case (kind == jobrecord.KindOutcome || kind == jobrecord.KindGroup) && !recorded[id.Job]:
+	case kind == jobrecord.KindOccurrences && j != nil:
+		c.loadOccurrences(j, r)
+	case (kind == jobrecord.KindOutcome || kind == jobrecord.KindGroup || kind == jobrecord.KindOccurrences) && !recorded[id.Job]:
 		// Job records are deleted before progress records, so a former owner was deleting this job.
 		c.deletions = append(c.deletions, r.Key)
 	case r.Key == jobrecord.InterferenceKey:
@@ -129,6 +131,12 @@
 // loadGroup restores the progress of a group and its runs. Records that do not fit the steps of the job are skipped.
 func (c *Cell) loadGroup(id jobs.GroupID, stored *storedGroups) {
 	j := c.jobs[id.Job]
+	if j.closed.contains(id.Occurrence) { // the records of a former owner's last round were not all stored
+		for _, part := range stored.records[id] {
+			c.deletions = append(c.deletions, part.key)
+		}
+		return
+	}
 	tasks := 0
 	if id.Step < len(j.record.Spec.Steps) {
 		tasks = j.record.Spec.Steps[id.Step].Count
@@ -189,9 +197,7 @@
 // cancelled, resumeJob has the remaining runs stopped. Otherwise resumeJob ends the job if a task has used all its
 // attempts or all tasks are done.
 func (c *Cell) resumeJob(j *job) {
-	for occurrence := range j.createdOccurrences {
-		c.markReady(j, occurrence)
-	}
+	c.resumeOccurrences(j)
 	if j.ended || j.cancelled {
 		// stopJobCancelled is also the reason if the job has completed or failed.
 		c.stopJobRuns(j, stopJobCancelled)
--- a/internal/cell/round.go
+++ b/internal/cell/round.go
@@ -16,6 +16,8 @@
 	starts  []*run      // runs to start once the records are stored
 	parts   []groupPart // parts of groups whose progress is among the records
 	jobs    []*job      // jobs whose outcome is among the records
+	// occurrences are the jobs whose closed occurrences are among the records.
+	occurrences []*job
 	// deletions are the keys of the records that the round deletes.
 	deletions []string
 	// endsSeen is, for each worker, the sequence number of the last run end whose effect is in the round and that may be
@@ -42,6 +44,7 @@
 	c.plannedRounds++
 	round := &Round{number: c.plannedRounds, starts: c.pendingStarts}
 	c.pendingStarts = nil
+	c.closeOccurrences()
 	for _, g := range c.dirtyGroups {
 		round.addGroup(c, g)
 	}
@@ -50,6 +53,7 @@
 		round.jobs = append(round.jobs, j)
 		round.addRecord(c, jobrecord.OutcomeKey(j.id), &jobrecord.Outcome{State: j.outcome, AtMS: j.endedAtMS})
 	}
+	round.addOccurrences(c)
 	c.addInterferenceSnapshot(round)
 	for _, key := range c.deletions {
 		round.Records = append(round.Records, store.Record{Key: key})
@@ -134,6 +138,9 @@
 	for _, j := range round.jobs {
 		c.markJobDirty(j)
 	}
+	for _, j := range round.occurrences {
+		c.markOccurrencesDirty(j)
+	}
 	c.deletions = append(c.deletions, round.deletions...)
 }
 
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -155,6 +155,7 @@
 	}
 	g.finishedAt = c.now
 	c.markReady(g.job, g.id.Occurrence)
+	c.noteOccurrenceEnd(g.job, g.id.Occurrence)
 	c.completeJobIfDone(g.job)
 }
 
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -165,6 +165,7 @@
 	// ready is set once all steps that this one depends on are done, at readyAt.
 	ready   bool
 	readyAt time.Duration
+	closed  bool // its occurrence was closed, so that the job does not have the group any more
 	started bool // a task of the group was started
 	// dirtyParts are the parts of the group whose progress has to be stored, by their number; dirty is set while there are any.
 	dirtyParts []bool
@@ -209,8 +210,13 @@
 	dirty     bool          // the outcome has to be stored
 	started   bool          // a start order for one of its tasks was created
 	addedAt   time.Duration // when this owner added the job
-	// createdOccurrences is the number of occurrences that have groups.
+	// createdOccurrences is the first occurrence that was not opened. Later ones may be open if their progress was loaded.
 	createdOccurrences int
+	// bounded is set if occurrences are closed once they have ended; closed are those that were. heldBack is set while an occurrence is
+	// due that was not opened.
+	bounded                  bool
+	closed                   occurrenceSet
+	heldBack, heldBackLogged bool
 	// beganLate is set once the job's work was counted as late work, see roundTurns.
 	beganLate bool
 	// runs is the number of runs of the job's tasks, and idleSince when the last one ended that was not stopped and left none; 0
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -88,7 +88,7 @@
 	j.estimate()
 	c.jobs[id], c.guests[id] = j, j
 	c.auditor.jobs = append(c.auditor.jobs, j)
-	c.createDueGroups(j)
+	c.openDue(j)
 	return j
 }
 
--- a/internal/cellnode/node_test.go
+++ b/internal/cellnode/node_test.go
@@ -240,7 +240,7 @@
 	prepare func(*Node)
 	// bodyBytes is the limit on bodies of callers in the configuration; 0: 100.
 	bodyBytes int64
-	nodes   []*runningNode
+	nodes     []*runningNode
 }
 
 type runningNode struct {
--- a/internal/jobrecord/jobrecord.go
+++ b/internal/jobrecord/jobrecord.go
@@ -51,6 +51,17 @@
 	Tasks   []Task
 }
 
+// Occurrences are the occurrences of a scheduled job that have ended and whose groups have no records any more.
+type Occurrences struct {
+	// Ended is sorted; its ranges neither overlap nor touch.
+	Ended []OccurrenceRange
+}
+
+// OccurrenceRange is the occurrences from From to before To.
+type OccurrenceRange struct {
+	From, To int
+}
+
 // Task is the progress of one task.
 type Task struct {
 	Done       bool   // the task has completed
@@ -76,6 +87,7 @@
 	cancelPrefix  = "c/"
 	outcomePrefix = "j/"
 	groupPrefix   = "g/"
+	endedPrefix   = "o/"
 	learnedPrefix = "l/"
 )
 
@@ -125,6 +137,9 @@
 // OutcomeKey is the key of the outcome of a job.
 func OutcomeKey(id jobs.ID) string { return outcomePrefix + string(id) }
 
+// OccurrencesKey is the key of the ended occurrences of a job.
+func OccurrencesKey(id jobs.ID) string { return endedPrefix + string(id) }
+
 // GroupKey is the key of the progress of a group of tasks.
 func GroupKey(g jobs.GroupID) string {
 	return groupPrefix + string(g.Job) + "/" + strconv.Itoa(g.Occurrence) + "/" + strconv.Itoa(g.Step)
@@ -153,6 +168,7 @@
 	KindCancel
 	KindOutcome
 	KindGroup
+	KindOccurrences
 	// KindLearned is the kind of the record under InterferenceKey, which does not belong to a job.
 	KindLearned
 )
@@ -174,6 +190,8 @@
 		return KindOutcome, jobs.GroupID{Job: jobs.ID(rest)}
 	case groupPrefix:
 		return parseGroup(rest)
+	case endedPrefix:
+		return KindOccurrences, jobs.GroupID{Job: jobs.ID(rest)}
 	case learnedPrefix:
 		return KindLearned, jobs.GroupID{}
 	}
