The tasks of large jobs in memory are limited

What callers can do: 60 jobs of 20,000 tasks within a second, each accepted, and the owner's process exceeds the memory of its VM.

Cause: the tasks of each accepted job are created when it is read, 270 bytes each, and those of ended jobs kept until the job is deleted, 120 s later.

Change: a job with 200 tasks or more is opened, that is, its tasks are created, only as far as 100,000 tasks of such jobs are open, in the order in which the jobs were added. A job that no worker can run holds up no others. The groups of such a job are removed from memory and store once its end is stored. Jobs of fewer tasks are opened as before.

Test: TestTasksOfLargeJobsInMemoryAreBounded, which failed before.

--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -187,12 +187,12 @@
 		return
 	}
 	if j.createdOccurrences < j.record.Spec.Occurrences() {
-		scheduled := slices.Contains(c.scheduledJobs, j)
+		scheduled := slices.Contains(c.unopenedJobs, j)
 		if !c.wall.Before(j.nextDue()) && !(scheduled && j.heldBack) {
 			c.corrected(wrongOccurrence, zap.String("job", string(j.id)))
 			c.openDue(j)
 			if !scheduled {
-				c.scheduledJobs = append(c.scheduledJobs, j)
+				c.unopenedJobs = append(c.unopenedJobs, j)
 			}
 			c.nextOccurrence, c.heldBackUntil = time.Time{}, 0
 		}
--- a/internal/cell/audit_test.go
+++ b/internal/cell/audit_test.go
@@ -184,7 +184,7 @@
 	{name: "occurrence dropped", kind: wrongOccurrence, spec: func(s *jobs.Spec) {
 		s.OccurrenceCount, s.StartAt, s.Interval = 2, time.UnixMilli(startUnixMS).Add(time.Hour+13*time.Second), time.Second
 	}, at: func(_ *Cell, j *job) bool { return j.createdOccurrences == 1 }, remove: func(_ *simulation, c *Cell, j *job) {
-		c.scheduledJobs = nil
+		c.unopenedJobs = nil
 	}, within: 2 * time.Second},
 }
 
--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -103,18 +103,22 @@
 	taskCount     int      // number of tasks in memory
 	// waiting contains the ready groups with tasks to start, of jobs that may still run. It may contain others, which
 	// the next placement removes. It is in the order of the newest placement round.
-	waiting       []*group
-	reports       int64 // number of reports whose runs were compared to the known ones
-	due           dueQueue
-	view          placementView // memory of newPlacementView
-	rackDelay     rackDelay
-	scheduledJobs []*job // jobs with occurrences that were not opened
-	// nextOccurrence is at or before the wall time when the next occurrence of scheduledJobs is due, apart from those that are held
+	waiting      []*group
+	reports      int64 // number of reports whose runs were compared to the known ones
+	due          dueQueue
+	view         placementView // memory of newPlacementView
+	rackDelay    rackDelay
+	unopenedJobs []*job // jobs with occurrences that were not opened
+	// nextOccurrence is at or before the wall time when the next occurrence of unopenedJobs is due, apart from those that are held
 	// back. If any is, this is checked again at heldBackUntil.
 	nextOccurrence time.Time
 	heldBackUntil  time.Duration
 	// sharers is the number of bounded jobs that had occurrences to open when this was last checked.
-	sharers          int
+	sharers int
+	// largeTasks is the number of tasks of large jobs in memory; largeHeldBack is set once one was held back in the present check.
+	largeTasks       int
+	largeHeldBack    bool
+	endedLarge       []*job              // large jobs that have ended and whose groups are to be removed
 	toClose          []occurrence        // of bounded jobs; they have ended
 	dirtyOccurrences []*job              // jobs whose closed occurrences have to be stored
 	endedJobs        *btree.BTreeG[*job] // jobs whose outcome is stored, by endedBefore
@@ -183,6 +187,7 @@
 	j := &job{
 		id: id, record: record, recordKeys: []string{key}, groups: make(map[jobs.GroupID]*group),
 		criticalPath: criticalPaths(&record.Spec), addedAt: c.now, bounded: isBounded(&record.Spec),
+		large: tasksPerOccurrence(&record.Spec) >= minLargeTasks,
 	}
 	j.estimate()
 	c.jobs[id], c.newestJobAt = j, c.now
@@ -191,11 +196,12 @@
 		delete(c.earlyCancels, id)
 		j.cancelled = true
 	}
-	if !j.bounded { // bounded ones are opened by Tick, after their progress is loaded
+	limited := j.bounded || j.large
+	if !limited { // the others are opened by Tick, after their progress is loaded
 		c.openDue(j)
 	}
-	if record.Spec.OccurrenceCount > 0 {
-		c.scheduledJobs = append(c.scheduledJobs, j)
+	if limited || record.Spec.OccurrenceCount > 0 {
+		c.unopenedJobs = append(c.unopenedJobs, j)
 		c.nextOccurrence = time.Time{} // the next walk computes it
 	}
 	c.log.Info("job added", zap.String("job", string(id)), zap.String("queue", record.Queue),
@@ -223,7 +229,7 @@
 	}
 	j.groups[id] = g
 	j.groupList = append(j.groupList, g)
-	c.taskCount += len(g.tasks)
+	c.countTasks(j, len(g.tasks))
 	return g
 }
 
--- a/internal/cell/expire.go
+++ b/internal/cell/expire.go
@@ -48,6 +48,9 @@
 	}
 	j.endStored = true
 	c.endedJobs.ReplaceOrInsert(j)
+	if j.large {
+		c.endedLarge = append(c.endedLarge, j)
+	}
 }
 
 // endedBefore orders ended jobs by the time of their end and by ID.
@@ -75,7 +78,7 @@
 	c.deletions = append(c.deletions, jobrecord.OutcomeKey(j.id))
 	for _, g := range j.groups {
 		c.deletions = append(c.deletions, g.progressKeys()...)
-		c.taskCount -= len(g.tasks)
+		c.countTasks(j, -len(g.tasks))
 	}
 	if j.bounded {
 		c.deletions = append(c.deletions, jobrecord.OccurrencesKey(j.id))
--- a/internal/cell/occurrences.go
+++ b/internal/cell/occurrences.go
@@ -12,9 +12,13 @@
 	"cactuswall.example/cactuswall/internal/store"
 )
 
-// A scheduled job with many tasks in all of its occurrences is a bounded job: its occurrences are opened, that is, their groups are
-// created, only as earlier ones are begun, and closed once they have ended. Of a closed occurrence only its number is kept, in memory and
-// in the store. The occurrences of other scheduled jobs are opened when they are due and kept until the job is deleted.
+// An occurrence of a job is opened, that is, its groups are created, when it is due. A job that is not scheduled has one, which is due at
+// once. What is open of jobs with many tasks is limited, since the tasks of all that callers may submit do not fit into memory:
+//
+//   - A scheduled job with many tasks in all of its occurrences is a bounded job. Its occurrences are opened only as earlier ones are
+//     begun, and closed once they have ended. Of a closed occurrence only its number is kept, in memory and in the store.
+//   - A job with many tasks in one occurrence is a large job. Its occurrences are opened only as far as the open tasks of all large jobs
+//     stay within a limit, in the order in which the jobs were added. Its groups are removed once its end is stored.
 const (
 	// maxKeptTasks is the number of tasks in all occurrences of a job above which the job is bounded. It must not be raised: the stored
 	// progress of a bounded job is read as such.
@@ -23,6 +27,10 @@
 	// no run, and all. Each job with occurrences to open has an equal share, and may have one occurrence open in any case.
 	maxWaitingTasks = 4000
 	maxOpenTasks    = 40_000
+	// minLargeTasks is the number of tasks in one occurrence from which on a job is large, and maxLargeTasks the limit on the open tasks
+	// of large jobs. One of them may be open in any case.
+	minLargeTasks = 200
+	maxLargeTasks = 100_000
 	// maxEndedRanges is the largest number of ranges of closed occurrences. An occurrence that would begin another one stays open.
 	maxEndedRanges = 10_000
 	// endedRangeBytes is the largest size of a stored range, and endedRecordBytes that of the rest of their record.
@@ -105,7 +113,7 @@
 		if due := spec.DueAt(j.createdOccurrences); !due.IsZero() && c.wall.Before(due) {
 			return
 		}
-		if j.bounded && !j.isOpen(j.createdOccurrences) && !share.take(spec) {
+		if !j.isOpen(j.createdOccurrences) && (j.bounded && !share.take(spec) || j.large && !c.mayOpenLarge(j)) {
 			j.heldBack = true
 			c.logHeldBack(j)
 			return
@@ -116,6 +124,36 @@
 	}
 }
 
+// mayOpenLarge reports whether an occurrence of a large job may be opened. Those that no worker can run any task of are left out, so that
+// they hold up no others; if there are several cells, workers may come from another one.
+func (c *Cell) mayOpenLarge(j *job) bool {
+	if c.cellCount == 1 && !c.hasWorkerFor(j) {
+		return false
+	}
+	if c.largeTasks > 0 && (c.largeHeldBack || c.largeTasks+tasksPerOccurrence(&j.record.Spec) > maxLargeTasks) {
+		c.largeHeldBack = true
+		return false
+	}
+	return true
+}
+
+// hasWorkerFor reports whether a worker could run a task of a step of the job that depends on no other, if it had nothing else to run.
+func (c *Cell) hasWorkerFor(j *job) bool {
+	service := c.platformServiceOf(j)
+	for i := range j.record.Spec.Steps {
+		step := &j.record.Spec.Steps[i]
+		if len(step.DependsOn) > 0 {
+			continue
+		}
+		for _, w := range c.workers {
+			if w.listed && w.info.Capacity.Contains(step.Requested()) && meetsConstraints(w, step, service, 0) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // isOpen reports whether groups of an occurrence exist.
 func (j *job) isOpen(number int) bool {
 	for step := range j.record.Spec.Steps {
@@ -140,25 +178,26 @@
 	}
 	j.heldBackLogged = true
 	c.log.Info("occurrences held back", zap.String("job", string(j.id)), zap.Int("next", j.createdOccurrences),
-		zap.Int("occurrences", j.record.Spec.Occurrences()), zap.Int("open_groups", len(j.groupList)), zap.Int("sharers", c.sharers))
+		zap.Int("occurrences", j.record.Spec.Occurrences()), zap.Int("open_groups", len(j.groupList)), zap.Int("sharers", c.sharers),
+		zap.Int("large_tasks", c.largeTasks))
 }
 
-// openAllDue opens the occurrences that are due, and drops jobs whose occurrences were all opened from scheduledJobs. Until the next one is
+// openAllDue opens the occurrences that are due, and drops jobs of which all were opened from unopenedJobs. Until the next one is
 // due, or may be opened, it does nothing.
 func (c *Cell) openAllDue() {
 	heldBackDue := c.heldBackUntil != 0 && c.now >= c.heldBackUntil
-	if len(c.scheduledJobs) == 0 || c.wall.Before(c.nextOccurrence) && !heldBackDue {
+	if len(c.unopenedJobs) == 0 || c.wall.Before(c.nextOccurrence) && !heldBackDue {
 		return
 	}
 	c.nextOccurrence, c.heldBackUntil = neverDue, 0
-	c.sharers = 0
-	for _, j := range c.scheduledJobs {
+	c.sharers, c.largeHeldBack = 0, false
+	for _, j := range c.unopenedJobs {
 		if j.bounded && j.live() && !c.wall.Before(j.nextDue()) {
 			c.sharers++
 		}
 	}
-	remaining := c.scheduledJobs[:0]
-	for _, j := range c.scheduledJobs {
+	remaining := c.unopenedJobs[:0]
+	for _, j := range c.unopenedJobs {
 		if !j.live() {
 			continue
 		}
@@ -174,8 +213,8 @@
 			c.nextOccurrence = due
 		}
 	}
-	clear(c.scheduledJobs[len(remaining):])
-	c.scheduledJobs = remaining
+	clear(c.unopenedJobs[len(remaining):])
+	c.unopenedJobs = remaining
 }
 
 // nextDue returns when the first occurrence is due that was not opened.
@@ -198,7 +237,8 @@
 	return true
 }
 
-// closeOccurrences closes the occurrences that have ended and have no runs any more.
+// closeOccurrences closes the occurrences that have ended, and removes the groups of large jobs that have, once they have no runs any
+// more.
 func (c *Cell) closeOccurrences() {
 	var changed []*job
 	c.toClose = slices.DeleteFunc(c.toClose, func(o occurrence) bool {
@@ -219,6 +259,18 @@
 		j.groupList = slices.DeleteFunc(j.groupList, func(g *group) bool { return g.closed })
 		c.markOccurrencesDirty(j)
 	}
+	c.endedLarge = slices.DeleteFunc(c.endedLarge, func(j *job) bool {
+		if j.runs > 0 {
+			return false
+		}
+		if c.jobs[j.id] == j {
+			for _, g := range j.groupList {
+				c.removeGroup(j, g)
+			}
+			j.groupList = nil
+		}
+		return true
+	})
 }
 
 // hasRunsIn reports whether a run of an occurrence may still be on a worker.
@@ -236,13 +288,24 @@
 // record of the job's closed occurrences is stored.
 func (c *Cell) removeGroups(j *job, number int) {
 	for step := range j.record.Spec.Steps {
-		id := jobs.GroupID{Job: j.id, Occurrence: number, Step: step}
-		g := j.groups[id]
-		g.closed = true
-		c.taskCount -= len(g.tasks)
-		c.deletions = append(c.deletions, g.progressKeys()...)
-		c.interference.Forget(jobrecord.GroupKey(id))
-		delete(j.groups, id)
+		c.removeGroup(j, j.groups[jobs.GroupID{Job: j.id, Occurrence: number, Step: step}])
+	}
+}
+
+// removeGroup removes a group from its job, apart from its place in job.groupList, and has its progress deleted with the next round.
+func (c *Cell) removeGroup(j *job, g *group) {
+	g.closed = true
+	c.countTasks(j, -len(g.tasks))
+	c.deletions = append(c.deletions, g.progressKeys()...)
+	c.interference.Forget(jobrecord.GroupKey(g.id))
+	delete(j.groups, g.id)
+}
+
+// countTasks counts tasks of a job that are in memory from now on or, if negative, are not any more.
+func (c *Cell) countTasks(j *job, tasks int) {
+	c.taskCount += tasks
+	if j.large {
+		c.largeTasks += tasks
 	}
 }
 
@@ -295,7 +358,7 @@
 	}
 	slices.Sort(numbers)
 	for _, number := range slices.Compact(numbers) {
-		if j.bounded {
+		if j.bounded || j.large {
 			c.open(j, number) // of some steps there may be no progress
 		}
 		if due := j.record.Spec.DueAt(number); due.IsZero() || !c.wall.Before(due) {
--- a/internal/cell/occurrences_test.go
+++ b/internal/cell/occurrences_test.go
@@ -67,6 +67,76 @@
 	}
 }
 
+// Guards against the same with jobs of many tasks, of which callers may submit any number.
+func TestTasksOfLargeJobsInMemoryAreBounded(t *testing.T) {
+	Convey("Given more large jobs than fit into memory, of which all workers are full", t, func() {
+		const tasks, fit = 5000, maxLargeTasks / 5000
+		sim := newSimulation(1, 8)
+		sim.taskRunTime = time.Minute
+		sim.takeOver()
+		spec := manyTasks(tasks, false)
+		impossible := manyTasks(tasks, false)
+		impossible.Steps[0].RequiredLabel = "nowhere"
+		spec.Steps[0].Request.MilliCPU = 3900
+		id := func(i int) jobs.ID { return jobs.ID(fmt.Sprintf("large%02d", i)) }
+		for i := range fit {
+			sim.submit(jobs.ID(fmt.Sprintf("impossible%02d", i)), impossible)
+		}
+		for i := range fit + 10 {
+			sim.submit(id(i), spec)
+		}
+		isOpen := func(i int) bool { return sim.owner.cell.jobs[id(i)].isOpen(0) }
+		sim.run(time.Second)
+		check := func() {
+			So(sim.owner.cell.taskCount, ShouldBeLessThanOrEqualTo, maxLargeTasks+10)
+			So(sim.violations, ShouldBeEmpty)
+			So(sim.owner.cell.auditor.found, ShouldEqual, 0)
+		}
+		So(sim.running(), ShouldEqual, 8)
+		So(isOpen(fit-1), ShouldBeTrue)
+		So(isOpen(fit), ShouldBeFalse)
+		check()
+		Convey("another job is done meanwhile, also under the next owner", func() {
+			sim.taskRunTime = 300 * time.Millisecond
+			for _, other := range []jobs.ID{"a", "b"} {
+				sim.submit(other, manyTasks(3, false))
+				sim.run(time.Second)
+				So(sim.state(other), ShouldEqual, jobs.Completed)
+				sim.takeOver()
+				sim.run(time.Second)
+				check()
+			}
+		})
+		Convey("those that wait are opened in order as others end, and nothing is left of these", func() {
+			for i := range 9 {
+				sim.cancel(id(i))
+			}
+			sim.run(2 * time.Second)
+			So(isOpen(fit+8), ShouldBeTrue)
+			So(isOpen(fit+9), ShouldBeFalse)
+			So(sim.running(), ShouldEqual, 8)
+			check()
+			So(sim.state(id(0)), ShouldEqual, jobs.Cancelled)
+			for i := range 9 {
+				So(sim.progressOf(id(i)), ShouldResemble, []string{jobrecord.OutcomeKey(id(i))})
+			}
+			sim.takeOver()
+			sim.run(2 * time.Second)
+			So(sim.state(id(0)), ShouldEqual, jobs.Cancelled)
+			check()
+		})
+		Convey("a worker that can run those that were impossible has them opened", func() {
+			for i := range 15 {
+				sim.cancel(id(i))
+			}
+			sim.workers["w0"].info.Labels = append(sim.workers["w0"].info.Labels, "nowhere")
+			sim.run(3 * time.Second)
+			So(sim.owner.cell.jobs["impossible00"].isOpen(0), ShouldBeTrue)
+			check()
+		})
+	})
+}
+
 func TestBoundedJobs(t *testing.T) {
 	Convey("Given workers for some 3,000 tasks at a time", t, func() {
 		sim := newSimulation(2, 8)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -212,9 +212,9 @@
 	addedAt   time.Duration // when this owner added the job
 	// createdOccurrences is the first occurrence that was not opened. Later ones may be open if their progress was loaded.
 	createdOccurrences int
-	// bounded is set if occurrences are closed once they have ended; closed are those that were. heldBack is set while an occurrence is
-	// due that was not opened.
-	bounded                  bool
+	// bounded and large say what of the job is limited, see openDue. closed are the closed occurrences of a bounded job. heldBack is set
+	// while an occurrence is due that was not opened.
+	bounded, large           bool
 	closed                   occurrenceSet
 	heldBack, heldBackLogged bool
 	// beganLate is set once the job's work was counted as late work, see roundTurns.
