An occurrence hundreds of years ahead is not due now

The distance from the first occurrence to a later one was a product of 64 bits; with an interval of a year the 293rd overflowed, was due before the first, and would have started at once. No caller has reported it.

Test: TestOccurrencesAreDueInOrder, which failed before.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -3,6 +3,7 @@
 package jobs
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -140,6 +141,9 @@
 	if s.OccurrenceCount == 0 {
 		return time.Time{}
 	}
+	if s.Interval > 0 && time.Duration(occurrence) > math.MaxInt64/s.Interval {
+		return s.StartAt.Add(math.MaxInt64) // some 292 years later
+	}
 	return s.StartAt.Add(time.Duration(occurrence) * s.Interval)
 }
 
