--- a/internal/cell/fuzz_test.go
+++ b/internal/cell/fuzz_test.go
@@ -28,7 +28,11 @@
 	job := encode(&jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, CriticalPathFactor: 2, Spec: spec})
 	group := encode(&jobrecord.Group{NextRun: 2, Tasks: []jobrecord.Task{{LastRun: 1, Runs: []jobrecord.Run{{Number: 1, Worker: "w0"}}}, {Done: true}}})
 	outcome := encode(&jobrecord.Outcome{State: jobs.Failed, AtMS: 1})
+	spec.OccurrenceCount, spec.Interval = 1000, time.Second // bounded
+	scheduled := encode(&jobrecord.Job{Queue: "q", Service: "s", MaxAttempts: 3, CriticalPathFactor: 2, Spec: spec})
+	closed := encode(&jobrecord.Occurrences{Ended: []jobrecord.OccurrenceRange{{From: 0, To: 1}, {From: 3, To: 990}}})
 	f.Add(job, group, outcome, 0, 0)
+	f.Add(scheduled, group, closed, 0, 1)
 	f.Add(job, group, []byte(nil), 1, 7)
 	f.Add([]byte{0x91}, []byte{0xff}, []byte("x"), -1, -1)
 	f.Fuzz(func(t *testing.T, job, group, outcome []byte, step, index int) {
@@ -42,7 +46,8 @@
 		c.SetTasks(map[string]cellmap.TaskAssignment{jobs.TaskID{Job: id, Step: step, Index: index}.Key(): {Cell: step & 1, LastRun: index}})
 		progress := []store.Record{
 			{Key: jobrecord.GroupKey(jobs.GroupID{Job: id, Step: step}), Value: group}, {Key: jobrecord.GroupKey(jobs.GroupID{Job: id}), Value: group},
-			{Key: jobrecord.OutcomeKey(id), Value: outcome},
+			{Key: jobrecord.GroupPartKey(jobs.GroupID{Job: id, Occurrence: 2, Step: step}, max(0, index)), Value: group, Offset: 1},
+			{Key: jobrecord.OutcomeKey(id), Value: outcome}, {Key: jobrecord.OccurrencesKey(id), Value: outcome},
 		}
 		c.Load([]store.Record{{Key: jobrecord.JobKey(id, "n", 0), Value: job}}, progress)
 		for range 5 {
--- a/internal/compat/compat_test.go
+++ b/internal/compat/compat_test.go
@@ -18,6 +18,7 @@
 //
 //	go test ./internal/compat -args -write-samples "$PWD/internal/compat/testdata"
 //
+// Samples of records that were added later, as occurrences.msgpack, were written in the same way at the commit that added them.
 // trace.log holds the log lines that the same build wrote about one job in a test run of one day, and settings.jsonc
 // the example settings of that build.
 var writeSamples = flag.String("write-samples", "", "write the samples of this build into a folder")
--- a/internal/compat/samples_test.go
+++ b/internal/compat/samples_test.go
@@ -40,6 +40,7 @@
 			{LastRun: 3, Checkpoint: "c-17", Runs: []jobrecord.Run{{Number: 3, Worker: "w-2", WorkerStartedAtMS: 1796400000000}}},
 		},
 	}),
+	packedSample("occurrences", jobrecord.Occurrences{Ended: []jobrecord.OccurrenceRange{{From: 0, To: 7}, {From: 9, To: 70_000}}}),
 	packedSample("outcome", jobrecord.Outcome{State: jobs.Failed, AtMS: 1796400009999}),
 	packedSample("claim", claim.Record{Holder: "n1-4711", Node: "n1", Address: "10.0.0.1:7000", Epoch: 12, Released: true}),
 	packedSample("pressures", cpuinterference.Snapshot{
