A round that the store rejects for good is sent again after a delay

Now it waits a second, as what was rejected may change meanwhile, and each rejected append is logged with its largest record.

--- a/internal/cellnode/append_attempts.go
+++ b/internal/cellnode/append_attempts.go
@@ -34,10 +34,16 @@
 	if a.Number > 1 {
 		n.metrics.GetOrCreateCounter(`cactuswall_append_repetitions_total` + label).Inc()
 	}
-	if a.Err == nil || a.Number < minLoggedAttempt || bits.OnesCount(uint(a.Number)) > 1 {
+	if a.Err == nil {
 		return
 	}
-	n.log.Warn("append fails again and again", zap.String("topic", a.Partition.Topic), zap.Int("cell", a.Partition.Number),
-		zap.Int("attempts", a.Number), zap.Int("records", a.Records), zap.Int("bytes", a.Bytes), zap.String("largest_key", a.LargestKey),
-		zap.Int("largest_bytes", a.LargestBytes), zap.Stringer("verdict", verdict.Of(a.Err)), zap.Error(a.Err))
+	fields := []zap.Field{zap.String("topic", a.Partition.Topic), zap.Int("cell", a.Partition.Number), zap.Int("attempts", a.Number),
+		zap.Int("records", a.Records), zap.Int("bytes", a.Bytes), zap.String("largest_key", a.LargestKey),
+		zap.Int("largest_bytes", a.LargestBytes), zap.Stringer("verdict", verdict.Of(a.Err)), zap.Error(a.Err)}
+	switch {
+	case store.HasReason(a.Err, store.ReasonRejected):
+		n.log.Warn("append rejected for good", fields...)
+	case a.Number >= minLoggedAttempt && bits.OnesCount(uint(a.Number)) == 1:
+		n.log.Warn("append fails again and again", fields...)
+	}
 }
--- a/internal/cellnode/owner.go
+++ b/internal/cellnode/owner.go
@@ -96,6 +96,8 @@
 
 	// The fields from storing to lateness are used only by the goroutine of runEventLoop.
 	storing bool // an append of progress records is in flight
+	// nextRound is when the next round may be planned after one that the store has rejected for good.
+	nextRound time.Duration
 	// nextExpiry is when deleteExpired runs next.
 	nextExpiry time.Duration
 	// fenced is set when the store or a worker has seen a newer owner, or when the outcome of storing progress is
@@ -277,6 +279,8 @@
 	minFlushInterval    = 4 * time.Millisecond
 	flushDurationFactor = 2
 	maxAdaptiveInterval = 25 * time.Millisecond
+	// rejectedRoundDelay is the delay before the next round after one that the store has rejected for good.
+	rejectedRoundDelay = time.Second
 	// expiryInterval is the interval at which jobs whose state no longer has to be reported are deleted.
 	expiryInterval = time.Second
 )
@@ -293,7 +297,7 @@
 	if o.member.mayRenewWorkerLeases(o.epoch) {
 		o.send(ctx, o.cell.TakeOrders(decide))
 	}
-	if decide && !o.storing {
+	if decide && !o.storing && now >= o.nextRound {
 		o.storeRound(ctx, o.cell.Plan())
 	}
 	if decide && now >= o.nextExpiry {
@@ -359,6 +363,9 @@
 	case verdict.Of(err) == verdict.NotRun && !store.HasReason(err, store.ReasonFenced):
 		o.log.Warn("progress not stored", zap.Error(err))
 		o.cell.RoundNotStored(round)
+		if store.HasReason(err, store.ReasonRejected) || store.HasReason(err, appender.ReasonTooLarge) {
+			o.nextRound = boottime.Now() + rejectedRoundDelay
+		}
 	default:
 		o.log.Warn("progress may not have been stored, giving up ownership", zap.Error(err))
 		o.fenced = true
--- a/internal/cellnode/store_limits_test.go
+++ b/internal/cellnode/store_limits_test.go
@@ -1,13 +1,18 @@
 package cellnode
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"cactuswall.example/cactuswall/internal/appender"
+	"cactuswall.example/cactuswall/internal/jobrecord"
+	"cactuswall.example/cactuswall/internal/store"
+	"cactuswall.example/cactuswall/internal/verdict"
 )
 
 // Guards against owners that store nothing any more because a round, or the progress of one step, is larger than an append may be.
@@ -55,3 +60,38 @@
 		t.Errorf("the store rejected %d appends", d.store.rejected)
 	}
 }
+
+// rejectingStore rejects progress for good, until it accepts.
+type rejectingStore struct {
+	Store
+	accepts  *atomic.Bool
+	rejected *atomic.Int64
+}
+
+func (s rejectingStore) Append(ctx context.Context, a store.AppendRequest) (store.AppendResult, error) {
+	if a.Partition.Topic == jobrecord.ProgressTopic && len(a.Records) > 0 && !s.accepts.Load() {
+		s.rejected.Add(1)
+		return store.AppendResult{}, verdict.New(verdict.NotRun, store.ReasonRejected, nil)
+	}
+	return s.Store.Append(ctx, a)
+}
+
+// Guards against an owner that plans and sends rounds as fast as it can while the store rejects them, and against one that does not go
+// on once the store accepts them.
+func TestRejectedRoundsAreSentAgainAfterDelay(t *testing.T) {
+	t.Parallel()
+	d := newTestCluster(t, 0)
+	var accepts atomic.Bool
+	var rejected atomic.Int64
+	d.wrapStore = func(s Store) Store { return rejectingStore{s, &accepts, &rejected} }
+	d.startNode(0)
+	d.waitForOwner()
+	id := testIDPrefix + "62"
+	d.requestUntil(2*time.Second, 0, http.MethodPost, "/q/"+id, "spec", http.StatusOK, "")
+	time.Sleep(2500 * time.Millisecond)
+	if n := rejected.Load(); n < 1 || n > 4 {
+		t.Errorf("%d rounds were sent in 2.5 s, want one a second", n)
+	}
+	accepts.Store(true)
+	d.requestUntil(5*time.Second, 0, http.MethodGet, "/q/"+id, "", http.StatusOK, "completed")
+}
