--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -188,7 +188,7 @@
 	}
 	if j.createdOccurrences < j.record.Spec.Occurrences() {
 		scheduled := slices.Contains(c.unopenedJobs, j)
-		if !c.wall.Before(j.nextDue()) && !(scheduled && j.heldBack) {
+		if !c.wall.Before(j.nextDue()) && (!scheduled || !j.heldBack) {
 			c.corrected(wrongOccurrence, zap.String("job", string(j.id)))
 			c.openDue(j)
 			if !scheduled {
