A cell creates the tasks that it receives, not those of all occurrences

Of jobs with many tasks it now creates the groups of assigned tasks alone.

Also, what a worker must have for a large job is looked up once in each check, so that many jobs that no worker can run cost little.

Test: TestGuestOfManyOccurrencesHasTheAssignedGroupsOnly, which failed before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -115,7 +115,9 @@
 	heldBackUntil  time.Duration
 	// sharers is the number of bounded jobs that had occurrences to open when this was last checked.
 	sharers int
-	// largeTasks is the number of tasks of large jobs in memory; largeHeldBack is set once one was held back in the present check.
+	// largeTasks is the number of tasks of large jobs in memory. largeHeldBack is set once one was held back in the present check, in
+	// which needsMet are the results of hasWorkerFor.
+	needsMet         map[workerNeed]bool
 	largeTasks       int
 	largeHeldBack    bool
 	endedLarge       []*job              // large jobs that have ended and whose groups are to be removed
@@ -150,7 +152,7 @@
 		leaseLimit:   noLeaseLimit, stated: make(map[string]statedLease),
 		jobs: make(map[jobs.ID]*job), foreign: make(map[jobs.ID]*foreignJob), guests: make(map[jobs.ID]*job), earlyCancels: make(map[jobs.ID]bool), workers: make(map[string]*worker),
 		load: overload.NewController(), health: quarantine.NewTable(probeBackoff), interference: cpuinterference.NewLearner(),
-		endedJobs: btree.NewG(endedJobsDegree, endedBefore), drain: drain.NewMeter(), shapes: make(map[string][]jobs.Resources), stragglers: newStragglers(),
+		needsMet: make(map[workerNeed]bool), endedJobs: btree.NewG(endedJobsDegree, endedBefore), drain: drain.NewMeter(), shapes: make(map[string][]jobs.Resources), stragglers: newStragglers(),
 	}
 }
 
@@ -187,7 +189,7 @@
 	j := &job{
 		id: id, record: record, recordKeys: []string{key}, groups: make(map[jobs.GroupID]*group),
 		criticalPath: criticalPaths(&record.Spec), addedAt: c.now, bounded: isBounded(&record.Spec),
-		large: tasksPerOccurrence(&record.Spec) >= minLargeTasks,
+		large: isLarge(&record.Spec),
 	}
 	j.estimate()
 	c.jobs[id], c.newestJobAt = j, c.now
--- a/internal/cell/guest_occurrence_test.go
+++ b/internal/cell/guest_occurrence_test.go
@@ -77,3 +77,27 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against a cell that has received one task of a job and creates the tasks of all of its occurrences.
+func TestGuestOfManyOccurrencesHasTheAssignedGroupsOnly(t *testing.T) {
+	sim := newCellsSimulation(1, 2, 4)
+	sim.run(12 * time.Second)
+	spec := testSpec(2)
+	spec.Steps[0].LongRunning = true
+	spec.OccurrenceCount, spec.Interval = jobs.MaxOccurrences, time.Second
+	spec.StartAt = sim.wall().Add(-time.Duration(spec.OccurrenceCount) * spec.Interval)
+	sim.submitTo(0, "listener", spec)
+	for _, w := range sim.cells[0].owner.cell.workers {
+		w.cordoned = true
+	}
+	sim.run(3 * time.Second)
+	moved := sim.handOverTasks(sim.cells[0], 1, handOverCompletes)
+	sim.run(2 * time.Second)
+	guest := sim.cells[1].owner.cell
+	if moved == 0 || len(guest.guests) != 1 || guest.taskCount > 2*moved {
+		t.Errorf("%d tasks were handed over, of %d jobs, and the cell has %d in memory", moved, len(guest.guests), guest.taskCount)
+	}
+	for _, violation := range sim.violations {
+		t.Error(violation)
+	}
+}
--- a/internal/cell/occurrences.go
+++ b/internal/cell/occurrences.go
@@ -54,6 +54,9 @@
 	return s.OccurrenceCount > 0 && s.OccurrenceCount > maxKeptTasks/tasksPerOccurrence(s)
 }
 
+// isLarge reports whether a job with a spec is large.
+func isLarge(s *jobs.Spec) bool { return tasksPerOccurrence(s) >= minLargeTasks }
+
 func tasksPerOccurrence(s *jobs.Spec) int {
 	tasks := 0
 	for i := range s.Steps {
@@ -127,14 +130,17 @@
 // mayOpenLarge reports whether an occurrence of a large job may be opened. Those that no worker can run any task of are left out, so that
 // they hold up no others; if there are several cells, workers may come from another one.
 func (c *Cell) mayOpenLarge(j *job) bool {
-	if c.cellCount == 1 && !c.hasWorkerFor(j) {
-		return false
-	}
-	if c.largeTasks > 0 && (c.largeHeldBack || c.largeTasks+tasksPerOccurrence(&j.record.Spec) > maxLargeTasks) {
-		c.largeHeldBack = true
+	if c.largeHeldBack || c.cellCount == 1 && !c.hasWorkerFor(j) {
 		return false
 	}
-	return true
+	c.largeHeldBack = c.largeTasks > 0 && c.largeTasks+tasksPerOccurrence(&j.record.Spec) > maxLargeTasks
+	return !c.largeHeldBack
+}
+
+// workerNeed is what a worker must have for a task, if it has nothing else to run.
+type workerNeed struct {
+	service, label string
+	request        jobs.Resources
 }
 
 // hasWorkerFor reports whether a worker could run a task of a step of the job that depends on no other, if it had nothing else to run.
@@ -145,10 +151,16 @@
 		if len(step.DependsOn) > 0 {
 			continue
 		}
-		for _, w := range c.workers {
-			if w.listed && w.info.Capacity.Contains(step.Requested()) && meetsConstraints(w, step, service, 0) {
-				return true
+		need := workerNeed{service: service, label: step.RequiredLabel, request: step.Requested()}
+		met, known := c.needsMet[need]
+		if !known {
+			for _, w := range c.workers {
+				met = met || w.listed && w.info.Capacity.Contains(need.request) && meetsConstraints(w, step, service, 0)
 			}
+			c.needsMet[need] = met
+		}
+		if met {
+			return true
 		}
 	}
 	return false
@@ -190,7 +202,7 @@
 		return
 	}
 	c.nextOccurrence, c.heldBackUntil = neverDue, 0
-	c.sharers, c.largeHeldBack = 0, false
+	c.sharers, c.largeHeldBack, c.needsMet = 0, false, make(map[workerNeed]bool)
 	for _, j := range c.unopenedJobs {
 		if j.bounded && j.live() && !c.wall.Before(j.nextDue()) {
 			c.sharers++
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -88,7 +88,9 @@
 	j.estimate()
 	c.jobs[id], c.guests[id] = j, j
 	c.auditor.jobs = append(c.auditor.jobs, j)
-	c.openDue(j)
+	if !isBounded(&j.record.Spec) && !isLarge(&j.record.Spec) { // of the others, groups are created with their first task that is assigned
+		c.openDue(j)
+	}
 	return j
 }
 
