Tasks that end again and again are started with growing delays and a share of the starts

Cause: interrupted long-running tasks come before all other work, and a crashed one was due again 100 ms later, one that ended 'done' at once. 64 starts a round, all of a round, went to the first tasks of the service; in a test 206 of its 1,500 tasks were ever started, 2,528 times a second, and no other job.

Change: a task of which more than three starts in a row came to nothing, because a worker refused them or a long-running task ended by itself within 5 s, is started again after 200 ms, doubling up to 3 s, and all such tasks get a quarter of a round's starts, in turn. Up to the third time nothing changes. The series is kept in memory: the next owner counts anew. Log line, counter and reason name what is delayed.

The simulation can have services end in a given way.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -92,6 +92,7 @@
 	}
 	w.refusingUntil = c.now + backoff
 	c.scheduleRetry(w.refusingUntil)
+	c.noteVainStart(r.task, string(reason))
 	if r.startInDoubt {
 		r.setState(runUncertain, c.now)
 		c.stopRun(r, stopRunUnknown)
--- a/internal/cell/metrics.go
+++ b/internal/cell/metrics.go
@@ -110,6 +110,11 @@
 	c.counters.get(c.set, "cactuswall_cell_straggler_restarts_total", "result", result).Inc()
 }
 
+// countDelayedRestart counts a start that was delayed because those before it came to nothing, by the reason of the last one.
+func (c *Metrics) countDelayedRestart(reason string) {
+	c.counters.get(c.set, "cactuswall_cell_restarts_delayed_total", "reason", reason).Inc()
+}
+
 // countCorrection counts a difference that the audit of the indexes found, by kind.
 func (c *Metrics) countCorrection(kind string) {
 	c.counters.get(c.set, "cactuswall_cell_index_corrections_total", "kind", kind).Inc()
--- a/internal/cell/next_step.go
+++ b/internal/cell/next_step.go
@@ -140,7 +140,7 @@
 }
 
 // maxRetryDelay is the longest time until placement is tried again while tasks wait, and for which a task is not placed.
-const maxRetryDelay = max(unhealthyBackoff, refusedBackoff, restartDelay, placementRetryInterval)
+const maxRetryDelay = max(unhealthyBackoff, refusedBackoff, restartDelay, maxRestartDelay, placementRetryInterval)
 
 // placementDue reports whether the next Plan looks for workers, or a later one after at most maxRetryDelay.
 func (c *Cell) placementDue() bool {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -44,6 +44,7 @@
 	turns := c.takeTurns(groups)
 	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
 	v := c.newPlacementView()
+	v.repeatedStarts = max(1, allowed/repeatedShare)
 	placed, unplaced := 0, false
 	var withoutRoom []*group // interrupted groups
 	for i, g := range groups {
@@ -105,7 +106,9 @@
 		return c.placeGang(v, g)
 	}
 	postponed, prefersRack := waitNone, c.prefersRack(g.step)
-	for _, t := range g.tasks {
+	first := g.firstConsidered
+	for i := range g.tasks {
+		t := g.tasks[(first+i)%len(g.tasks)]
 		if !t.needsRun() {
 			continue
 		}
@@ -117,6 +120,11 @@
 			postponed = waitTurn
 			break
 		}
+		if t.endsRepeatedly() && v.repeatedStarts <= 0 {
+			postponed = waitBackoff
+			c.scheduleRetry(c.now + repeatedInterval)
+			continue
+		}
 		if prefersRack && c.keepsWaitingForRack(v, t) {
 			postponed = waitRack
 			continue
@@ -334,6 +342,10 @@
 	if t.rackWait != nil {
 		c.endRackWait(v, t, rackWaitPlaced)
 	}
+	if t.endsRepeatedly() {
+		v.repeatedStarts--
+		t.group.firstConsidered = t.id.Index + 1
+	}
 	t.lastRunNumber = number
 	w.addRun(r)
 	c.pendingStarts = append(c.pendingStarts, r)
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -114,6 +114,7 @@
 	c.learnRackRunTime(r, ran)
 	if g.step.LongRunning {
 		r.task.waitingSince = c.now
+		c.noteServiceEnd(r.task, ran, vainDone)
 		return // the next call of Plan tries to place the task again
 	}
 	if g.step.Gang {
@@ -197,6 +198,9 @@
 	t.avoidWorker = w.info.ID
 	t.notBefore = c.now + restartDelay
 	c.scheduleRetry(t.notBefore)
+	if g.step.LongRunning {
+		c.noteServiceEnd(t, r.runTime(c.now), vainFailed)
+	}
 	c.markTaskDirty(counted)
 	c.markTaskDirty(t)
 	c.failJobIfExhausted(g)
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -63,7 +63,9 @@
 	failRate      float64
 	// serviceEndRate is the probability that a long-running task ends by itself in a tick, as done or failed.
 	serviceEndRate float64
-	maxAttempts    int // of the jobs that submit stores
+	// serviceEnds are the ways in which they end then.
+	serviceEnds []workercall.EndReason
+	maxAttempts int // of the jobs that submit stores
 	// appendTime is how long an append to the store takes; entryLag is how old the workers' entries are when they are
 	// read.
 	appendTime time.Duration
@@ -190,7 +192,7 @@
 		random: rand.New(rand.NewPCG(seed, 7)), leaseAnswers: newSimLeaseAnswers(seed), claims: newSimClaims(seed), table: cellmap.NewTable(), workers: make(map[string]*simWorker),
 		specs: make(map[jobs.ID]jobs.Spec), done: make(map[jobs.TaskID]bool), ackedDone: make(map[jobs.TaskID]bool),
 		ackedFailures: make(map[jobs.TaskID]int), startCounts: make(map[jobs.TaskID]int), taskRunTime: 800 * time.Millisecond,
-		now: time.Hour, appendTime: 10 * time.Millisecond, statusRetention: time.Hour, maxAttempts: 3,
+		serviceEnds: []workercall.EndReason{workercall.Done, workercall.Failed}, now: time.Hour, appendTime: 10 * time.Millisecond, statusRetention: time.Hour, maxAttempts: 3,
 		config: &queue.Config{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "s"}},
 			Services: []queue.Service{{Name: "s", EnforcesCapacity: true}}},
 	}
@@ -813,7 +815,7 @@
 			}
 			s.end(task, how)
 		case r.step.LongRunning && s.sim.serviceEndRate > 0 && s.sim.random.Float64() < s.sim.serviceEndRate:
-			s.end(task, []workercall.EndReason{workercall.Done, workercall.Failed}[s.sim.random.IntN(2)])
+			s.end(task, s.sim.serviceEnds[s.sim.random.IntN(len(s.sim.serviceEnds))])
 		}
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -113,6 +113,8 @@
 	leaving bool
 	// copies and restarts count how often the task was copied and restarted as a straggler.
 	copies, restarts uint8
+	// vainStarts is the number of starts in a row that came to nothing, see noteVainStart.
+	vainStarts uint8
 	// checkpointPercent is the progress of the run that reported the checkpoint, at that time; 0 if unknown.
 	checkpointPercent int8
 	group             *group
@@ -155,6 +157,9 @@
 	// waiting is set while the group is in Cell.waiting. Its index there was waitingAt when a round last began.
 	waiting   bool
 	waitingAt int
+	// firstConsidered is the index of the task that placement considers first: the one after the last placed one of those that end
+	// repeatedly, so that all of them get their turn.
+	firstConsidered int
 	// rank is the group's rank in the latest placement round.
 	rank urgency.Rank
 	// receivedAt is when the job was received or, if later, when the occurrence was due, in wall time.
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -23,7 +23,9 @@
 	// for a task with the same constraints that needs at least as much.
 	unplaceable map[needKey]placement.Need
 	serviceRoom []serviceRoom // results of mostlyFree
-	waitLogs    int           // lines that logWaiting has written for this view
+	// repeatedStarts is how many further tasks that end repeatedly may be placed.
+	repeatedStarts int
+	waitLogs       int // lines that logWaiting has written for this view
 	// waitsForSuspect is set if the task for which a worker was last chosen may run on a quarantined worker later, which
 	// depends on how long it has waited.
 	waitsForSuspect bool
