A worker that hangs gets no further start orders, and its unanswered ones count no more

Cause: start orders that may be unanswered are limited in all (256), and those to workers that hang used them up.

Change: a worker with 40 unanswered start orders gets no further ones. One that has answered nothing for 400 ms with an order unanswered, or left one without an answer, gets none until it answers; renewals go on and show that it does. Its unanswered orders do not count against the limit. An owner that is short of processor time sees answers late and takes no worker to hang. TestNoStartWithOutdatedEvacuations now has the worker answer before it is given a task again; what it checks of evacuations is as before.

--- a/internal/cell/evacuate_test.go
+++ b/internal/cell/evacuate_test.go
@@ -180,6 +180,9 @@
 			So(o.cell.TakeOrders(true).Starts, ShouldBeEmpty)
 			sim.evacuate(o)
 			So(o.cell.TakeOrders(true).Starts, ShouldHaveLength, 1)
+			report, err := sim.workers["w0"].renew(workercall.RenewRequest{Token: o.token})
+			So(err, ShouldBeNil)
+			o.cell.RenewAnswered("w0", report, sim.now) // the worker, which left an order unanswered, answers
 			So(o.cell.RoundStored(o.cell.Plan()), ShouldHaveLength, 1)
 		})
 	})
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -308,6 +308,7 @@
 	}
 	w.tokenAccepted, w.clockKnown, w.reconciled, w.dead, w.failingSince = false, false, false, false, 0
 	w.lastEndSeen, w.lastEndStored, w.lastEndAcked, w.ackInFlight, w.heldEnds = 0, 0, 0, 0, nil
+	w.unansweredStarts, w.silent = 0, false
 	w.grantedUntil, w.inheritedEnd, w.nextRenewal = 0, 0, c.now
 	c.health.RemoveWorker(w.info.ID) // the failures were those of the former incarnation
 	w.failureRate, w.lastFailure = 0, 0
--- a/internal/cell/orders.go
+++ b/internal/cell/orders.go
@@ -94,6 +94,7 @@
 	r.attempts++
 	r.fromCheckpoint = r.task.checkpoint != ""
 	c.unansweredStarts++
+	w.startSent(c.now)
 	if !g.started {
 		g.started = true
 		c.metrics.observeStepChange(g, c.now)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -42,8 +42,8 @@
 		return
 	}
 	turns := c.takeTurns(groups)
-	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts))
 	v := c.newPlacementView()
+	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts-v.hangingStarts))
 	v.repeatedStarts = max(1, allowed/repeatedShare)
 	placed, unplaced := 0, false
 	var withoutRoom []*group // interrupted groups
@@ -78,7 +78,7 @@
 // acceptsTasks reports whether tasks may be placed on a worker now.
 func (c *Cell) acceptsTasks(w *worker) bool {
 	return w.takesStarts() && !c.evacuated(w) && w.reconciled && w.clockKnown && !w.cordoned && c.takesExtension(w) && w.failingSince == 0 &&
-		c.now >= w.refusingUntil && c.now-w.lastReport < c.maxPlacementReportAge()
+		c.now >= w.refusingUntil && w.unansweredStarts < maxUnansweredStarts && !c.hangs(w) && c.now-w.lastReport < c.maxPlacementReportAge()
 }
 
 // takesStarts reports whether start orders may be sent to a worker, as far as its entry says. That may change between the
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -32,6 +32,7 @@
 		return
 	}
 	w.renewalInFlight = false
+	c.noteSign(w)
 	w.touch()
 	if report.StartedAtMS != 0 && w.info.StartedAtMS != 0 && report.StartedAtMS != w.info.StartedAtMS {
 		if report.StartedAtMS < w.info.StartedAtMS {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -295,6 +295,11 @@
 	renewalInFlight           bool          // a renewal order is sent and not answered
 	answerDueBy               time.Duration // when the answer to it is overdue
 	nextRenewal               time.Duration // when the next renewal order is due
+	// unansweredStarts is the number of unanswered start orders, lastSign when the worker last answered or, if later, when the first of
+	// them was sent, and silent is set from when one remained without an answer until the worker answers. See Cell.hangs.
+	unansweredStarts int
+	lastSign         time.Duration
+	silent           bool
 	// refusingUntil is until when no tasks are placed on the worker after a start order was refused or did not reach
 	// it.
 	refusingUntil time.Duration
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -23,6 +23,8 @@
 	// for a task with the same constraints that needs at least as much.
 	unplaceable map[needKey]placement.Need
 	serviceRoom []serviceRoom // results of mostlyFree
+	// hangingStarts is the number of unanswered start orders to workers that hang.
+	hangingStarts int
 	// repeatedStarts is how many further tasks that end repeatedly may be placed.
 	repeatedStarts int
 	waitLogs       int // lines that logWaiting has written for this view
@@ -45,6 +47,9 @@
 	v := &c.view
 	v.reset()
 	for _, w := range c.sortedWorkers() {
+		if c.hangs(w) {
+			v.hangingStarts += w.unansweredStarts
+		}
 		if !c.acceptsTasks(w) {
 			continue
 		}
@@ -94,6 +99,7 @@
 	clear(v.unplaceable)
 	clear(v.reserved)
 	v.racks.reset()
+	v.hangingStarts = 0
 	v.workers, v.candidates, v.states, v.waitLogs = v.workers[:0], v.candidates[:0], v.states[:0], 0
 }
 
