Jobs whose starts are refused count as pending

Cause: a job counted as begun once a start order for one of its tasks was created.

Change: it does so once a task is known to run or to have run.

Test: TestJobWhoseStartsAreRefusedIsPending, which failed before.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -381,11 +381,11 @@
 }
 
 // PendingJobs returns, by queue name, the number of jobs that have neither ended nor been cancelled and of which no
-// task was started.
+// task is known to have run: start orders may be refused.
 func (c *Cell) PendingJobs() map[string]int {
 	pending := make(map[string]int)
 	for _, j := range c.jobs {
-		if j.live() && !j.started {
+		if j.live() && !j.begun {
 			pending[j.record.Queue]++
 		}
 	}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -337,3 +337,29 @@
 	}
 	sim.load(next)
 }
+
+// Guards against jobs that are not counted as pending although nothing of them has run: workers refused their starts.
+func TestJobWhoseStartsAreRefusedIsPending(t *testing.T) {
+	Convey("Given jobs whose start orders a worker refuses", t, func() {
+		sim := newSimulation(9, 1)
+		sim.taskRunTime = time.Minute
+		sim.takeOver()
+		sim.submit("runs", testSpec(1))
+		sim.run(time.Second)
+		sim.workers["w0"].info.Capacity = jobs.Resources{} // the entry that the owner has read names more
+		sim.entryLag = time.Hour
+		for _, id := range []jobs.ID{"a", "b"} {
+			sim.submit(id, testSpec(1))
+		}
+		sim.run(2 * time.Second)
+		So(sim.owner.cell.PendingJobs(), ShouldResemble, map[string]int{"q": 2})
+		Convey("they are no more pending once they run, also for the next owner", func() {
+			sim.workers["w0"].info.Capacity = jobs.Resources{MilliCPU: 4000, MemoryMB: 8000}
+			sim.run(2 * time.Second)
+			So(sim.owner.cell.PendingJobs(), ShouldBeEmpty)
+			sim.takeOver()
+			sim.run(2 * time.Second)
+			So(sim.owner.cell.PendingJobs(), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -163,6 +163,7 @@
 		if !t.done {
 			g.unfinished++
 		}
+		j.begun = j.begun || t.done || t.failures > 0 || t.checkpoint != ""
 		if t.needsRun() {
 			g.toStart++
 		}
--- a/internal/cell/occurrences.go
+++ b/internal/cell/occurrences.go
@@ -358,7 +358,7 @@
 		c.skipUnreadable(r, err)
 		return
 	}
-	j.bounded, j.started = true, true
+	j.bounded, j.started, j.begun = true, true, true
 }
 
 // resumeOccurrences marks the steps of the open occurrences of a loaded job as ready if they are due and their dependencies done, and has
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -185,6 +185,7 @@
 // setRunning marks a run as running.
 func (c *Cell) setRunning(r *run) {
 	r.setState(runRunning, c.now)
+	r.task.group.job.begun = true
 	if r.runningSince == 0 {
 		r.runningSince = c.now
 	}
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -36,6 +36,7 @@
 		return
 	}
 	t, g := r.task, r.task.group
+	g.job.begun = true
 	ran := r.runTime(c.now)
 	c.log.Info("run ended", taskField(t.id), zap.Int("run", e.Number), zap.String("worker", w.info.ID),
 		zap.Stringer("how", e.Reason), zap.Duration("ran", ran), zap.Int64("end", e.Sequence))
@@ -73,6 +74,7 @@
 		return
 	}
 	g := t.group
+	j.begun = true
 	c.log.Info("end of an unknown run", taskField(e.Task), zap.Int("run", e.Number),
 		zap.String("worker", w.info.ID), zap.Stringer("how", e.Reason), zap.Int("runs", len(t.runs)))
 	if e.Reason == workercall.Done && g.step.Gang {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -214,6 +214,7 @@
 	endStored bool          // the outcome is stored, so Status returns it
 	dirty     bool          // the outcome has to be stored
 	started   bool          // a start order for one of its tasks was created
+	begun     bool          // one of its tasks is known to run or to have run
 	addedAt   time.Duration // when this owner added the job
 	// createdOccurrences is the first occurrence that was not opened. Later ones may be open if their progress was loaded.
 	createdOccurrences int
--- a/internal/cell/task_handover.go
+++ b/internal/cell/task_handover.go
@@ -83,7 +83,7 @@
 	}
 	j := &job{
 		id: id, record: *f.record, groups: make(map[jobs.GroupID]*group), criticalPath: criticalPaths(&f.record.Spec), addedAt: c.now,
-		guest: true, started: true,
+		guest: true, started: true, begun: true,
 	}
 	j.estimate()
 	c.jobs[id], c.guests[id] = j, j
