A wait for a rack ends while nothing of the job runs and most of the room is free

Cause: a wait lasts as long as it is expected to pay; nothing else ended it.

Change: a task whose job has had nothing running for 2 s waits no longer while tasks request less than half of the room of its service. Once one of them runs, the others may wait again.

Test: TestWaitForRackEndsWhileMostOfTheRoomIsFree, which failed before.

--- a/internal/cell/place_delay.go
+++ b/internal/cell/place_delay.go
@@ -26,6 +26,8 @@
 	rackRecheckInterval = 500 * time.Millisecond
 	// stopResidual is the expected time until a run ends that has been requested to stop.
 	stopResidual = 500 * time.Millisecond
+	// maxIdleRackWait is how long a task of a job of which nothing runs waits for its rack while most of the room is free.
+	maxIdleRackWait = 2 * time.Second
 	// maxRackWaitLogs is the maximum number of lines about ended waits per round.
 	maxRackWaitLogs = 4
 )
@@ -34,6 +36,7 @@
 const (
 	rackWaitPlaced  = "rack"             // the task was placed on the rack
 	rackWaitNoRoom  = "no_room"          // there is no room on other racks either
+	rackWaitIdle    = "idle"             // nothing of the job runs, and most of the room is free
 	rackUnknownTime = "unknown_run_time" // neither learned nor estimated, so nothing can be compared
 )
 
@@ -131,13 +134,19 @@
 		return false
 	}
 	step := t.group.step
-	if step.DataRack == "" || !v.rackFull(step) {
+	if step.DataRack == "" || c.idleTooLong(v, t) || !v.rackFull(step) {
 		return false
 	}
 	v.racks.ahead[step.DataRack]++
 	return true
 }
 
+// idleTooLong reports whether the job of a task has had nothing running for so long, although most of the room is free, that the task no
+// longer waits for its rack.
+func (c *Cell) idleTooLong(v *placementView, t *task) bool {
+	return c.idleTime(t) >= maxIdleRackWait && v.mostlyFree(c.platformServiceOf(t.group.job), c.now)
+}
+
 // rackFull reports whether no worker on the rack of a step's data has room for a task of the step.
 func (v *placementView) rackFull(step *jobs.Step) bool {
 	need := placement.Need{Kind: placementKind(step), Requested: step.Requested(), ExpectedMilliCPU: expectedStepCPU(step)}
@@ -161,6 +170,10 @@
 		t.rackWait = &rackWait{}
 	}
 	w := t.rackWait
+	if c.idleTooLong(v, t) {
+		c.endRackWait(v, t, rackWaitIdle)
+		return false
+	}
 	if choice.RunTime <= 0 {
 		c.endRackWait(v, t, rackUnknownTime)
 		c.metrics.countRackDecision(rackUnknownTime)
--- a/internal/cell/place_delay_test.go
+++ b/internal/cell/place_delay_test.go
@@ -382,3 +382,33 @@
 		})
 	}
 }
+
+// Guards against an accepted job of which nothing runs for long, because its tasks wait for a rack while most of the workers are free.
+func TestWaitForRackEndsWhileMostOfTheRoomIsFree(t *testing.T) {
+	for _, c := range []struct {
+		situation string
+		filling   int // tasks on the other racks
+		runs      bool
+	}{{"most of the room is free", 0, true}, {"most of the room is in use", 20, false}} {
+		Convey("Given a full rack whose tasks go on for long, and "+c.situation, t, func() {
+			sim := newRackSimulation(75, 3)
+			sim.taskRunTime = time.Minute
+			first, second := onRack("r2", 16), onRack("r2", 4)
+			first.Steps[0].Estimate, second.Steps[0].Estimate = 20*time.Second, 20*time.Second
+			sim.submit("first", first)
+			if c.filling > 0 {
+				filling := testSpec(c.filling)
+				filling.Steps[0].Estimate = 20 * time.Second
+				sim.submit("filling", filling)
+			}
+			sim.run(time.Second)
+			So(sim.racksOf("first"), ShouldResemble, map[string]int{"r2": 16})
+			sim.submit("second", second)
+			sim.run(maxIdleRackWait - 100*time.Millisecond)
+			So(sim.racksOf("second"), ShouldBeEmpty)
+			sim.run(600 * time.Millisecond)
+			So(len(sim.racksOf("second")) > 0, ShouldEqual, c.runs)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	}
+}
