Names and files: limits of appends, workers that hang, the next occurrence to open

No change of behaviour. Limits, attempts and AppendInOrder get a file of their own, answers to start orders stand with what is derived from them, and job.createdOccurrences, which no longer counts created ones, is job.nextToOpen.

--- a/internal/appender/appender.go
+++ b/internal/appender/appender.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"cactuswall.example/cactuswall/internal/store"
 	"cactuswall.example/cactuswall/internal/verdict"
 )
@@ -99,29 +97,8 @@
 	err      error
 }
 
-// Limits are the limits of the store, in bytes; 0 for none.
-type Limits struct {
-	RecordBytes int // maximum size of one record
-	CallBytes   int // maximum size of the records of one append
-}
-
-// Attempt is a call to the store that appends a batch of records, whether it succeeded or not.
-type Attempt struct {
-	Partition store.Partition
-	Number    int // counts the attempts of this batch from 1
-	Records   int
-	Bytes     int // size of all records
-	// LargestKey and LargestBytes are the key and the size of the largest record.
-	LargestKey   string
-	LargestBytes int
-	Took         time.Duration
-	// Err is nil if the store has appended the batch.
-	Err error
-}
-
 // New returns an Appender that writes as the producer with the given name and epoch, within limits. Nothing is written until Run is
-// called. observe is called after each attempt by the
-// goroutine of Run; it may be nil.
+// called. observe is called after each attempt by the goroutine of Run; it may be nil.
 func New(s Store, p store.Partition, name string, epoch int64, limits Limits, observe func(Attempt)) *Appender {
 	if observe == nil {
 		observe = func(Attempt) {}
@@ -131,7 +108,8 @@
 }
 
 // Append writes records in one append and returns when they are stored, the append has failed or ctx ends. It fails at once if they
-// exceed the limits of the store, if too many records are waiting, or if the store has been failing for rejectedRetryTimeout while other records wait. The offsets in the result are those of the whole batch, and are zero if the store's reply
+// exceed the limits of the store, if too many records are waiting, or if the store has been failing for rejectedRetryTimeout while other
+// records wait. The offsets in the result are those of the whole batch, and are zero if the store's reply
 // was lost. Errors carry a verdict that tells whether the records may have been written.
 func (a *Appender) Append(ctx context.Context, records []store.Record) (store.AppendResult, error) {
 	if err := a.checkSize(records); err != nil {
@@ -162,39 +140,6 @@
 	}
 }
 
-// AppendInOrder writes records in as many appends as the limits of the store need, one after the other. If it fails, the records before
-// some point may be stored; those from there on are as the verdict of the error says.
-func (a *Appender) AppendInOrder(ctx context.Context, records []store.Record) error {
-	for len(records) > 0 {
-		count, size := 0, 0
-		for count < len(records) {
-			size += store.RecordsSize(records[count : count+1])
-			if count > 0 && a.limits.CallBytes > 0 && size > a.limits.CallBytes {
-				break
-			}
-			count++
-		}
-		if _, err := a.Append(ctx, records[:count]); err != nil {
-			return err
-		}
-		records = records[count:]
-	}
-	return nil
-}
-
-// checkSize returns an error if the store would not take an append because of its size.
-func (a *Appender) checkSize(records []store.Record) error {
-	if size := store.RecordsSize(records); a.limits.CallBytes > 0 && size > a.limits.CallBytes {
-		return verdict.New(verdict.NotRun, ReasonTooLarge, trace.LimitExceeded("%d records have %d bytes, maximum is %d", len(records), size, a.limits.CallBytes))
-	}
-	for i := range records {
-		if size := records[i].Size(); a.limits.RecordBytes > 0 && size > a.limits.RecordBytes {
-			return verdict.New(verdict.NotRun, ReasonTooLarge, trace.LimitExceeded("record %s has %d bytes, maximum is %d", records[i].Key, size, a.limits.RecordBytes))
-		}
-	}
-	return nil
-}
-
 // failing reports whether the store has not accepted an append for rejectedRetryTimeout. The caller holds mu.
 func (a *Appender) failing() bool {
 	return !a.failingSince.IsZero() && time.Since(a.failingSince) > rejectedRetryTimeout
@@ -433,17 +378,6 @@
 	}
 }
 
-// newAttempt describes the attempts of a batch, of which none was made.
-func newAttempt(p store.Partition, records []store.Record) Attempt {
-	attempt := Attempt{Partition: p, Records: len(records), Bytes: store.RecordsSize(records)}
-	for i := range records {
-		if size := records[i].Size(); size > attempt.LargestBytes {
-			attempt.LargestKey, attempt.LargestBytes = records[i].Key, size
-		}
-	}
-	return attempt
-}
-
 // firstSequence follows the sequence number 0 of the empty append by RaiseEpoch. If the store expects another number,
 // it reports that number in a SequenceError.
 const firstSequence = 1
--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -51,18 +51,6 @@
 	return false
 }
 
-// startSettled notes the answer of a worker to a start order, or that there is none.
-func (c *Cell) startSettled(w *worker, err error) {
-	w.startSettled()
-	switch verdict.ReasonOf(err) {
-	case workercall.ReasonWithdrawn, workercall.ReasonUnreachable: // says nothing about the worker, or is handled by startFailed
-	case workercall.ReasonNoAnswer:
-		w.silent = true
-	default:
-		c.noteSign(w)
-	}
-}
-
 // StartStillNeeded reports whether a start order still has to be sent. Orders wait behind others to the same worker;
 // meanwhile the task or its job may have ended, the worker may drain, or it may have restarted as one of another kind. The
 // owner calls StartStillNeeded right before it sends an order. If the result is false, the owner drops the order and calls
--- a/internal/cell/audit.go
+++ b/internal/cell/audit.go
@@ -186,7 +186,7 @@
 	if j.guest {
 		return
 	}
-	if j.createdOccurrences < j.record.Spec.Occurrences() {
+	if j.nextToOpen < j.record.Spec.Occurrences() {
 		scheduled := slices.Contains(c.unopenedJobs, j)
 		if !c.wall.Before(j.nextDue()) && (!scheduled || !j.heldBack) {
 			c.corrected(wrongOccurrence, zap.String("job", string(j.id)))
--- a/internal/cell/audit_test.go
+++ b/internal/cell/audit_test.go
@@ -183,7 +183,7 @@
 	}, runs: completed},
 	{name: "occurrence dropped", kind: wrongOccurrence, spec: func(s *jobs.Spec) {
 		s.OccurrenceCount, s.StartAt, s.Interval = 2, time.UnixMilli(startUnixMS).Add(time.Hour+13*time.Second), time.Second
-	}, at: func(_ *Cell, j *job) bool { return j.createdOccurrences == 1 }, remove: func(_ *simulation, c *Cell, j *job) {
+	}, at: func(_ *Cell, j *job) bool { return j.nextToOpen == 1 }, remove: func(_ *simulation, c *Cell, j *job) {
 		c.unopenedJobs = nil
 	}, within: 2 * time.Second},
 }
--- a/internal/cell/hanging.go
+++ b/internal/cell/hanging.go
@@ -1,6 +1,11 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/workercall"
+)
 
 const (
 	// maxUnansweredStarts is the number of unanswered start orders from which on a worker gets no further ones, so that a few workers that
@@ -19,8 +24,17 @@
 	w.unansweredStarts++
 }
 
-// startSettled notes that a start order was answered, or will not be.
-func (w *worker) startSettled() { w.unansweredStarts = max(0, w.unansweredStarts-1) }
+// startSettled notes the answer of a worker to a start order, or that there is none.
+func (c *Cell) startSettled(w *worker, err error) {
+	w.unansweredStarts = max(0, w.unansweredStarts-1)
+	switch verdict.ReasonOf(err) {
+	case workercall.ReasonWithdrawn, workercall.ReasonUnreachable: // was not sent, or startFailed handles it
+	case workercall.ReasonNoAnswer:
+		w.silent = true
+	default:
+		c.noteSign(w)
+	}
+}
 
 // noteSign notes that a worker has answered.
 func (c *Cell) noteSign(w *worker) {
--- a/internal/cell/index_test.go
+++ b/internal/cell/index_test.go
@@ -193,7 +193,7 @@
 		t.Errorf("%d ended jobs instead of %d", c.endedJobs.Len(), endStored)
 	}
 	for _, j := range c.unopenedJobs {
-		if due := j.record.Spec.DueAt(j.createdOccurrences); j.live() && !j.heldBack && due.Before(c.nextOccurrence) {
+		if due := j.record.Spec.DueAt(j.nextToOpen); j.live() && !j.heldBack && due.Before(c.nextOccurrence) {
 			t.Errorf("job %s is due at %v, the next occurrence at %v", j.id, due, c.nextOccurrence)
 		}
 	}
--- a/internal/cell/occurrences.go
+++ b/internal/cell/occurrences.go
@@ -109,21 +109,21 @@
 	}
 	j.heldBack = false
 	for {
-		j.createdOccurrences = j.closed.next(j.createdOccurrences)
-		if j.createdOccurrences >= spec.Occurrences() {
+		j.nextToOpen = j.closed.next(j.nextToOpen)
+		if j.nextToOpen >= spec.Occurrences() {
 			return
 		}
-		if due := spec.DueAt(j.createdOccurrences); !due.IsZero() && c.wall.Before(due) {
+		if due := spec.DueAt(j.nextToOpen); !due.IsZero() && c.wall.Before(due) {
 			return
 		}
-		if !j.isOpen(j.createdOccurrences) && (j.bounded && !share.take(spec) || j.large && !c.mayOpenLarge(j)) {
+		if !j.isOpen(j.nextToOpen) && (j.bounded && !share.take(spec) || j.large && !c.mayOpenLarge(j)) {
 			j.heldBack = true
 			c.logHeldBack(j)
 			return
 		}
-		c.open(j, j.createdOccurrences)
-		c.markReady(j, j.createdOccurrences)
-		j.createdOccurrences++
+		c.open(j, j.nextToOpen)
+		c.markReady(j, j.nextToOpen)
+		j.nextToOpen++
 	}
 }
 
@@ -189,7 +189,7 @@
 		return
 	}
 	j.heldBackLogged = true
-	c.log.Info("occurrences held back", zap.String("job", string(j.id)), zap.Int("next", j.createdOccurrences),
+	c.log.Info("occurrences held back", zap.String("job", string(j.id)), zap.Int("next", j.nextToOpen),
 		zap.Int("occurrences", j.record.Spec.Occurrences()), zap.Int("open_groups", len(j.groupList)), zap.Int("sharers", c.sharers),
 		zap.Int("large_tasks", c.largeTasks))
 }
@@ -214,7 +214,7 @@
 			continue
 		}
 		c.openDue(j)
-		if j.createdOccurrences >= j.record.Spec.Occurrences() {
+		if j.nextToOpen >= j.record.Spec.Occurrences() {
 			c.completeJobIfDone(j) // all others may have ended before
 			continue
 		}
@@ -230,7 +230,7 @@
 }
 
 // nextDue returns when the first occurrence is due that was not opened.
-func (j *job) nextDue() time.Time { return j.record.Spec.DueAt(j.createdOccurrences) }
+func (j *job) nextDue() time.Time { return j.record.Spec.DueAt(j.nextToOpen) }
 
 // noteOccurrenceEnd has an occurrence of a bounded job closed with the next round if all of its tasks are done.
 func (c *Cell) noteOccurrenceEnd(j *job, number int) {
--- a/internal/cell/run_end.go
+++ b/internal/cell/run_end.go
@@ -164,7 +164,7 @@
 
 // completeJobIfDone ends a job as completed if all tasks of all its occurrences are done.
 func (c *Cell) completeJobIfDone(j *job) {
-	if !j.live() || j.createdOccurrences < j.record.Spec.Occurrences() {
+	if !j.live() || j.nextToOpen < j.record.Spec.Occurrences() {
 		return
 	}
 	for _, g := range j.groups {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -216,8 +216,8 @@
 	started   bool          // a start order for one of its tasks was created
 	begun     bool          // one of its tasks is known to run or to have run
 	addedAt   time.Duration // when this owner added the job
-	// createdOccurrences is the first occurrence that was not opened. Later ones may be open if their progress was loaded.
-	createdOccurrences int
+	// nextToOpen is the first occurrence that was not opened. Later ones may be open, if their progress was loaded.
+	nextToOpen int
 	// bounded and large say what of the job is limited, see openDue. closed are the closed occurrences of a bounded job. heldBack is set
 	// while an occurrence is due that was not opened.
 	bounded, large           bool
