An owner that cannot read jobs does not count the pending ones

Cause, by reading: an owner that cannot read the jobs topic says that it does not know a job only if it has read the topic lately, but counted the pending jobs at any time. One that was cut off gives a count without the jobs of that time once it is reached again, until it has read them or learned that it lost its claim.

Change: it gives no count then, and the caller gets 503.

--- a/internal/cellnode/owner_queries.go
+++ b/internal/cellnode/owner_queries.go
@@ -35,15 +35,16 @@
 	return s, true
 }
 
-// maxJobsReadAge is the maximum age of the latest read of the jobs topic for which an owner may report a job as unknown.
+// maxJobsReadAge is the maximum age of the latest read of the jobs topic for which an owner may report a job as unknown, or the number
+// of pending jobs.
 const maxJobsReadAge = jobsReadWait + 500*time.Millisecond
 
 // pending returns the number of accepted jobs of a queue that have not started, which may be maxPendingAge old. ok is
-// false until the state is loaded.
+// false until the state is loaded, and while the owner cannot read the jobs that were accepted.
 func (o *owner) pending(queue string) (count int, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.loaded {
+	if !o.loaded || boottime.Now()-o.jobsReadAt > maxJobsReadAge {
 		return 0, false
 	}
 	if now := boottime.Now(); o.pendingJobs == nil || now-o.pendingAt > maxPendingAge {
