A record of a part with an index for which there is no sum is passed over

Found in the last reading of the diff: the check that a record of a part fits its step added its first index to its number of tasks. With an index near 2^63, which no program of the project writes, the sum overflowed, and the owner that loaded the record ended in a panic, as would each one after it.

Test: a row of TestMergeOfGroupRecords, with which merge panicked before.

--- a/internal/cell/group_records.go
+++ b/internal/cell/group_records.go
@@ -168,7 +168,7 @@
 	merged.Tasks = make([]jobrecord.Task, tasks)
 	for _, part := range parts {
 		first := jobrecord.FirstTask(part.key)
-		if first+len(part.record.Tasks) > tasks || len(part.record.Tasks) == 0 {
+		if len(part.record.Tasks) == 0 || len(part.record.Tasks) > tasks || first > tasks-len(part.record.Tasks) {
 			unfit = append(unfit, part)
 			continue
 		}
--- a/internal/cell/group_records_test.go
+++ b/internal/cell/group_records_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"reflect"
 	"slices"
 	"strings"
@@ -193,6 +194,7 @@
 		{"a divided part that is whole again", []store.Record{part(3, 3, 1), part(0, 3, 2), part(0, 6, 3)}, "333333", 0},
 		{"missing parts", []store.Record{part(2, 2, 1)}, "001100", 0},
 		{"records that do not fit", []store.Record{part(4, 3, 1), part(0, 0, 2), part(0, 2, 3)}, "330000", 2},
+		{"an index for which there is no sum", []store.Record{part(math.MaxInt, 2, 1), part(0, 2, 2), part(0, 7, 3)}, "220000", 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var stored storedGroups
