An inactive cell keeps its workers until waiting services were tried

What callers saw: a service of a cell that was not active any more began 1.6 to 2 s late, in another cell, although its own cell had idle workers.

Cause: workers can be handed over as soon as they have reported to a new owner, and the hand-over left long-running tasks out of what the cell still needs, since they may run in any cell. So it could take all workers before the first round placed anything: at once after the take-over, or while leases of the former owner last. The services then waited until another cell's load was known, and followed.

Change: a ready group of long-running tasks counts as needed until a round has found no room for it, which is also what TakeStrandedTasks goes by.

TestInactiveCellPlacesServicesBeforeItsWorkersLeave fails without it (4 workers leave, want 3).

--- a/internal/cell/departures.go
+++ b/internal/cell/departures.go
@@ -146,8 +146,8 @@
 }
 
 // unstartedWork returns the tasks of the cell's jobs that have still to be started, also of steps that are not ready, largest
-// requests first. Long-running ones are left out, since they may run in any cell, except in gangs. Best-effort ones count with the
-// processor capacity that they would use.
+// requests first. Long-running ones that may run in any cell are left out. Best-effort ones count with the processor capacity that
+// they would use.
 func (c *Cell) unstartedWork() []unstarted {
 	counts := make(map[unstarted]int)
 	for _, j := range c.jobs {
@@ -155,7 +155,7 @@
 			continue
 		}
 		for _, g := range j.groups {
-			if g.toStart == 0 || g.step.LongRunning && !g.step.Gang || !startsSomeTime(&j.record.Spec, g.step) {
+			if g.toStart == 0 || g.mayLeaveCell() || !startsSomeTime(&j.record.Spec, g.step) {
 				continue
 			}
 			counts[unstarted{
@@ -175,6 +175,12 @@
 	return work
 }
 
+// mayLeaveCell reports whether the group's tasks that have still to be started may run in any cell: long-running ones, except in gangs. A
+// ready group stays until a round has found no room for it, since its tasks start later elsewhere, see TakeStrandedTasks.
+func (g *group) mayLeaveCell() bool {
+	return g.step.LongRunning && !g.step.Gang && (!g.ready || g.waitReason == waitRoom)
+}
+
 // startsSomeTime reports whether none of the steps that a step depends on is long-running.
 func startsSomeTime(spec *jobs.Spec, step *jobs.Step) bool {
 	return !slices.ContainsFunc(step.DependsOn, func(earlier int) bool {
--- a/internal/cell/departures_test.go
+++ b/internal/cell/departures_test.go
@@ -193,6 +193,36 @@
 	}
 }
 
+// Guards against services that start 2 s late: a new owner of a cell that was not active handed all workers over before its first round,
+// so that the services that waited had to follow them to another cell.
+func TestInactiveCellPlacesServicesBeforeItsWorkersLeave(t *testing.T) {
+	sim := newTwoRackCells(1, 8)
+	sim.setActive(false)
+	spec := testSpec(1, 2)
+	spec.Steps[0].LongRunning, spec.Steps[1].LongRunning, spec.Steps[1].DependsOn = true, true, nil
+	sim.submitTo(1, "service", spec)
+	owner := sim.claimCell(sim.cells[1])
+	sim.load(owner)
+	owner.decidesUntil = 0
+	sim.run(100 * time.Millisecond) // workers report
+	owner.decidesUntil = sim.now + time.Hour
+	if left := sim.depart(sim.cells[1]); left != 3 {
+		t.Errorf("%d workers leave before the first round, want 3", left)
+	}
+	for sim.now < owner.claimedAt+time.Second { // the leases of the former owner end
+		sim.run(simTick)
+		sim.depart(sim.cells[1])
+	}
+	if starts := len(sim.startCounts); starts != 3 {
+		t.Errorf("%d tasks were started in the first second, want 3", starts)
+	}
+	sim.runAndDepart(2 * time.Second)
+	if counts := sim.workerCounts(); !slices.Equal(counts, []int{7, 1}) {
+		t.Errorf("the cells have %v workers, want [7 1]", counts)
+	}
+	sim.checkLongRunning(t)
+}
+
 // Guards against the hand-over of a worker with runs: one that is promised to another cell was left out when its rack was looked at.
 func TestRackWithLentWorkerIsNotIdle(t *testing.T) {
 	sim := newTwoRackCells(1, 4)
