Starts that are refused because of their task do not keep workers from others

What callers saw: with jobs whose starts workers refuse (400, 409 or 503), ordinary jobs with room began 2.2 to 6.6 s after their acceptance or not at all.

Cause: each refusal left the worker out for all tasks for 0.4 to 1 s. Some twenty such jobs had all workers of a cell left out nearly all the time, and took the few rounds in between, as the first three refusals of each task were outside the share for tasks that end repeatedly.

Change: malformed orders, and refusals of a group or job from the fourth in a row on, leave no worker out; their tasks count as ending repeatedly and avoid the worker that refused them. The first accepted start ends the series.

TestRefusedStartsLeaveWorkersToOthers fails without the change for each of the three reasons.

--- a/internal/cell/answers.go
+++ b/internal/cell/answers.go
@@ -77,8 +77,8 @@
 }
 
 // startFailed handles a start order that was refused or not answered. If the order may still take effect, the run
-// becomes uncertain. After a refusal no tasks are placed on the worker for a while, and the run is removed. If an
-// earlier start order for the run may still take effect, the run is not removed; a stop is requested for it.
+// becomes uncertain. After a refusal no tasks are placed on the worker for a while, unless the task is at fault, and the run is
+// removed. If an earlier start order for the run may still take effect, the run is not removed; a stop is requested for it.
 func (c *Cell) startFailed(r *run, reason verdict.Reason, v verdict.Verdict) {
 	w := r.worker
 	if v != verdict.NotRun {
@@ -87,13 +87,7 @@
 		w.renewBy(c.now)
 		return
 	}
-	backoff := refusedBackoff
-	if reason == workercall.ReasonUnhealthy || reason == workercall.ReasonUnreachable {
-		backoff = unhealthyBackoff
-	}
-	w.refusingUntil = c.now + backoff
-	c.scheduleRetry(w.refusingUntil)
-	c.noteVainStart(r.task, string(reason))
+	c.noteRefusal(r, reason)
 	if r.startInDoubt {
 		r.setState(runUncertain, c.now)
 		c.stopRun(r, stopRunUnknown)
--- a/internal/cell/repeated_ends.go
+++ b/internal/cell/repeated_ends.go
@@ -5,11 +5,15 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"cactuswall.example/cactuswall/internal/verdict"
+	"cactuswall.example/cactuswall/internal/workercall"
 )
 
 // A task ends repeatedly if one start after the other comes to nothing: a worker refuses it, or the run of a long-running task ends by
-// itself, as failed or done, after less than lastingRun. The starts of such tasks are delayed longer and longer, and only a share of the
-// starts of a round goes to them, so that no job keeps the starts of others waiting.
+// itself, as failed or done, after less than lastingRun. So do all tasks of a group or job whose starts are refused one after the other. The
+// starts of such tasks are delayed longer and longer, and only a share of the starts of a round goes to them, so that no job keeps the starts
+// of others waiting.
 const (
 	// lastingRun is how long a run must have been running so that its end is not one of a series.
 	lastingRun = 5 * time.Second
@@ -30,7 +34,38 @@
 )
 
 // endsRepeatedly reports whether the starts of a task come to nothing again and again.
-func (t *task) endsRepeatedly() bool { return t.vainStarts > promptStarts }
+func (t *task) endsRepeatedly() bool {
+	return t.vainStarts > promptStarts || t.group.refusedRepeatedly()
+}
+
+// refusedRepeatedly reports whether workers refuse one start after the other of the group or of its job.
+func (g *group) refusedRepeatedly() bool {
+	return g.refusals > promptStarts || g.job.refusals > promptStarts
+}
+
+// noteRefusal handles the refusal of a start order, or one that did not reach the worker. No tasks are placed on the worker for a while,
+// unless the order is malformed or starts of the same group are refused again and again: then others may be accepted there.
+func (c *Cell) noteRefusal(r *run, reason verdict.Reason) {
+	w, g := r.worker, r.task.group
+	ofWorker := reason == workercall.ReasonUnreachable
+	if !ofWorker {
+		g.refusals, g.job.refusals = min(maxVainStarts, g.refusals+1), min(maxVainStarts, g.job.refusals+1)
+		ofWorker = reason != workercall.ReasonMalformedOrder && !g.refusedRepeatedly()
+		r.task.avoidWorker = w.info.ID
+	}
+	if ofWorker {
+		backoff := refusedBackoff
+		if reason == workercall.ReasonUnhealthy || reason == workercall.ReasonUnreachable {
+			backoff = unhealthyBackoff
+		}
+		w.refusingUntil = c.now + backoff
+		c.scheduleRetry(w.refusingUntil)
+	}
+	c.noteVainStart(r.task, string(reason))
+}
+
+// startAccepted notes that a worker has accepted a start of the group.
+func (g *group) startAccepted() { g.refusals, g.job.refusals = 0, 0 }
 
 // noteVainStart delays the next start of a task whose last one came to nothing.
 func (c *Cell) noteVainStart(t *task, reason string) {
@@ -40,7 +75,7 @@
 	if !t.endsRepeatedly() {
 		return
 	}
-	delay := min(maxRestartDelay, restartDelay<<min(t.vainStarts-promptStarts, maxDoublings))
+	delay := min(maxRestartDelay, restartDelay<<min(max(t.vainStarts, promptStarts)-promptStarts, maxDoublings))
 	delay -= delay / 4 * time.Duration(t.jitter()) / maxJitter
 	t.notBefore = max(t.notBefore, c.now+delay)
 	c.scheduleRetry(t.notBefore)
--- a/internal/cell/repeated_ends_test.go
+++ b/internal/cell/repeated_ends_test.go
@@ -1,12 +1,14 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"cactuswall.example/cactuswall/internal/jobs"
+	"cactuswall.example/cactuswall/internal/verdict"
 	"cactuswall.example/cactuswall/internal/workercall"
 )
 
@@ -60,3 +62,42 @@
 		}
 	})
 }
+
+// Guards against a job whose starts workers refuse, which kept all other jobs from these workers.
+func TestRefusedStartsLeaveWorkersToOthers(t *testing.T) {
+	for _, reason := range []verdict.Reason{workercall.ReasonMalformedOrder, workercall.ReasonNoCapacity, workercall.ReasonUnhealthy} {
+		Convey(fmt.Sprintf("Given services that workers refuse: %s", reason), t, func() {
+			sim := newSimulation(7, 8)
+			sim.takeOver()
+			sim.startRefusals = make(map[jobs.ID]verdict.Reason)
+			for i := range 10 {
+				id := jobs.ID(fmt.Sprint("service", i))
+				sim.startRefusals[id] = reason
+				sim.submit(id, manyTasks(300, true))
+			}
+			Convey("other jobs are done at once, and the services run soon after they are accepted", func() {
+				for _, id := range []jobs.ID{"a", "b", "c"} {
+					sim.submit(id, manyTasks(6, false))
+					sim.run(1800 * time.Millisecond)
+					So(sim.state(id), ShouldEqual, jobs.Completed)
+				}
+				So(sim.startsRefused, ShouldBeLessThan, 3000*10)
+				clear(sim.startRefusals)
+				sim.run(4 * time.Second)
+				So(sim.running(), ShouldEqual, 3000)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	}
+	Convey("Given a worker that refuses all starts, jobs run on the others", t, func() {
+		sim := newSimulation(8, 4)
+		sim.takeOver()
+		sim.sortedWorkers()[0].refuses = workercall.ReasonUnhealthy
+		for _, id := range []jobs.ID{"a", "b", "c"} {
+			sim.submit(id, manyTasks(20, false))
+			sim.run(1800 * time.Millisecond)
+			So(sim.state(id), ShouldEqual, jobs.Completed)
+		}
+		So(sim.startsRefused, ShouldBeBetween, 0, 80)
+	})
+}
--- a/internal/cell/report.go
+++ b/internal/cell/report.go
@@ -186,6 +186,7 @@
 func (c *Cell) setRunning(r *run) {
 	r.setState(runRunning, c.now)
 	r.task.group.job.begun = true
+	r.task.group.startAccepted()
 	if r.runningSince == 0 {
 		r.runningSince = c.now
 	}
--- a/internal/cell/simulation_test.go
+++ b/internal/cell/simulation_test.go
@@ -61,6 +61,9 @@
 	delayRate     float64 // probability that an order is carried out late
 	lossRate      float64 // probability that an order or its answer is lost
 	failRate      float64
+	// startRefusals are the reasons for which workers refuse all starts of jobs, startsRefused how often they did.
+	startRefusals map[jobs.ID]verdict.Reason
+	startsRefused int
 	// serviceEndRate is the probability that a long-running task ends by itself in a tick, as done or failed.
 	serviceEndRate float64
 	// serviceEnds are the ways in which they end then.
@@ -152,6 +155,7 @@
 	endCount      int64
 	lastAcked     int64
 	closedRuns    map[jobs.TaskID]int // highest run number that was stopped or ended
+	refuses       verdict.Reason      // the reason for which it refuses all starts, or empty
 	up            bool                // always set
 	unlisted      bool                // has no entry in the store
 	failsTasks    bool                // fails every task except long-running ones
@@ -767,6 +771,10 @@
 		return answer, s.refuse(workercall.ReasonLeaseExpired)
 	}
 	s.extend(order.LeaseExpiry)
+	if reason := cmp.Or(s.refuses, s.sim.startRefusals[order.Task.Job]); reason != "" {
+		s.sim.startsRefused++
+		return answer, s.refuse(reason)
+	}
 	step := s.sim.specs[order.Task.Job].Steps[order.Task.Step]
 	used := step.Requested()
 	for _, r := range s.running {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -172,6 +172,8 @@
 	readyAt time.Duration
 	closed  bool // its occurrence was closed, so that the job does not have the group any more
 	started bool // a task of the group was started
+	// refusals is the number of its start orders that workers refused, one after the other.
+	refusals uint8
 	// dirtyParts are the parts of the group whose progress has to be stored, by their number; dirty is set while there are any.
 	dirtyParts []bool
 	dirty      bool
@@ -215,6 +217,7 @@
 	dirty     bool          // the outcome has to be stored
 	started   bool          // a start order for one of its tasks was created
 	begun     bool          // one of its tasks is known to run or to have run
+	refusals  uint8         // number of start orders that workers refused, one after the other
 	addedAt   time.Duration // when this owner added the job
 	// nextToOpen is the first occurrence that was not opened. Later ones may be open, if their progress was loaded.
 	nextToOpen int
