Soak: traffic of failing tasks and of jobs at the limits

Both mix them with ordinary jobs and can be combined with all faults.

New checks, for all kinds of traffic: an ordinary job begins within 2 s of its acceptance while nothing is disturbed; a job is refused for its size or form by all nodes or by none; no node uses more memory than it has, each second. Jobs may have occurrences. The check of capacities and the one of dependencies give the same results in less time, since jobs may have 20,000 tasks.

--- a/internal/soak/abuse.go
+++ b/internal/soak/abuse.go
@@ -142,7 +142,7 @@
 // is not told of them.
 func (s *soak) addAbusiveJobs(first, count int) {
 	for number := first; number < first+count; number++ {
-		s.oracle.addJob(&jobHistory{id: abusiveID(number), queue: mainQueue, steps: abusiveSteps, uncertain: true})
+		s.oracle.addJob(&jobHistory{id: abusiveID(number), queue: mainQueue, jobDraw: jobDraw{steps: abusiveSteps}, uncertain: true})
 	}
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -71,14 +71,17 @@
 func (c *callers) handIn(ctx context.Context, rate float64, random *rand.Rand) {
 	for ctx.Err() == nil {
 		sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second)))
-		seed := random.Uint64()
-		c.open.Go(func() { c.runJob(ctx, rand.New(rand.NewPCG(seed, 2))) })
+		draw := c.soak.traffic.draw(random, c.soak.limits)
+		for range 1 + draw.copies {
+			seed := random.Uint64()
+			c.open.Go(func() { c.runJob(ctx, draw, rand.New(rand.NewPCG(seed, 2))) })
+		}
 	}
 }
 
 // runJob is the life of a job as its caller sees it.
-func (c *callers) runJob(ctx context.Context, random *rand.Rand) {
-	j := &jobHistory{id: fmt.Sprintf("%016x", random.Uint64()), queue: c.soak.operator.pickQueue(random), steps: drawSteps(random)}
+func (c *callers) runJob(ctx context.Context, draw jobDraw, random *rand.Rand) {
+	j := &jobHistory{id: fmt.Sprintf("%016x", random.Uint64()), queue: c.soak.operator.pickQueue(random), jobDraw: draw}
 	c.soak.oracle.addJob(j)
 	if !c.submit(j, random) {
 		return
@@ -87,12 +90,11 @@
 		delay, choice := time.Duration(random.Int64N(int64(maxRepeatDelay))), random.Uint64()
 		c.open.Go(func() {
 			time.Sleep(delay)
-			c.request(http.MethodPost, j, standin.Job(j.steps), choice)
+			c.request(http.MethodPost, j, j.body(), choice)
 		})
 	}
-	service := j.steps[0].DurationMS == 0
 	cancelAt := time.Duration(0)
-	if !service && random.Float64() < cancelShare {
+	if !j.isService() && random.Float64() < cancelShare {
 		cancelAt = boottime.Now() + time.Duration(random.Int64N(int64(2*time.Second)))
 	}
 	for ctx.Err() == nil {
@@ -109,14 +111,21 @@
 
 // submit hands a job in, again and again after answers that leave it open, and reports whether it was accepted.
 func (c *callers) submit(j *jobHistory, random *rand.Rand) (accepted bool) {
-	body := standin.Job(j.steps)
+	body := j.body()
 	for range maxAttempts {
 		a := c.request(http.MethodPost, j, body, random.Uint64())
 		switch {
 		case a.status/100 == 2:
 			c.soak.oracle.update(func() { j.accepted = boottime.Now() })
 			c.soak.stats.count("accepted")
+			c.checkAnswer(j, a, j.answer == mustBeRefused)
 			return true
+		case a.status == http.StatusBadRequest || a.status == http.StatusRequestEntityTooLarge:
+			c.soak.stats.count("refused for good")
+			c.checkAnswer(j, a, j.answer == mustBeAccepted)
+			again := c.request(http.MethodPost, j, body, random.Uint64())
+			c.checkAnswer(j, again, again.status/100 == 2)
+			return false
 		case a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable || a.status == http.StatusNotFound:
 			c.soak.stats.count("refused")
 			if a.status == http.StatusNotFound || random.Float64() < givingUpShare {
@@ -132,6 +141,13 @@
 	return false
 }
 
+// checkAnswer reports an answer about the size or form of a job that is wrong.
+func (c *callers) checkAnswer(j *jobHistory, a answer, wrong bool) {
+	if wrong {
+		c.soak.oracle.report(promiseAnswer, boottime.Now(), "node %s answered job %s of %d bytes with %d", a.node, j.id, len(j.body()), a.status)
+	}
+}
+
 // ask returns the state of a job, or an empty string if no node could tell.
 func (c *callers) ask(j *jobHistory, random *rand.Rand) string {
 	sentAt := boottime.Now()
@@ -244,26 +260,6 @@
 	}
 }
 
-// drawSteps returns the steps of a job: a service, a chain, or a wide step with one that follows.
-func drawSteps(random *rand.Rand) []standin.Step {
-	if random.Float64() < serviceShare {
-		return []standin.Step{{Work: drawWork(random, 0), Count: 1 + random.IntN(3)}}
-	}
-	steps := []standin.Step{{Work: drawWork(random, 100+random.IntN(1200)), Count: 1 + random.IntN(8)}}
-	for i := range random.IntN(3) {
-		steps = append(steps, standin.Step{Work: drawWork(random, 100+random.IntN(800)), Count: 1 + random.IntN(3), After: []int{i}})
-	}
-	return steps
-}
-
-func drawWork(random *rand.Rand, durationMS int) standin.Work {
-	w := standin.Work{MilliCPU: 500 + 500*random.IntN(6), MemoryMB: 256 * (1 + random.IntN(4)), DurationMS: durationMS}
-	if random.Float64() < 0.05 {
-		w.FailAfterMS = 50 + random.IntN(200)
-	}
-	return w
-}
-
 // sleep waits until a time has passed or ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/soak/command.go
+++ b/internal/soak/command.go
@@ -64,7 +64,8 @@
 	f.Float64Var(&options.JobRate, "rate", 5, "jobs a second")
 	f.IntVar(&options.Network, "network", 77, "second number of all addresses, 127.NETWORK.x.y; runs beside each other need different ones")
 	f.BoolVar(&options.Evacuations, "evacuations", true, "have the operator evacuate failure domains")
-	f.StringVar(&kinds, "kinds", "", "kinds of faults, separated by commas; all if empty")
+	f.StringVar(&options.Traffic, "traffic", trafficKinds[0].name, "kind of traffic: ordinary, failing (tasks that crash, end at once or are refused), limits (jobs at the limits of jobs and records)")
+	f.StringVar(&kinds, "kinds", "", "kinds of faults, separated by commas; all if empty, or none")
 	f.StringVar(&options.Daemon, "daemon", "bin/cactuswalld", "path of cactuswalld")
 	f.StringVar(&options.KeepLogs, "keep-logs", "", "directory for the logs of all processes")
 	f.StringVar(&reports, "report", ".", "directory for the reports")
@@ -75,9 +76,16 @@
 // choose checks the options and sets the kinds of faults.
 func (o *Options) choose(kinds string) error {
 	o.Kinds = Kinds()
-	if kinds != "" {
+	switch kinds {
+	case "":
+	case "none":
+		o.Kinds = nil
+	default:
 		o.Kinds = strings.Split(kinds, ",")
 	}
+	if _, err := trafficNamed(o.Traffic); err != nil {
+		return err
+	}
 	for _, kind := range o.Kinds {
 		if kind != lossKind && !slices.Contains(Kinds(), kind) {
 			return trace.BadParameter("there is no kind of fault %q", kind)
@@ -107,8 +115,9 @@
 
 // Summary returns the result in a few lines.
 func (r *Report) Summary() string {
-	lines := []string{fmt.Sprintf("seed %d: %d broken promises, %d faults, %d jobs accepted, %d tasks done, %d take-overs", r.Seed, len(r.Violations),
-		r.Counts["faults"], r.Counts["accepted"], r.Counts["done"], r.Counts["take-overs"])}
+	lines := []string{fmt.Sprintf("seed %d: %d broken promises, %d faults, %d jobs accepted, %d refused for good, %d tasks done, %d begins checked, %d take-overs, %d MB used by a node",
+		r.Seed, len(r.Violations), r.Counts["faults"], r.Counts["accepted"], r.Counts["refused for good"], r.Counts["done"], r.Counts["begins checked"],
+		r.Counts["take-overs"], r.Counts[mostMemory])}
 	for _, v := range r.Violations {
 		lines = append(lines, fmt.Sprintf("  %v %s: %s", v.At.Round(time.Millisecond), v.Promise, v.Seen))
 	}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 	"strings"
 	"sync"
@@ -44,6 +46,8 @@
 	promiseConfig    = "a configuration is in force everywhere and never reverts"
 	promiseEvacuated = "nothing is started in an evacuated failure domain"
 	promiseProcess   = "no process ends by itself"
+	promiseAnswer    = "a job is refused for its size or form by all nodes or by none"
+	promisePrompt    = "a job begins in time while nothing is disturbed"
 	promiseLoss      = "a long-running task whose worker is lost runs again in time"
 )
 
@@ -54,6 +58,7 @@
 	jobs         map[string]*jobHistory
 	runs         map[string][]*run // by task
 	open         map[runKey]*run
+	stepEnds     map[stepKey]stepEnd
 	drained      map[lifeKey]time.Duration
 	capacity     standin.Work
 	disturbances map[string][]*interval
@@ -64,7 +69,8 @@
 	losses     []loss
 	lostTasks  int
 	violations []Violation
-	done       int // ends of tasks
+	// begins is the number of jobs whose begin was checked, done that of the ends of tasks.
+	begins, done int
 }
 
 type lifeKey struct {
@@ -91,7 +97,7 @@
 type jobHistory struct {
 	id    string
 	queue string
-	steps []standin.Step
+	jobDraw
 	// accepted is when the job was accepted, 0 if it was not. Without an answer that settles it, uncertain is set.
 	accepted  time.Duration
 	uncertain bool
@@ -99,11 +105,26 @@
 	// cancelSent is set as soon as a cancellation may have arrived.
 	cancelSent bool
 	state      string
+	// finished is set once all tasks are known to be done.
+	finished bool
+}
+
+// tasks returns the names of the tasks of a step, of all occurrences.
+func (j *jobHistory) tasks(step int) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for occurrence := range max(1, j.schedule.Times) {
+			for index := range j.steps[step].Count {
+				if !yield(standin.TaskName(j.id, occurrence, step, index)) {
+					return
+				}
+			}
+		}
+	}
 }
 
 func newOracle(beganAt time.Duration, capacity standin.Work) *oracle {
 	return &oracle{
-		beganAt: beganAt, capacity: capacity, jobs: make(map[string]*jobHistory), runs: make(map[string][]*run), open: make(map[runKey]*run),
+		beganAt: beganAt, capacity: capacity, jobs: make(map[string]*jobHistory), runs: make(map[string][]*run), open: make(map[runKey]*run), stepEnds: make(map[stepKey]stepEnd),
 		drained: make(map[lifeKey]time.Duration), disturbances: make(map[string][]*interval),
 		domains: make(map[string]string), evacuations: make(map[string][]*interval),
 	}
@@ -182,13 +203,16 @@
 // unfinished returns a task of a job that was not done, or an empty string. The caller holds mu.
 func (o *oracle) unfinished(j *jobHistory) string {
 	for step := range j.steps {
-		for index := range j.steps[step].Count {
-			task := standin.TaskName(j.id, step, index)
-			if j.steps[step].DurationMS > 0 && !slices.ContainsFunc(o.runs[task], func(r *run) bool { return r.how == "done" }) {
+		if j.finished || j.steps[step].DurationMS == 0 {
+			continue
+		}
+		for task := range j.tasks(step) {
+			if !slices.ContainsFunc(o.runs[task], func(r *run) bool { return r.how == "done" }) {
 				return task
 			}
 		}
 	}
+	j.finished = true
 	return ""
 }
 
@@ -240,16 +264,18 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, j := range o.jobs {
-		if j.accepted == 0 || j.cancelSent {
+		if j.accepted == 0 || j.cancelSent || j.mayFail {
 			continue
 		}
 		if task := o.unfinished(j); task != "" {
 			unfinished = append(unfinished, task)
 		}
 		for step := range j.steps {
-			for index := range j.steps[step].Count {
-				task := standin.TaskName(j.id, step, index)
-				if j.steps[step].DurationMS == 0 && !slices.ContainsFunc(o.runs[task], func(r *run) bool { return r.end == endlessTime }) {
+			if j.steps[step].DurationMS > 0 {
+				continue
+			}
+			for task := range j.tasks(step) {
+				if !slices.ContainsFunc(o.runs[task], func(r *run) bool { return r.end == endlessTime }) {
 					notRunning = append(notRunning, task)
 				}
 			}
@@ -291,10 +317,51 @@
 	for life, runs := range byWorker {
 		o.checkCapacity(life, runs)
 	}
+	for _, j := range o.jobs {
+		o.checkBegin(j)
+	}
 	slices.SortStableFunc(o.violations, func(a, b Violation) int { return int(a.At - b.At) })
 	return o.violations
 }
 
+const (
+	// beginLimit is how long after its acceptance a job that has room may take to begin.
+	beginLimit = 2 * time.Second
+	// beginQuiet is for how long before the acceptance of a job nothing may have been disturbed, for the limit to apply.
+	beginQuiet = standin.MaxLease + standin.ReconnectTime + standin.EvacuateBound
+)
+
+// checkBegin checks that a job began in time. The caller holds mu.
+func (o *oracle) checkBegin(j *jobHistory) {
+	if !j.prompt || j.accepted == 0 || o.anyDisturbed(j.accepted-beginQuiet, j.accepted+beginLimit) ||
+		j.cancelSent && (j.cancelled == 0 || j.cancelled < j.accepted+beginLimit) {
+		return
+	}
+	o.begins++
+	began := endlessTime
+	for task := range j.tasks(0) {
+		if runs := o.runs[task]; len(runs) > 0 {
+			began = min(began, runs[0].start)
+		}
+	}
+	if began > j.accepted+beginLimit {
+		o.violate(promisePrompt, j.accepted, "job %s began %v after its acceptance", j.id, began-j.accepted)
+	}
+}
+
+// anyDisturbed reports whether anything was disturbed or evacuated at some time between from and to. The caller holds mu.
+func (o *oracle) anyDisturbed(from, to time.Duration) bool {
+	overlaps := func(i *interval) bool { return i.from <= to && i.to >= from }
+	for _, intervals := range []map[string][]*interval{o.disturbances, o.evacuations} {
+		for _, list := range intervals {
+			if slices.ContainsFunc(list, overlaps) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // checkRuns checks the runs of a task, in the order of their starts.
 func (o *oracle) checkRuns(task string, runs []*run) {
 	j := o.jobs[jobOf(task)]
@@ -307,7 +374,9 @@
 			o.violate(promiseOnce, r.start, "run %d of task %s started on %s, while run %d on %s ended %v later", r.number, task, r.worker,
 				runs[i-1].number, runs[i-1].worker, runs[i-1].end-r.start)
 		}
-		o.checkRepetition(task, r, runs[:i])
+		if step := stepOf(task); step < len(j.steps) && j.steps[step].DurationMS > 0 { // a long-running task that ends runs again
+			o.checkRepetition(task, r, runs[:i])
+		}
 		o.checkDependencies(j, task, r)
 		o.checkEvacuation(task, r)
 		late := o.disturbed(r.worker, r.start-orderDelay, r.start)
@@ -332,6 +401,7 @@
 	}
 }
 
+// checkDependencies checks that a run started after the steps that its step depends on were done.
 func (o *oracle) checkDependencies(j *jobHistory, task string, r *run) {
 	step := stepOf(task)
 	if step >= len(j.steps) {
@@ -339,35 +409,79 @@
 		return
 	}
 	for _, before := range j.steps[step].After {
-		for index := range j.steps[before].Count {
-			name := standin.TaskName(j.id, before, index)
-			if !slices.ContainsFunc(o.runs[name], func(d *run) bool { return d.how == "done" && d.end <= r.start }) {
-				o.violate(promiseOrder, r.start, "task %s started before %s was done", task, name)
-				return
+		if last := o.lastDone(j, occurrenceOf(task), before); last.at > r.start {
+			o.violate(promiseOrder, r.start, "task %s started before %s was done", task, last.task)
+			return
+		}
+	}
+}
+
+// stepKey is a step of an occurrence of a job.
+type stepKey struct {
+	job              string
+	occurrence, step int
+}
+
+// stepEnd is the task of a step that was done last, and when; endlessTime if one was never done.
+type stepEnd struct {
+	task string
+	at   time.Duration
+}
+
+// lastDone returns the end of a step. It is called once all runs are known.
+func (o *oracle) lastDone(j *jobHistory, occurrence, step int) stepEnd {
+	key := stepKey{j.id, occurrence, step}
+	last, known := o.stepEnds[key]
+	for index := 0; !known && index < j.steps[step].Count; index++ {
+		task, at := standin.TaskName(j.id, occurrence, step, index), endlessTime
+		for _, r := range o.runs[task] {
+			if r.how == "done" {
+				at = min(at, r.end)
 			}
 		}
+		if at >= last.at {
+			last = stepEnd{task, at}
+		}
 	}
+	o.stepEnds[key] = last
+	return last
 }
 
 // checkCapacity checks that what ran at a time on a worker fitted.
 func (o *oracle) checkCapacity(life lifeKey, runs []*run) {
-	for _, at := range runs {
-		var used standin.Work
-		for _, r := range runs {
-			if r.start <= at.start && r.end > at.start {
-				if j := o.jobs[jobOf(r.task)]; j != nil && stepOf(r.task) < len(j.steps) {
-					used.MilliCPU += j.steps[stepOf(r.task)].MilliCPU
-					used.MemoryMB += j.steps[stepOf(r.task)].MemoryMB
-				}
-			}
+	byEnd := slices.SortedFunc(slices.Values(runs), func(a, b *run) int { return cmp.Compare(a.end, b.end) })
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.start, b.start) })
+	var used standin.Work
+	add := func(r *run, sign int) {
+		if j := o.jobs[jobOf(r.task)]; j != nil && stepOf(r.task) < len(j.steps) {
+			used.MilliCPU += sign * j.steps[stepOf(r.task)].MilliCPU
+			used.MemoryMB += sign * j.steps[stepOf(r.task)].MemoryMB
+		}
+	}
+	for i, r := range runs {
+		add(r, 1)
+		if i+1 < len(runs) && runs[i+1].start == r.start {
+			continue
+		}
+		for ; len(byEnd) > 0 && byEnd[0].end <= r.start; byEnd = byEnd[1:] {
+			add(byEnd[0], -1)
 		}
 		if used.MilliCPU > o.capacity.MilliCPU || used.MemoryMB > o.capacity.MemoryMB {
-			o.violate(promiseCapacity, at.start, "%d thousandths of a core and %d MB are in use on %s", used.MilliCPU, used.MemoryMB, life.worker)
+			o.violate(promiseCapacity, r.start, "%d thousandths of a core and %d MB are in use on %s", used.MilliCPU, used.MemoryMB, life.worker)
 			return
 		}
 	}
 }
 
+// occurrenceOf returns the number of the occurrence in the name of a task, or -1.
+func occurrenceOf(task string) int {
+	occurrence := -1
+	if parts := strings.Split(task, "."); len(parts) == 4 {
+		_, _ = fmt.Sscan(parts[1], &occurrence) // -1 is no occurrence of any job
+	}
+	return occurrence
+}
+
 // stepOf returns the number of the step in the name of a task.
 func stepOf(task string) int {
 	parts := strings.Split(task, ".")
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -13,7 +13,7 @@
 func newHistory() history {
 	o := newOracle(0, standin.Work{MilliCPU: 3000, MemoryMB: 1000})
 	work := standin.Work{MilliCPU: 1000, MemoryMB: 100, DurationMS: 500}
-	o.addJob(&jobHistory{id: "j", queue: mainQueue, accepted: time.Second, steps: []standin.Step{{Work: work, Count: 2}, {Work: work, Count: 1, After: []int{0}}}})
+	o.addJob(&jobHistory{id: "j", queue: mainQueue, accepted: time.Second, jobDraw: jobDraw{steps: []standin.Step{{Work: work, Count: 2}, {Work: work, Count: 1, After: []int{0}}}}})
 	o.domains["w1"], o.domains["w2"] = "d1", "d2"
 	return history{o}
 }
@@ -75,6 +75,14 @@
 		"a task runs late after a loss, long after a disturbance":  {disturbed(lost(20*s), "n2", -8*s), promiseLoss},
 		"a task runs late after a loss with its owner's end":       {disturbed(lost(20*s), "n1", 2*s), promiseLoss},
 		"a task runs late after a loss and two ends of its owner":  {disturbed(disturbed(lost(20*s), "n1", 2*s), "n1", 3*s), ""},
+		"a long-running task ends and runs again":                  {lost(0).run("w2", "l.0.0.0", 2, 3*s, 4*s).at(4*s, "w2", "acknowledged", "l.0.0.0", 2).run("w2", "l.0.0.0", 3, 5*s, 6*s).at(7*s, "w2", "start", "l.0.0.0", 4), ""},
+		"a job begins too late":                                    {begun(3*s + 1), promisePrompt},
+		"a job never begins":                                       {begun(0), promisePrompt},
+		"a job begins in time":                                     {begun(3 * s), ""},
+		"a job begins late while a node is disturbed":              {disturbed(begun(4*s), "n1", 2*s), ""},
+		"a job begins late after a disturbance":                    {disturbed(begun(4*s), "n1", s-beginQuiet-1), promisePrompt},
+		"a task of the second occurrence before the first step":    {occurrences("o.1.1.0"), promiseOrder},
+		"tasks of the first occurrence in their order":             {occurrences("o.0.1.0"), ""},
 		"a task in another failure domain than the evacuated one":  {evacuated(2*s, 20*s, 3*s).run("w2", second, 1, 9*s, 10*s), ""},
 	}
 	for name, test := range tests {
@@ -90,11 +98,29 @@
 	}
 }
 
+// begun is a history of a prompt job, accepted at 1 s, that begins at a time unless that is 0.
+func begun(at time.Duration) history {
+	h := newHistory()
+	h.addJob(&jobHistory{id: "b", accepted: s, jobDraw: jobDraw{steps: []standin.Step{{Work: standin.Work{MilliCPU: 10, DurationMS: 500}, Count: 1}}, prompt: true}})
+	if at > 0 {
+		h.run("w1", "b.0.0.0", 1, at, at+s/2)
+	}
+	return h
+}
+
+// occurrences is a history of a job with two occurrences of two steps, of which the first one's first step and a further task run.
+func occurrences(task string) history {
+	h, work := newHistory(), standin.Work{MilliCPU: 10, DurationMS: 500}
+	h.addJob(&jobHistory{id: "o", accepted: s, jobDraw: jobDraw{steps: []standin.Step{{Work: work, Count: 1}, {Work: work, Count: 1, After: []int{0}}},
+		schedule: standin.Schedule{Times: 2}}})
+	return h.run("w1", "o.0.0.0", 1, 2*s, 3*s).run("w1", task, 1, 4*s, 5*s)
+}
+
 // overcommitted has four runs on a worker with room for three.
 func overcommitted() history {
 	h := newHistory()
 	work := standin.Work{MilliCPU: 1000, MemoryMB: 100, DurationMS: 500}
-	h.addJob(&jobHistory{id: "k", accepted: time.Second, steps: []standin.Step{{Work: work, Count: 2}}})
+	h.addJob(&jobHistory{id: "k", accepted: time.Second, jobDraw: jobDraw{steps: []standin.Step{{Work: work, Count: 2}}}})
 	for _, task := range []string{first, second, "k.0.0.0", "k.0.0.1"} {
 		h.at(2*s, "w1", "start", task, 1)
 	}
@@ -116,7 +142,7 @@
 // lost is a history in which w1 is lost at 2 s with its long-running task, which w2 starts at a time unless that is 0.
 func lost(again time.Duration) history {
 	h := newHistory()
-	h.addJob(&jobHistory{id: "l", accepted: time.Second, steps: []standin.Step{{Work: standin.Work{MilliCPU: 1000}, Count: 1}}})
+	h.addJob(&jobHistory{id: "l", accepted: time.Second, jobDraw: jobDraw{steps: []standin.Step{{Work: standin.Work{MilliCPU: 1000}, Count: 1}}}})
 	h.losses = []loss{{worker: "w1", from: 2 * s, to: 2 * s, subjects: []string{"w1", "n1"}}}
 	h.at(s, "w1", "start", "l.0.0.0", 1).at(2*s, "w1", "gone", "", 0)
 	if again > 0 {
@@ -144,7 +170,7 @@
 
 func TestUnsettled(t *testing.T) {
 	h := newHistory().run("w1", first, 1, 2*s, 3*s)
-	h.addJob(&jobHistory{id: "l", accepted: time.Second, steps: []standin.Step{{Work: standin.Work{MilliCPU: 1000}, Count: 2}}})
+	h.addJob(&jobHistory{id: "l", accepted: time.Second, jobDraw: jobDraw{steps: []standin.Step{{Work: standin.Work{MilliCPU: 1000}, Count: 2}}}})
 	h.at(2*s, "w1", "start", "l.0.0.0", 1)
 	unfinished, notRunning := h.unsettled()
 	if len(unfinished) != 1 || unfinished[0] != second || len(notRunning) != 1 || notRunning[0] != "l.0.0.1" {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,6 +33,8 @@
 	// Capacity of a node in thousandths of a core. The number of cells follows from it.
 	Capacity int
 	JobRate  float64 // jobs a second
+	// Traffic is the name of the kind of traffic.
+	Traffic string
 	// Evacuations has the operator evacuate failure domains.
 	Evacuations bool
 	Kinds       []string
@@ -57,6 +59,8 @@
 	workersPerRack = 4
 	checkPeriod    = 250 * time.Millisecond
 	progressPeriod = 5 * time.Second
+	// mostMemory is the name of the count of the most memory that a node used, in MB.
+	mostMemory = "most memory"
 )
 
 var workerCapacity = standin.Work{MilliCPU: 16000, MemoryMB: 64 << 10}
@@ -68,6 +72,8 @@
 	stats    *statistics
 	operator *operator
 	callers  *callers
+	traffic  *trafficKind
+	limits   standin.StoreLimits
 	store    *process
 	nodes    []*soakNode
 	racks    []*rack
@@ -121,6 +127,12 @@
 		return nil, trace.Wrap(err)
 	}
 	s := &soak{options: options, logs: logs, oracle: newOracle(boottime.Now(), workerCapacity), stats: newStatistics()}
+	if s.traffic, err = trafficNamed(options.Traffic); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if s.traffic.drawLimits != nil {
+		s.limits = s.traffic.drawLimits(rand.New(rand.NewPCG(options.Seed, 6)))
+	}
 	s.callers, s.operator = newCallers(s), newOperator(s, s.storeAddress())
 	defer s.stopAll()
 	if err := s.start(ctx); err != nil {
@@ -132,13 +144,17 @@
 	for range s.oracle.lostTasks {
 		s.stats.count("lost tasks checked")
 	}
+	for range s.oracle.begins {
+		s.stats.count("begins checked")
+	}
 	return newReport(options, faults, violations, s.stats), nil
 }
 
 // start starts all processes and waits until each node takes requests.
 func (s *soak) start(ctx context.Context) error {
 	var err error
-	s.store, err = startProcess("store", append(s.options.Self, "store", "--listen", s.storeAddress(), "--seed", fmt.Sprint(s.options.Seed)), nil,
+	s.store, err = startProcess("store", append(s.options.Self, "store", "--listen", s.storeAddress(), "--seed", fmt.Sprint(s.options.Seed),
+		"--record-bytes", fmt.Sprint(s.limits.RecordBytes), "--call-bytes", fmt.Sprint(s.limits.CallBytes)), nil,
 		s.logs.file("store"), func([]byte) {})
 	if err != nil {
 		return trace.Wrap(err)
@@ -157,6 +173,7 @@
 		}
 	}
 	go s.watchReadiness(ctx)
+	go s.watchMemory(ctx)
 	err = waitFor(ctx, readyTimeout, func() bool {
 		for _, n := range s.nodes {
 			if !n.ready.Load() {
@@ -235,7 +252,7 @@
 	}
 	n := &soakNode{link: link, settings: standin.Node{
 		Name: fmt.Sprintf("n-%s-%d", domainName(domain), i/s.options.Domains), IP: ip, FailureDomain: domainName(domain), StoreAddress: linkAddress,
-		Capacity: s.options.Capacity,
+		Capacity: s.options.Capacity, Limits: s.limits,
 	}}
 	for d := range s.options.Domains {
 		n.settings.FailureDomains = append(n.settings.FailureDomains, domainName(d))
@@ -297,6 +314,24 @@
 	}
 }
 
+// watchMemory checks each second that no node uses more memory than it has. A node that does is reported once.
+func (s *soak) watchMemory(ctx context.Context) {
+	for reported := make(map[*process]bool); ctx.Err() == nil; sleep(ctx, time.Second) {
+		for _, n := range s.nodes {
+			p := n.current()
+			if p == nil || reported[p] {
+				continue
+			}
+			used := residentBytes(p.command.Process.Pid)
+			s.stats.most(mostMemory, used>>20)
+			if used > standin.DefaultMemoryMB<<20 {
+				reported[p] = true
+				s.oracle.report(promiseProcess, boottime.Now(), "%s uses %d MB of %d", p.name, used>>20, standin.DefaultMemoryMB)
+			}
+		}
+	}
+}
+
 // pickNode returns a node that takes requests, or any node that runs, or nil.
 func (s *soak) pickNode(choice uint64) *soakNode {
 	var ready, running []*soakNode
@@ -402,7 +437,7 @@
 	}
 	s.oracle.mu.Unlock()
 	for _, j := range jobs {
-		if j.steps[0].DurationMS == 0 {
+		if j.isService() || j.mayFail {
 			s.callers.cancel(j, random)
 		} else if j.queue == mainQueue {
 			s.checkCompleted(ctx, j, random)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -27,34 +27,51 @@
 const (
 	ciSeed     = 3
 	ciDuration = 25 * time.Second
+	// ciTrafficDuration is that of the runs without faults.
+	ciTrafficDuration = 10 * time.Second
 	// testNetwork differs from the default of the command, so that a test and a soak by hand do not meet.
 	testNetwork = 78
 )
 
-// A short run of the real program: two cells and more, all kinds of faults, a fixed seed.
+// Short runs of the real program in two cells and more, with fixed seeds: all kinds of faults, and the unusual kinds of traffic without any.
 func TestSoak(t *testing.T) {
-	directory := t.TempDir()
-	daemon := filepath.Join(directory, "cactuswalld")
+	daemon := filepath.Join(t.TempDir(), "cactuswalld")
 	if output, err := exec.Command("go", "build", "-o", daemon, "cactuswall.example/cactuswall/cmd/cactuswalld").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, output)
 	}
 	t.Setenv(standInVariable, "1")
-	report, err := Run(context.Background(), Options{
-		Seed: ciSeed, Duration: ciDuration, Domains: 3, Nodes: 6, Workers: 18, Capacity: 12, JobRate: 3, Kinds: Kinds(), Evacuations: true, Daemon: daemon,
-		Self: []string{os.Args[0]}, KeepLogs: directory, Network: testNetwork, Progress: testWriter{t},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := report.Write(directory); err != nil {
-		t.Fatal(err)
-	}
-	t.Log(report.Summary())
-	if len(report.Violations) > 0 {
-		t.Fail()
-	}
-	if report.Counts["evacuations"] == 0 || report.Counts["done"] == 0 || report.Counts["faults"] == 0 || report.Counts["take-overs"] < 2 {
-		t.Errorf("the run showed nothing: %v", report.Counts)
+	for _, test := range []struct {
+		traffic  string
+		duration time.Duration
+		kinds    []string
+		shown    []string // counts that must not be 0
+	}{
+		{"ordinary", ciDuration, Kinds(), []string{"evacuations", "done", "faults"}},
+		{"failing", ciTrafficDuration, nil, []string{"done", "failed", "begins checked"}},
+		{"limits", ciTrafficDuration, nil, []string{"done", "refused for good", "begins checked"}},
+	} {
+		t.Run(test.traffic, func(t *testing.T) {
+			directory := t.TempDir()
+			report, err := Run(context.Background(), Options{
+				Seed: ciSeed, Duration: test.duration, Domains: 3, Nodes: 6, Workers: 18, Capacity: 12, JobRate: 3, Traffic: test.traffic, Kinds: test.kinds,
+				Evacuations: len(test.kinds) > 0, Daemon: daemon, Self: []string{os.Args[0]}, KeepLogs: directory, Network: testNetwork, Progress: testWriter{t},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := report.Write(directory); err != nil {
+				t.Fatal(err)
+			}
+			t.Log(report.Summary())
+			if len(report.Violations) > 0 {
+				t.Fail()
+			}
+			for _, count := range test.shown {
+				if report.Counts[count] == 0 || report.Counts["take-overs"] < 2 {
+					t.Errorf("the run showed nothing: %v", report.Counts)
+				}
+			}
+		})
 	}
 }
 
@@ -90,12 +107,12 @@
 
 func TestOptions(t *testing.T) {
 	valid := func() Options {
-		return Options{Domains: 3, Nodes: 6, Workers: 30, JobRate: 1, Duration: time.Minute, Network: 1, Daemon: os.Args[0]}
+		return Options{Domains: 3, Nodes: 6, Workers: 30, JobRate: 1, Duration: time.Minute, Network: 1, Daemon: os.Args[0], Traffic: "limits"}
 	}
 	for name, change := range map[string]func(*Options){
 		"domains": func(o *Options) { o.Domains = 0 }, "nodes": func(o *Options) { o.Nodes = 2 }, "workers": func(o *Options) { o.Workers = 1000 },
 		"rate": func(o *Options) { o.JobRate = 0 }, "duration": func(o *Options) { o.Duration = time.Second }, "network": func(o *Options) { o.Network = 0 },
-		"daemon": func(o *Options) { o.Daemon = "/nonexistent" },
+		"daemon": func(o *Options) { o.Daemon = "/nonexistent" }, "traffic": func(o *Options) { o.Traffic = "none" },
 	} {
 		o := valid()
 		change(&o)
--- a/internal/soak/standins.go
+++ b/internal/soak/standins.go
@@ -42,13 +42,17 @@
 func newStoreCommand() *cobra.Command {
 	var listen string
 	var seed uint64
+	var limits standin.StoreLimits
 	command := &cobra.Command{Use: "store", Short: "Run the stand-in of the store", Hidden: true, RunE: func(*cobra.Command, []string) error {
 		s := standin.NewStore(standin.KeepHistory, standin.WorkerExpiry, seed)
+		s.Limits = limits
 		go s.Expire()
 		return trace.Wrap(serve(listen, s, nil))
 	}}
 	command.Flags().StringVar(&listen, "listen", "", "address")
 	command.Flags().Uint64Var(&seed, "seed", 0, "seed of lost answers")
+	command.Flags().IntVar(&limits.RecordBytes, "record-bytes", 0, "largest record; 0 for the usual one")
+	command.Flags().IntVar(&limits.CallBytes, "call-bytes", 0, "records of an append; 0 for the usual limit")
 	return command
 }
 
--- a/internal/soak/statistics.go
+++ b/internal/soak/statistics.go
@@ -41,6 +41,13 @@
 	s.bySecond[name][second]++
 }
 
+// most notes a number of which the highest counts.
+func (s *statistics) most(name string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[name] = max(s.counts[name], n)
+}
+
 // event counts what happened on workers.
 func (s *statistics) event(kind string) {
 	switch kind {
