A job with nothing running gets a start beside thousands of others

What callers saw: ordinary jobs with room began 2.2 to 4.6 s after their acceptance while the 20,000 tasks of other jobs, or thousands of restarts of services, were being started.

Cause: a round gives its 64 starts to the most urgent groups. "step waiting for its turn" showed them at position 3,180 of 4,983 and 14,248 of 15,022.

Change: a group that has waited for its turn for 1 s while nothing of its job runs gets one start. Interrupted tasks that wait for room come first.

--- a/internal/cell/idle_jobs.go
+++ b/internal/cell/idle_jobs.go
@@ -56,6 +56,38 @@
 	return c.now - max(g.job.idleSince, g.readyAt)
 }
 
+const (
+	// idleTurnAfter is how long a job with nothing running waits for its turn before it gets a start all the same.
+	idleTurnAfter = time.Second
+	// idleTurnShare is the share of a round's starts, one in so many, that such jobs get.
+	idleTurnShare = 4
+)
+
+// placeIdle places one task of each group, up to limit, that has been waiting for its turn while nothing of its job runs: a job with
+// thousands of tasks, or many interrupted ones, would have the others wait until all of them are started. Interrupted tasks that wait for
+// room come first. It returns the numbers of placed tasks by group, and in all.
+func (c *Cell) placeIdle(v *placementView, groups []*group, limit int) (byGroup map[*group]int, placed int) {
+	for _, g := range groups {
+		if placed >= limit || g.rank.Interrupted() && g.waitReason == waitRoom {
+			break
+		}
+		if g.waitReason != waitTurn || g.job.runs > 0 && !g.step.LongRunning {
+			continue
+		}
+		if t := g.firstToStart(c.now); t == nil || c.idleTime(t) < idleTurnAfter {
+			continue
+		}
+		if count, _ := c.placeGroup(v, g, 1); count > 0 {
+			if byGroup == nil {
+				byGroup = make(map[*group]int)
+			}
+			byGroup[g] = count
+			placed += count
+		}
+	}
+	return byGroup, placed
+}
+
 // mostlyFree reports whether tasks request less than half of the processor capacity of the workers of a platform service that
 // accept tasks. The result may be up to serviceRoomAge old.
 func (v *placementView) mostlyFree(platformService string, now time.Duration) bool {
@@ -103,3 +135,12 @@
 	}
 	return pace
 }
+
+// idleStarts returns how many starts of a round go to jobs with nothing running, of those that the load of the owner allows. Others may
+// use up all of these, so that one remains unless the owner is overloaded.
+func (c *Cell) idleStarts(allowed int) int {
+	if allowed < idleTurnShare && !c.load.Overloaded(c.now) {
+		return 1
+	}
+	return allowed / idleTurnShare
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -45,7 +45,8 @@
 	v := c.newPlacementView()
 	allowed := min(maxStartsPerRound, c.load.AllowedStarts(c.unansweredStarts-v.hangingStarts))
 	v.repeatedStarts = max(1, allowed/repeatedShare)
-	placed, unplaced := 0, false
+	idle, placed := c.placeIdle(v, groups, c.idleStarts(allowed))
+	unplaced := false
 	var withoutRoom []*group // interrupted groups
 	for i, g := range groups {
 		limit := maxStartsPerRound
@@ -58,7 +59,7 @@
 		count, all := c.placeGroup(v, g, max(0, limit-placed))
 		placed += count
 		unplaced = unplaced || !all
-		turns.placed(v, g, count)
+		turns.placed(v, g, count+idle[g])
 		if g.waitReason == waitRoom && g.rank.Interrupted() {
 			withoutRoom = append(withoutRoom, g)
 		}
