--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -358,6 +358,7 @@
 	traffic, endTraffic := context.WithTimeout(ctx, s.options.Duration)
 	defer endTraffic()
 	began := boottime.Now()
+	s.oracle.update(func() { s.oracle.settledAt = began + settleTime })
 	go s.callers.handIn(traffic, s.options.JobRate, rand.New(rand.NewPCG(s.options.Seed, 3)))
 	go s.operator.probe(ctx)
 	go s.operator.readStore(ctx)
