Soak: jobs at the limits of the owner's memory

--traffic limits also hands in 100,000 occurrences that are due at once, and up to 40 jobs of 20,000 tasks at once, which are cancelled 4 s later.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -84,6 +84,9 @@
 	j := &jobHistory{id: fmt.Sprintf("%016x", random.Uint64()), queue: c.soak.operator.pickQueue(random), jobDraw: draw}
 	c.soak.oracle.addJob(j)
 	if !c.submit(j, random) {
+		if j.cancelAfter > 0 { // it may have been accepted all the same
+			c.cancel(j, random)
+		}
 		return
 	}
 	if random.Float64() < repeatShare {
@@ -94,7 +97,9 @@
 		})
 	}
 	cancelAt := time.Duration(0)
-	if !j.isService() && random.Float64() < cancelShare {
+	if j.cancelAfter > 0 {
+		cancelAt = boottime.Now() + j.cancelAfter
+	} else if !j.isService() && random.Float64() < cancelShare {
 		cancelAt = boottime.Now() + time.Duration(random.Int64N(int64(2*time.Second)))
 	}
 	for ctx.Err() == nil {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -25,6 +25,8 @@
 	prompt bool
 	// copies is the number of further jobs that are handed in with it.
 	copies int
+	// cancelAfter is how long after its acceptance the job is cancelled; 0 for most jobs.
+	cancelAfter time.Duration
 }
 
 // expectedAnswer says whether nodes accept a job.
@@ -165,7 +167,7 @@
 			d.answer = mustBeRefused
 		}
 	}
-	switch random.IntN(7) {
+	switch random.IntN(9) {
 	case 0: // tasks of a job
 		tasks := near(random, jobs.MaxTasks)
 		d.steps[0].Count = tasks
@@ -196,9 +198,19 @@
 	case 6: // tasks of all occurrences that are due at about the same time
 		d.steps[0].Count = 1 + random.IntN(40)
 		d.schedule = standin.Schedule{Times: near(random, 2000/d.steps[0].Count) + random.IntN(20), Start: time.Now(), Interval: time.Duration(random.IntN(10)) * time.Millisecond}
+	case 7: // memory of the owner: occurrences that are due at once
+		d.steps[0].Count = 1 + random.IntN(20)
+		d.schedule = standin.Schedule{Times: jobs.MaxOccurrences, Start: time.Now()}
+		d.mayFail, d.cancelAfter = true, crowdTime
+	case 8: // memory of the owner: many large jobs
+		d.steps[0].Count = jobs.MaxTasks
+		d.copies, d.mayFail, d.cancelAfter = random.IntN(2*maxCopies), true, crowdTime
 	}
 	return d
 }
 
+// crowdTime is how long jobs stay that have more tasks than can be done.
+const crowdTime = 4 * time.Second
+
 // partTasks is the number of tasks whose progress is stored in one record.
 const partTasks = 128
