Delays of tasks that end repeatedly last over a change of owner

What callers saw: each new owner started tasks that end again and again three times at once before it delayed them, so that frequent changes of owner undid the delays.

Cause: the series of vain starts is in memory only.

Change: a new owner takes the last three starts of a long-running task with more than six runs for vain ones. Its next start is prompt; one that lasts 5 s ends the series. Nothing more is stored.

--- a/internal/cell/load.go
+++ b/internal/cell/load.go
@@ -173,6 +173,7 @@
 		for _, storedRun := range stored.Runs {
 			c.loadRun(t, storedRun)
 		}
+		t.resumeSeries()
 	}
 }
 
--- a/internal/cell/repeated_ends.go
+++ b/internal/cell/repeated_ends.go
@@ -100,6 +100,14 @@
 	maxDoublings  = 5
 )
 
+// resumeSeries has a new owner take the last starts of a long-running task that was started often for ones that came to nothing, which
+// are not stored: its next start is prompt, and only one that lasts makes the following ones prompt again.
+func (t *task) resumeSeries() {
+	if t.group.step.LongRunning && t.lastRunNumber > 2*promptStarts {
+		t.vainStarts = promptStarts
+	}
+}
+
 // noteServiceEnd notes that a run of a long-running task has ended by itself.
 func (c *Cell) noteServiceEnd(t *task, ran time.Duration, reason string) {
 	if ran >= lastingRun {
--- a/internal/cell/repeated_ends_test.go
+++ b/internal/cell/repeated_ends_test.go
@@ -40,6 +40,21 @@
 				So(sim.startCounts[task], ShouldBeGreaterThan, starts)
 			}
 		})
+		Convey("new owners start each task once at once, and then with the same delays", func() {
+			sim.run(8 * time.Second)
+			started := func() (starts int) {
+				for _, n := range sim.startCounts {
+					starts += n
+				}
+				return starts
+			}
+			before := started()
+			for range 3 {
+				sim.takeOver()
+				sim.run(time.Second)
+			}
+			So(started()-before, ShouldBeBetween, 1500, 3*1500*3/2)
+		})
 		Convey("all tasks run soon after they have become sound", func() {
 			sim.serviceEndRate = 0
 			sim.run(4 * time.Second)
