Soak: jobs of unusual traffic end in time

Both were the generator's doing, as the logs show: jobs of 20,000 tasks that were accepted in the last 4 s were not cancelled, and 500,000 of their tasks were done first; and services whose tasks fail up to 20 times before they last, with delays of up to 3 s, need 45 s and more. The former are cancelled now, the latter fail 8 times at most.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -112,6 +112,9 @@
 			return
 		}
 	}
+	if j.cancelAfter > 0 {
+		c.cancel(j, random)
+	}
 }
 
 // submit hands a job in, again and again after answers that leave it open, and reports whether it was accepted.
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -123,6 +123,10 @@
 	return standin.Work{MilliCPU: 10, MemoryMB: 1, DurationMS: durationMS}
 }
 
+// maxFailedRuns is the largest number of runs of a long-running task that fail before one lasts. Nodes start it again after up to 3 s, so that
+// it lasts well before finishLimit.
+const maxFailedRuns = 8
+
 // drawFailing returns a job whose tasks crash, end at once, or are refused, some of them for good.
 func drawFailing(random *rand.Rand, _ standin.StoreLimits) jobDraw {
 	work := smallWork(100 + random.IntN(400))
@@ -133,9 +137,9 @@
 	case 0: // tasks that crash; a job has standin.MaxAttempts for each
 		work.FailRuns = 1 + random.IntN(standin.MaxAttempts-1)
 	case 1: // long-running tasks that crash
-		work.DurationMS, work.FailRuns = 0, 1+random.IntN(20)
+		work.DurationMS, work.FailRuns = 0, 1+random.IntN(maxFailedRuns)
 	case 2: // long-running tasks that end at once
-		work.DurationMS, work.FailRuns, work.EndsDone = 0, 1+random.IntN(20), true
+		work.DurationMS, work.FailRuns, work.EndsDone = 0, 1+random.IntN(maxFailedRuns), true
 	case 3: // tasks that workers refuse
 		work.FailAfterMS, work.RefuseStarts, work.RefusalStatus = 0, 1+random.IntN(2), []int{400, 409, 503}[random.IntN(3)]
 		d.mayFail = true // refusals may count as attempts
