A task avoids a worker that refused it only while others are placed there

The first refusals leave the worker out for all tasks as before; the task has no further reason to avoid it after that, which would cost it the rack of its data.

--- a/internal/cell/repeated_ends.go
+++ b/internal/cell/repeated_ends.go
@@ -51,7 +51,6 @@
 	if !ofWorker {
 		g.refusals, g.job.refusals = min(maxVainStarts, g.refusals+1), min(maxVainStarts, g.job.refusals+1)
 		ofWorker = reason != workercall.ReasonMalformedOrder && !g.refusedRepeatedly()
-		r.task.avoidWorker = w.info.ID
 	}
 	if ofWorker {
 		backoff := refusedBackoff
@@ -60,6 +59,8 @@
 		}
 		w.refusingUntil = c.now + backoff
 		c.scheduleRetry(w.refusingUntil)
+	} else {
+		r.task.avoidWorker = w.info.ID
 	}
 	c.noteVainStart(r.task, string(reason))
 }
