--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -184,6 +184,7 @@
 		for len(d.steps) < count {
 			d.steps = append(d.steps, standin.Step{Work: d.steps[0].Work, Count: 1})
 		}
+		d.answer = mayBeRefused // by a store whose records are small
 		expect(count, jobs.MaxSteps)
 	case 3: // payload
 		d.payloadBytes = near(random, jobs.MaxPayloadBytes)
