--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"cactuswall.example/cactuswall/internal/boottime"
 	"cactuswall.example/cactuswall/platform"
@@ -57,8 +58,10 @@
 	stateLimit = 5 * time.Second
 	// workersPerRack is the number of workers in a rack.
 	workersPerRack = 4
-	checkPeriod    = 250 * time.Millisecond
-	progressPeriod = 5 * time.Second
+	// maxOpenRequests is the number of jobs whose ends are asked for at a time.
+	maxOpenRequests = 10
+	checkPeriod     = 250 * time.Millisecond
+	progressPeriod  = 5 * time.Second
 	// mostMemory is the name of the count of the most memory that a node used, in MB.
 	mostMemory = "most memory"
 )
@@ -426,7 +429,8 @@
 	}
 }
 
-// cancelServices cancels the jobs that last, and checks the state of all others.
+// cancelServices cancels the jobs that last, and checks the state of all others. It takes several jobs at a time, since nodes that are at fault
+// may not answer.
 func (s *soak) cancelServices(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.options.Seed, 4))
 	s.oracle.mu.Lock()
@@ -437,13 +441,21 @@
 		}
 	}
 	s.oracle.mu.Unlock()
+	var open errgroup.Group
+	open.SetLimit(maxOpenRequests)
 	for _, j := range jobs {
-		if j.isService() || j.mayFail {
-			s.callers.cancel(j, random)
-		} else if j.queue == mainQueue {
-			s.checkCompleted(ctx, j, random)
-		}
+		seed := random.Uint64()
+		open.Go(func() error {
+			random := rand.New(rand.NewPCG(seed, 4))
+			if j.isService() || j.mayFail {
+				s.callers.cancel(j, random)
+			} else if j.queue == mainQueue {
+				s.checkCompleted(ctx, j, random)
+			}
+			return nil
+		})
 	}
+	_ = open.Wait() // no error
 }
 
 // checkCompleted checks that nodes report a job as completed of which all tasks are done.
