Jobs with nothing running get a start before others only while most of the room is free

Cause: such starts came before the order of urgency in crowded rounds as well, so that hopeless jobs began before useful ones.

--- a/internal/cell/idle_jobs.go
+++ b/internal/cell/idle_jobs.go
@@ -63,18 +63,18 @@
 	idleTurnShare = 4
 )
 
-// placeIdle places one task of each group, up to limit, that has been waiting for its turn while nothing of its job runs: a job with
-// thousands of tasks, or many interrupted ones, would have the others wait until all of them are started. Interrupted tasks that wait for
-// room come first. It returns the numbers of placed tasks by group, and in all.
+// placeIdle places one task of each group, up to limit, that has been waiting for its turn while nothing of its job runs and most of the
+// room is free: a job with thousands of tasks, or many interrupted ones, would have the others wait until all of them are started. While
+// room is scarce, only the order of urgency counts. It returns the numbers of placed tasks by group, and in all.
 func (c *Cell) placeIdle(v *placementView, groups []*group, limit int) (byGroup map[*group]int, placed int) {
 	for _, g := range groups {
-		if placed >= limit || g.rank.Interrupted() && g.waitReason == waitRoom {
+		if placed >= limit {
 			break
 		}
 		if g.waitReason != waitTurn || g.job.runs > 0 && !g.step.LongRunning {
 			continue
 		}
-		if t := g.firstToStart(c.now); t == nil || c.idleTime(t) < idleTurnAfter {
+		if t := g.firstToStart(c.now); t == nil || c.idleTime(t) < idleTurnAfter || !v.mostlyFree(c.platformServiceOf(g.job), c.now) {
 			continue
 		}
 		if count, _ := c.placeGroup(v, g, 1); count > 0 {
