--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -14,6 +14,7 @@
 	"labels":   labelsCase,
 	"images":   imagesCase,
 	"suspect":  suspectCase,
+	"cancels":  cancelCase,
 	"large":    largeCase,
 	"poison":   poisonCase,
 }
